Serve prompts end to end through separate daemon processes

Callers reach any daemon over HTTP; the daemon's reducer chooses an engine among the announced backend servers, and the stream is checked for identity and position on its way back. Daemons forward announcements to each other over net/rpc.

TestServesThroughProcesses serves the three lengths through three daemon processes and goes on after one is killed.

Configuration is not yet replicated; limits, deadlines by prediction and graceful shutdown are missing.

--- /dev/null
+++ b/announcement.go
@@ -0,0 +1,42 @@
+package gypsumshelf
+
+// ServerState is the state that a backend server announces.
+type ServerState string
+
+// States of a backend server.
+const (
+	ServerStarting ServerState = "starting"
+	ServerReady    ServerState = "ready"
+	ServerLeaving  ServerState = "leaving"
+)
+
+// Kinds of backend servers.
+const (
+	KindEngine = "engine"
+	KindPlain  = "plain"
+)
+
+// ServerID names a backend server.
+type ServerID string
+
+// Load is the load that a backend server reports; it lags behind the truth.
+type Load struct {
+	Running    int `json:"running"`
+	Queued     int `json:"queued"`
+	UsedTokens int `json:"used-tokens"`
+}
+
+// Announcement is the body of POST /announce, repeated as a heartbeat.
+type Announcement struct {
+	Server        ServerID    `json:"backend-server"`
+	Incarnation   string      `json:"incarnation"` // fresh at every start of the server
+	Address       string      `json:"address"`     // IP:PORT
+	DataCentre    string      `json:"data-centre"`
+	Service       string      `json:"service"`
+	Kind          string      `json:"kind"` // KindEngine or KindPlain
+	Models        []string    `json:"models,omitempty"`
+	MemoryTokens  int         `json:"memory-tokens,omitempty"`
+	ChecksFencing bool        `json:"checks-fencing,omitempty"`
+	State         ServerState `json:"state"`
+	Load          Load        `json:"load"`
+}
--- /dev/null
+++ b/cmd/gypsumshelf/process_test.go
@@ -0,0 +1,183 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf/loads"
+)
+
+// binary is the path of the program under test, built once by TestMain.
+var binary string
+
+func TestMain(m *testing.M) { os.Exit(runTests(m)) }
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "gypsumshelf-test")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binary = filepath.Join(dir, "gypsumshelf")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is a started program that ends with its test.
+type process struct {
+	cmd *exec.Cmd
+}
+
+func startProcess(t *testing.T, args ...string) *process {
+	t.Helper()
+	cmd := exec.Command(binary, args...)
+	cmd.Stderr = os.Stderr
+	if err := cmd.Start(); err != nil {
+		t.Fatalf("start %v: %v", args, err)
+	}
+	p := &process{cmd: cmd}
+	t.Cleanup(p.kill)
+	return p
+}
+
+func (p *process) kill() {
+	if p.cmd.ProcessState == nil {
+		_ = p.cmd.Process.Signal(syscall.SIGKILL)
+		_ = p.cmd.Wait()
+	}
+}
+
+// member is one daemon of a test deployment.
+type member struct {
+	name      string
+	addresses map[string]string // by listener
+	file      string
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// newDeployment writes the settings files of n daemons.
+func newDeployment(t *testing.T, n int) []*member {
+	t.Helper()
+	dir := t.TempDir()
+	centres := []string{"wien-nord", "linz-hafen", "graz-sued"}
+	members := make([]*member, n)
+	var peers []map[string]string
+	for i := range members {
+		m := &member{name: fmt.Sprintf("entry-%d", i+1), addresses: map[string]string{}}
+		for _, l := range []string{"callers", "backend-servers", "peers", "operators", "metrics"} {
+			m.addresses[l] = freeAddress(t)
+		}
+		members[i] = m
+		peers = append(peers, map[string]string{"daemon": m.name, "address": m.addresses["peers"], "data-centre": centres[i%3]})
+	}
+	for i, m := range members {
+		m.file = filepath.Join(dir, m.name+".json")
+		data, err := json.Marshal(map[string]any{
+			"deployment": "ostalpen", "daemon": m.name, "data-centre": centres[i%3], "region": "ostalpen",
+			"data-folder": filepath.Join(dir, m.name), "listen": m.addresses, "peers": peers,
+			"voters": []string{"entry-1", "entry-2", "entry-3"},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(m.file, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return members
+}
+
+// waitFor polls a condition; the bound only ends a hopeless test.
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(60 * time.Second)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("never happened: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func assertServed(t *testing.T, m *member, lengths ...int) {
+	t.Helper()
+	caller := loads.NewCaller()
+	for i, length := range lengths {
+		out := caller.Do(context.Background(), loads.Order{
+			Address: m.addresses["callers"], Model: "quill", PromptTokens: length, MaxTokens: 16, Seed: uint64(length + i),
+		})
+		if out.Err != nil {
+			t.Errorf("%s, prompt of %d tokens: %v", m.name, length, out.Err)
+		}
+	}
+}
+
+func waitReady(t *testing.T, m *member, servers int) {
+	t.Helper()
+	waitFor(t, fmt.Sprintf("%s ready with %d backend servers", m.name, servers), func() bool {
+		ready, err := http.Get("http://" + m.addresses["callers"] + "/readyz")
+		if err != nil {
+			return false
+		}
+		ready.Body.Close()
+		resp, err := http.Get("http://" + m.addresses["operators"] + "/status")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		var status struct {
+			Servers []any `json:"backend-servers"`
+		}
+		return json.NewDecoder(resp.Body).Decode(&status) == nil &&
+			ready.StatusCode == http.StatusOK && len(status.Servers) >= servers
+	})
+}
+
+// Guards against a path that works only inside one process, and against
+// daemons that cannot serve once one of them is killed.
+func TestServesThroughProcesses(t *testing.T) {
+	members := newDeployment(t, 3)
+	var daemons []*process
+	args := []string{"stand-ins", "--engines", "6"}
+	for _, m := range members {
+		daemons = append(daemons, startProcess(t, "serve", "--config", m.file))
+		args = append(args, "--daemon", m.addresses["backend-servers"])
+	}
+	startProcess(t, args...)
+	for _, m := range members {
+		waitReady(t, m, 6)
+	}
+	t.Run("every daemon serves every length", func(t *testing.T) {
+		for _, m := range members {
+			assertServed(t, m, 1_000, 30_000, 1_000_000)
+		}
+	})
+	t.Run("the others serve after one is killed", func(t *testing.T) {
+		daemons[0].kill()
+		for _, m := range members[1:] {
+			assertServed(t, m, 1_000, 30_000, 1_000_000)
+		}
+	})
+}
--- /dev/null
+++ b/daemons/daemon.go
@@ -0,0 +1,125 @@
+package daemons
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/servers"
+	"gypsumshelf.example/gypsumshelf/timers"
+)
+
+// eventBacklog is the number of events that may wait for the reducer.
+const eventBacklog = 4096
+
+// Drivers carry out the effects of the reducer. Their methods must not block.
+type Drivers struct {
+	Start   func(attempts.Start)
+	Refuse  func(attempts.Refuse)
+	Finish  func(attempts.Finish)
+	Forward func(servers.Forward)
+}
+
+// Config configures a Daemon.
+type Config struct {
+	Reducer    ReducerConfig
+	Timers     *timers.Service
+	TickPeriod time.Duration
+}
+
+// Daemon runs a reducer with its drivers.
+type Daemon struct {
+	reducer *Reducer
+	drivers Drivers
+	timers  *timers.Service
+	events  chan gypsumshelf.Event
+	queries chan func(*Reducer)
+	stop    chan struct{}
+	done    sync.WaitGroup
+	once    sync.Once
+}
+
+// New returns a Daemon that is not yet running.
+func New(cfg Config) *Daemon {
+	d := &Daemon{
+		reducer: NewReducer(cfg.Reducer),
+		timers:  cfg.Timers,
+		events:  make(chan gypsumshelf.Event, eventBacklog),
+		queries: make(chan func(*Reducer)),
+		stop:    make(chan struct{}),
+	}
+	cfg.Timers.Subscribe(cfg.TickPeriod, func(time.Time) { d.Submit(Tick{}) })
+	return d
+}
+
+// Run starts the event loop with its drivers.
+func (d *Daemon) Run(drivers Drivers) {
+	d.drivers = drivers
+	d.done.Add(1)
+	go d.loop()
+}
+
+// Submit passes an event to the reducer. It blocks while the backlog is full
+// and drops the event once the daemon is closed.
+func (d *Daemon) Submit(ev gypsumshelf.Event) {
+	select {
+	case d.events <- ev:
+	case <-d.stop:
+	}
+}
+
+// Query runs f on the event loop, so that f may read the reducer's state. It
+// reports false when ctx ends or the daemon is closed before f ran.
+func (d *Daemon) Query(ctx context.Context, f func(*Reducer)) bool {
+	ran := make(chan struct{})
+	query := func(r *Reducer) {
+		f(r)
+		close(ran)
+	}
+	select {
+	case d.queries <- query:
+	case <-ctx.Done():
+		return false
+	case <-d.stop:
+		return false
+	}
+	<-ran
+	return true
+}
+
+// Close stops the event loop.
+func (d *Daemon) Close() {
+	d.once.Do(func() { close(d.stop) })
+	d.done.Wait()
+}
+
+func (d *Daemon) loop() {
+	defer d.done.Done()
+	for {
+		select {
+		case ev := <-d.events:
+			for _, effect := range d.reducer.Step(d.timers.Now(), ev) {
+				d.perform(effect)
+			}
+		case query := <-d.queries:
+			query(d.reducer)
+		case <-d.stop:
+			return
+		}
+	}
+}
+
+func (d *Daemon) perform(effect gypsumshelf.Effect) {
+	switch e := effect.(type) {
+	case attempts.Start:
+		d.drivers.Start(e)
+	case attempts.Refuse:
+		d.drivers.Refuse(e)
+	case attempts.Finish:
+		d.drivers.Finish(e)
+	case servers.Forward:
+		d.drivers.Forward(e)
+	}
+}
--- /dev/null
+++ b/daemons/instance.go
@@ -0,0 +1,169 @@
+package daemons
+
+import (
+	"context"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/announcements"
+	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/engines"
+	"gypsumshelf.example/gypsumshelf/entries"
+	"gypsumshelf.example/gypsumshelf/operators"
+	"gypsumshelf.example/gypsumshelf/peers"
+	"gypsumshelf.example/gypsumshelf/routes"
+	"gypsumshelf.example/gypsumshelf/servers"
+	"gypsumshelf.example/gypsumshelf/settings"
+	"gypsumshelf.example/gypsumshelf/timers"
+)
+
+const (
+	tickPeriod     = 50 * time.Millisecond
+	keepEnded      = 10 * time.Minute // time for which ended requests can be explained
+	readHeaderTime = 10 * time.Second
+)
+
+func init() { gob.Register(gypsumshelf.Announcement{}) }
+
+// Instance is one running daemon with all its listeners.
+type Instance struct {
+	settings settings.Settings
+	daemon   *Daemon
+	timers   *timers.Service
+	links    *peers.Links
+	servers  []*http.Server
+	handler  *entries.Handler
+}
+
+// Start opens the listeners of a daemon and runs it.
+func Start(s settings.Settings) (*Instance, error) {
+	policy, err := routes.New(s.Routing.Policy)
+	if err != nil {
+		return nil, err
+	}
+	in := &Instance{settings: s, timers: timers.New(timers.Config{})}
+	in.daemon = New(Config{
+		Reducer: ReducerConfig{
+			Daemon: s.Daemon, Policy: policy,
+			Servers:  servers.Config{Expiry: s.Limits.ServerExpiry.Std()},
+			Attempts: attempts.Config{MaxAttempts: s.Limits.MaxAttempts, Keep: keepEnded},
+		},
+		Timers: in.timers, TickPeriod: tickPeriod,
+	})
+	if err := in.openPeers(); err != nil {
+		return nil, err
+	}
+	in.handler = entries.New(entries.Config{
+		Engine: engines.NewClient(engines.ClientConfig{DialTimeout: s.Limits.DialTimeout.Std()}),
+		Submit: in.daemon.Submit, Ready: in.ready, Class: in.class,
+		Workspaces: s.Workspaces, MaxBodyBytes: s.Limits.MaxBodyBytes, Now: in.timers.Now,
+	})
+	in.daemon.Run(Drivers{Start: in.handler.Start, Refuse: in.handler.Refuse, Finish: in.handler.Finish, Forward: in.forward})
+	if err := in.openHTTP(); err != nil {
+		in.Close()
+		return nil, err
+	}
+	return in, nil
+}
+
+func (in *Instance) openPeers() error {
+	listener, err := net.Listen("tcp", in.settings.Listen.Peers)
+	if err != nil {
+		return fmt.Errorf("peer listener: %w", err)
+	}
+	others := map[gypsumshelf.DaemonID]string{}
+	for _, p := range in.settings.Peers {
+		if p.Daemon != in.settings.Daemon {
+			others[p.Daemon] = p.Address
+		}
+	}
+	in.links = peers.New(peers.Config{
+		Deployment: in.settings.Deployment, Daemon: in.settings.Daemon,
+		Peers: others, Receive: in.receive,
+	}, listener)
+	return nil
+}
+
+func (in *Instance) openHTTP() error {
+	for _, l := range []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"callers", in.settings.Listen.Callers, in.handler},
+		{"backend-servers", in.settings.Listen.BackendServers, announcements.New(announcements.Config{
+			Submit: in.daemon.Submit, AllowedNetworks: in.settings.AllowedNetworks,
+		})},
+		{"operators", in.settings.Listen.Operators, operators.New(operators.Config{Status: in.status, Explain: in.explain})},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return fmt.Errorf("listener for %s: %w", l.name, err)
+		}
+		server := &httpServer{server: &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTime}, listener: listener}
+		in.servers = append(in.servers, server.server)
+		go server.run()
+	}
+	return nil
+}
+
+type httpServer struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func (s *httpServer) run() {
+	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		panic(fmt.Sprintf("listener %s failed: %v", s.listener.Addr(), err))
+	}
+}
+
+// Close stops the daemon at once.
+func (in *Instance) Close() {
+	for _, s := range in.servers {
+		s.Close()
+	}
+	in.links.Close()
+	in.daemon.Close()
+	in.timers.Close()
+}
+
+func (in *Instance) receive(e peers.Envelope) {
+	if a, ok := e.Payload.(gypsumshelf.Announcement); ok {
+		in.daemon.Submit(servers.Announced{Announcement: a, Forwarded: true})
+	}
+}
+
+func (in *Instance) forward(e servers.Forward) { in.links.Broadcast(e.Announcement) }
+
+func (in *Instance) ready(ctx context.Context) bool {
+	return in.daemon.Query(ctx, func(*Reducer) {})
+}
+
+func (in *Instance) class(_ context.Context, name string) (gypsumshelf.Class, bool) {
+	class := gypsumshelf.Class{Name: name, Target: gypsumshelf.Target{FirstToken: time.Second, Finish: time.Minute}}
+	return class, name == gypsumshelf.DefaultClassName
+}
+
+func (in *Instance) status(ctx context.Context) (status operators.Status, ok bool) {
+	status.Daemon = in.settings.Daemon
+	ok = in.daemon.Query(ctx, func(r *Reducer) {
+		status.Ready = true
+		for _, s := range r.servers.All() {
+			n, _ := s.InFlight()
+			status.BackendServers = append(status.BackendServers, operators.ServerStatus{Announcement: s.Announcement(), Attempts: n})
+		}
+	})
+	return status, ok
+}
+
+func (in *Instance) explain(ctx context.Context, id gypsumshelf.RequestID) (notes []attempts.Note, ok bool) {
+	in.daemon.Query(ctx, func(r *Reducer) {
+		notes = append(notes, r.attempts.Explain(id)...)
+	})
+	return notes, len(notes) > 0
+}
--- /dev/null
+++ b/engines/engine.go
@@ -0,0 +1,36 @@
+// Package engines talks to model engines: one interface and its HTTP client.
+package engines
+
+import (
+	"context"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/streams"
+)
+
+// Call is one attempt of a completion on one engine.
+type Call struct {
+	Attempt  gypsumshelf.AttemptID
+	Address  string // IP:PORT of the engine
+	Path     string // path of the completion endpoint
+	Body     []byte // caller's request body, with streaming switched on
+	Priority int    // smaller is more urgent
+	Resume   int    // position of the first token wanted, 0 for a whole answer
+}
+
+// Sink receives the chunks of a call in order.
+type Sink interface {
+	// Sent is called before the first byte that could start the work is written.
+	Sent()
+	// Chunk is called for each chunk; an error ends the call.
+	Chunk(c streams.Chunk) error
+}
+
+// Completer runs completions.
+type Completer interface {
+	// Complete runs a call to its end. An error is a *gypsumshelf.Error whose
+	// verdict says whether the engine may have run the call.
+	Complete(ctx context.Context, call Call, sink Sink) error
+	// Cancel asks the engine to drop an attempt.
+	Cancel(ctx context.Context, address string, id gypsumshelf.AttemptID) error
+}
--- /dev/null
+++ b/settings/duration.go
@@ -0,0 +1,25 @@
+package settings
+
+import (
+	"fmt"
+	"time"
+)
+
+// Duration is a time.Duration written as text, such as "1.5s".
+type Duration time.Duration
+
+// Std returns the duration as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	if err != nil {
+		return fmt.Errorf("duration %q is not of the form 1.5s", b)
+	}
+	*d = Duration(v)
+	return nil
+}
--- /dev/null
+++ b/standins/announcer.go
@@ -0,0 +1,94 @@
+package standins
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+)
+
+// AnnouncerConfig configures an Announcer.
+type AnnouncerConfig struct {
+	Announcement gypsumshelf.Announcement
+	Daemons      []string // IP:PORT of the daemons' listeners for backend servers
+	Period       time.Duration
+	Load         func() gypsumshelf.Load
+}
+
+// Announcer repeats the announcement of a stand-in backend server, each time
+// to the next daemon that answers.
+type Announcer struct {
+	cfg    AnnouncerConfig
+	client *http.Client
+	stop   chan struct{}
+	wg     sync.WaitGroup
+
+	mu    sync.Mutex
+	state gypsumshelf.ServerState
+	next  int
+}
+
+// NewAnnouncer returns a running Announcer.
+func NewAnnouncer(cfg AnnouncerConfig) *Announcer {
+	a := &Announcer{cfg: cfg, client: &http.Client{Timeout: time.Second}, stop: make(chan struct{}), state: cfg.Announcement.State}
+	a.wg.Add(1)
+	go a.loop()
+	return a
+}
+
+// SetState changes the announced state and announces it at once.
+func (a *Announcer) SetState(s gypsumshelf.ServerState) {
+	a.mu.Lock()
+	a.state = s
+	a.mu.Unlock()
+	a.announce()
+}
+
+// Close stops the announcements.
+func (a *Announcer) Close() {
+	close(a.stop)
+	a.wg.Wait()
+}
+
+func (a *Announcer) loop() {
+	defer a.wg.Done()
+	ticker := time.NewTicker(a.cfg.Period)
+	defer ticker.Stop()
+	for {
+		a.announce()
+		select {
+		case <-a.stop:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (a *Announcer) announce() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	body := a.cfg.Announcement
+	body.State = a.state
+	if a.cfg.Load != nil {
+		body.Load = a.cfg.Load()
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return
+	}
+	for range a.cfg.Daemons {
+		address := a.cfg.Daemons[a.next%len(a.cfg.Daemons)]
+		a.next++
+		resp, err := a.client.Post("http://"+address+"/announce", "application/json", bytes.NewReader(data))
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusNoContent {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/streams/chunk.go
@@ -0,0 +1,77 @@
+// Package streams parses the event streams of model engines and checks that
+// every chunk belongs to its attempt and continues it without a gap.
+package streams
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Chunk is one event of an engine's completion stream.
+type Chunk struct {
+	ID       string   `json:"id"`                 // attempt id
+	Position *int     `json:"position,omitempty"` // index of the first token in the chunk
+	Tokens   int      `json:"tokens,omitempty"`   // tokens in the chunk, 0 means 1
+	Choices  []Choice `json:"choices"`
+	Error    *Failure `json:"error,omitempty"`
+}
+
+// Choice is one alternative of a chunk; engines send exactly one.
+type Choice struct {
+	Index        int     `json:"index"`
+	Text         string  `json:"text,omitempty"`
+	Delta        *Delta  `json:"delta,omitempty"`
+	FinishReason *string `json:"finish_reason,omitempty"`
+}
+
+// Delta is the text of a chat completion chunk.
+type Delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+// Failure is an error that an engine reports inside a stream.
+type Failure struct {
+	Code    string `json:"code,omitempty"`
+	Message string `json:"message"`
+}
+
+// Text returns the text of the chunk's first choice.
+func (c Chunk) Text() string {
+	if len(c.Choices) == 0 {
+		return ""
+	}
+	choice := c.Choices[0]
+	if choice.Delta != nil {
+		return choice.Delta.Content
+	}
+	return choice.Text
+}
+
+// Count returns the number of tokens in the chunk.
+func (c Chunk) Count() int {
+	if c.Tokens > 0 {
+		return c.Tokens
+	}
+	if c.Text() == "" {
+		return 0
+	}
+	return 1
+}
+
+// Finished reports whether the chunk ends the generation.
+func (c Chunk) Finished() bool {
+	return len(c.Choices) > 0 && c.Choices[0].FinishReason != nil
+}
+
+// ParseChunk decodes one data line of a stream.
+func ParseChunk(data []byte) (Chunk, error) {
+	var c Chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return Chunk{}, fmt.Errorf("malformed chunk: %w", err)
+	}
+	if c.Tokens < 0 || (c.Position != nil && *c.Position < 0) {
+		return Chunk{}, fmt.Errorf("chunk of %q has a negative position or token count", c.ID)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/streams/reader.go
@@ -0,0 +1,103 @@
+package streams
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// MaxLineBytes bounds one line of a stream, so that an endless line cannot
+// exhaust the daemon's memory.
+const MaxLineBytes = 1 << 20
+
+// Errors of a stream that did not deliver a whole answer of its own.
+var (
+	ErrNoEnd        = errors.New("stream ended without its end marker")
+	ErrForeignChunk = errors.New("chunk belongs to another attempt")
+	ErrGap          = errors.New("chunk does not continue at the expected position")
+)
+
+// Reader reads the chunks of one attempt from an event stream.
+type Reader struct {
+	scanner *bufio.Scanner
+	id      string
+	next    int  // position expected next, in tokens
+	done    bool // the generation's finish reason was seen
+}
+
+// ReaderConfig configures a Reader.
+type ReaderConfig struct {
+	Source  io.Reader
+	Attempt string
+	Start   int // position of the first expected token
+}
+
+// NewReader returns a Reader for one attempt.
+func NewReader(cfg ReaderConfig) *Reader {
+	s := bufio.NewScanner(cfg.Source)
+	s.Buffer(make([]byte, 0, 4096), MaxLineBytes)
+	return &Reader{scanner: s, id: cfg.Attempt, next: cfg.Start}
+}
+
+// Position returns the position after the last delivered token.
+func (r *Reader) Position() int { return r.next }
+
+// Next returns the next chunk that belongs to the attempt. A repeated chunk is
+// passed over. It returns io.EOF after the end marker, ErrNoEnd when the
+// stream stops before it, and ErrForeignChunk or ErrGap for a chunk that must
+// not reach the caller.
+func (r *Reader) Next() (Chunk, error) {
+	for r.scanner.Scan() {
+		data, ok := bytes.CutPrefix(bytes.TrimSpace(r.scanner.Bytes()), []byte("data:"))
+		if !ok {
+			continue
+		}
+		data = bytes.TrimSpace(data)
+		if bytes.Equal(data, []byte("[DONE]")) {
+			if !r.done {
+				return Chunk{}, ErrNoEnd
+			}
+			return Chunk{}, io.EOF
+		}
+		c, repeated, err := r.accept(data)
+		if err != nil {
+			return Chunk{}, err
+		}
+		if !repeated {
+			return c, nil
+		}
+	}
+	if err := r.scanner.Err(); err != nil {
+		return Chunk{}, err
+	}
+	return Chunk{}, ErrNoEnd
+}
+
+func (r *Reader) accept(data []byte) (c Chunk, repeated bool, err error) {
+	c, err = ParseChunk(data)
+	if err != nil {
+		return Chunk{}, false, err
+	}
+	if c.ID != r.id {
+		return Chunk{}, false, fmt.Errorf("%w: got id %q, want %q", ErrForeignChunk, c.ID, r.id)
+	}
+	if c.Error != nil {
+		return Chunk{}, false, fmt.Errorf("engine reported %s: %s", c.Error.Code, c.Error.Message)
+	}
+	if c.Position != nil {
+		if *c.Position+c.Count() <= r.next && c.Count() > 0 {
+			return c, true, nil
+		}
+		if *c.Position != r.next {
+			return Chunk{}, false, fmt.Errorf("%w: got %d, want %d", ErrGap, *c.Position, r.next)
+		}
+	}
+	if r.done && c.Count() > 0 {
+		return Chunk{}, false, fmt.Errorf("%w: token after the finish reason", ErrGap)
+	}
+	r.next += c.Count()
+	r.done = r.done || c.Finished()
+	return c, false, nil
+}
