--- a/daemons/daemon.go
+++ b/daemons/daemon.go
@@ -2,26 +2,18 @@
 
 import (
 	"context"
+	"fmt"
+	"reflect"
 	"sync"
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
-	"gypsumshelf.example/gypsumshelf/attempts"
-	"gypsumshelf.example/gypsumshelf/servers"
 	"gypsumshelf.example/gypsumshelf/timers"
 )
 
 // eventBacklog is the number of events that may wait for the reducer.
 const eventBacklog = 4096
 
-// Drivers carry out the effects of the reducer. Their methods must not block.
-type Drivers struct {
-	Start   func(attempts.Start)
-	Refuse  func(attempts.Refuse)
-	Finish  func(attempts.Finish)
-	Forward func(servers.Forward)
-}
-
 // Config configures a Daemon.
 type Config struct {
 	Reducer    ReducerConfig
@@ -32,7 +24,7 @@
 // Daemon runs a reducer with its drivers.
 type Daemon struct {
 	reducer *Reducer
-	drivers Drivers
+	drivers map[reflect.Type]func(gypsumshelf.Effect)
 	timers  *timers.Service
 	events  chan gypsumshelf.Event
 	queries chan func(*Reducer)
@@ -46,6 +38,7 @@
 	d := &Daemon{
 		reducer: NewReducer(cfg.Reducer),
 		timers:  cfg.Timers,
+		drivers: map[reflect.Type]func(gypsumshelf.Effect){},
 		events:  make(chan gypsumshelf.Event, eventBacklog),
 		queries: make(chan func(*Reducer)),
 		stop:    make(chan struct{}),
@@ -54,9 +47,14 @@
 	return d
 }
 
-// Run starts the event loop with its drivers.
-func (d *Daemon) Run(drivers Drivers) {
-	d.drivers = drivers
+// Carry makes do carry out all effects of type E. It must be called before
+// Run, and do must not block.
+func Carry[E gypsumshelf.Effect](d *Daemon, do func(E)) {
+	d.drivers[reflect.TypeFor[E]()] = func(e gypsumshelf.Effect) { do(e.(E)) }
+}
+
+// Run starts the event loop.
+func (d *Daemon) Run() {
 	d.done.Add(1)
 	go d.loop()
 }
@@ -112,14 +110,9 @@
 }
 
 func (d *Daemon) perform(effect gypsumshelf.Effect) {
-	switch e := effect.(type) {
-	case attempts.Start:
-		d.drivers.Start(e)
-	case attempts.Refuse:
-		d.drivers.Refuse(e)
-	case attempts.Finish:
-		d.drivers.Finish(e)
-	case servers.Forward:
-		d.drivers.Forward(e)
+	do := d.drivers[reflect.TypeOf(effect)]
+	if do == nil {
+		panic(fmt.Sprintf("effect %s has no driver", effect.EffectName()))
 	}
+	do(effect)
 }
--- a/daemons/instance.go
+++ b/daemons/instance.go
@@ -63,7 +63,11 @@
 		Submit: in.daemon.Submit, Ready: in.ready, Class: in.class,
 		Workspaces: s.Workspaces, MaxBodyBytes: s.Limits.MaxBodyBytes, Now: in.timers.Now,
 	})
-	in.daemon.Run(Drivers{Start: in.handler.Start, Refuse: in.handler.Refuse, Finish: in.handler.Finish, Forward: in.forward})
+	Carry(in.daemon, in.handler.Start)
+	Carry(in.daemon, in.handler.Refuse)
+	Carry(in.daemon, in.handler.Finish)
+	Carry(in.daemon, in.forward)
+	in.daemon.Run()
 	if err := in.openHTTP(); err != nil {
 		in.Close()
 		return nil, err
