--- a/daemons/reducer.go
+++ b/daemons/reducer.go
@@ -80,4 +80,3 @@
 	r.servers.Expire(now)
 	r.dispatch(now)
 }
-
--- a/daemons/requests.go
+++ b/daemons/requests.go
@@ -87,4 +87,3 @@
 		r.servers.Ended(a.Server(), a.ID())
 	}
 }
-
--- a/daemons/routing.go
+++ b/daemons/routing.go
@@ -62,4 +62,3 @@
 		Attempts: n + a.Load.Queued, Tokens: tokens + a.Load.UsedTokens, Memory: a.MemoryTokens,
 	}
 }
-
