--- a/replicas/member.go
+++ b/replicas/member.go
@@ -1,6 +1,7 @@
 package replicas
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 
@@ -70,3 +71,61 @@
 	member, ok := m.Member(id)
 	return ok && member.Role == Voter
 }
+
+// daemon returns the member that is an incarnation of a daemon.
+func (m Members) daemon(id gypsumshelf.DaemonID) (Member, bool) {
+	i := slices.IndexFunc(m, func(o Member) bool { return o.ID.Daemon == id })
+	if i < 0 {
+		return Member{}, false
+	}
+	return m[i], true
+}
+
+// with returns a copy in which the member of the same daemon is replaced.
+func (m Members) with(member Member) Members {
+	c := slices.DeleteFunc(slices.Clone(m), func(o Member) bool { return o.ID.Daemon == member.ID.Daemon })
+	return append(c, member)
+}
+
+// withRole returns a copy in which one member has another role.
+func (m Members) withRole(id NodeID, role Role) Members {
+	c := slices.Clone(m)
+	for i := range c {
+		if c[i].ID == id {
+			c[i].Role = role
+		}
+	}
+	return c
+}
+
+// votersChanged returns the number of voters in exactly one of two memberships.
+func votersChanged(a, b Members) int {
+	n := 0
+	for _, id := range a.Voters() {
+		if !b.IsVoter(id) {
+			n++
+		}
+	}
+	for _, id := range b.Voters() {
+		if !a.IsVoter(id) {
+			n++
+		}
+	}
+	return n
+}
+
+func (m Members) encode() []byte {
+	data, err := json.Marshal(m)
+	if err != nil {
+		panic(fmt.Sprintf("membership cannot be encoded: %v", err))
+	}
+	return data
+}
+
+func decodeMembers(data []byte) Members {
+	var m Members
+	if err := json.Unmarshal(data, &m); err != nil {
+		panic(fmt.Sprintf("membership entry cannot be decoded: %v", err))
+	}
+	return m
+}
--- a/replicas/message.go
+++ b/replicas/message.go
@@ -44,6 +44,7 @@
 	PrevTerm  uint64
 	Entries   []Entry
 	Commit    uint64
+	Stored    uint64        // last entry that the leader itself has synced
 	Sent      time.Duration // leader's clock, echoed
 	Confirmed Stamp         // latest stamp of the receiver after which the leader had contact with a quorum
 }
--- /dev/null
+++ b/replicas/random_test.go
@@ -0,0 +1,173 @@
+package replicas
+
+import (
+	"cmp"
+	"flag"
+	"maps"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"pgregory.net/rapid"
+)
+
+const (
+	defaultSeed   = "1"
+	defaultChecks = "40"  // with the race detector this takes a few seconds
+	stepsPerCheck = 1_500 // 15 s of the fake clock
+)
+
+// seedRapid sets rapid's seed and number of runs from the environment. It is
+// called in each test, so that cached results depend on the variables.
+func seedRapid(t *testing.T) {
+	for name, variable := range map[string][2]string{
+		"rapid.seed":   {"GYPSUMSHELF_SEED", defaultSeed},
+		"rapid.checks": {"GYPSUMSHELF_CHECKS", defaultChecks},
+	} {
+		value := cmp.Or(os.Getenv(variable[0]), variable[1])
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%s=%s", variable[0], value)
+	}
+	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against every interleaving of faults that breaks a safety rule, and
+// against a group that does not recover once the faults end.
+func TestRandomFaults(t *testing.T) {
+	seedRapid(t)
+	faults, steps, entries := map[string]int{}, 0, uint64(0)
+	rapid.Check(t, func(t *rapid.T) {
+		members := fourHosts()
+		n := rapid.IntRange(3, 5).Draw(t, "hosts")
+		if n == 5 {
+			members = append(members, Member{ID: NodeID{Daemon: "e"}, DataCentre: "y", Durable: rapid.Bool().Draw(t, "fifth host has a disk")})
+		}
+		c := newCluster(t, rapid.Uint64().Draw(t, "seed"), members[:n]...)
+		defer func() {
+			for name, n := range c.faults {
+				faults[name] += n
+			}
+			steps += c.steps
+			entries += c.highest
+			faults["terms with a leader"] += len(c.leaders)
+		}()
+		c.until("a settled cluster", c.settled)
+		c.drop = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "drop")
+		c.duplic = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "duplicate")
+		c.slow = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "slow")
+		c.syncs = rapid.SampledFrom([]float64{0.2, 0.7, 1}).Draw(t, "sync")
+		most := rapid.SampledFrom([]int{20, 40, 100}).Draw(t, "actions") // those above the faults propose
+		for c.steps < stepsPerCheck {
+			c.disturb(rapid.IntRange(0, most).Draw(t, "action"), rapid.IntRange(0, n-1).Draw(t, "host"))
+			for range rapid.IntRange(1, 20).Draw(t, "steps") {
+				c.step()
+			}
+			c.logMatching()
+		}
+		c.heal()
+		c.drop, c.duplic, c.slow, c.syncs = 0, 0, 0, 1
+		c.until("recovery", func() bool { return c.leader() != nil })
+		c.propose(c.leader())
+		c.until("a settled cluster after the faults", c.settled)
+	})
+	t.Logf("%d steps, %d committed entries, faults and events:", steps, entries)
+	for _, name := range slices.Sorted(maps.Keys(faults)) {
+		t.Logf("%8d %s", faults[name], name)
+	}
+}
+
+// disturb injects one fault, or proposes or compacts.
+func (c *cluster) disturb(action, i int) {
+	h := c.hosts[i]
+	other := c.hosts[(i+1+c.rng.IntN(len(c.hosts)-1))%len(c.hosts)]
+	pair := [2]gypsumshelf.DaemonID{h.member.ID.Daemon, other.member.ID.Daemon}
+	switch action {
+	case 0:
+		c.faults["one-way cut"]++
+		c.cuts[pair] = true
+	case 1:
+		c.faults["isolated host"]++
+		c.isolate(h)
+	case 2, 3:
+		clear(c.cuts)
+	case 4:
+		c.faults["freeze"]++
+		h.frozen = c.now.Add(time.Duration(c.rng.IntN(800)) * time.Millisecond)
+	case 5:
+		c.faults["crash"]++
+		c.crash(h)
+	case 6, 7:
+		for _, o := range c.hosts {
+			if o.r == nil {
+				c.start(o)
+			}
+		}
+	case 8:
+		if c.mayLoseDisk(h) {
+			c.faults["disk lost"]++
+			c.wipe(h)
+		}
+	case 9:
+		c.compact(h)
+	case 10:
+		c.reads = append(c.reads[max(0, len(c.reads)-20):], read{at: c.now, seen: c.highest})
+	case 11:
+		c.heal()
+	case 12:
+		c.faults["restart of all"]++
+		for _, o := range c.hosts {
+			c.crash(o)
+			c.start(o)
+		}
+	default:
+		if h := c.leader(); h != nil {
+			for range 1 + c.rng.IntN(5) {
+				c.propose(h)
+			}
+		}
+	}
+}
+
+// mayLoseDisk reports whether a majority of the voters keeps its disks in
+// every membership that some host may use.
+func (c *cluster) mayLoseDisk(h *host) bool {
+	for _, o := range c.hosts {
+		for _, config := range c.memberships(o) {
+			kept := 0
+			for _, id := range config.Voters() {
+				if id.Daemon != h.member.ID.Daemon && c.host(id.Daemon).member.ID == id {
+					kept++
+				}
+			}
+			if len(config) > 0 && kept < config.Quorum() {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// memberships returns the memberships in a host's memory and on its disk.
+func (c *cluster) memberships(h *host) []Members {
+	var all []Members
+	if h.r != nil {
+		for _, config := range h.r.configs {
+			all = append(all, config.members)
+		}
+	}
+	if s := h.disk.image.Snapshot; s != nil {
+		all = append(all, s.Members)
+	}
+	for _, e := range h.disk.image.Entries {
+		if e.Kind == Membership {
+			all = append(all, decodeMembers(e.Data))
+		}
+	}
+	return all
+}
--- a/replicas/replica.go
+++ b/replicas/replica.go
@@ -6,7 +6,9 @@
 package replicas
 
 import (
+	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
@@ -32,6 +34,17 @@
 	Retain            uint64        // entries kept in memory behind a snapshot for lagging members
 }
 
+// withDefaults fills in what is not set.
+func (c Config) withDefaults() Config {
+	c.ElectionTimeout = cmp.Or(c.ElectionTimeout, 500*time.Millisecond)
+	c.HeartbeatInterval = cmp.Or(c.HeartbeatInterval, 100*time.Millisecond)
+	c.ReplaceAfter = cmp.Or(c.ReplaceAfter, time.Minute)
+	c.Voters = cmp.Or(c.Voters, 3)
+	c.BatchBytes = cmp.Or(c.BatchBytes, 1<<20)
+	c.ChunkBytes = cmp.Or(c.ChunkBytes, 256<<10)
+	return c
+}
+
 // ErrNotLeader refuses a proposal to a node that cannot accept it.
 type ErrNotLeader struct {
 	Leader gypsumshelf.DaemonID // empty when unknown
@@ -45,57 +58,212 @@
 	return fmt.Sprintf("not the leader, which is %s", e.Leader)
 }
 
+type state int
+
+const (
+	follower state = iota
+	preCandidate
+	candidate
+	leading
+)
+
 // Replica is one node of a replicated log.
 type Replica struct {
-	cfg Config
+	cfg      Config
+	rand     *rand.Rand
+	epoch    time.Time // first time passed in; stamps are relative to it
+	now      time.Time
+	halted   bool
+	outdated bool // storage is older than what this node promised to peers
+
+	hard     HardState
+	log      entryLog
+	snapshot *Snapshot
+	configs  []membershipAt // first the snapshot's, then one for each Membership entry
+	commit   uint64
+	applied  uint64 // last entry handed out in Output.Committed
+	stored   storage
+	out      Output
+
+	state         state
+	leader        NodeID
+	leaderContact time.Time
+	electionAt    time.Time
+	votes         map[NodeID]bool
+	confirmed     time.Time // QuorumConfirmed of a follower
+
+	progress    map[NodeID]*progress
+	heartbeatAt time.Time
+	termStart   uint64 // index of the leader's first entry
+	ledSince    time.Time
+
+	incoming incomingSnapshot
+	joining  joining
+	verify   verification
+	marks    map[NodeID]Mark // promises seen from other nodes
 }
 
 // New returns a Replica that continues from its recovered storage.
-func New(cfg Config) *Replica { return &Replica{cfg: cfg} }
+func New(cfg Config) *Replica {
+	cfg = cfg.withDefaults()
+	r := &Replica{
+		cfg:   cfg,
+		rand:  rand.New(rand.NewPCG(cfg.Seed, cfg.Session)),
+		hard:  cfg.Recovered.Hard,
+		marks: map[NodeID]Mark{},
+	}
+	r.configs = []membershipAt{{}}
+	if s := cfg.Recovered.Snapshot; s != nil {
+		r.load(s)
+		r.out.Install = s
+	}
+	for _, e := range cfg.Recovered.Entries {
+		r.appendEntry(e)
+	}
+	r.stored = storage{next: r.log.last() + 1, stable: r.log.last()}
+	r.verify.pending = r.hard.Group != ""
+	return r
+}
 
 // Tick tells the replica the time.
-func (r *Replica) Tick(_ time.Time) {}
+func (r *Replica) Tick(now time.Time) {
+	r.advance(now)
+	if r.stopped() {
+		return
+	}
+	if r.state == leading {
+		r.lead()
+		return
+	}
+	r.join()
+	r.verifyTick()
+	if !now.Before(r.electionAt) {
+		r.campaign(true)
+	}
+}
+
+// advance moves the replica's time forward; it never moves backward.
+func (r *Replica) advance(now time.Time) {
+	if r.epoch.IsZero() {
+		r.epoch, r.now = now, now
+		r.verify.since = now
+		r.resetElection()
+	}
+	if now.After(r.now) {
+		r.now = now
+	}
+}
+
+func (r *Replica) stopped() bool { return r.halted || r.outdated }
 
 // Receive handles a message.
-func (r *Replica) Receive(_ time.Time, _ Message) {}
+func (r *Replica) Receive(now time.Time, m Message) {
+	r.advance(now)
+	if r.stopped() || m.From.Daemon == r.cfg.ID.Daemon {
+		return
+	}
+	if m.To != r.cfg.ID && (m.To.Daemon != r.cfg.ID.Daemon || m.To.Incarnation != "") {
+		return
+	}
+	switch body := m.Body.(type) {
+	case Join:
+		r.receiveJoin(m, body)
+		return
+	case JoinResponse:
+		r.receiveJoinResponse(m, body)
+		return
+	}
+	if !r.accepts(m) {
+		return
+	}
+	switch body := m.Body.(type) {
+	case VoteRequest:
+		r.receiveVoteRequest(m, body)
+	case VoteResponse:
+		r.receiveVoteResponse(m, body)
+	case AppendRequest:
+		r.receiveAppend(m, body)
+	case AppendResponse:
+		r.receiveAppendResponse(m, body)
+	case SnapshotChunk:
+		r.receiveChunk(m, body)
+	case SnapshotResponse:
+		r.receiveSnapshotResponse(m, body)
+	case VerifyRequest:
+		r.send(m.From, VerifyResponse{Asked: m.Session, Mark: r.marks[m.From]})
+	case VerifyResponse:
+		r.receiveVerifyResponse(m, body)
+	}
+}
 
-// Propose appends a command to the log. The command is committed when an entry
-// with this index and term is in Output.Committed; an entry with the same
-// index and another term means that the command is lost.
-func (r *Replica) Propose(_ time.Time, _ []byte) (index, term uint64, err error) {
-	return 0, 0, ErrNotLeader{}
+// accepts reports whether a message belongs to this node's group. A node
+// without a group takes the group of the first message addressed to it.
+func (r *Replica) accepts(m Message) bool {
+	if m.Group == "" {
+		return false
+	}
+	if r.hard.Group == "" {
+		r.hard.Group = m.Group
+		r.stored.hardDirty = true
+	}
+	return m.Group == r.hard.Group
 }
 
-// Synced tells the replica that all Persist up to a sequence are synced.
-func (r *Replica) Synced(_ time.Time, _ uint64) {}
+// Halt makes the node give up leadership and take part no longer, because its
+// storage has failed.
+func (r *Replica) Halt() {
+	r.halted = true
+	r.state = follower
+	r.leader = NodeID{}
+	r.progress = nil
+	r.out = Output{}
+	r.stored.held = nil
+}
 
-// Take returns what the driver must do; nothing is returned twice.
-func (r *Replica) Take() Output { return Output{} }
+// ID returns the node's identity.
+func (r *Replica) ID() NodeID { return r.cfg.ID }
 
 // Leader returns the daemon that leads the current term.
-func (r *Replica) Leader() (gypsumshelf.DaemonID, bool) { return "", false }
+func (r *Replica) Leader() (gypsumshelf.DaemonID, bool) {
+	return r.leader.Daemon, r.leader != NodeID{}
+}
 
 // Term returns the current term.
-func (r *Replica) Term() uint64 { return 0 }
+func (r *Replica) Term() uint64 { return r.hard.Term }
 
 // IsLeader reports whether this node leads the current term.
-func (r *Replica) IsLeader() bool { return false }
+func (r *Replica) IsLeader() bool { return r.state == leading }
 
-// Compact replaces entries up to index, which must have been in
-// Output.Committed, by a snapshot of the state machine after that entry.
-func (r *Replica) Compact(_ uint64, _ []byte) {}
+// CommitIndex returns the index of the last committed entry.
+func (r *Replica) CommitIndex() uint64 { return r.commit }
 
-// QuorumConfirmed returns the latest time on this node's clock at which the
-// leader is known to have had contact with a quorum; zero when unknown.
-func (r *Replica) QuorumConfirmed() time.Time { return time.Time{} }
+// LastIndex returns the index of the last entry, committed or not.
+func (r *Replica) LastIndex() uint64 { return r.log.last() }
 
-// Confirmed reports whether this node is the leader, was the leader at some
-// time not before t, and has applied all entries committed before t. A read
-// that arrived at t may then be answered.
-func (r *Replica) Confirmed(_ time.Time) bool { return false }
+// SnapshotIndex returns the index of the last entry in the node's snapshot.
+func (r *Replica) SnapshotIndex() uint64 {
+	if r.snapshot == nil {
+		return 0
+	}
+	return r.snapshot.Index
+}
 
-// CommitIndex returns the index of the last committed entry.
-func (r *Replica) CommitIndex() uint64 { return 0 }
+// setCommit moves the commit index and hands out the entries up to it.
+func (r *Replica) setCommit(index uint64) {
+	if index < r.commit || index > r.log.last() {
+		violated("commit index moves from %d to %d, last entry %d", r.commit, index, r.log.last())
+	}
+	r.commit = index
+	if r.applied < index {
+		r.out.Committed = append(r.out.Committed, r.log.entries[r.applied-r.log.base:index-r.log.base]...)
+		r.applied = index
+	}
+}
 
-// Members returns the latest membership, which may not be committed yet.
-func (r *Replica) Members() Members { return nil }
+// appendEntry adds an entry to the log and to the history of memberships.
+func (r *Replica) appendEntry(e Entry) {
+	r.log.append(e)
+	if e.Kind == Membership {
+		r.configs = append(r.configs, membershipAt{index: e.Index, members: decodeMembers(e.Data)})
+	}
+}
--- /dev/null
+++ b/replicas/rules_test.go
@@ -0,0 +1,357 @@
+package replicas
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// lone returns a voter of a group of three whose other voters are played by
+// the test.
+func lone(t *testing.T) (r *Replica, now time.Time, others [2]NodeID) {
+	t.Helper()
+	self := Member{ID: NodeID{Daemon: "a", Incarnation: "1"}, Role: Voter, Durable: true}
+	b, c := self, self
+	b.ID.Daemon, c.ID.Daemon = "b", "c"
+	r = New(Config{ID: self.ID, Durable: true, Seed: 1, Session: 1, ElectionTimeout: testElection, HeartbeatInterval: testHeartbeat})
+	now = time.Unix(1_000_000, 0)
+	r.Tick(now)
+	r.hard = HardState{Group: "g", Term: 1}
+	r.load(Founding(Members{self, b, c}, now))
+	r.stored.replace = true
+	r.Synced(now, r.Take().Persist.Sequence)
+	return r, now, [2]NodeID{b.ID, c.ID}
+}
+
+func receive(r *Replica, now time.Time, from NodeID, term uint64, body any) {
+	r.Receive(now, Message{From: from, To: r.ID(), Session: 9, Group: "g", Term: term, Body: body})
+}
+
+// bodies returns the bodies of type B among messages.
+func bodies[B any](messages []Message) []B {
+	var found []B
+	for _, m := range messages {
+		if b, ok := m.Body.(B); ok {
+			found = append(found, b)
+		}
+	}
+	return found
+}
+
+func assertSent[B any](t *testing.T, out Output, want int, when string) {
+	t.Helper()
+	if got := bodies[B](out.Messages); len(got) != want {
+		t.Fatalf("%d messages of %T %s, want %d", len(got), *new(B), when, want)
+	}
+}
+
+// leadLone makes the lone replica the leader of term 2.
+func leadLone(t *testing.T) (r *Replica, now time.Time, others [2]NodeID) {
+	t.Helper()
+	r, now, others = lone(t)
+	now = now.Add(2 * testElection)
+	r.Tick(now)
+	receive(r, now, others[0], 1, VoteResponse{Pre: true, Asked: 2, Granted: true})
+	r.Synced(now, r.Take().Persist.Sequence)
+	receive(r, now, others[0], 2, VoteResponse{Asked: 2, Granted: true})
+	if !r.IsLeader() {
+		t.Fatal("not the leader after a majority of votes")
+	}
+	return r, now, others
+}
+
+// Guards against a promise that a crash takes back.
+func TestPromisesWaitForSync(t *testing.T) {
+	t.Run("vote", func(t *testing.T) {
+		r, now, others := lone(t)
+		receive(r, now, others[0], 5, VoteRequest{LastIndex: 1, LastTerm: 1})
+		out := r.Take()
+		assertSent[VoteResponse](t, out, 0, "before the sync")
+		r.Synced(now, out.Persist.Sequence)
+		assertSent[VoteResponse](t, r.Take(), 1, "after the sync")
+	})
+	t.Run("entry", func(t *testing.T) {
+		r, now, others := lone(t)
+		receive(r, now, others[0], 5, AppendRequest{Prev: 1, PrevTerm: 1, Entries: []Entry{{Index: 2, Term: 5}}})
+		out := r.Take()
+		assertSent[AppendResponse](t, out, 0, "before the sync")
+		r.Synced(now, out.Persist.Sequence)
+		assertSent[AppendResponse](t, r.Take(), 1, "after the sync")
+	})
+	t.Run("candidacy", func(t *testing.T) {
+		r, now, others := lone(t)
+		now = now.Add(2 * testElection)
+		r.Tick(now)
+		receive(r, now, others[0], 1, VoteResponse{Pre: true, Asked: 2, Granted: true})
+		receive(r, now, others[0], 2, VoteResponse{Asked: 2, Granted: true})
+		if r.IsLeader() {
+			t.Fatal("leads with its own vote not synced")
+		}
+		out := r.Take()
+		assertSent[VoteRequest](t, Output{Messages: out.Messages[2:]}, 0, "before the sync")
+		r.Synced(now, out.Persist.Sequence)
+		assertSent[VoteRequest](t, r.Take(), 2, "after the sync")
+	})
+	t.Run("own entry of the leader", func(t *testing.T) {
+		r, now, others := leadLone(t)
+		out := r.Take()
+		receive(r, now, others[0], 2, AppendResponse{OK: true, Match: 2})
+		if r.CommitIndex() != 1 {
+			t.Fatal("committed by one synced copy of three")
+		}
+		r.Synced(now, out.Persist.Sequence)
+		if r.CommitIndex() != 2 {
+			t.Fatal("not committed by two synced copies of three")
+		}
+	})
+}
+
+// Guards against one sync for each proposal.
+func TestProposalsShareOneSync(t *testing.T) {
+	r, now, _ := leadLone(t)
+	r.Take()
+	for range 100 {
+		if _, _, err := r.Propose(now, []byte("x")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if out := r.Take(); len(out.Persist.Entries) != 100 || r.Take().Persist != nil {
+		t.Fatalf("%d entries in one write, want 100", len(out.Persist.Entries))
+	}
+}
+
+// Guards against expiry that differs between replicas, or is undone by a
+// leader with a slow clock.
+func TestEntryTimeNeverDecreases(t *testing.T) {
+	r, now, _ := leadLone(t)
+	future := now.Add(time.Hour)
+	r.log.entries[len(r.log.entries)-1].At = future
+	if _, _, err := r.Propose(now, nil); err != nil {
+		t.Fatal(err)
+	}
+	if at := r.log.lastAt(time.Time{}); at.Before(future) {
+		t.Fatalf("entry of %s after an entry of %s", at, future)
+	}
+}
+
+// Guards against a broken rule that goes on unnoticed.
+func TestInvariantsPanic(t *testing.T) {
+	for name, breakRule := range map[string]func(r *Replica, now time.Time, others [2]NodeID){
+		"second leader of a term": func(r *Replica, now time.Time, others [2]NodeID) {
+			receive(r, now, others[0], 2, AppendRequest{})
+			receive(r, now, others[1], 2, AppendRequest{})
+		},
+		"committed entry replaced": func(r *Replica, now time.Time, others [2]NodeID) {
+			receive(r, now, others[0], 2, AppendRequest{Prev: 1, PrevTerm: 1, Commit: 2, Entries: []Entry{{Index: 2, Term: 2}}})
+			receive(r, now, others[1], 3, AppendRequest{Prev: 1, PrevTerm: 1, Entries: []Entry{{Index: 2, Term: 3}}})
+		},
+		"entries that differ": func(r *Replica, now time.Time, others [2]NodeID) {
+			receive(r, now, others[0], 2, AppendRequest{Prev: 1, PrevTerm: 1, Entries: []Entry{{Index: 2, Term: 2}}})
+			receive(r, now, others[0], 2, AppendRequest{Prev: 1, PrevTerm: 1, Entries: []Entry{{Index: 2, Term: 2, Data: []byte("x")}}})
+		},
+		"second vote": func(r *Replica, _ time.Time, others [2]NodeID) {
+			r.vote(others[0])
+			r.vote(others[1])
+		},
+		"commit index backward": func(r *Replica, _ time.Time, _ [2]NodeID) { r.setCommit(0) },
+		"two voters changed": func(r *Replica, _ time.Time, others [2]NodeID) {
+			r.state, r.progress = leading, map[NodeID]*progress{}
+			r.setMembers(r.Members().withRole(others[0], Learner).withRole(others[1], Learner))
+		},
+		"voter without storage": func(r *Replica, _ time.Time, _ [2]NodeID) {
+			r.state, r.progress = leading, map[NodeID]*progress{}
+			r.setMembers(r.Members().with(Member{ID: NodeID{Daemon: "d"}, Role: Voter}))
+		},
+		"change before the last is committed": func(r *Replica, _ time.Time, others [2]NodeID) {
+			r.state, r.progress = leading, map[NodeID]*progress{}
+			r.setMembers(r.Members().withRole(others[0], Learner))
+			r.setMembers(r.Members().withRole(others[0], Voter))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, now, others := lone(t)
+			defer func() {
+				var broken *InvariantError
+				if err, ok := recover().(error); !ok || !errors.As(err, &broken) {
+					t.Fatalf("no invariant error, recovered %v", err)
+				}
+			}()
+			breakRule(r, now, others)
+		})
+	}
+}
+
+// Guards against a leader that answers while another one is elected.
+func TestIsolatedLeaderStepsDown(t *testing.T) {
+	c := settledCluster(t, fourHosts()...)
+	old := c.leader()
+	c.isolate(old)
+	start := c.now
+	c.until("step down", func() bool { return !old.r.IsLeader() })
+	if took := c.now.Sub(start); took > 2*testElection {
+		t.Errorf("stepped down after %s", took)
+	}
+	c.until("another leader", func() bool { return c.leader() != nil })
+	for range 20 {
+		c.step()
+	}
+	if at := old.r.QuorumConfirmed().Add(-old.skew); at.After(start) {
+		t.Errorf("isolated at %s and takes %s for confirmed", start, at)
+	}
+}
+
+// Guards against a node with a bad link that deposes a good leader.
+func TestReturningNodeKeepsTheLeader(t *testing.T) {
+	c := settledCluster(t, fourHosts()...)
+	leader, term := c.leader(), c.leader().r.Term()
+	for _, h := range c.hosts {
+		if h == leader || !leader.r.Members().IsVoter(h.member.ID) {
+			continue
+		}
+		c.isolate(h)
+		for range 100 {
+			c.step()
+		}
+		if h.r.Term() != term {
+			t.Errorf("%s entered term %d while isolated", h.member.ID, h.r.Term())
+		}
+		clear(c.cuts)
+		c.until("a settled cluster", c.settled)
+	}
+	if !leader.r.IsLeader() || leader.r.Term() != term {
+		t.Errorf("term %d is led by %s", leader.r.Term(), leader.r.leader)
+	}
+}
+
+// Guards against a repair that leaves no majority once a second host is lost,
+// and against voters that stay in one data centre after the other returned.
+func TestLostVoterIsReplaced(t *testing.T) {
+	for _, lost := range []string{"a", "b", "c"} {
+		t.Run(lost, func(t *testing.T) {
+			c := settledCluster(t, fourHosts()...)
+			first := c.hosts[lost[0]-'a']
+			c.crash(first)
+			repaired := func() bool {
+				l := c.leader()
+				return l != nil && l.r.Members().IsVoter(c.hosts[3].member.ID) && len(l.r.Members().Voters()) == 3 && !l.r.changing()
+			}
+			c.until("replacement", repaired)
+			second := c.leader()
+			c.crash(second)
+			c.until("a leader after the second loss", func() bool { return c.leader() != nil })
+			before := c.leader().r.CommitIndex()
+			c.propose(c.leader())
+			c.until("commit after the second loss", func() bool { l := c.leader(); return l != nil && l.r.CommitIndex() > before })
+			c.start(first)
+			c.start(second)
+			c.until("one voter in each data centre", func() bool {
+				return c.settled() && !duplicates(c.leader().r.Members())
+			})
+		})
+	}
+}
+
+// Guards against a host that votes twice in a term because it lost its vote.
+func TestLostDiskMeansNewIncarnation(t *testing.T) {
+	c := settledCluster(t, fourHosts()...)
+	h := c.hosts[1]
+	old := h.member.ID
+	c.wipe(h)
+	c.until("a settled cluster", c.settled)
+	members := c.leader().r.Members()
+	if _, ok := members.Member(old); ok || h.member.ID == old {
+		t.Errorf("%s is still a member: %v", old, members)
+	}
+}
+
+// Guards against a restored backup that votes or counts under its old identity.
+func TestOlderDiskIsFound(t *testing.T) {
+	for name, leads := range map[string]bool{"leader": true, "follower": false} {
+		t.Run(name, func(t *testing.T) {
+			c := settledCluster(t, fourHosts()...)
+			h := c.leader()
+			if !leads {
+				h = c.hosts[(int(h.member.ID.Daemon[0]-'a')+1)%3]
+			}
+			image, old := h.disk.image, h.member.ID
+			for range 10 {
+				c.propose(c.leader())
+				c.step()
+			}
+			c.until("a settled cluster", c.settled)
+			for range 10 {
+				c.step() // the leader's next heartbeat tells what it stored
+			}
+			c.crash(h)
+			h.disk.image = image
+			c.start(h)
+			c.until("new incarnation", func() bool { return h.member.ID != old })
+			c.until("a settled cluster", c.settled)
+		})
+	}
+}
+
+// Guards against a vote that is forgotten at the next restart.
+func TestDaemonWithoutDataFolderNeverVotes(t *testing.T) {
+	members := fourHosts()
+	members[3].Durable = false
+	c := settledCluster(t, members...)
+	c.crash(c.hosts[0])
+	for range 1000 {
+		c.step()
+		if l := c.leader(); l != nil && l.r.Members().IsVoter(c.hosts[3].member.ID) {
+			t.Fatal("voter without a data folder")
+		}
+	}
+	if c.hosts[3].applied != c.highest {
+		t.Errorf("learner applied %d of %d entries", c.hosts[3].applied, c.highest)
+	}
+}
+
+// Guards against a second group that does not know what the first committed.
+func TestFounderWithoutDiskFoundsNoSecondGroup(t *testing.T) {
+	c := settledCluster(t, fourHosts()...)
+	group := c.hosts[0].r.hard.Group
+	c.wipe(c.hosts[0])
+	c.until("a settled cluster", c.settled)
+	for _, h := range c.hosts {
+		if h.r.hard.Group != group {
+			t.Errorf("%s belongs to group %s, want %s", h.member.ID, h.r.hard.Group, group)
+		}
+	}
+}
+
+// Guards against a member that cannot catch up once the entries it lacks are
+// compacted, and against a snapshot that needs one large message.
+func TestLaggingMemberGetsSnapshotInChunks(t *testing.T) {
+	c := settledCluster(t, fourHosts()...)
+	leader := c.leader()
+	h := c.hosts[3]
+	c.isolate(h)
+	for range 50 {
+		c.propose(leader)
+	}
+	c.until("commits", func() bool { return leader.r.CommitIndex() >= 50 })
+	c.compact(leader)
+	if n := len(leader.r.log.entries); n > 15 {
+		t.Errorf("%d entries in memory after compaction", n)
+	}
+	clear(c.cuts)
+	c.until("a settled cluster", c.settled)
+	if h.r.SnapshotIndex() < 50 || len(h.r.snapshot.Data) <= 3*h.r.cfg.ChunkBytes {
+		t.Errorf("snapshot at %d with %d bytes", h.r.SnapshotIndex(), len(h.r.snapshot.Data))
+	}
+}
+
+// Guards against a proposal that a node which is not the leader accepts.
+func TestProposeNamesTheLeader(t *testing.T) {
+	c := settledCluster(t, fourHosts()...)
+	leader := c.leader()
+	for _, h := range c.hosts {
+		_, _, err := h.r.Propose(c.clock(h), nil)
+		if refused := (ErrNotLeader{}); h != leader && (!errors.As(err, &refused) || refused.Leader != leader.member.ID.Daemon) {
+			t.Errorf("%s: %v", h.member.ID, fmt.Sprint(err))
+		}
+	}
+}
