Check settings files and report every fault with its line and key

The decoder of encoding/json stops at the first unknown key and knows no line. Settings are therefore compared with their Go type on the syntax tree of hujson, which keeps offsets; semantic checks (addresses, voters, durations) reuse the same table of lines.

--- /dev/null
+++ b/cmd/gypsumshelf/config.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"gypsumshelf.example/gypsumshelf/settings"
+)
+
+func newConfig() *cobra.Command {
+	cmd := &cobra.Command{Use: "config", Short: "Check settings files and list configuration changes"}
+	cmd.AddCommand(newConfigCheck())
+	return cmd
+}
+
+func newConfigCheck() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a settings file and print every fault with its line and key",
+		Args:  cobra.ExactArgs(1),
+		RunE: run(func(cmd *cobra.Command, args []string) error {
+			_, err := settings.Load(args[0])
+			var faults settings.Faults
+			if errors.As(err, &faults) {
+				for _, f := range faults {
+					fmt.Fprintf(cmd.OutOrStdout(), "%s:%s\n", args[0], f)
+				}
+				return fmt.Errorf("%s has %d faults", args[0], len(faults))
+			}
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s has no faults\n", args[0])
+			return nil
+		}),
+	}
+}
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,193 @@
+package settings
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"os"
+	"reflect"
+	"slices"
+
+	"github.com/tailscale/hujson"
+
+	"gypsumshelf.example/gypsumshelf/routes"
+)
+
+// maxVoters bounds the voters of the replicated log: each more adds a copy of
+// every entry, and five already survive two losses.
+const maxVoters = 5
+
+// Load reads and checks a settings file. An error that is Faults lists every
+// fault of the file.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings file cannot be read: %w", err)
+	}
+	return Parse(data)
+}
+
+// Parse decodes and checks settings.
+func Parse(data []byte) (Settings, error) {
+	value, err := hujson.Parse(data)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings are not valid JSON with comments: %w", err)
+	}
+	d := &document{data: data, lines: map[string]int{}}
+	d.walk(value, reflect.TypeFor[Settings](), "")
+	if len(d.faults) > 0 {
+		return Settings{}, d.sorted()
+	}
+	s, err := decode(value)
+	if err != nil {
+		return Settings{}, err
+	}
+	d.check(s)
+	if len(d.faults) > 0 {
+		return Settings{}, d.sorted()
+	}
+	return s, nil
+}
+
+func (d *document) sorted() Faults {
+	slices.SortStableFunc(d.faults, func(a, b Fault) int { return cmp.Compare(a.Line, b.Line) })
+	return d.faults
+}
+
+func (d *document) check(s Settings) {
+	d.checkNames(s)
+	d.checkAddresses(s)
+	d.checkPeers(s)
+	d.checkVoters(s)
+	d.checkLimits(s.Limits)
+	d.checkServices(s.Services)
+	if len(s.AllowedNetworks) == 0 {
+		d.fault("allowed-networks", "is empty, so that no backend server could announce itself")
+	}
+	if !slices.Contains(routes.Names(), s.Routing.Policy) {
+		d.fault("routing.policy", "unknown policy %q, known: %v", s.Routing.Policy, routes.Names())
+	}
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, s.LogLevel) {
+		d.fault("log-level", "is %q, want debug, info, warn or error", s.LogLevel)
+	}
+	if s.Traces.Endpoint != "" && s.Traces.File != "" {
+		d.fault("traces", "endpoint and file are both given, want at most one")
+	}
+}
+
+func (d *document) checkNames(s Settings) {
+	for _, f := range []struct{ key, value string }{
+		{"deployment", s.Deployment}, {"daemon", string(s.Daemon)},
+		{"data-centre", s.DataCentre}, {"region", s.Region},
+	} {
+		if f.value == "" {
+			d.fault(f.key, "is missing or empty")
+		}
+	}
+}
+
+func (d *document) checkAddresses(s Settings) {
+	used := map[string]string{} // key by address
+	for _, l := range []struct{ key, address string }{
+		{"listen.callers", s.Listen.Callers}, {"listen.backend-servers", s.Listen.BackendServers},
+		{"listen.peers", s.Listen.Peers}, {"listen.operators", s.Listen.Operators},
+		{"listen.metrics", s.Listen.Metrics},
+	} {
+		d.checkAddress(l.key, l.address)
+		d.checkUnused(used, l.key, l.address)
+	}
+	for i, p := range s.Peers {
+		key := fmt.Sprintf("peers[%d].address", i)
+		d.checkAddress(key, p.Address)
+		if p.Daemon != s.Daemon {
+			d.checkUnused(used, key, p.Address)
+		}
+	}
+}
+
+func (d *document) checkAddress(key, address string) {
+	if address == "" {
+		d.fault(key, "is missing or empty")
+		return
+	}
+	ap, err := netip.ParseAddrPort(address)
+	switch {
+	case err != nil:
+		d.fault(key, "%q is not an IP address with a port; host names are not resolved", address)
+	case ap.Port() == 0:
+		d.fault(key, "%q has port 0", address)
+	}
+}
+
+func (d *document) checkUnused(used map[string]string, key, address string) {
+	if other, ok := used[address]; ok && address != "" {
+		d.fault(key, "address %s is already used by %s", address, other)
+		return
+	}
+	used[address] = key
+}
+
+func (d *document) checkPeers(s Settings) {
+	seen := map[string]bool{}
+	own := false
+	for i, p := range s.Peers {
+		key := fmt.Sprintf("peers[%d]", i)
+		if p.Daemon == "" || p.DataCentre == "" {
+			d.fault(key, "needs daemon, address and data-centre")
+		}
+		if seen[string(p.Daemon)] {
+			d.fault(key+".daemon", "daemon %q is listed twice", p.Daemon)
+		}
+		seen[string(p.Daemon)] = true
+		if p.Daemon != s.Daemon {
+			continue
+		}
+		own = true
+		if p.Address != s.Listen.Peers {
+			d.fault(key+".address", "is %s, but listen.peers of this daemon is %s", p.Address, s.Listen.Peers)
+		}
+		if p.DataCentre != s.DataCentre {
+			d.fault(key+".data-centre", "is %q, but data-centre of this daemon is %q", p.DataCentre, s.DataCentre)
+		}
+	}
+	if !own {
+		d.fault("peers", "daemon %q of this file is not listed", s.Daemon)
+	}
+}
+
+func (d *document) checkVoters(s Settings) {
+	if n := len(s.Voters); n%2 == 0 || n > maxVoters {
+		d.fault("voters", "has %d daemons, want an odd number of at most %d", n, maxVoters)
+	}
+	for i, v := range s.Voters {
+		key := fmt.Sprintf("voters[%d]", i)
+		if !slices.ContainsFunc(s.Peers, func(p Peer) bool { return string(p.Daemon) == v }) {
+			d.fault(key, "daemon %q is not listed in peers", v)
+		}
+		if slices.Index(s.Voters, v) != i {
+			d.fault(key, "daemon %q is listed twice", v)
+		}
+		if v == string(s.Daemon) && s.DataFolder == "" {
+			d.fault(key, "daemon %q has no data-folder, and a vote must survive a restart", v)
+		}
+	}
+}
+
+func (d *document) checkLimits(l Limits) {
+	for _, f := range []struct {
+		key   string
+		value int64
+	}{
+		{"max-body-bytes", l.MaxBodyBytes}, {"body-budget-bytes", l.BodyBudgetBytes},
+		{"max-attempts", int64(l.MaxAttempts)}, {"freshness-lease", int64(l.FreshnessLease)},
+		{"progress-timeout", int64(l.ProgressTimeout)}, {"dial-timeout", int64(l.DialTimeout)},
+		{"server-expiry", int64(l.ServerExpiry)},
+	} {
+		if f.value <= 0 {
+			d.fault("limits."+f.key, "must be greater than zero")
+		}
+	}
+	if l.BodyBudgetBytes < l.MaxBodyBytes {
+		d.fault("limits.body-budget-bytes", "is smaller than max-body-bytes, so that the largest body could never be kept")
+	}
+}
--- /dev/null
+++ b/settings/decode.go
@@ -0,0 +1,43 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+func decode(value hujson.Value) (Settings, error) {
+	value = value.Clone()
+	value.Standardize()
+	s := Default()
+	if err := json.Unmarshal(value.Pack(), &s); err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	return s, nil
+}
+
+var methods = []string{http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
+
+func (d *document) checkServices(services []Service) {
+	seen := map[string]bool{}
+	for i, service := range services {
+		key := fmt.Sprintf("services[%d]", i)
+		if service.Name == "" {
+			d.fault(key+".name", "is missing or empty")
+		}
+		if seen[service.Name] {
+			d.fault(key+".name", "service %q is listed twice", service.Name)
+		}
+		seen[service.Name] = true
+		for j, call := range service.Idempotent {
+			method, path, _ := strings.Cut(call, " ")
+			if !slices.Contains(methods, method) || !strings.HasPrefix(path, "/") {
+				d.fault(fmt.Sprintf("%s.idempotent[%d]", key, j), "%q is not of the form \"POST /path-prefix\"", call)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/settings/document.go
@@ -0,0 +1,109 @@
+package settings
+
+import (
+	"bytes"
+	"encoding"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+var textUnmarshaler = reflect.TypeFor[encoding.TextUnmarshaler]()
+
+// document is a settings file together with the line of each key.
+type document struct {
+	data   []byte
+	lines  map[string]int // by key path
+	faults Faults
+}
+
+func (d *document) line(offset int) int { return 1 + bytes.Count(d.data[:offset], []byte("\n")) }
+
+func (d *document) fault(key, format string, args ...any) {
+	line, parent := 1, key
+	for {
+		if l, ok := d.lines[parent]; ok {
+			line = l
+			break
+		}
+		i := strings.LastIndexAny(parent, ".[")
+		if i < 0 {
+			break
+		}
+		parent = parent[:i]
+	}
+	d.faults = append(d.faults, Fault{Line: line, Key: key, Text: fmt.Sprintf(format, args...)})
+}
+
+// walk compares a JSON value with the Go type that it is decoded into.
+func (d *document) walk(v hujson.Value, t reflect.Type, key string) {
+	d.lines[key] = d.line(v.StartOffset)
+	switch {
+	case reflect.PointerTo(t).Implements(textUnmarshaler):
+		d.leaf(v, t, key)
+	case t.Kind() == reflect.Struct:
+		d.object(v, t, key)
+	case t.Kind() == reflect.Slice:
+		d.array(v, t, key)
+	default:
+		d.leaf(v, t, key)
+	}
+}
+
+func (d *document) leaf(v hujson.Value, t reflect.Type, key string) {
+	v = v.Clone()
+	v.Standardize()
+	if err := json.Unmarshal(v.Pack(), reflect.New(t).Interface()); err != nil {
+		d.fault(key, "%s", strings.TrimPrefix(err.Error(), "json: "))
+	}
+}
+
+func (d *document) array(v hujson.Value, t reflect.Type, key string) {
+	array, ok := v.Value.(*hujson.Array)
+	if !ok {
+		d.fault(key, "must be an array")
+		return
+	}
+	for i, element := range array.Elements {
+		d.walk(element, t.Elem(), fmt.Sprintf("%s[%d]", key, i))
+	}
+}
+
+func (d *document) object(v hujson.Value, t reflect.Type, key string) {
+	object, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.fault(key, "must be an object")
+		return
+	}
+	fields := jsonFields(t)
+	seen := map[string]bool{}
+	for _, m := range object.Members {
+		name := m.Name.Value.(hujson.Literal).String()
+		path := strings.TrimPrefix(key+"."+name, ".")
+		field, known := fields[name]
+		switch {
+		case !known:
+			d.lines[path] = d.line(m.Name.StartOffset)
+			d.fault(path, "unknown key")
+		case seen[name]:
+			d.lines[path] = d.line(m.Name.StartOffset)
+			d.fault(path, "key is given twice")
+		default:
+			d.walk(m.Value, field, path)
+		}
+		seen[name] = true
+	}
+}
+
+func jsonFields(t reflect.Type) map[string]reflect.Type {
+	fields := map[string]reflect.Type{}
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		fields[name] = f.Type
+	}
+	return fields
+}
