--- a/daemons/daemon.go
+++ b/daemons/daemon.go
@@ -14,8 +14,14 @@
 // eventBacklog is the number of events that may wait for the reducer.
 const eventBacklog = 4096
 
+// Observer is told of every step of the reducer, on the event loop.
+type Observer interface {
+	Observe(now time.Time, ev gypsumshelf.Event, effects []gypsumshelf.Effect)
+}
+
 // Config configures a Daemon.
 type Config struct {
+	Observers  []Observer
 	Reducer    ReducerConfig
 	Timers     *timers.Service
 	TickPeriod time.Duration
@@ -23,25 +29,27 @@
 
 // Daemon runs a reducer with its drivers.
 type Daemon struct {
-	reducer *Reducer
-	drivers map[reflect.Type]func(gypsumshelf.Effect)
-	timers  *timers.Service
-	events  chan gypsumshelf.Event
-	queries chan func(*Reducer)
-	stop    chan struct{}
-	done    sync.WaitGroup
-	once    sync.Once
+	reducer   *Reducer
+	observers []Observer
+	drivers   map[reflect.Type]func(gypsumshelf.Effect)
+	timers    *timers.Service
+	events    chan gypsumshelf.Event
+	queries   chan func(*Reducer)
+	stop      chan struct{}
+	done      sync.WaitGroup
+	once      sync.Once
 }
 
 // New returns a Daemon that is not yet running.
 func New(cfg Config) *Daemon {
 	d := &Daemon{
-		reducer: NewReducer(cfg.Reducer),
-		timers:  cfg.Timers,
-		drivers: map[reflect.Type]func(gypsumshelf.Effect){},
-		events:  make(chan gypsumshelf.Event, eventBacklog),
-		queries: make(chan func(*Reducer)),
-		stop:    make(chan struct{}),
+		reducer:   NewReducer(cfg.Reducer),
+		observers: cfg.Observers,
+		timers:    cfg.Timers,
+		drivers:   map[reflect.Type]func(gypsumshelf.Effect){},
+		events:    make(chan gypsumshelf.Event, eventBacklog),
+		queries:   make(chan func(*Reducer)),
+		stop:      make(chan struct{}),
 	}
 	cfg.Timers.Subscribe(cfg.TickPeriod, func(time.Time) { d.Submit(Tick{}) })
 	return d
@@ -98,9 +106,7 @@
 	for {
 		select {
 		case ev := <-d.events:
-			for _, effect := range d.reducer.Step(d.timers.Now(), ev) {
-				d.perform(effect)
-			}
+			d.step(ev)
 		case query := <-d.queries:
 			query(d.reducer)
 		case <-d.stop:
@@ -109,6 +115,17 @@
 	}
 }
 
+func (d *Daemon) step(ev gypsumshelf.Event) {
+	now := d.timers.Now()
+	effects := d.reducer.Step(now, ev)
+	for _, o := range d.observers {
+		o.Observe(now, ev, effects)
+	}
+	for _, effect := range effects {
+		d.perform(effect)
+	}
+}
+
 func (d *Daemon) perform(effect gypsumshelf.Effect) {
 	do := d.drivers[reflect.TypeOf(effect)]
 	if do == nil {
--- a/daemons/instance.go
+++ b/daemons/instance.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
@@ -14,18 +15,22 @@
 	"gypsumshelf.example/gypsumshelf/attempts"
 	"gypsumshelf.example/gypsumshelf/engines"
 	"gypsumshelf.example/gypsumshelf/entries"
+	"gypsumshelf.example/gypsumshelf/logs"
+	"gypsumshelf.example/gypsumshelf/metrics"
 	"gypsumshelf.example/gypsumshelf/operators"
 	"gypsumshelf.example/gypsumshelf/peers"
 	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
 	"gypsumshelf.example/gypsumshelf/settings"
 	"gypsumshelf.example/gypsumshelf/timers"
+	"gypsumshelf.example/gypsumshelf/traces"
 )
 
 const (
 	tickPeriod     = 50 * time.Millisecond
 	keepEnded      = 10 * time.Minute // time for which ended requests can be explained
 	readHeaderTime = 10 * time.Second
+	flushTime      = 2 * time.Second // time to export the last spans at a stop
 )
 
 func init() { gob.Register(gypsumshelf.Announcement{}) }
@@ -38,6 +43,8 @@
 	links    *peers.Links
 	servers  []*http.Server
 	handler  *entries.Handler
+	traces   *traces.Provider
+	metrics  *metrics.Recorder
 }
 
 // Start opens the listeners of a daemon and runs it.
@@ -46,7 +53,17 @@
 	if err != nil {
 		return nil, err
 	}
-	in := &Instance{settings: s, timers: timers.New(timers.Config{})}
+	in := &Instance{settings: s, timers: timers.New(timers.Config{}), metrics: metrics.New()}
+	log, err := logs.New(logs.Config{Writer: os.Stderr, Level: s.LogLevel, Daemon: s.Daemon})
+	if err != nil {
+		return nil, err
+	}
+	in.traces, err = traces.New(context.Background(), traces.Config{
+		Endpoint: s.Traces.Endpoint, File: s.Traces.File, Deployment: s.Deployment, Daemon: s.Daemon,
+	})
+	if err != nil {
+		return nil, err
+	}
 	in.daemon = New(Config{
 		Reducer: ReducerConfig{
 			Daemon: s.Daemon, Policy: policy,
@@ -54,12 +71,16 @@
 			Attempts: attempts.Config{MaxAttempts: s.Limits.MaxAttempts, Keep: keepEnded},
 		},
 		Timers: in.timers, TickPeriod: tickPeriod,
+		Observers: []Observer{in.metrics, logs.NewObserver(log)},
 	})
 	if err := in.openPeers(); err != nil {
 		return nil, err
 	}
 	in.handler = entries.New(entries.Config{
-		Engine: engines.NewClient(engines.ClientConfig{DialTimeout: s.Limits.DialTimeout.Std()}),
+		Engine: engines.NewClient(engines.ClientConfig{
+			DialTimeout: s.Limits.DialTimeout.Std(),
+			Wrap:        func(t http.RoundTripper) http.RoundTripper { return in.traces.Transport("engine", t) },
+		}),
 		Submit: in.daemon.Submit, Ready: in.ready, Class: in.class,
 		Workspaces: s.Workspaces, MaxBodyBytes: s.Limits.MaxBodyBytes, Now: in.timers.Now,
 	})
@@ -98,11 +119,12 @@
 		name, address string
 		handler       http.Handler
 	}{
-		{"callers", in.settings.Listen.Callers, in.handler},
+		{"callers", in.settings.Listen.Callers, in.traces.Handler("caller", in.handler)},
 		{"backend-servers", in.settings.Listen.BackendServers, announcements.New(announcements.Config{
 			Submit: in.daemon.Submit, AllowedNetworks: in.settings.AllowedNetworks,
 		})},
-		{"operators", in.settings.Listen.Operators, operators.New(operators.Config{Status: in.status, Explain: in.explain})},
+		{"operators", in.settings.Listen.Operators, in.traces.Handler("operator", operators.New(operators.Config{Status: in.status, Explain: in.explain}))},
+		{"metrics", in.settings.Listen.Metrics, in.metrics.Handler()},
 	} {
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
@@ -134,6 +156,9 @@
 	in.links.Close()
 	in.daemon.Close()
 	in.timers.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), flushTime)
+	defer cancel()
+	_ = in.traces.Close(ctx)
 }
 
 func (in *Instance) receive(e peers.Envelope) {
--- a/engines/client.go
+++ b/engines/client.go
@@ -34,6 +34,8 @@
 // ClientConfig configures a Client.
 type ClientConfig struct {
 	DialTimeout time.Duration // time to establish a connection
+	// Wrap, when not nil, is applied to the HTTP transport, for example to trace calls.
+	Wrap func(http.RoundTripper) http.RoundTripper
 }
 
 // NewClient returns a Client. Each call opens its own connection: net/http
@@ -41,8 +43,12 @@
 // which would run work twice, and an idle connection may have gone silent.
 func NewClient(cfg ClientConfig) *Client {
 	dialer := &net.Dialer{Timeout: cfg.DialTimeout}
+	var transport http.RoundTripper = &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	if cfg.Wrap != nil {
+		transport = cfg.Wrap(transport)
+	}
 	return &Client{http: &http.Client{
-		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
+		Transport: transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- /dev/null
+++ b/logs/observer_test.go
@@ -0,0 +1,34 @@
+package logs
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/attempts"
+)
+
+// Guards against refusals that leave no log line, and against lines that a
+// log collector cannot parse or search by request id.
+func TestObserverLogsRefusalsAsJSON(t *testing.T) {
+	var buffer bytes.Buffer
+	log, err := New(Config{Writer: &buffer, Level: "info", Daemon: "wien-1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusal := attempts.Refuse{Request: "r1", Err: gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeDeadline, "no time left")}
+	NewObserver(log).Observe(time.Time{}, attempts.Arrived{}, []gypsumshelf.Effect{refusal})
+	var line map[string]any
+	if err := json.Unmarshal(buffer.Bytes(), &line); err != nil {
+		t.Fatalf("log line %q: %v", buffer.String(), err)
+	}
+	for key, want := range map[string]string{
+		KeyDaemon: "wien-1", KeyRequest: "r1", KeyCode: "deadline", KeyVerdict: "not-run", "msg": "no time left",
+	} {
+		if line[key] != want {
+			t.Errorf("field %s is %v, want %s", key, line[key], want)
+		}
+	}
+}
--- /dev/null
+++ b/metrics/recorder.go
@@ -0,0 +1,143 @@
+// Package metrics records what a daemon does in Prometheus metrics.
+package metrics
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/attempts"
+)
+
+// firstTokenBuckets are upper bounds in seconds; the target of 1 s is one of them.
+var firstTokenBuckets = []float64{.005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10, 30, 60}
+
+// Recorder derives metrics from the steps of the reducer.
+type Recorder struct {
+	registry   *prometheus.Registry
+	requests   *prometheus.CounterVec
+	attempts   *prometheus.CounterVec
+	firstToken *prometheus.HistogramVec
+	inProgress prometheus.Gauge
+	open       map[gypsumshelf.RequestID]*progress
+	byAttempt  map[gypsumshelf.AttemptID]*progress
+}
+
+// progress is a request whose first token or end is still to come.
+type progress struct {
+	request gypsumshelf.Request
+	first   bool
+	tries   []gypsumshelf.AttemptID
+}
+
+// New returns a Recorder with its own registry.
+func New() *Recorder {
+	r := &Recorder{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gypsumshelf_requests_total", Help: "Ended requests by code (ok for a whole answer) and verdict.",
+		}, []string{"code", "verdict"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gypsumshelf_attempts_total", Help: "Ended attempts on backend servers by code (ok for a whole answer).",
+		}, []string{"code"}),
+		firstToken: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "gypsumshelf_first_token_seconds", Help: "Time from a request's arrival to its first token.",
+			Buckets: firstTokenBuckets,
+		}, []string{"prompt_tokens"}),
+		inProgress: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "gypsumshelf_requests_in_progress", Help: "Requests that have arrived and not ended.",
+		}),
+		open:      map[gypsumshelf.RequestID]*progress{},
+		byAttempt: map[gypsumshelf.AttemptID]*progress{},
+	}
+	r.registry.MustRegister(r.requests, r.attempts, r.firstToken, r.inProgress,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return r
+}
+
+// Register adds a collector of another part.
+func (r *Recorder) Register(c prometheus.Collector) { r.registry.MustRegister(c) }
+
+// Gauge adds a gauge whose value is read at each scrape.
+func (r *Recorder) Gauge(name, help string, value func() float64) {
+	r.Register(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+}
+
+// Handler serves /metrics.
+func (r *Recorder) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{}))
+	return mux
+}
+
+// Observe records one step of the reducer.
+func (r *Recorder) Observe(now time.Time, ev gypsumshelf.Event, effects []gypsumshelf.Effect) {
+	switch e := ev.(type) {
+	case attempts.Arrived:
+		r.open[e.Request.ID] = &progress{request: e.Request}
+	case attempts.FirstToken:
+		r.observeFirstToken(now, r.byAttempt[e.Attempt])
+	case attempts.Ended:
+		r.attempts.WithLabelValues("ok").Inc()
+	case attempts.Failed:
+		r.attempts.WithLabelValues(string(e.Failure.Code)).Inc()
+	case attempts.CallerGone:
+		r.end(e.Request, string(gypsumshelf.CodeCallerGone), gypsumshelf.MayHaveRun)
+	}
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case attempts.Start:
+			r.start(e)
+		case attempts.Refuse:
+			r.end(e.Request, string(e.Err.Code), e.Err.Verdict)
+		case attempts.Finish:
+			r.end(e.Request, "ok", gypsumshelf.Ran)
+		}
+	}
+	r.inProgress.Set(float64(len(r.open)))
+}
+
+func (r *Recorder) start(e attempts.Start) {
+	if p := r.open[e.Request]; p != nil {
+		p.tries = append(p.tries, e.Attempt)
+		r.byAttempt[e.Attempt] = p
+	}
+}
+
+func (r *Recorder) observeFirstToken(now time.Time, p *progress) {
+	if p == nil || p.first {
+		return
+	}
+	p.first = true
+	r.firstToken.WithLabelValues(lengthLabel(p.request.PromptTokens)).Observe(now.Sub(p.request.Arrived).Seconds())
+}
+
+func (r *Recorder) end(id gypsumshelf.RequestID, code string, verdict gypsumshelf.Verdict) {
+	p := r.open[id]
+	if p == nil {
+		return
+	}
+	for _, try := range p.tries {
+		delete(r.byAttempt, try)
+	}
+	delete(r.open, id)
+	r.requests.WithLabelValues(code, verdict.String()).Inc()
+}
+
+// lengthLabel returns the bucket of a prompt's length as a label.
+func lengthLabel(tokens int) string {
+	switch {
+	case tokens <= 2_000:
+		return "le-2000"
+	case tokens <= 10_000:
+		return "le-10000"
+	case tokens <= 100_000:
+		return "le-100000"
+	default:
+		return "le-1000000"
+	}
+}
