Drop silent peer connections and refuse daemons that the settings do not list

An accepted connection that had gone silent stayed open for good, since only the dialling side had a timeout; it now ends after 5 s without a byte. A peer's envelopes carry the daemon of its hello, not what the envelope claims. Bytes to and from peers are counted for the control budget.

--- a/daemons/instance.go
+++ b/daemons/instance.go
@@ -111,6 +111,14 @@
 		Deployment: in.settings.Deployment, Daemon: in.settings.Daemon,
 		Peers: others, Receive: in.receive,
 	}, listener)
+	in.metrics.Counter("gypsumshelf_peer_sent_bytes_total", "Bytes sent to other daemons.", func() float64 {
+		sent, _ := in.links.Bytes()
+		return float64(sent)
+	})
+	in.metrics.Counter("gypsumshelf_peer_received_bytes_total", "Bytes received from other daemons.", func() float64 {
+		_, received := in.links.Bytes()
+		return float64(received)
+	})
 	return nil
 }
 
--- a/metrics/recorder.go
+++ b/metrics/recorder.go
@@ -67,6 +67,11 @@
 	r.Register(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 }
 
+// Counter adds a counter whose value is read at each scrape.
+func (r *Recorder) Counter(name, help string, value func() float64) {
+	r.Register(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
+}
+
 // Handler serves /metrics.
 func (r *Recorder) Handler() http.Handler {
 	mux := http.NewServeMux()
--- /dev/null
+++ b/peers/conn.go
@@ -0,0 +1,40 @@
+package peers
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// counters counts the bytes of all connections.
+type counters struct {
+	sent     atomic.Uint64
+	received atomic.Uint64
+}
+
+// countingConn counts bytes and ends a read that waits longer than readLimit,
+// when readLimit is not zero.
+type countingConn struct {
+	net.Conn
+	counters  *counters
+	readLimit time.Duration
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(b []byte) (int, error) {
+	if c.readLimit > 0 {
+		if err := c.SetReadDeadline(time.Now().Add(c.readLimit)); err != nil {
+			return 0, err
+		}
+	}
+	n, err := c.Conn.Read(b)
+	c.counters.received.Add(uint64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.counters.sent.Add(uint64(n))
+	return n, err
+}
--- /dev/null
+++ b/peers/link.go
@@ -0,0 +1,105 @@
+package peers
+
+import (
+	"errors"
+	"net"
+	"net/rpc"
+	"time"
+)
+
+const (
+	queueLength   = 1024 // envelopes that wait for one peer
+	maxBatch      = 256  // envelopes in one call
+	redialPause   = 200 * time.Millisecond
+	dialTimeout   = time.Second
+	helloDeadline = 2 * time.Second
+	heartbeatGap  = 500 * time.Millisecond // idle time after which a heartbeat is sent
+	silenceLimit  = 2 * time.Second        // time without an answer after which a connection is dropped
+)
+
+// link is the outgoing connection to one peer.
+type link struct {
+	owner   *Links
+	address string
+	queue   chan Envelope
+}
+
+func (k *link) loop() {
+	defer k.owner.wg.Done()
+	for {
+		client, err := k.dial()
+		if err == nil {
+			k.pump(client)
+			client.Close()
+		}
+		select {
+		case <-k.owner.stop:
+			return
+		case <-time.After(redialPause):
+		}
+	}
+}
+
+func (k *link) dial() (*rpc.Client, error) {
+	conn, err := net.DialTimeout("tcp", k.address, dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	client := rpc.NewClient(&countingConn{Conn: conn, counters: &k.owner.bytes})
+	hello := Hello{Deployment: k.owner.cfg.Deployment, Daemon: k.owner.cfg.Daemon}
+	if err := call(client, "Peer.Hello", hello, helloDeadline); err != nil {
+		client.Close()
+		return nil, err
+	}
+	return client, nil
+}
+
+// pump delivers queued envelopes until the connection fails or goes silent.
+func (k *link) pump(client *rpc.Client) {
+	for {
+		batch := k.take()
+		if batch == nil {
+			return
+		}
+		if err := call(client, "Peer.Deliver", batch, silenceLimit); err != nil {
+			return
+		}
+	}
+}
+
+// take waits for envelopes; it returns an empty batch when a heartbeat is due
+// and nil when the links are closed.
+func (k *link) take() []Envelope {
+	batch := make([]Envelope, 0, 1)
+	select {
+	case <-k.owner.stop:
+		return nil
+	case <-time.After(heartbeatGap):
+		return batch
+	case e := <-k.queue:
+		batch = append(batch, e)
+	}
+	for len(batch) < maxBatch {
+		select {
+		case e := <-k.queue:
+			batch = append(batch, e)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+var errSilent = errors.New("peer does not answer")
+
+func call(client *rpc.Client, method string, args any, limit time.Duration) error {
+	pending := client.Go(method, args, &struct{}{}, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case done := <-pending.Done:
+		return done.Error
+	case <-timer.C:
+		return errSilent
+	}
+}
--- /dev/null
+++ b/peers/session.go
@@ -0,0 +1,72 @@
+package peers
+
+import (
+	"errors"
+	"fmt"
+	"net/rpc"
+	"sync"
+	"time"
+)
+
+// sessionSilenceLimit is the time without a byte after which an accepted
+// connection is dropped. The peer sends a heartbeat every heartbeatGap.
+const sessionSilenceLimit = 5 * time.Second
+
+var errNoHello = errors.New("no hello on this connection")
+
+// session serves one accepted connection.
+type session struct {
+	owner *Links
+	conn  *countingConn
+}
+
+func (s *session) run() {
+	defer s.owner.wg.Done()
+	defer func() {
+		s.conn.Close()
+		s.owner.mu.Lock()
+		delete(s.owner.accepted, s.conn.Conn)
+		s.owner.mu.Unlock()
+	}()
+	server := rpc.NewServer()
+	if err := server.RegisterName("Peer", &Service{owner: s.owner}); err != nil {
+		return
+	}
+	server.ServeConn(s.conn)
+}
+
+// Service is the net/rpc service of a daemon, one for each connection.
+type Service struct {
+	owner *Links
+	mu    sync.Mutex
+	hello *Hello
+}
+
+// Hello opens a connection; a peer of another deployment is refused.
+func (s *Service) Hello(h Hello, _ *struct{}) error {
+	if h.Deployment != s.owner.cfg.Deployment {
+		return fmt.Errorf("deployment %q is not %q", h.Deployment, s.owner.cfg.Deployment)
+	}
+	if _, ok := s.owner.links[h.Daemon]; !ok {
+		return fmt.Errorf("daemon %q is not a peer in the settings of %q", h.Daemon, s.owner.cfg.Daemon)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hello = &h
+	return nil
+}
+
+// Deliver takes a batch of envelopes; an empty batch is a heartbeat.
+func (s *Service) Deliver(batch []Envelope, _ *struct{}) error {
+	s.mu.Lock()
+	hello := s.hello
+	s.mu.Unlock()
+	if hello == nil {
+		return errNoHello
+	}
+	for _, e := range batch {
+		e.From = hello.Daemon // a peer speaks only for itself
+		s.owner.cfg.Receive(e)
+	}
+	return nil
+}
