Give the stand-in engines memory, priorities, a cache, warm-up and faults

Cause: the earlier stand-in had one prefill queue in order of arrival and no way to fail, so neither routing nor recovery could be measured against it.

The engine now refuses with X-Not-Run when its memory is full, processes prompts in slices by X-Priority, keeps a bounded prefix cache whose events are late and have gaps, reports load with a lag, collapses when it gets too much while cold, crashes on a marked prompt, takes orders with a fencing number (checked or ignored) and has KV reservations with leases. Plain services share a ledger of how often each call ran. A fleet is steered over a control port; SIGTERM announces leaving and waits for running requests.

Ruled out: waiting inside the engine for memory, because then a daemon that overcommits memory would not be seen.

Reservations of memory by the daemons are not part of this change.

--- a/cmd/gypsumshelf/standins.go
+++ b/cmd/gypsumshelf/standins.go
@@ -1,6 +1,9 @@
 package main
 
 import (
+	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -11,36 +14,86 @@
 	"gypsumshelf.example/gypsumshelf/standins"
 )
 
-// announcePeriod is the time between two announcements of a stand-in.
-const announcePeriod = 500 * time.Millisecond
+const (
+	// announcePeriod is the time between two announcements of a stand-in.
+	announcePeriod = 500 * time.Millisecond
+	// leaveLimit bounds the time that requests have to end after SIGTERM.
+	leaveLimit = 30 * time.Second
+)
 
 func newStandIns() *cobra.Command {
 	cfg := standins.FleetConfig{Period: announcePeriod}
+	var control string
 	cmd := &cobra.Command{
 		Use:   "stand-ins --daemon IP:PORT",
 		Short: "Run stand-in backend servers",
-		Args:  cobra.NoArgs,
-		RunE: run(func(*cobra.Command, []string) error {
-			fleet, err := standins.NewFleet(cfg)
-			if err != nil {
-				return err
-			}
-			defer fleet.Close()
-			signals := make(chan os.Signal, 1)
-			signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-			<-signals
-			return nil
-		}),
+		Long: "Run stand-in engines and plain services that announce themselves. On SIGTERM they announce\n" +
+			"that they leave and end once their requests have ended. Times and rates are those of the\n" +
+			"engines that they stand for; the time scale shortens them.",
+		Args: cobra.NoArgs,
+		RunE: run(func(cmd *cobra.Command, _ []string) error { return runStandIns(cmd, cfg, control) }),
 	}
 	f := cmd.Flags()
 	f.StringSliceVar(&cfg.Daemons, "daemon", nil, "listener for backend servers of a daemon (repeatable)")
 	f.StringSliceVar(&cfg.DataCentres, "data-centre", []string{"wien-nord", "linz-hafen", "graz-sued"}, "data centres of the stand-ins, in turn")
-	f.StringVar(&cfg.Service, "service", "federkiel", "service name")
+	f.StringVar(&cfg.Service, "service", "federkiel", "service name of the engines")
 	f.IntVar(&cfg.Engines, "engines", 6, "number of stand-in engines")
-	f.StringVar(&cfg.Engine.Model, "model", "quill", "model name")
-	f.Float64Var(&cfg.Engine.PrefillRate, "prefill-rate", 1e6, "prompt tokens per second of each engine")
-	f.DurationVar(&cfg.Engine.TokenInterval, "token-interval", time.Millisecond, "time between generated tokens")
-	f.IntVar(&cfg.Engine.MemoryTokens, "memory-tokens", 1_500_000, "memory of each engine in tokens")
+	f.StringVar(&cfg.PlainService, "plain-service", "auftragsbuch", "name of the plain service")
+	f.IntVar(&cfg.Plains, "plain-servers", 0, "number of stand-ins of the plain service")
+	f.DurationVar(&cfg.PlainTime, "plain-time", 2*time.Millisecond, "time that a call of the plain service takes")
+	f.DurationVar(&cfg.RestartAfter, "restart-after", time.Second, "time from a crash to the next start")
+	f.IntVar(&cfg.IgnoreFence, "ignore-fencing", 0, "every n-th engine ignores fencing numbers, 0 for none")
+	f.StringVar(&control, "control", "127.0.0.1:0", "IP:PORT at which the fleet is steered")
+	engineFlags(cmd, &cfg.Engine)
 	_ = cmd.MarkFlagRequired("daemon")
 	return cmd
 }
+
+func engineFlags(cmd *cobra.Command, e *standins.EngineConfig) {
+	f := cmd.Flags()
+	f.StringVar(&e.Model, "model", "quill", "model name")
+	f.Float64Var(&e.TimeScale, "time-scale", 1, "factor by which the engines are faster than the ones they stand for")
+	f.Float64Var(&e.PrefillRate, "prefill-rate", 1e6, "prompt tokens per second of each engine")
+	f.DurationVar(&e.TokenInterval, "token-interval", time.Millisecond, "time between generated tokens")
+	f.IntVar(&e.MaxBatch, "max-batch", 0, "streams at full speed on an engine, 0 for no bound")
+	f.IntVar(&e.MemoryTokens, "memory-tokens", 1_500_000, "memory of each engine in tokens")
+	f.IntVar(&e.CacheTokens, "cache-tokens", 0, "prompt tokens in the prefix cache of each engine")
+	f.DurationVar(&e.CacheDelay, "cache-delay", time.Second, "delay of cache events")
+	f.IntVar(&e.CacheGapEvery, "cache-gap-every", 10, "every n-th cache event is lost, 0 for none")
+	f.DurationVar(&e.LoadLag, "load-lag", 0, "age of reported load")
+	f.IntVar(&e.WarmupLimit, "warmup-limit", 0, "requests at once that a cold engine bears, 0 for no limit")
+	f.IntVar(&e.WarmupWork, "warmup-work", 0, "completed requests after which an engine is warm")
+	f.Float64Var(&e.ColdPenalty, "cold-penalty", 1, "factor by which a cold engine is slower")
+	f.StringVar(&e.CrashMark, "crash-mark", "", "text that crashes an engine when a prompt contains it")
+}
+
+func runStandIns(cmd *cobra.Command, cfg standins.FleetConfig, control string) error {
+	listener, err := net.Listen("tcp", control)
+	if err != nil {
+		return fmt.Errorf("control listener: %w", err)
+	}
+	fleet, err := standins.NewFleet(cfg)
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	steering := &controlServer{server: &http.Server{Handler: standins.NewControl(fleet)}, listener: listener}
+	defer steering.server.Close()
+	go steering.run()
+	fmt.Fprintf(cmd.OutOrStdout(), "%d engines, %d plain servers, time scale %g, control %s\n",
+		cfg.Engines, cfg.Plains, cfg.Engine.TimeScale, listener.Addr())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	if left := fleet.Leave(leaveLimit); left > 0 {
+		return fmt.Errorf("%d requests have not ended within %s", left, leaveLimit)
+	}
+	return nil
+}
+
+type controlServer struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func (s *controlServer) run() { _ = s.server.Serve(s.listener) }
--- a/loads/demo.go
+++ b/loads/demo.go
@@ -28,6 +28,8 @@
 	demoModel  = "quill"
 	demoTokens = 16
 	demoPeriod = 200 * time.Millisecond
+	// demoMemory lets an engine hold four of the longest prompts at once.
+	demoMemory = 4_500_000
 )
 
 var demoLengths = []int{1_000, 30_000, 1_000_000}
@@ -53,7 +55,8 @@
 		Service: "demo-engine", Engines: cfg.Engines, Daemons: announce, Period: demoPeriod,
 		DataCentres: []string{"demo-a", "demo-b", "demo-c"},
 		Engine: standins.EngineConfig{
-			Model: demoModel, PrefillRate: 2e6, TokenInterval: time.Millisecond, MemoryTokens: 1_500_000,
+			Model: demoModel, PrefillRate: 2e6, TokenInterval: time.Millisecond,
+			MemoryTokens: demoMemory,
 		},
 	})
 	if err != nil {
--- a/standins/announcer.go
+++ b/standins/announcer.go
@@ -26,9 +26,11 @@
 	stop   chan struct{}
 	wg     sync.WaitGroup
 
+	sending sync.Mutex // held while an announcement is sent, keeps their order
+	next    int
+
 	mu    sync.Mutex
 	state gypsumshelf.ServerState
-	next  int
 }
 
 // NewAnnouncer returns a running Announcer.
@@ -47,6 +49,13 @@
 	a.announce()
 }
 
+// State returns the announced state.
+func (a *Announcer) State() gypsumshelf.ServerState {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state
+}
+
 // Close stops the announcements.
 func (a *Announcer) Close() {
 	close(a.stop)
@@ -68,10 +77,10 @@
 }
 
 func (a *Announcer) announce() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
+	a.sending.Lock()
+	defer a.sending.Unlock()
 	body := a.cfg.Announcement
-	body.State = a.state
+	body.State = a.State()
 	if a.cfg.Load != nil {
 		body.Load = a.cfg.Load()
 	}
--- /dev/null
+++ b/standins/cache.go
@@ -0,0 +1,125 @@
+package standins
+
+import (
+	"container/list"
+	"hash/fnv"
+	"sync"
+	"time"
+)
+
+// cacheBlockBytes is the length of the prompt blocks that the prefix cache
+// keeps: 256 tokens of 4 bytes.
+const cacheBlockBytes = 1024
+
+// maxCacheEvents bounds the events that an engine keeps for its readers.
+const maxCacheEvents = 4096
+
+// CacheEvent says that the first block of a prefix entered or left the cache.
+// Sequence numbers grow by one; a missing number is a gap.
+type CacheEvent struct {
+	Sequence   int    `json:"sequence"`
+	Stored     bool   `json:"stored"` // false: removed
+	PrefixHash uint64 `json:"prefix-hash"`
+	at         time.Time
+}
+
+// cacheConfig configures a prefixCache.
+type cacheConfig struct {
+	Blocks   int           // blocks that fit in the cache
+	Delay    time.Duration // time after which an event can be read
+	GapEvery int           // every n-th event is lost, 0 for none
+}
+
+// prefixCache holds prompt blocks, least recently used dropped first. A block
+// is identified by the hash of the prompt up to its end.
+type prefixCache struct {
+	cfg cacheConfig
+
+	mu     sync.Mutex
+	order  *list.List // of uint64, most recently used first
+	blocks map[uint64]*list.Element
+	first  map[uint64]bool // hashes of first blocks
+	events []CacheEvent
+	last   int // sequence of the last event
+}
+
+func newPrefixCache(cfg cacheConfig) *prefixCache {
+	return &prefixCache{cfg: cfg, order: list.New(), blocks: map[uint64]*list.Element{}, first: map[uint64]bool{}}
+}
+
+// use returns the number of leading prompt tokens found in the cache and
+// stores the whole prompt.
+func (c *prefixCache) use(now time.Time, prompt string) (cached int) {
+	if c.cfg.Blocks == 0 {
+		return 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := fnv.New64a()
+	hit := true
+	for start := 0; start+cacheBlockBytes <= len(prompt); start += cacheBlockBytes {
+		_, _ = h.Write([]byte(prompt[start : start+cacheBlockBytes]))
+		hash := h.Sum64()
+		element := c.blocks[hash]
+		hit = hit && element != nil
+		if hit {
+			cached += cacheBlockBytes / bytesPerToken
+		}
+		if element != nil {
+			c.order.MoveToFront(element)
+			continue
+		}
+		c.store(now, hash, start == 0)
+	}
+	return cached
+}
+
+func (c *prefixCache) store(now time.Time, hash uint64, first bool) {
+	c.blocks[hash] = c.order.PushFront(hash)
+	if first {
+		c.first[hash] = true
+		c.event(now, true, hash)
+	}
+	for c.order.Len() > c.cfg.Blocks {
+		oldest := c.order.Remove(c.order.Back()).(uint64)
+		delete(c.blocks, oldest)
+		if c.first[oldest] {
+			delete(c.first, oldest)
+			c.event(now, false, oldest)
+		}
+	}
+}
+
+func (c *prefixCache) event(now time.Time, stored bool, hash uint64) {
+	c.last++
+	if c.cfg.GapEvery > 0 && c.last%c.cfg.GapEvery == 0 {
+		return
+	}
+	c.events = append(c.events, CacheEvent{Sequence: c.last, Stored: stored, PrefixHash: hash, at: now})
+	if len(c.events) > maxCacheEvents {
+		c.events = c.events[len(c.events)-maxCacheEvents:]
+	}
+}
+
+// since returns the events after a sequence number that are old enough.
+func (c *prefixCache) since(now time.Time, after int) []CacheEvent {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := []CacheEvent{}
+	for _, e := range c.events {
+		if e.Sequence > after && now.Sub(e.at) >= c.cfg.Delay {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// clear drops all blocks without an event, as a server does that turns cold
+// without warning.
+func (c *prefixCache) clear() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.order.Init()
+	clear(c.blocks)
+	clear(c.first)
+}
--- /dev/null
+++ b/standins/control.go
@@ -0,0 +1,56 @@
+package standins
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"gypsumshelf.example/gypsumshelf"
+)
+
+// Control is the HTTP interface by which a measurement steers a fleet.
+//
+//	GET  /servers                          list of UnitStatus
+//	POST /servers/{id}/{action}            ready, leaving, cold or dead
+//	POST /data-centres/{name}/{action}     the same for a whole data centre
+//	PUT  /servers/{id}/faults              body: Faults
+//	GET  /calls                            object: call id to number of runs
+type Control struct {
+	fleet *Fleet
+	mux   *http.ServeMux
+}
+
+// NewControl returns a Control.
+func NewControl(f *Fleet) *Control {
+	c := &Control{fleet: f, mux: http.NewServeMux()}
+	c.mux.HandleFunc("GET /servers", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, f.Status()) })
+	c.mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, f.Ledger().Runs()) })
+	c.mux.HandleFunc("POST /servers/{id}/{action}", c.act)
+	c.mux.HandleFunc("POST /data-centres/{name}/{action}", c.act)
+	c.mux.HandleFunc("PUT /servers/{id}/faults", c.faults)
+	return c
+}
+
+// ServeHTTP implements http.Handler.
+func (c *Control) ServeHTTP(w http.ResponseWriter, r *http.Request) { c.mux.ServeHTTP(w, r) }
+
+func (c *Control) act(w http.ResponseWriter, r *http.Request) {
+	err := c.fleet.Do(r.PathValue("action"), gypsumshelf.ServerID(r.PathValue("id")), r.PathValue("name"))
+	answer(w, err)
+}
+
+func (c *Control) faults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	err := json.NewDecoder(r.Body).Decode(&f)
+	if err == nil {
+		err = c.fleet.SetFaults(gypsumshelf.ServerID(r.PathValue("id")), f)
+	}
+	answer(w, err)
+}
+
+func answer(w http.ResponseWriter, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/standins/engine.go
+++ b/standins/engine.go
@@ -1,54 +1,173 @@
 package standins
 
 import (
+	"context"
 	"encoding/json"
-	"fmt"
-	"hash/fnv"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/engines"
-	"gypsumshelf.example/gypsumshelf/streams"
 )
 
-// EngineConfig configures an Engine.
+// bytesPerToken is the length of a prompt token.
+const bytesPerToken = 4
+
+// EngineConfig configures an Engine. Times and rates are those of the engine
+// that it stands for; TimeScale shortens them.
 type EngineConfig struct {
 	Model         string
+	TimeScale     float64       // factor by which the engine is faster, 0 means 1
 	PrefillRate   float64       // prompt tokens per second, shared by all requests
 	TokenInterval time.Duration // time between generated tokens
-	MemoryTokens  int
+	MaxBatch      int           // streams at full speed; more share it, 0 for no bound
+	MemoryTokens  int           // prompt and generated tokens that fit, 0 for no bound
+	CacheTokens   int           // prompt tokens that the prefix cache keeps
+	CacheDelay    time.Duration // age at which a cache event can be read
+	CacheGapEvery int           // every n-th cache event is lost, 0 for none
+	LoadLag       time.Duration // age of the reported load
+	WarmupLimit   int           // requests at once that a cold engine bears
+	WarmupWork    int           // completed requests after which it is warm, 0 for always warm
+	ColdPenalty   float64       // factor by which a cold engine is slower
+	CrashMark     string        // a prompt that contains it crashes the engine
+	ChecksFencing bool          // rejects orders with an old fencing number
+	Crashed       func()        // called once after a crash, may be nil
 }
 
 // Engine is a stand-in model engine.
 type Engine struct {
-	cfg EngineConfig
-	mux *http.ServeMux
+	cfg     EngineConfig
+	mux     *http.ServeMux
+	ctx     context.Context
+	cancel  context.CancelFunc
+	prefill *prefill
+	memory  *memory
+	cache   *prefixCache
+	warmth  *warmth
+	orders  *orders
+	reports *loadReports
 
-	mu      sync.Mutex
-	free    time.Time // time at which the prefill queue is empty
-	running int
-	tokens  int
+	mu       sync.Mutex
+	running  map[string]context.CancelFunc
+	arrivals int
+	last     time.Time
+	faults   Faults
+	crash    sync.Once
 }
 
-// NewEngine returns an Engine.
+// NewEngine returns a running Engine.
 func NewEngine(cfg EngineConfig) *Engine {
-	e := &Engine{cfg: cfg, mux: http.NewServeMux()}
+	if cfg.TimeScale == 0 {
+		cfg.TimeScale = 1
+	}
+	e := &Engine{
+		cfg: cfg, mux: http.NewServeMux(), running: map[string]context.CancelFunc{},
+		memory:  newMemory(cfg.MemoryTokens),
+		warmth:  newWarmth(warmthConfig{Limit: cfg.WarmupLimit, Work: cfg.WarmupWork, Penalty: cfg.ColdPenalty}),
+		orders:  &orders{checks: cfg.ChecksFencing},
+		reports: &loadReports{lag: cfg.scaled(cfg.LoadLag)},
+		cache: newPrefixCache(cacheConfig{
+			Blocks: cfg.CacheTokens * bytesPerToken / cacheBlockBytes,
+			Delay:  cfg.scaled(cfg.CacheDelay), GapEvery: cfg.CacheGapEvery,
+		}),
+	}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.prefill = newPrefill(e.ctx, e.prefillTime)
 	e.mux.HandleFunc("POST /v1/completions", e.complete)
 	e.mux.HandleFunc("POST /v1/chat/completions", e.complete)
+	e.mux.HandleFunc("DELETE /v1/requests/{id}", e.cancelRequest)
+	e.mux.HandleFunc("GET /v1/cache/events", e.cacheEvents)
+	e.mux.Handle("POST /v1/orders", e.orders)
+	newKVStore(e.memory).register(e.mux)
 	return e
 }
 
-// ServeHTTP implements http.Handler.
-func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+func (c EngineConfig) scaled(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / max(c.TimeScale, 1e-9))
+}
+
+// ServeHTTP implements http.Handler. A crashed engine closes the connection.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if e.ctx.Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	e.mux.ServeHTTP(w, r)
+}
 
-// Load returns the load that the engine reports.
+// Close ends all requests without an answer.
+func (e *Engine) Close() { e.cancel() }
+
+// Load returns the load that the engine reports; it lags behind the truth.
 func (e *Engine) Load() gypsumshelf.Load {
+	e.mu.Lock()
+	running := len(e.running)
+	e.mu.Unlock()
+	queued := e.prefill.waiting()
+	return e.reports.report(time.Now(), gypsumshelf.Load{
+		Running: max(0, running-queued), Queued: queued, UsedTokens: e.memory.inUse(),
+	})
+}
+
+// Chill makes the engine cold without warning: slow and without its cache.
+func (e *Engine) Chill() {
+	e.warmth.chill()
+	e.cache.clear()
+}
+
+// Running returns the number of requests in progress.
+func (e *Engine) Running() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return gypsumshelf.Load{Running: e.running, UsedTokens: e.tokens}
+	return len(e.running)
+}
+
+// Arrivals returns the number of completion requests received and the time of
+// the last one.
+func (e *Engine) Arrivals() (int, time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.arrivals, e.last
+}
+
+// Collapses returns how often the engine failed all its requests while cold.
+func (e *Engine) Collapses() int {
+	_, n := e.warmth.state()
+	return n
+}
+
+// SetFaults sets the fault switches for requests that arrive from now on.
+func (e *Engine) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// Orders returns the accepted orders.
+func (e *Engine) Orders() []Order { return e.orders.list() }
+
+func (e *Engine) prefillTime(tokens int) time.Duration {
+	seconds := float64(tokens) / e.cfg.PrefillRate * e.warmth.factor() / e.cfg.TimeScale
+	return time.Duration(seconds * float64(time.Second))
+}
+
+func (e *Engine) cancelRequest(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	cancel := e.running[r.PathValue("id")]
+	e.mu.Unlock()
+	if cancel == nil {
+		http.NotFound(w, r)
+		return
+	}
+	cancel()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
+	writeJSON(w, e.cache.since(time.Now(), after))
 }
 
 type completionBody struct {
@@ -72,78 +191,67 @@
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
 	var body completionBody
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
-		w.Header().Set(engines.HeaderNotRun, "true")
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
 	prompt := body.prompt()
-	wait := e.begin(len(prompt) / 4)
-	defer e.end(len(prompt) / 4)
-	select {
-	case <-time.After(wait):
-	case <-r.Context().Done():
+	if e.cfg.CrashMark != "" && strings.Contains(prompt, e.cfg.CrashMark) {
+		e.fail()
+	}
+	tokens := len(prompt)/bytesPerToken + body.MaxTokens
+	if !e.memory.take(time.Now(), tokens) {
+		refuse(w, http.StatusServiceUnavailable, "memory is full")
 		return
 	}
-	e.generate(w, r, prompt, body.MaxTokens)
+	defer e.memory.give(tokens)
+	priority, _ := strconv.Atoi(r.Header.Get(engines.HeaderPriority))
+	start, _ := strconv.Atoi(r.Header.Get(engines.HeaderResume))
+	g := &generation{
+		engine: e, w: w, id: r.Header.Get(engines.HeaderAttempt), prompt: prompt,
+		priority: priority, start: start, end: body.MaxTokens,
+		chat: r.URL.Path == "/v1/chat/completions",
+	}
+	ctx, finish := e.begin(r.Context(), g)
+	defer finish()
+	if !g.run(ctx) {
+		panic(http.ErrAbortHandler)
+	}
+	e.warmth.complete()
 }
 
-// begin adds a prompt to the prefill queue and returns its wait.
-func (e *Engine) begin(tokens int) time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.running++
-	e.tokens += tokens
-	now := time.Now()
-	if e.free.Before(now) {
-		e.free = now
+// fail crashes the engine: every connection is closed without an answer.
+func (e *Engine) fail() {
+	e.cancel()
+	if e.cfg.Crashed != nil {
+		e.crash.Do(e.cfg.Crashed)
 	}
-	e.free = e.free.Add(time.Duration(float64(tokens) / e.cfg.PrefillRate * float64(time.Second)))
-	return e.free.Sub(now)
+	panic(http.ErrAbortHandler)
 }
 
-func (e *Engine) end(tokens int) {
+// begin enters a request; its context ends with the caller, a cancel, a crash
+// or a collapse.
+func (e *Engine) begin(parent context.Context, g *generation) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(parent)
+	stop := context.AfterFunc(e.ctx, cancel)
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.running--
-	e.tokens -= tokens
-}
-
-func (e *Engine) generate(w http.ResponseWriter, r *http.Request, prompt string, n int) {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(prompt))
-	start, _ := strconv.Atoi(r.Header.Get(engines.HeaderResume))
-	w.Header().Set("Content-Type", "text/event-stream")
-	ticker := time.NewTicker(max(e.cfg.TokenInterval, time.Microsecond))
-	defer ticker.Stop()
-	chat := r.URL.Path == "/v1/chat/completions"
-	for i := start; i < n; i++ {
-		data, err := json.Marshal(chunk(r.Header.Get(engines.HeaderAttempt), i, n, token(h.Sum32(), i), chat))
-		if err != nil {
-			return
-		}
-		if _, err := fmt.Fprintf(w, "data: %s\n\n", data); err != nil {
-			return
-		}
-		w.(http.Flusher).Flush()
-		select {
-		case <-ticker.C:
-		case <-r.Context().Done():
-			return
-		}
+	e.arrivals++
+	e.last = time.Now()
+	g.faults = e.faults
+	if g.id == "" {
+		g.id = strconv.Itoa(e.arrivals)
 	}
-	fmt.Fprint(w, "data: [DONE]\n\n")
-}
-
-func chunk(id string, position, n int, text string, chat bool) streams.Chunk {
-	c := streams.Chunk{ID: id, Position: &position, Tokens: 1, Choices: []streams.Choice{{}}}
-	if chat {
-		c.Choices[0].Delta = &streams.Delta{Content: text}
-	} else {
-		c.Choices[0].Text = text
+	e.running[g.id] = cancel
+	if e.warmth.overloaded(len(e.running)) {
+		for _, c := range e.running {
+			c()
+		}
 	}
-	if position == n-1 {
-		reason := "stop"
-		c.Choices[0].FinishReason = &reason
+	e.mu.Unlock()
+	return ctx, func() {
+		e.mu.Lock()
+		delete(e.running, g.id)
+		e.mu.Unlock()
+		stop()
+		cancel()
 	}
-	return c
 }
--- /dev/null
+++ b/standins/generation.go
@@ -0,0 +1,127 @@
+package standins
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf/streams"
+)
+
+// generation is one completion in progress.
+type generation struct {
+	engine     *Engine
+	w          http.ResponseWriter
+	id         string
+	prompt     string
+	priority   int
+	start, end int // positions of the first token and after the last
+	chat       bool
+	faults     Faults
+}
+
+// run reads the prompt and streams the answer. It reports false when the
+// connection must be closed without an end.
+func (g *generation) run(ctx context.Context) bool {
+	if g.faults.DropAfterRead {
+		return false
+	}
+	if g.faults.Freeze {
+		<-ctx.Done()
+		return false
+	}
+	e := g.engine
+	cached := e.cache.use(time.Now(), g.prompt)
+	job := e.prefill.add(g.priority, len(g.prompt)/bytesPerToken-cached)
+	select {
+	case <-job.done:
+	case <-ctx.Done():
+		e.prefill.remove(job)
+		return false
+	}
+	return g.stream(ctx)
+}
+
+func (g *generation) stream(ctx context.Context) bool {
+	e := g.engine
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(g.prompt))
+	hash := h.Sum32()
+	g.w.Header().Set("Content-Type", "text/event-stream")
+	due := time.Now()
+	for i := g.start; i < g.end; i++ {
+		if g.faults.DropMidStream && i == g.middle() {
+			return false
+		}
+		if !g.send(i, token(hash, i)) {
+			return false
+		}
+		if i+1 == g.end {
+			break
+		}
+		due = due.Add(e.tokenTime())
+		if !sleep(ctx, time.Until(due)) {
+			return false
+		}
+	}
+	if !g.faults.NoEnd {
+		fmt.Fprint(g.w, "data: [DONE]\n\n")
+	}
+	return true
+}
+
+// middle is the position at which a fault shows.
+func (g *generation) middle() int { return (g.start + g.end) / 2 }
+
+// send writes the chunk of one position, as changed by the fault switches.
+func (g *generation) send(i int, text string) bool {
+	id, copies := g.id, 1
+	if i == g.middle() {
+		if g.faults.ForeignChunk {
+			id = "foreign-" + id
+		}
+		if g.faults.MissingChunk {
+			copies = 0
+		}
+		if g.faults.DuplicateChunk {
+			copies = 2
+		}
+	}
+	data, err := json.Marshal(g.chunk(id, i, text))
+	if err != nil {
+		return false
+	}
+	for range copies {
+		if _, err := fmt.Fprintf(g.w, "data: %s\n\n", data); err != nil {
+			return false
+		}
+	}
+	g.w.(http.Flusher).Flush()
+	return true
+}
+
+func (g *generation) chunk(id string, position int, text string) streams.Chunk {
+	c := streams.Chunk{ID: id, Position: &position, Tokens: 1, Choices: []streams.Choice{{}}}
+	if g.chat {
+		c.Choices[0].Delta = &streams.Delta{Content: text}
+	} else {
+		c.Choices[0].Text = text
+	}
+	if position == g.end-1 && !g.faults.NoEnd {
+		reason := "stop"
+		c.Choices[0].FinishReason = &reason
+	}
+	return c
+}
+
+// tokenTime returns the time between two tokens of a stream now.
+func (e *Engine) tokenTime() time.Duration {
+	factor := e.warmth.factor()
+	if batch := e.cfg.MaxBatch; batch > 0 {
+		factor *= max(1, float64(e.Running())/float64(batch))
+	}
+	return time.Duration(float64(e.cfg.scaled(e.cfg.TokenInterval)) * factor)
+}
