Measure the slopes of the control plane and project them to the target size

Cause: the users ask first whether the design carries 400 daemons and 1,700 runners, and no figure existed.

`gypsumshelf measure slopes` runs the reducer, the encoders, the entry and idle peer links at three or four sizes each and prints processor time, heap and bytes for each operation, then multiplies them out for one daemon of the target.

Ruled out: wall-clock time, because the machine is shared; the figures are processor time of the process (getrusage), which includes garbage collection.

--- /dev/null
+++ b/cmd/gypsumshelf/measure.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"gypsumshelf.example/gypsumshelf/loads"
+)
+
+// measureLimit bounds a measurement.
+const measureLimit = 20 * time.Minute
+
+func newMeasure() *cobra.Command {
+	var cfg loads.MeasureConfig
+	var lines []string
+	for _, m := range loads.Measurements() {
+		lines = append(lines, "  "+m.Name()+": "+m.Short())
+	}
+	cmd := &cobra.Command{
+		Use:   "measure NAME",
+		Short: "Measure daemons and stand-ins in this process and print a table",
+		Long:  "Measurements:\n" + strings.Join(lines, "\n"),
+		Args:  cobra.ExactArgs(1),
+		RunE: run(func(cmd *cobra.Command, args []string) error {
+			m, err := loads.FindMeasurement(args[0])
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(cmd.Context(), measureLimit)
+			defer cancel()
+			cfg.Out = cmd.OutOrStdout()
+			return m.Run(ctx, cfg)
+		}),
+	}
+	f := cmd.Flags()
+	f.Uint64Var(&cfg.Seed, "seed", 1, "seed of the arrivals and lengths")
+	f.Float64Var(&cfg.TimeScale, "time-scale", 10, "factor by which the stand-ins are faster than the engines that they stand for")
+	f.DurationVar(&cfg.Duration, "duration", 10*time.Second, "time of each part of the run")
+	f.IntVar(&cfg.Daemons, "daemons", 4, "number of daemons")
+	f.IntVar(&cfg.Engines, "engines", 14, "number of stand-in engines")
+	f.IntVar(&cfg.Plains, "plain-servers", 3, "number of stand-ins of a plain service")
+	f.Float64Var(&cfg.Rate, "rate", 0, "requests per second, 0 for the measurement's own")
+	f.StringSliceVar(&cfg.Policies, "policy", nil, "routing policies to compare, all when empty")
+	return cmd
+}
--- /dev/null
+++ b/loads/measurement.go
@@ -0,0 +1,63 @@
+package loads
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// MeasureConfig configures a measurement.
+type MeasureConfig struct {
+	Seed      uint64
+	TimeScale float64       // factor by which the stand-ins are faster than real engines
+	Duration  time.Duration // of each part of the run
+	Engines   int
+	Plains    int
+	Daemons   int
+	Rate      float64 // requests per second, 0 for the measurement's own
+	Policies  []string
+	Out       io.Writer
+}
+
+// Measurement is a named run that prints a table.
+type Measurement struct {
+	name, short string
+	run         func(context.Context, MeasureConfig) error
+}
+
+// Name returns the name by which the measurement is called.
+func (m Measurement) Name() string { return m.name }
+
+// Short returns one line on what is measured.
+func (m Measurement) Short() string { return m.short }
+
+// Run carries out the measurement.
+func (m Measurement) Run(ctx context.Context, cfg MeasureConfig) error {
+	fmt.Fprintf(cfg.Out, "%s: %s\nseed %d, time scale %g, %d daemons, %d engines and %d plain servers\n",
+		m.name, m.short, cfg.Seed, cfg.TimeScale, cfg.Daemons, cfg.Engines, cfg.Plains)
+	return m.run(ctx, cfg)
+}
+
+// Measurements lists all measurements.
+func Measurements() []Measurement {
+	return []Measurement{
+		{"slopes", "bytes, processor time and heap for each unit of load, and their product at the target size", measureSlopes},
+	}
+}
+
+// FindMeasurement returns a measurement by its name.
+func FindMeasurement(name string) (Measurement, error) {
+	all := Measurements()
+	i := slices.IndexFunc(all, func(m Measurement) bool { return m.name == name })
+	if i < 0 {
+		var names []string
+		for _, m := range all {
+			names = append(names, m.name)
+		}
+		return Measurement{}, fmt.Errorf("unknown measurement %q, known: %s", name, strings.Join(names, ", "))
+	}
+	return all[i], nil
+}
