Plan which engine holds which model

The planner grows copies with the demand, spreads them over data centres, passes over an engine that let an order time out, and waits out orders of an earlier leader. A surplus copy is taken only after its surplus has lasted for the shrink delay.

Not yet connected to the replicated log and the engines.

--- /dev/null
+++ b/placements/planner.go
@@ -0,0 +1,242 @@
+// Package placements decides which engine holds which model, from demand,
+// memory and data centres. It plans orders; the leader alone issues them.
+package placements
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+)
+
+// Config configures a Planner.
+type Config struct {
+	MinCopies       int           // engines that hold a model with any demand
+	EngineRate      float64       // prompt tokens per second that one engine serves
+	Headroom        float64       // factor on the demand, above 1
+	ShrinkDelay     time.Duration // time for which a surplus copy is kept
+	OrderTimeout    time.Duration // time after which an order without effect is replaced
+	MaxOrderFlight  time.Duration // longest time for which an order of an earlier leader can be in flight
+	ModelsPerEngine int
+}
+
+// Engine is an engine as the planner sees it.
+type Engine struct {
+	Server      gypsumshelf.ServerID
+	Incarnation string
+	DataCentre  string
+	Service     string
+	Models      []string
+	InService   bool // its data centre is in service and it is not leaving
+}
+
+// Demand is the demand for one model.
+type Demand struct {
+	Model   string
+	Service string  // service whose engines may hold the model
+	Tokens  float64 // prompt tokens per second
+}
+
+// Order asks one incarnation of an engine to load a model in place of another.
+type Order struct {
+	Server      gypsumshelf.ServerID `json:"backend-server"`
+	Incarnation string               `json:"incarnation"`
+	Load        string               `json:"load"`
+	Replace     string               `json:"replace,omitempty"` // model that makes room, empty when there is room
+}
+
+// View is what the planner decides on.
+type View struct {
+	Engines []Engine
+	Demand  []Demand
+}
+
+// Planner plans orders. It has no clock and no I/O.
+type Planner struct {
+	cfg     Config
+	leads   time.Time                     // start of this leader's epoch, zero when it does not lead
+	pending map[gypsumshelf.ServerID]sent // orders without a visible effect
+	failed  map[failure]time.Time         // engines that did not carry out an order, until when they are passed over
+	surplus map[string]time.Time          // start of a model's surplus
+}
+
+type sent struct {
+	order Order
+	at    time.Time
+}
+
+type failure struct {
+	server      gypsumshelf.ServerID
+	incarnation string
+}
+
+// New returns a Planner that does not lead.
+func New(cfg Config) *Planner {
+	p := &Planner{cfg: cfg}
+	p.StepDown()
+	return p
+}
+
+// Lead starts an epoch of this leader. Orders of an earlier leader may be in
+// flight for Config.MaxOrderFlight, so none is planned before.
+func (p *Planner) Lead(now time.Time) {
+	p.StepDown()
+	p.leads = now
+}
+
+// StepDown ends the epoch of this leader.
+func (p *Planner) StepDown() {
+	p.leads = time.Time{}
+	p.pending = map[gypsumshelf.ServerID]sent{}
+	p.failed = map[failure]time.Time{}
+	p.surplus = map[string]time.Time{}
+}
+
+// MayOrder reports whether this leader's epoch has begun and every order of an
+// earlier leader has arrived or been dropped.
+func (p *Planner) MayOrder(now time.Time) bool {
+	return !p.leads.IsZero() && now.Sub(p.leads) >= p.cfg.MaxOrderFlight
+}
+
+// Plan returns the orders to issue now, at most one for each engine and model.
+func (p *Planner) Plan(now time.Time, v View) []Order {
+	if !p.MayOrder(now) {
+		return nil
+	}
+	p.settle(now, v.Engines)
+	p.trackSurplus(now, v)
+	v.Demand = slices.Clone(v.Demand)
+	slices.SortFunc(v.Demand, func(a, b Demand) int {
+		return cmp.Or(cmp.Compare(b.Tokens, a.Tokens), cmp.Compare(a.Model, b.Model))
+	})
+	var orders []Order
+	for _, d := range v.Demand {
+		if order, ok := p.grow(now, v, d); ok {
+			orders = append(orders, order)
+			p.pending[order.Server] = sent{order: order, at: now}
+		}
+	}
+	return orders
+}
+
+// Withdraw forgets an order that was not issued, for example because the
+// weight store's rate is exhausted.
+func (p *Planner) Withdraw(o Order) {
+	if p.pending[o.Server].order == o {
+		delete(p.pending, o.Server)
+	}
+}
+
+// settle removes the orders that have taken effect, whose engine is gone, or
+// that have timed out; an engine that let an order time out is passed over for
+// as long again.
+func (p *Planner) settle(now time.Time, engines []Engine) {
+	for _, id := range slices.Sorted(maps.Keys(p.pending)) {
+		s := p.pending[id]
+		i := slices.IndexFunc(engines, func(e Engine) bool { return e.Server == id && e.Incarnation == s.order.Incarnation })
+		switch {
+		case i < 0 || slices.Contains(engines[i].Models, s.order.Load):
+			delete(p.pending, id)
+		case now.Sub(s.at) >= p.cfg.OrderTimeout:
+			delete(p.pending, id)
+			p.failed[failure{id, s.order.Incarnation}] = now.Add(p.cfg.OrderTimeout)
+		}
+	}
+	maps.DeleteFunc(p.failed, func(_ failure, until time.Time) bool { return !now.Before(until) })
+}
+
+// Wanted returns the number of engines that should hold a model.
+func (p *Planner) Wanted(d Demand) int {
+	if d.Tokens <= 0 {
+		return 0
+	}
+	return max(p.cfg.MinCopies, int(math.Ceil(d.Tokens*p.cfg.Headroom/p.cfg.EngineRate)))
+}
+
+func (p *Planner) grow(now time.Time, v View, d Demand) (Order, bool) {
+	held := map[string]int{} // copies by data centre, orders included
+	copies := 0
+	for _, e := range v.Engines {
+		if e.InService && (slices.Contains(e.Models, d.Model) || p.pending[e.Server].order.Load == d.Model) {
+			held[e.DataCentre]++
+			copies++
+		}
+	}
+	if copies >= p.Wanted(d) {
+		return Order{}, false
+	}
+	var best Order
+	bestCopies := math.MaxInt
+	for _, e := range v.Engines {
+		order, ok := p.orderFor(now, v, d, e)
+		if ok && held[e.DataCentre] < bestCopies {
+			best, bestCopies = order, held[e.DataCentre]
+		}
+	}
+	return best, bestCopies < math.MaxInt
+}
+
+// orderFor returns the order that makes an engine load the model, if it can.
+func (p *Planner) orderFor(now time.Time, v View, d Demand, e Engine) (Order, bool) {
+	_, busy := p.pending[e.Server]
+	_, failed := p.failed[failure{e.Server, e.Incarnation}]
+	if !e.InService || busy || failed || e.Service != d.Service || slices.Contains(e.Models, d.Model) {
+		return Order{}, false
+	}
+	order := Order{Server: e.Server, Incarnation: e.Incarnation, Load: d.Model}
+	if len(e.Models) < p.cfg.ModelsPerEngine {
+		return order, true
+	}
+	for _, model := range e.Models {
+		if p.mayReplace(now, v, model) {
+			order.Replace = model
+			return order, true
+		}
+	}
+	return Order{}, false
+}
+
+// trackSurplus notes since when each model has had more copies than wanted. A
+// short dip of its demand restarts the time.
+func (p *Planner) trackSurplus(now time.Time, v View) {
+	copies := p.countCopies(v.Engines)
+	maps.DeleteFunc(p.surplus, func(model string, _ time.Time) bool { return copies[model] == 0 })
+	for model, n := range copies {
+		if n <= p.wantedOf(v.Demand, model) {
+			delete(p.surplus, model)
+		} else if _, ok := p.surplus[model]; !ok {
+			p.surplus[model] = now
+		}
+	}
+}
+
+// countCopies returns the copies of each model that no pending order replaces.
+func (p *Planner) countCopies(engines []Engine) map[string]int {
+	copies := map[string]int{}
+	for _, e := range engines {
+		for _, model := range e.Models {
+			if e.InService && p.pending[e.Server].order.Replace != model {
+				copies[model]++
+			}
+		}
+	}
+	return copies
+}
+
+func (p *Planner) wantedOf(demand []Demand, model string) int {
+	i := slices.IndexFunc(demand, func(d Demand) bool { return d.Model == model })
+	if i < 0 {
+		return 0
+	}
+	return p.Wanted(demand[i])
+}
+
+// mayReplace reports whether a model has had a surplus copy for
+// Config.ShrinkDelay, which keeps a short dip of its demand from moving it.
+func (p *Planner) mayReplace(now time.Time, v View, model string) bool {
+	since, ok := p.surplus[model]
+	return ok && now.Sub(since) >= p.cfg.ShrinkDelay && p.countCopies(v.Engines)[model] > p.wantedOf(v.Demand, model)
+}
