Store the replicated log under the data folder in package disks

One record holds what one sync makes durable, so a crash can only tear the last record; a bad record before a whole one is damage and needs a new incarnation. Tests cut the log at every byte of the last record and change every byte before it. Damage inside the last record cannot be told from a torn write on one host; the restarted node learns of it from its peers' marks.

--- /dev/null
+++ b/disks/codec.go
@@ -0,0 +1,136 @@
+package disks
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/replicas"
+)
+
+var errShort = errors.New("record is shorter than its contents")
+
+// header is the first record of a log file.
+type header struct {
+	Incarnation string `json:"incarnation"`
+	Generation  uint64 `json:"generation"`
+	Snapshot    bool   `json:"snapshot"` // the snapshot file of the generation precedes the entries
+}
+
+// batch is the content of one record: what one sync makes durable.
+type batch struct {
+	hard    replicas.HardState
+	entries []replicas.Entry
+}
+
+func (b batch) encode() []byte {
+	size := 64 + len(b.hard.Group) + len(b.hard.Vote.Daemon) + len(b.hard.Vote.Incarnation)
+	for _, e := range b.entries {
+		size += 40 + len(e.Data)
+	}
+	out := make([]byte, 0, size)
+	out = appendBytes(out, []byte(b.hard.Group))
+	out = binary.AppendUvarint(out, b.hard.Term)
+	out = appendBytes(out, []byte(b.hard.Vote.Daemon))
+	out = appendBytes(out, []byte(b.hard.Vote.Incarnation))
+	out = binary.AppendUvarint(out, uint64(len(b.entries)))
+	for _, e := range b.entries {
+		out = binary.AppendUvarint(out, e.Index)
+		out = binary.AppendUvarint(out, e.Term)
+		out = binary.AppendVarint(out, e.At.Unix())
+		out = binary.AppendUvarint(out, uint64(e.At.Nanosecond()))
+		out = append(out, byte(e.Kind))
+		out = appendBytes(out, e.Data)
+	}
+	return out
+}
+
+func decodeBatch(payload []byte) (batch, error) {
+	d := decoder{rest: payload}
+	var b batch
+	b.hard.Group = string(d.bytes())
+	b.hard.Term = d.uvarint()
+	b.hard.Vote.Daemon = gypsumshelf.DaemonID(d.bytes())
+	b.hard.Vote.Incarnation = string(d.bytes())
+	n := d.uvarint()
+	for i := uint64(0); i < n && d.err == nil; i++ {
+		e := replicas.Entry{Index: d.uvarint(), Term: d.uvarint()}
+		seconds := d.varint()
+		e.At = time.Unix(seconds, int64(d.uvarint())).UTC()
+		e.Kind = replicas.Kind(d.byte())
+		if data := d.bytes(); len(data) > 0 {
+			e.Data = append([]byte(nil), data...)
+		}
+		b.entries = append(b.entries, e)
+	}
+	return b, d.err
+}
+
+func appendBytes(b, data []byte) []byte {
+	b = binary.AppendUvarint(b, uint64(len(data)))
+	return append(b, data...)
+}
+
+// decoder reads the fields of a payload; after the first error it returns zeros.
+type decoder struct {
+	rest []byte
+	err  error
+}
+
+func (d *decoder) take(n int) []byte {
+	if n < 0 || n > len(d.rest) {
+		d.rest, d.err = nil, errShort
+		return nil
+	}
+	b := d.rest[:n]
+	d.rest = d.rest[n:]
+	return b
+}
+
+func (d *decoder) uvarint() uint64 {
+	v, n := binary.Uvarint(d.rest)
+	if n <= 0 {
+		d.rest, d.err = nil, errShort
+		return 0
+	}
+	d.rest = d.rest[n:]
+	return v
+}
+
+func (d *decoder) varint() int64 {
+	v, n := binary.Varint(d.rest)
+	if n <= 0 {
+		d.rest, d.err = nil, errShort
+		return 0
+	}
+	d.rest = d.rest[n:]
+	return v
+}
+
+func (d *decoder) byte() byte {
+	if b := d.take(1); len(b) == 1 {
+		return b[0]
+	}
+	return 0
+}
+
+func (d *decoder) bytes() []byte {
+	n := d.uvarint()
+	if n > uint64(len(d.rest)) {
+		d.rest, d.err = nil, errShort
+		return nil
+	}
+	return d.take(int(n))
+}
+
+// encodeJSON encodes the small or rare parts: identity, header and snapshot.
+func encodeJSON(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("%T cannot be encoded: %v", v, err))
+	}
+	return data
+}
--- /dev/null
+++ b/disks/folder.go
@@ -0,0 +1,193 @@
+package disks
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+
+	"github.com/google/uuid"
+)
+
+// Names of files under the data folder. Each compaction makes a new generation
+// of the log, whose number is part of its file names.
+const (
+	identityName   = "identity"
+	lockName       = "lock"
+	logPrefix      = "log-"
+	snapshotPrefix = "snapshot-"
+	temporary      = ".tmp"
+	damagedName    = "damaged"
+)
+
+// DamagedError says that stored records are lost in a way that a crash cannot
+// explain. The node must not start under its old identity.
+type DamagedError struct {
+	File   string
+	Offset int
+	Reason string
+}
+
+// Error implements error.
+func (e *DamagedError) Error() string {
+	return fmt.Sprintf("%s is damaged at byte %d: %s; the daemon must join with a new incarnation", e.File, e.Offset, e.Reason)
+}
+
+// identity is the content of the identity file.
+type identity struct {
+	Incarnation string `json:"incarnation"`
+	Former      bool   `json:"former"` // an earlier incarnation in this folder was discarded
+}
+
+func newIdentity(former bool) identity {
+	return identity{Incarnation: uuid.NewString(), Former: former}
+}
+
+// lock makes sure that one process uses the folder.
+func lock(folder string) (*os.File, error) {
+	f, err := os.OpenFile(filepath.Join(folder, lockName), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		return nil, fmt.Errorf("data folder %s is in use by another process: %w", folder, err)
+	}
+	return f, nil
+}
+
+// readIdentity returns the identity of the folder and makes one for an empty
+// folder.
+func readIdentity(folder string) (identity, error) {
+	path := filepath.Join(folder, identityName)
+	data, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		if logs, err := generations(folder); err != nil || len(logs) > 0 {
+			return identity{}, errors.Join(err, &DamagedError{File: path, Reason: "identity is missing beside a log"})
+		}
+		id := newIdentity(false)
+		return id, writeFile(path, appendRecord(nil, encodeJSON(id)))
+	}
+	if err != nil {
+		return identity{}, err
+	}
+	var id identity
+	payload, _, err := readRecord(data)
+	if err == nil {
+		err = json.Unmarshal(payload, &id)
+	}
+	if err != nil || id.Incarnation == "" {
+		return identity{}, &DamagedError{File: path, Reason: "identity cannot be read"}
+	}
+	return id, nil
+}
+
+// writeFile replaces a file so that after a crash it has either its old or its
+// new content.
+func writeFile(path string, data []byte) error {
+	f, err := os.OpenFile(path+temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(data)
+	if err == nil {
+		err = f.Sync()
+	}
+	if err := errors.Join(err, f.Close()); err != nil {
+		return err
+	}
+	if err := os.Rename(path+temporary, path); err != nil {
+		return err
+	}
+	return syncFolder(filepath.Dir(path))
+}
+
+// syncFolder makes created, renamed and removed names durable.
+func syncFolder(folder string) error {
+	f, err := os.Open(folder)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
+
+// generations returns the names of the log files, oldest first.
+func generations(folder string) ([]string, error) {
+	files, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, err
+	}
+	var logs []string
+	for _, f := range files {
+		if strings.HasPrefix(f.Name(), logPrefix) && !strings.HasSuffix(f.Name(), temporary) {
+			logs = append(logs, f.Name())
+		}
+	}
+	slices.Sort(logs)
+	return logs, nil
+}
+
+func logName(generation uint64) string { return fmt.Sprintf("%s%016d", logPrefix, generation) }
+
+func snapshotName(generation uint64) string {
+	return fmt.Sprintf("%s%016d", snapshotPrefix, generation)
+}
+
+// removeOthers removes the files of all other generations.
+func removeOthers(folder string, generation uint64) error {
+	files, err := os.ReadDir(folder)
+	if err != nil {
+		return err
+	}
+	for _, f := range files {
+		name := f.Name()
+		ours := strings.HasPrefix(name, logPrefix) || strings.HasPrefix(name, snapshotPrefix) || strings.HasSuffix(name, temporary)
+		if !ours || name == logName(generation) || name == snapshotName(generation) {
+			continue
+		}
+		if err := os.Remove(filepath.Join(folder, name)); err != nil {
+			return err
+		}
+	}
+	return syncFolder(folder)
+}
+
+// Renew discards the log of a folder, which no process may have open, and gives
+// the folder a new incarnation. The discarded files of the last Renew are kept
+// in the folder "damaged" for inspection.
+func Renew(folder string) error {
+	held, err := lock(folder)
+	if err != nil {
+		return err
+	}
+	defer held.Close()
+	kept := filepath.Join(folder, damagedName)
+	if err := os.RemoveAll(kept); err != nil {
+		return err
+	}
+	if err := os.Mkdir(kept, 0o700); err != nil {
+		return err
+	}
+	// The new identity comes first: a crash before it leaves the damage in
+	// place, and one after it leaves a log that does not name the incarnation.
+	if err := writeFile(filepath.Join(folder, identityName), appendRecord(nil, encodeJSON(newIdentity(true)))); err != nil {
+		return err
+	}
+	files, err := os.ReadDir(folder)
+	if err != nil {
+		return err
+	}
+	for _, f := range files {
+		if strings.HasPrefix(f.Name(), logPrefix) || strings.HasPrefix(f.Name(), snapshotPrefix) {
+			if err := os.Rename(filepath.Join(folder, f.Name()), filepath.Join(kept, f.Name())); err != nil {
+				return err
+			}
+		}
+	}
+	return syncFolder(folder)
+}
--- /dev/null
+++ b/disks/store_test.go
@@ -0,0 +1,272 @@
+package disks
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf/replicas"
+)
+
+// harness opens a folder again and again, as a daemon that restarts does.
+type harness struct {
+	t      testing.TB
+	folder string
+	store  *Store
+	synced chan uint64
+	next   uint64
+}
+
+func newHarness(t testing.TB) *harness {
+	h := &harness{t: t, folder: filepath.Join(t.TempDir(), "data")}
+	h.open()
+	return h
+}
+
+func (h *harness) open() {
+	h.t.Helper()
+	if err := h.tryOpen(); err != nil {
+		h.t.Fatal(err)
+	}
+}
+
+func (h *harness) tryOpen() error {
+	h.synced = make(chan uint64, 10_000)
+	s, err := Open(Config{
+		Folder: h.folder,
+		Synced: func(n uint64) { h.synced <- n },
+		Failed: func(err error) { h.t.Error(err) },
+	})
+	if err != nil {
+		return err
+	}
+	h.store, h.next = s, 0
+	s.Run()
+	return nil
+}
+
+func (h *harness) close() {
+	h.t.Helper()
+	if err := h.store.Close(); err != nil {
+		h.t.Fatal(err)
+	}
+}
+
+func (h *harness) reopen() {
+	h.t.Helper()
+	h.close()
+	h.open()
+}
+
+// write stores a Persist and waits for its sync.
+func (h *harness) write(p replicas.Persist) {
+	h.next++
+	p.Sequence = h.next
+	h.store.Write(&p)
+	for last := uint64(0); last < h.next; {
+		last = <-h.synced
+	}
+}
+
+func (h *harness) logFile() string {
+	h.t.Helper()
+	logs, err := generations(h.folder)
+	if err != nil || len(logs) != 1 {
+		h.t.Fatalf("log files %v, %v", logs, err)
+	}
+	return filepath.Join(h.folder, logs[0])
+}
+
+func (h *harness) assertRecovered(want replicas.Recovered) {
+	h.t.Helper()
+	if got := h.store.Recovered(); !reflect.DeepEqual(got, want) {
+		h.t.Fatalf("recovered\n%+v, want\n%+v", got, want)
+	}
+}
+
+var (
+	testHard = replicas.HardState{Group: "g", Term: 3, Vote: replicas.NodeID{Daemon: "a", Incarnation: "1"}}
+	testTime = time.Unix(1_000_000, 5).UTC()
+)
+
+func entry(index, term uint64) replicas.Entry {
+	return replicas.Entry{Index: index, Term: term, At: testTime, Data: []byte{byte(index), 'x'}}
+}
+
+// Guards against state that is written but not read back as it was.
+func TestRecoversWhatWasSynced(t *testing.T) {
+	h := newHarness(t)
+	incarnation := h.store.Incarnation()
+	h.assertRecovered(replicas.Recovered{})
+	h.write(replicas.Persist{Hard: testHard, Entries: []replicas.Entry{entry(1, 1), entry(2, 1), entry(3, 2)}})
+	h.reopen()
+	h.assertRecovered(replicas.Recovered{Hard: testHard, Entries: []replicas.Entry{entry(1, 1), entry(2, 1), entry(3, 2)}})
+	h.write(replicas.Persist{Hard: testHard, Entries: []replicas.Entry{entry(2, 3)}}) // replaces 2 and 3
+	h.reopen()
+	want := replicas.Recovered{Hard: testHard, Entries: []replicas.Entry{entry(1, 1), entry(2, 3)}}
+	h.assertRecovered(want)
+	snapshot := &replicas.Snapshot{Index: 1, Term: 1, At: testTime, Data: []byte("state"), Members: replicas.Members{{Role: replicas.Voter}}}
+	h.write(replicas.Persist{Hard: testHard, Snapshot: snapshot, Entries: want.Entries[1:]})
+	h.reopen()
+	h.assertRecovered(replicas.Recovered{Hard: testHard, Snapshot: snapshot, Entries: want.Entries[1:]})
+	if h.store.Incarnation() != incarnation {
+		t.Error("incarnation changed without a lost disk")
+	}
+	h.close()
+}
+
+// Guards against a crash in mid-write that keeps a daemon from starting.
+func TestTornTailIsTruncated(t *testing.T) {
+	h := newHarness(t)
+	h.write(replicas.Persist{Hard: testHard, Entries: []replicas.Entry{entry(1, 1)}})
+	before := fileSize(t, h.logFile())
+	h.write(replicas.Persist{Hard: testHard, Entries: []replicas.Entry{entry(2, 1)}})
+	path := h.logFile()
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.close()
+	for size := before + 1; size < int64(len(whole)); size++ {
+		if err := os.WriteFile(path, whole[:size], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		h.open()
+		h.assertRecovered(replicas.Recovered{Hard: testHard, Entries: []replicas.Entry{entry(1, 1)}})
+		if !h.store.Torn() || fileSize(t, path) != before {
+			t.Fatalf("torn at byte %d: %t, size %d, want %d", size, h.store.Torn(), fileSize(t, path), before)
+		}
+		h.write(replicas.Persist{Hard: testHard, Entries: []replicas.Entry{entry(2, 1)}})
+		h.reopen()
+		h.assertRecovered(replicas.Recovered{Hard: testHard, Entries: []replicas.Entry{entry(1, 1), entry(2, 1)}})
+		h.close()
+	}
+}
+
+func fileSize(t *testing.T, path string) int64 {
+	t.Helper()
+	info, err := os.Stat(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return info.Size()
+}
+
+// Guards against a daemon that votes after synced entries were lost, and
+// against damage that needs a human.
+func TestDamageInTheMiddleNeedsNewIncarnation(t *testing.T) {
+	h := newHarness(t)
+	h.write(replicas.Persist{Hard: testHard, Entries: []replicas.Entry{entry(1, 1)}})
+	middle := fileSize(t, h.logFile())
+	h.write(replicas.Persist{Hard: testHard, Entries: []replicas.Entry{entry(2, 1)}})
+	path, incarnation := h.logFile(), h.store.Incarnation()
+	h.close()
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range middle {
+		flipped := append([]byte(nil), whole...)
+		flipped[i] ^= 0x10
+		if err := os.WriteFile(path, flipped, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var damaged *DamagedError
+		if err := h.tryOpen(); !errors.As(err, &damaged) {
+			t.Fatalf("byte %d changed: error %v", i, err)
+		}
+	}
+	if err := Renew(h.folder); err != nil {
+		t.Fatal(err)
+	}
+	h.open()
+	h.assertRecovered(replicas.Recovered{Former: true})
+	if h.store.Incarnation() == incarnation {
+		t.Error("same incarnation after damage")
+	}
+	h.close()
+}
+
+// Guards against snapshots and identities that are lost without an error.
+func TestLostFilesAreDamage(t *testing.T) {
+	for _, name := range []string{identityName, snapshotName(2)} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.write(replicas.Persist{Hard: testHard, Snapshot: &replicas.Snapshot{Index: 1, Term: 1}})
+			h.close()
+			if err := os.Remove(filepath.Join(h.folder, name)); err != nil {
+				t.Fatal(err)
+			}
+			var damaged *DamagedError
+			if err := h.tryOpen(); !errors.As(err, &damaged) {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+}
+
+// Guards against a crash between the steps of a compaction or a Renew.
+func TestInterruptedFileChanges(t *testing.T) {
+	t.Run("compaction", func(t *testing.T) {
+		h := newHarness(t)
+		h.write(replicas.Persist{Hard: testHard, Entries: []replicas.Entry{entry(1, 1)}})
+		h.close()
+		for _, name := range []string{snapshotName(2), snapshotName(2) + temporary, logName(2) + temporary} {
+			if err := os.WriteFile(filepath.Join(h.folder, name), []byte("partial"), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		h.open()
+		h.assertRecovered(replicas.Recovered{Hard: testHard, Entries: []replicas.Entry{entry(1, 1)}})
+		h.close()
+		if files, err := os.ReadDir(h.folder); err != nil || len(files) != 3 {
+			t.Errorf("files %v, %v, want identity, lock and log", files, err)
+		}
+	})
+	t.Run("renew", func(t *testing.T) {
+		h := newHarness(t)
+		h.write(replicas.Persist{Hard: testHard, Entries: []replicas.Entry{entry(1, 1)}})
+		h.close()
+		id := appendRecord(nil, encodeJSON(newIdentity(true)))
+		if err := writeFile(filepath.Join(h.folder, identityName), id); err != nil {
+			t.Fatal(err)
+		}
+		var damaged *DamagedError
+		if err := h.tryOpen(); !errors.As(err, &damaged) {
+			t.Errorf("log of the old incarnation: error %v", err)
+		}
+	})
+}
+
+// Guards against one sync for each write, and against a sync reported early.
+func TestWritesShareSyncs(t *testing.T) {
+	h := newHarness(t)
+	const writes = 200
+	for i := uint64(1); i <= writes; i++ {
+		h.store.Write(&replicas.Persist{Sequence: i, Hard: testHard, Entries: []replicas.Entry{entry(i, 1)}})
+	}
+	syncs := 0
+	for last := uint64(0); last < writes; syncs++ {
+		last = <-h.synced
+	}
+	if syncs > writes/2 {
+		t.Errorf("%d syncs for %d writes", syncs, writes)
+	}
+	h.reopen()
+	if got := len(h.store.Recovered().Entries); got != writes {
+		t.Errorf("%d entries recovered, want %d", got, writes)
+	}
+	h.close()
+}
+
+// Guards against two processes that write one log.
+func TestFolderHasOneProcess(t *testing.T) {
+	h := newHarness(t)
+	if _, err := Open(Config{Folder: h.folder}); err == nil {
+		t.Error("folder opened twice")
+	}
+	h.close()
+}
