Add the replicated state machine of the configuration

A generated command id is a UUID of version 7: its time shows that its answer may have been dropped after 24 hours, and such an id is refused. A chosen id leaves its hash in a bounded list. Ruled out: comparing the revision or the operator of a resent command, since a resend from another shell may differ in both; the change itself is compared.

--- /dev/null
+++ b/configs/names.go
@@ -0,0 +1,120 @@
+package configs
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"gypsumshelf.example/gypsumshelf"
+)
+
+// Resolve returns the canonical name for a name of any scheme. A name that is
+// not known is taken for a canonical name. A name with several meanings is an
+// error that lists them.
+func (s *State) Resolve(kind gypsumshelf.NameKind, name string) (string, error) {
+	candidates := s.candidates(kind, name)
+	switch len(candidates) {
+	case 0:
+		return name, nil
+	case 1:
+		return candidates[0], nil
+	}
+	return "", fmt.Errorf("%s name %q is ambiguous: it stands for %s", kind, name, strings.Join(candidates, " and "))
+}
+
+// candidates returns the canonical names that a name may stand for, sorted.
+func (s *State) candidates(kind gypsumshelf.NameKind, name string) []string {
+	found := map[string]bool{}
+	for _, aliases := range s.d.Names[kind] {
+		if canonical, ok := aliases[name]; ok {
+			found[canonical] = true
+		}
+		for _, canonical := range aliases {
+			if canonical == name {
+				found[name] = true
+			}
+		}
+	}
+	if _, ok := s.d.TakenOut[name]; ok && kind == gypsumshelf.NameDataCentre {
+		found[name] = true
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
+// InService reports whether new work may go to a data centre, given by any of
+// its names. An ambiguous name is out of service while one of its meanings is.
+func (s *State) InService(dataCentre string) bool {
+	if _, out := s.d.TakenOut[dataCentre]; out {
+		return false
+	}
+	for _, aliases := range s.d.Names[gypsumshelf.NameDataCentre] {
+		if _, out := s.d.TakenOut[aliases[dataCentre]]; out {
+			return false
+		}
+	}
+	return true
+}
+
+// addName adds an alias. The same alias may mean different things in
+// different schemes, since the schemes are made by different organizations;
+// using such an alias is then refused by Resolve.
+func (s *State) addName(c Change) (Change, Code, error) {
+	switch c.Kind {
+	case gypsumshelf.NameDataCentre, gypsumshelf.NameService, gypsumshelf.NameModel:
+	default:
+		return c, CodeInvalid, fmt.Errorf("kind %q is unknown, want %s, %s or %s", c.Kind,
+			gypsumshelf.NameDataCentre, gypsumshelf.NameService, gypsumshelf.NameModel)
+	}
+	for _, f := range []struct{ what, name string }{{"canonical", c.Canonical}, {"scheme", c.Scheme}, {"alias", c.Alias}} {
+		if err := checkName(f.what, f.name); err != nil {
+			return c, CodeInvalid, err
+		}
+	}
+	canonical, err := s.Resolve(c.Kind, c.Canonical)
+	if err != nil {
+		return c, CodeAmbiguousName, err
+	}
+	c.Canonical = canonical
+	if code, err := s.checkAlias(c); err != nil {
+		return c, code, err
+	}
+	schemes := s.d.Names[c.Kind]
+	if schemes == nil {
+		schemes = map[string]map[string]string{}
+		s.d.Names[c.Kind] = schemes
+	}
+	if schemes[c.Scheme] == nil {
+		schemes[c.Scheme] = map[string]string{}
+	}
+	schemes[c.Scheme][c.Alias] = c.Canonical
+	return c, "", nil
+}
+
+func (s *State) checkAlias(c Change) (Code, error) {
+	schemes := s.d.Names[c.Kind]
+	if schemes[c.Scheme] == nil && len(schemes) >= MaxSchemes {
+		return CodeInvalid, fmt.Errorf("kind %s already has %d schemes: %s", c.Kind, MaxSchemes,
+			strings.Join(slices.Sorted(maps.Keys(schemes)), ", "))
+	}
+	if other, ok := schemes[c.Scheme][c.Alias]; ok && other != c.Canonical {
+		return CodeAmbiguousName, fmt.Errorf("alias %q of scheme %q would be ambiguous: it stands for %s and %s", c.Alias, c.Scheme, other, c.Canonical)
+	}
+	if c.Alias != c.Canonical && s.isCanonical(c.Kind, c.Alias) {
+		return CodeAmbiguousName, fmt.Errorf("alias %q would be ambiguous: it is a canonical name and would also stand for %s", c.Alias, c.Canonical)
+	}
+	return "", nil
+}
+
+func (s *State) isCanonical(kind gypsumshelf.NameKind, name string) bool {
+	return slices.Contains(s.candidates(kind, name), name)
+}
+
+// Aliases returns the names of a kind: canonical name by scheme and alias.
+func (s *State) Aliases(kind gypsumshelf.NameKind) map[string]map[string]string {
+	out := map[string]map[string]string{}
+	for scheme, aliases := range s.d.Names[kind] {
+		out[scheme] = maps.Clone(aliases)
+	}
+	return out
+}
--- /dev/null
+++ b/configs/operate.go
@@ -0,0 +1,143 @@
+package configs
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+const (
+	// maxClockLead is how far the time in a command id may be ahead of the
+	// leader's clock. Without a bound such an id would be kept for ever.
+	maxClockLead = time.Hour
+	// maxIDBytes bounds a command id.
+	maxIDBytes = 128
+)
+
+// answered is the first answer to a command id.
+type answered struct {
+	Change Change    `json:"change"`
+	Result Result    `json:"result"`
+	Until  time.Time `json:"until"`
+}
+
+// operate applies an operator command once for each command id.
+//
+// The answer to an id is kept for CommandRetention. A generated id is a UUID of
+// version 7, whose time shows that its answer may have been dropped: such an
+// id is refused. An id that an operator chose has no time; its hash stays in
+// a bounded list after its answer is dropped, and a hash in the list is refused.
+func (s *State) operate(c Operate) Result {
+	if first, ok := s.d.Commands[c.CommandID]; ok && s.d.Now.Before(first.Until) {
+		if first.Change != c.Change {
+			return s.refuse(CodeCommandIDReused, "command id %s belongs to a different command: %s", c.CommandID, first.Change)
+		}
+		return first.Result
+	}
+	until, refusal := s.checkID(c.CommandID)
+	if refusal != nil {
+		return *refusal
+	}
+	result := s.change(c)
+	s.d.Commands[c.CommandID] = answered{Change: c.Change, Result: result, Until: until}
+	return result
+}
+
+// checkID returns the time until which the answer to a new id is kept, or the
+// refusal of the id.
+func (s *State) checkID(id string) (until time.Time, refusal *Result) {
+	refuse := func(code Code, format string, args ...any) (time.Time, *Result) {
+		r := s.refuse(code, format, args...)
+		return time.Time{}, &r
+	}
+	if id == "" || len(id) > maxIDBytes {
+		return refuse(CodeInvalid, "command id has %d bytes, want 1 to %d", len(id), maxIDBytes)
+	}
+	until = s.d.Now.Add(CommandRetention)
+	made, ok := timeOf(id)
+	if !ok {
+		if s.d.SpentIDs.has(id) || s.expiredButPresent(id) {
+			return refuse(CodeCommandIDExpired, "command id %s was used more than %s ago", id, CommandRetention)
+		}
+		return until, nil
+	}
+	if !s.d.Now.Before(made.Add(CommandRetention)) {
+		return refuse(CodeCommandIDExpired, "command id %s was made at %s, more than %s ago; check config history and use a new id",
+			id, made.Format(time.RFC3339), CommandRetention)
+	}
+	if made.After(s.d.Now.Add(maxClockLead)) {
+		return refuse(CodeInvalid, "command id %s was made at %s, more than %s ahead of the leader's clock",
+			id, made.Format(time.RFC3339), maxClockLead)
+	}
+	if made.After(s.d.Now) {
+		until = made.Add(CommandRetention)
+	}
+	return until, nil
+}
+
+// expiredButPresent reports whether the id awaits the next sweep.
+func (s *State) expiredButPresent(id string) bool {
+	_, ok := s.d.Commands[id]
+	return ok
+}
+
+// timeOf returns the time in an id that is a UUID of version 7.
+func timeOf(id string) (time.Time, bool) {
+	u, err := uuid.Parse(id)
+	if err != nil || u.Version() != 7 {
+		return time.Time{}, false
+	}
+	var ms int64 // the first 48 bits, RFC 9562 section 5.7
+	for _, b := range u[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return time.UnixMilli(ms).UTC(), true
+}
+
+func (s *State) sweepCommands() {
+	for _, id := range expired(s.d.Commands, func(a answered) time.Time { return a.Until }, s.d.Now) {
+		if _, hasTime := timeOf(id); !hasTime {
+			s.d.SpentIDs.add(id)
+		}
+		delete(s.d.Commands, id)
+	}
+}
+
+// change makes a change if the operator has seen the current revision.
+func (s *State) change(c Operate) Result {
+	if c.Operator == "" {
+		return s.refuse(CodeInvalid, "operator is missing")
+	}
+	if c.Revision != s.d.Revision {
+		return s.conflict(c)
+	}
+	change, code, err := s.effect(c.Change)
+	if err != nil {
+		return s.refuse(code, "%s", err)
+	}
+	s.d.Revision++
+	recorded := Recorded{Revision: s.d.Revision, At: s.d.Now, Operator: c.Operator, CommandID: c.CommandID, Change: change}
+	s.d.History = append(s.d.History, recorded)
+	if n := len(s.d.History) - HistoryLimit; n > 0 {
+		s.d.History = append([]Recorded(nil), s.d.History[n:]...)
+	}
+	return Result{Text: fmt.Sprintf("revision %d: %s", s.d.Revision, change), Revision: s.d.Revision, Recorded: &recorded}
+}
+
+// conflict refuses a command and names the change that was made instead.
+func (s *State) conflict(c Operate) Result {
+	if c.Revision > s.d.Revision {
+		return s.refuse(CodeConflict, "revision %d does not exist, the current one is %d", c.Revision, s.d.Revision)
+	}
+	winner := s.d.History[0]
+	if i := int(c.Revision+1) - int(winner.Revision); i > 0 {
+		winner = s.d.History[i]
+	}
+	text := fmt.Sprintf("revision %d was changed by %s at %s: %s", c.Revision, winner.Operator, winner.At.Format(time.RFC3339), winner.Change)
+	if winner.Revision != c.Revision+1 {
+		text = fmt.Sprintf("revision %d is no longer in the history, which starts with revision %d by %s: %s",
+			c.Revision, winner.Revision, winner.Operator, winner.Change)
+	}
+	return Result{Code: CodeConflict, Text: text, Revision: s.d.Revision, Winner: &winner}
+}
--- /dev/null
+++ b/configs/random_test.go
@@ -0,0 +1,160 @@
+package configs
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/settings"
+)
+
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", seed()); err != nil {
+		panic(err)
+	}
+	fmt.Println("GYPSUMSHELF_SEED", seed())
+	os.Exit(m.Run())
+}
+
+// oracle remembers what the callers of a random run were told.
+type oracle struct {
+	answers  map[string]Result               // first answer by command id
+	changes  map[string]Change               // first change by command id
+	made     map[string]time.Time            // time of the first answer
+	winners  map[gypsumshelf.Revision]string // command id by revision
+	runs     map[RunKey]string               // run that began by key
+	revision gypsumshelf.Revision
+}
+
+func (o *oracle) operate(t *rapid.T, now time.Time, c Operate, r Result) {
+	first, known := o.answers[c.CommandID]
+	age := now.Sub(o.made[c.CommandID])
+	switch {
+	case !known && r.Code != CodeCommandIDExpired:
+		o.answers[c.CommandID], o.changes[c.CommandID], o.made[c.CommandID] = r, c.Change, now
+		if !r.Accepted() {
+			return
+		}
+		if c.Revision != r.Revision-1 || o.winners[r.Revision] != "" {
+			t.Fatalf("revision %d of %s was won by %s before", r.Revision, c.CommandID, o.winners[r.Revision])
+		}
+		o.winners[r.Revision] = c.CommandID
+	case known && age < CommandRetention && c.Change == o.changes[c.CommandID]:
+		if r.Text != first.Text || r.Code != first.Code || r.Revision != first.Revision {
+			t.Fatalf("resent %s got %+v, want %+v", c.CommandID, r, first)
+		}
+	case known && r.Accepted():
+		t.Fatalf("%s was accepted twice, %s later", c.CommandID, age)
+	}
+}
+
+func (o *oracle) begin(t *rapid.T, c BeginRun, r Result) {
+	if !r.Accepted() {
+		return
+	}
+	if run := o.runs[c.RunKey]; run != "" && run != c.Run {
+		t.Fatalf("key %v began as run %s and as run %s", c.RunKey, run, c.Run)
+	}
+	o.runs[c.RunKey] = c.Run
+}
+
+func drawChange(t *rapid.T) Change {
+	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+	action := rapid.SampledFrom([]Action{ActionClassSet, ActionClassRemove, ActionTakeOut, ActionBringBack, ActionNameAdd}).Draw(t, "action")
+	switch action {
+	case ActionClassSet:
+		return Change{Action: action, Name: name, FirstToken: settings.Duration(time.Second), Finish: settings.Duration(time.Minute)}
+	case ActionNameAdd:
+		return addName(gypsumshelf.NameDataCentre, name, rapid.SampledFrom([]string{"s", "t", "u", "v"}).Draw(t, "scheme"),
+			rapid.SampledFrom([]string{"a", "x", "y"}).Draw(t, "alias"))
+	}
+	return Change{Action: action, Name: name}
+}
+
+func drawCommand(t *rapid.T, s *State, now time.Time, ids []string) Command {
+	key := RunKey{Workspace: "w", Key: rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(t, "key")}
+	run := rapid.SampledFrom([]string{"r1", "r2", "r3"}).Draw(t, "run")
+	switch rapid.IntRange(0, 9).Draw(t, "command") {
+	case 0:
+		return FinishRun{RunKey: key, Run: run, Outcome: Outcome{Status: 200}}
+	case 1, 2:
+		return BeginRun{RunKey: key, Run: run, BodyHash: 1, Owner: "o", Keep: settings.Duration(time.Hour)}
+	case 3:
+		return AdvanceEpoch{Name: "n", From: rapid.Uint64Range(0, 4).Draw(t, "from"), Owner: "o"}
+	}
+	behind := rapid.Uint64Range(0, min(2, uint64(s.Revision()))).Draw(t, "behind")
+	id := idAt(now)
+	if len(ids) > 0 && rapid.Bool().Draw(t, "resend") {
+		id = rapid.SampledFrom(ids).Draw(t, "id")
+	} else if rapid.Bool().Draw(t, "chosen") {
+		id = fmt.Sprint("chosen-", len(ids))
+	}
+	return Operate{CommandID: id, Operator: "ada", Revision: s.Revision() - gypsumshelf.Revision(behind), Change: drawChange(t)}
+}
+
+// Guards against replicas that differ, against a snapshot that loses state,
+// and against two winners of a revision, two runs of a key or an answer that
+// changes, over random commands, resends and clock steps.
+func TestRandomRuns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := &oracle{
+			answers: map[string]Result{}, changes: map[string]Change{}, made: map[string]time.Time{},
+			winners: map[gypsumshelf.Revision]string{}, runs: map[RunKey]string{},
+		}
+		first, second := New(), New()
+		now, latest := start, start
+		var ids []string
+		for i := range rapid.IntRange(1, 150).Draw(t, "entries") {
+			step := rapid.SampledFrom([]time.Duration{-time.Hour, time.Second, time.Second, time.Minute, 7 * time.Hour}).Draw(t, "step")
+			now = now.Add(step)
+			if now.After(latest) {
+				latest = now
+			}
+			c := drawCommand(t, first, latest, ids)
+			r := first.Apply(uint64(i+1), now, c)
+			second.Apply(uint64(i+1), now, c)
+			switch c := c.(type) {
+			case Operate:
+				ids = append(ids, c.CommandID)
+				o.operate(t, latest, c, r)
+			case BeginRun:
+				o.begin(t, c, r)
+			}
+			if first.Revision() < o.revision {
+				t.Fatalf("revision went back from %d to %d", o.revision, first.Revision())
+			}
+			o.revision = first.Revision()
+			if rapid.IntRange(0, 19).Draw(t, "restore") == 0 {
+				second = restored(t, second)
+			}
+		}
+		if a, b := snapshot(t, first), snapshot(t, second); !bytes.Equal(a, b) {
+			t.Fatalf("replicas differ:\n%s\n%s", a, b)
+		}
+		if first.Revision() != gypsumshelf.Revision(len(o.winners)) {
+			t.Fatalf("revision %d after %d accepted changes", first.Revision(), len(o.winners))
+		}
+	})
+}
+
+func snapshot(t *rapid.T, s *State) []byte {
+	data, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func restored(t *rapid.T, s *State) *State {
+	out, err := Restore(snapshot(t, s))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
--- /dev/null
+++ b/configs/snapshot.go
@@ -0,0 +1,19 @@
+package configs
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Snapshot returns the whole state as JSON. Equal states have equal snapshots.
+func (s *State) Snapshot() ([]byte, error) { return json.Marshal(s.d) }
+
+// Restore returns the state of a snapshot.
+func Restore(snapshot []byte) (*State, error) {
+	s := &State{}
+	if err := json.Unmarshal(snapshot, &s.d); err != nil {
+		return nil, fmt.Errorf("configuration snapshot cannot be read: %w", err)
+	}
+	s.d.fill()
+	return s, nil
+}
