Add the freshness lease of the configuration

A renewal counts from the time at which it was asked for, on the daemon's own clock, and takes effect only when the daemon has applied the entries that the leader had committed. Ruled out: counting from the arrival of the answer, since a delayed answer would lengthen the lease.

With the check of the committed entries disabled on a scratch copy, TestLease failed.

--- a/configs/state_test.go
+++ b/configs/state_test.go
@@ -186,7 +186,7 @@
 			t.Error("an announcement under an ambiguous name is in service while one of its meanings is out")
 		}
 	})
-	t.Run("refused aliases", func(t *testing.T) {
+	t.Run("refused aliases", func(*testing.T) {
 		m.refused(m.operate("7", addName(dc, "graz-sued", "fourth", "G")), CodeInvalid)
 		m.refused(m.operate("8", addName(dc, "graz-sued", "airport", "VIE")), CodeAmbiguousName)
 		m.refused(m.operate("9", addName(dc, "graz-sued", "airport", "linz-hafen")), CodeAmbiguousName)
--- /dev/null
+++ b/members/lease.go
@@ -0,0 +1,67 @@
+// Package members holds what a daemon knows of its place in the deployment:
+// whether its copy of the configuration is fresh.
+package members
+
+import "time"
+
+// Config configures a Lease.
+type Config struct {
+	Duration time.Duration // time for which one renewal holds
+}
+
+// Lease says whether a daemon's copy of the configuration is fresh. All times
+// are of one clock of the daemon, and a renewal counts from the time at which
+// the daemon asked for it. A frozen process or a delayed message therefore
+// makes the lease shorter, never longer.
+type Lease struct {
+	cfg     Config
+	held    bool
+	from    time.Time // request time of the last renewal in force
+	waiting []renewal // oldest first
+}
+
+// renewal takes effect once the entries it covers have been applied.
+type renewal struct {
+	asked  time.Time
+	commit uint64
+}
+
+// maxWaiting bounds the renewals that wait for entries. The first and the last
+// matter; those between only make the lease longer earlier.
+const maxWaiting = 16
+
+// New returns a Lease that has never been renewed.
+func New(cfg Config) *Lease { return &Lease{cfg: cfg} }
+
+// Renew takes a renewal that the daemon asked for at asked: a leader had
+// contact with its quorum after that, and had committed the log up to commit.
+// The renewal takes effect when the daemon has applied the log up to there,
+// since a daemon without the newest entries may lack a take-out.
+func (l *Lease) Renew(asked time.Time, commit, applied uint64) {
+	if n := len(l.waiting); !asked.IsZero() && (n == 0 || asked.After(l.waiting[n-1].asked)) && asked.After(l.from) {
+		if n == maxWaiting {
+			l.waiting = append(l.waiting[:1], l.waiting[2:]...)
+		}
+		l.waiting = append(l.waiting, renewal{asked: asked, commit: commit})
+	}
+	l.Applied(applied)
+}
+
+// Applied tells the lease how far the daemon has applied the log.
+func (l *Lease) Applied(applied uint64) {
+	for len(l.waiting) > 0 && l.waiting[0].commit <= applied {
+		l.held, l.from = true, l.waiting[0].asked
+		l.waiting = l.waiting[1:]
+	}
+}
+
+// Expires returns the end of the lease; zero when it was never renewed.
+func (l *Lease) Expires() time.Time {
+	if !l.held {
+		return time.Time{}
+	}
+	return l.from.Add(l.cfg.Duration)
+}
+
+// Valid reports whether the lease holds at now.
+func (l *Lease) Valid(now time.Time) bool { return l.held && now.Before(l.Expires()) }
--- /dev/null
+++ b/members/lease_test.go
@@ -0,0 +1,57 @@
+package members
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+func assertValid(t *testing.T, l *Lease, now time.Time, want bool) {
+	t.Helper()
+	if l.Valid(now) != want {
+		t.Errorf("at %s the lease is valid: %t, want %t; it expires at %s", now.Sub(start), !want, want, l.Expires())
+	}
+}
+
+// Guards against a daemon that takes new work on an outdated configuration.
+func TestLease(t *testing.T) {
+	renewed := func(asked time.Time, commit, applied uint64) *Lease {
+		l := New(Config{Duration: 3 * time.Second})
+		l.Renew(asked, commit, applied)
+		return l
+	}
+	t.Run("never renewed", func(t *testing.T) {
+		assertValid(t, renewed(time.Time{}, 0, 0), start, false)
+	})
+	t.Run("counts from the request, not from the answer", func(t *testing.T) {
+		l := renewed(at(0), 5, 5)
+		assertValid(t, l, at(2.999), true)
+		assertValid(t, l, at(3), false)
+	})
+	t.Run("waits for the entries it covers", func(t *testing.T) {
+		l := renewed(at(0), 5, 4)
+		assertValid(t, l, at(0.1), false)
+		l.Applied(5)
+		assertValid(t, l, at(0.1), true)
+	})
+	t.Run("a daemon that lags keeps only the renewals it has applied", func(t *testing.T) {
+		l := renewed(at(0), 5, 5)
+		l.Renew(at(2), 6, 5)
+		assertValid(t, l, at(3), false)
+	})
+	t.Run("lagging by a fixed amount still renews", func(t *testing.T) {
+		l := renewed(at(0), 1, 0)
+		for i := range 100 {
+			l.Renew(at(float64(i)*0.1), uint64(i+2), uint64(i))
+		}
+		assertValid(t, l, at(11), true)
+	})
+	t.Run("an older renewal does not shorten it", func(t *testing.T) {
+		l := renewed(at(2), 5, 5)
+		l.Renew(at(1), 5, 5)
+		assertValid(t, l, at(4.5), true)
+	})
+}
