Connect operators, routing and the freshness lease to the configuration

Every daemon finds the result of its own proposals when it applies their entries, so that a proposal can be sent again to any leader. Ruled out: results sent back by the leader, which are lost with it. A daemon whose lease has expired refuses new requests and those it never sent, with not-ready and not-run; the driver checks the lease again before it sends an attempt. Until the replicated log is connected, a reducer without one has a fixed configuration.

--- a/attempts/event.go
+++ b/attempts/event.go
@@ -1,6 +1,10 @@
 package attempts
 
-import "gypsumshelf.example/gypsumshelf"
+import (
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+)
 
 // Arrived is the event of a request that a caller has sent.
 type Arrived struct{ Request gypsumshelf.Request }
@@ -53,6 +57,9 @@
 	Address  string
 	Priority int // smaller is more urgent
 	Resume   int // position of the first token wanted
+	// NotAfter is the end of the freshness lease under which the start was
+	// decided; zero when there is none. A later attempt must not be sent.
+	NotAfter time.Time
 }
 
 // Refuse is the effect that ends a request with an error.
--- a/cmd/gypsumshelf/config.go
+++ b/cmd/gypsumshelf/config.go
@@ -10,9 +10,7 @@
 )
 
 func newConfig() *cobra.Command {
-	cmd := &cobra.Command{Use: "config", Short: "Check settings files and list configuration changes"}
-	cmd.AddCommand(newConfigCheck())
-	return cmd
+	return newGroup("config", "Check settings files and list configuration changes", newConfigCheck(), newConfigHistory())
 }
 
 func newConfigCheck() *cobra.Command {
--- a/cmd/gypsumshelf/main.go
+++ b/cmd/gypsumshelf/main.go
@@ -42,6 +42,7 @@
 		SilenceErrors: false,
 	}
 	root.AddCommand(newServe(), newConfig(), newDemo(), newStandIns(), newMeasure())
+	root.AddCommand(newStatus(), newClass(), newDataCentre(), newName(), newExplain())
 	return root
 }
 
--- /dev/null
+++ b/cmd/gypsumshelf/operate.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os/user"
+
+	"github.com/spf13/cobra"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/configs"
+	"gypsumshelf.example/gypsumshelf/operators"
+)
+
+// operatorFlags are the flags of every operator command.
+type operatorFlags struct {
+	servers   []string
+	output    string
+	commandID string
+	operator  string
+	revision  uint64
+}
+
+func addQueryFlags(cmd *cobra.Command, f *operatorFlags) {
+	cmd.Flags().StringSliceVar(&f.servers, "server", nil, "IP:PORT of a daemon's listener for operators (repeatable, tried in order)")
+	cmd.Flags().StringVar(&f.output, "output", "text", "text or json")
+	_ = cmd.MarkFlagRequired("server")
+	cmd.PreRunE = func(*cobra.Command, []string) error { return f.check() }
+}
+
+func addCommandFlags(cmd *cobra.Command, f *operatorFlags) {
+	addQueryFlags(cmd, f)
+	cmd.Flags().StringVar(&f.commandID, "command-id", "", "id under which the command is made once; generated and printed when absent")
+	cmd.Flags().Uint64Var(&f.revision, "revision", 0, "revision that the operator has seen; the current one when absent")
+	cmd.Flags().StringVar(&f.operator, "operator", userName(), "name recorded with the change")
+}
+
+func userName() string {
+	if u, err := user.Current(); err == nil && u.Username != "" {
+		return u.Username
+	}
+	return "unknown"
+}
+
+func (f *operatorFlags) check() error {
+	for _, server := range f.servers {
+		if _, err := netip.ParseAddrPort(server); err != nil {
+			return fmt.Errorf("flag --server is %q, want IP:PORT", server)
+		}
+	}
+	if f.output != "text" && f.output != "json" {
+		return fmt.Errorf("flag --output is %q, want text or json", f.output)
+	}
+	return nil
+}
+
+func (f *operatorFlags) client() *operators.Client {
+	return operators.NewClient(operators.ClientConfig{Servers: f.servers})
+}
+
+// print writes v as JSON, or as text when that was asked for.
+func (f *operatorFlags) print(w io.Writer, v any, text func(io.Writer)) error {
+	if f.output == "json" {
+		return json.NewEncoder(w).Encode(v)
+	}
+	text(w)
+	return nil
+}
+
+// operate sends a change and prints its answer. The command id is printed
+// before the command is sent, so that it is known when the answer is lost.
+func (f *operatorFlags) operate(cmd *cobra.Command, change configs.Change) error {
+	command := configs.Operate{
+		CommandID: f.commandID, Operator: f.operator, Revision: gypsumshelf.Revision(f.revision), Change: change,
+	}
+	client := f.client()
+	if !cmd.Flags().Changed("revision") {
+		status, err := client.Status(cmd.Context())
+		if err != nil {
+			return err
+		}
+		command.Revision = status.Revision
+	}
+	if command.CommandID == "" {
+		id, err := operators.NewCommandID()
+		if err != nil {
+			return fmt.Errorf("command id cannot be generated: %w", err)
+		}
+		command.CommandID = id
+	}
+	notice := cmd.OutOrStdout()
+	if f.output == "json" {
+		notice = cmd.ErrOrStderr()
+	}
+	fmt.Fprintf(notice, "command-id: %s\n", command.CommandID)
+	answer, err := client.Operate(cmd.Context(), command)
+	if err != nil {
+		return err
+	}
+	err = f.print(cmd.OutOrStdout(), answer, func(w io.Writer) {
+		if answer.Accepted {
+			fmt.Fprintln(w, answer.Text)
+		}
+	})
+	if err != nil || answer.Accepted {
+		return err
+	}
+	return fmt.Errorf("refused: %s: %s", answer.Code, answer.Text)
+}
+
+// newGroup returns a command that only has subcommands; calling it without
+// one of them is a usage error.
+func newGroup(use, short string, subcommands ...*cobra.Command) *cobra.Command {
+	cmd := &cobra.Command{Use: use, Short: short, Args: cobra.ArbitraryArgs, RunE: func(_ *cobra.Command, args []string) error {
+		if len(args) > 0 {
+			return fmt.Errorf("unknown command %q for %q", args[0], use)
+		}
+		return errors.New("a subcommand is missing")
+	}}
+	cmd.AddCommand(subcommands...)
+	return cmd
+}
--- /dev/null
+++ b/daemons/configuration.go
@@ -0,0 +1,183 @@
+package daemons
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/configs"
+	"gypsumshelf.example/gypsumshelf/members"
+)
+
+// proposalRetry is the time after which a proposal without a result is sent
+// again, to the leader of that time.
+const proposalRetry = 500 * time.Millisecond
+
+// ErrUnknownOutcome reports a command whose result did not arrive in time. It
+// may still take effect; sending it again is safe.
+var ErrUnknownOutcome = errors.New("outcome is unknown: no result from the replicated log in time")
+
+// replicatedLog is the part of replicas.Replica that the configuration uses.
+type replicatedLog interface {
+	Propose(now time.Time, data []byte) (index, term uint64, err error)
+	Leader() (gypsumshelf.DaemonID, bool)
+	Term() uint64
+	QuorumConfirmed() time.Time
+	CommitIndex() uint64
+}
+
+// configuration is the reducer part that holds this daemon's copy of the
+// replicated state, its freshness lease and its proposals. Every daemon
+// applies the log, voters and learners alike, and finds the result of its own
+// proposals when it applies their entries; a proposal may thus be sent again
+// to any leader without the leader keeping track of who waits.
+type configuration struct {
+	daemon  gypsumshelf.DaemonID
+	session string // different at each start, so that old entries match no waiting proposal
+	log     replicatedLog
+	state   *configs.State
+	lease   *members.Lease
+	emit    func(gypsumshelf.Effect)
+	next    uint64
+	waiting map[string]*proposal // by token
+	inLog   map[string]uint64    // term in which this daemon proposed a token, until it is applied
+}
+
+func newConfiguration(cfg ReducerConfig, emit func(gypsumshelf.Effect)) *configuration {
+	c := &configuration{
+		daemon: cfg.Daemon, session: cfg.Session, log: cfg.Log,
+		state: configs.New(), lease: members.New(cfg.Lease), emit: emit,
+		waiting: map[string]*proposal{}, inLog: map[string]uint64{},
+	}
+	if c.log == nil {
+		c.log = noLog{}
+	}
+	return c
+}
+
+// noLog stands for the replicated log of a reducer that is built without one.
+type noLog struct{}
+
+func (noLog) Propose(time.Time, []byte) (index, term uint64, err error) { return 0, 0, errNoLog }
+func (noLog) Leader() (gypsumshelf.DaemonID, bool)                      { return "", false }
+func (noLog) Term() uint64                                              { return 0 }
+func (noLog) QuorumConfirmed() time.Time                                { return time.Time{} }
+func (noLog) CommitIndex() uint64                                       { return 0 }
+
+var errNoLog = errors.New("no replicated log")
+
+// proposal is a command of this daemon that has no result yet.
+type proposal struct {
+	token    string
+	entry    []byte
+	sent     time.Time
+	deadline time.Time
+	done     func(now time.Time, result configs.Result, err error)
+}
+
+// propose has a command decided by the replicated log. done is called once
+// during a later event, with ErrUnknownOutcome when within has passed.
+func (c *configuration) propose(now time.Time, command configs.Command, within time.Duration, done func(time.Time, configs.Result, error)) {
+	c.next++
+	p := &proposal{token: fmt.Sprintf("%s.%d", c.session, c.next), deadline: now.Add(within), done: done}
+	entry, err := configs.Entry{Origin: c.daemon, Token: p.token, Command: command}.Encode()
+	if err != nil {
+		panic(fmt.Sprintf("command %s cannot be encoded: %v", command.CommandType(), err))
+	}
+	p.entry = entry
+	c.waiting[p.token] = p
+	c.send(now, p)
+}
+
+// fresh reports whether new work may be started with this copy.
+// A reducer without a replicated log has a configuration that never changes.
+func (c *configuration) fresh(now time.Time) bool {
+	_, fixed := c.log.(noLog)
+	return fixed || c.lease.Valid(now)
+}
+
+func (c *configuration) send(now time.Time, p *proposal) {
+	p.sent = now
+	leader, ok := c.log.Leader()
+	switch {
+	case !ok:
+	case leader == c.daemon:
+		c.lead(now, p.token, p.entry)
+	default:
+		c.emit(configs.Forward{To: leader, Proposal: configs.Proposal{Entry: p.entry}})
+	}
+}
+
+// lead proposes an entry as the leader, once in each term.
+func (c *configuration) lead(now time.Time, token string, entry []byte) {
+	term := c.log.Term()
+	if proposed, ok := c.inLog[token]; ok && proposed == term {
+		return
+	}
+	if _, _, err := c.log.Propose(now, entry); err == nil {
+		c.inLog[token] = term
+	}
+}
+
+// forwarded proposes an entry of another daemon. It is dropped when this
+// daemon does not lead; its origin sends it again to the next leader.
+func (c *configuration) forwarded(now time.Time, e configs.Forwarded) {
+	entry, err := configs.DecodeEntry(e.Proposal.Entry)
+	if leader, ok := c.log.Leader(); err != nil || !ok || leader != c.daemon {
+		return
+	}
+	c.lead(now, entry.Token, e.Proposal.Entry)
+}
+
+// apply applies one committed entry. An entry that cannot be decoded was made
+// by a newer version; continuing without it would make replicas differ.
+func (c *configuration) apply(now time.Time, index uint64, at time.Time, data []byte) {
+	entry, err := configs.DecodeEntry(data)
+	if err != nil {
+		panic(fmt.Sprintf("log entry %d cannot be applied: %v", index, err))
+	}
+	result := c.state.Apply(index, at, entry.Command)
+	delete(c.inLog, entry.Token)
+	if p := c.waiting[entry.Token]; p != nil && entry.Origin == c.daemon {
+		delete(c.waiting, entry.Token)
+		p.done(now, result, nil)
+	}
+}
+
+// install replaces the state by a snapshot, which must be newer.
+func (c *configuration) install(index uint64, snapshot []byte) error {
+	state, err := configs.Restore(snapshot)
+	if err != nil {
+		return err
+	}
+	if state.Revision() < c.state.Revision() || state.Index() < c.state.Index() {
+		return fmt.Errorf("snapshot at entry %d has revision %d, older than revision %d in force", index, state.Revision(), c.state.Revision())
+	}
+	c.state = state
+	return nil
+}
+
+// renew passes what the log knows of its leader to the freshness lease. applied
+// is the index of the last entry that was applied, of any kind.
+func (c *configuration) renew(applied uint64) {
+	c.lease.Renew(c.log.QuorumConfirmed(), c.log.CommitIndex(), applied)
+}
+
+// tick sends proposals again and ends those that have waited too long.
+func (c *configuration) tick(now time.Time) {
+	for _, token := range slices.Sorted(maps.Keys(c.waiting)) {
+		p := c.waiting[token]
+		switch {
+		case !now.Before(p.deadline):
+			delete(c.waiting, token)
+			p.done(now, configs.Result{}, ErrUnknownOutcome)
+		case now.Sub(p.sent) >= proposalRetry:
+			c.send(now, p)
+		}
+	}
+	term := c.log.Term()
+	maps.DeleteFunc(c.inLog, func(_ string, proposed uint64) bool { return proposed != term })
+}
--- /dev/null
+++ b/daemons/explain.go
@@ -0,0 +1,77 @@
+package daemons
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/attempts"
+)
+
+// explainWait is the time for which other daemons may explain a request that
+// this daemon does not know.
+const explainWait = time.Second
+
+func (r *Reducer) asked(_ time.Time, e attempts.Asked) {
+	if notes := r.attempts.Explain(e.Question.Request); len(notes) > 0 {
+		r.emit(attempts.Explain{To: e.From, Explanation: attempts.Explanation{Ticket: e.Question.Ticket, Notes: slices.Clone(notes)}})
+	}
+}
+
+// questions holds the drivers that wait for an explanation by a peer.
+type questions struct {
+	mu      sync.Mutex
+	last    uint64
+	waiting map[uint64]chan []attempts.Note
+}
+
+func (q *questions) open() (uint64, chan []attempts.Note) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.waiting == nil {
+		q.waiting = map[uint64]chan []attempts.Note{}
+	}
+	q.last++
+	c := make(chan []attempts.Note, 1)
+	q.waiting[q.last] = c
+	return q.last, c
+}
+
+func (q *questions) close(ticket uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.waiting, ticket)
+}
+
+// explained passes on the first explanation by a peer.
+func (q *questions) explained(e attempts.Explanation) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if c := q.waiting[e.Ticket]; c != nil {
+		c <- e.Notes
+		delete(q.waiting, e.Ticket)
+	}
+}
+
+func (in *Instance) sendExplanation(e attempts.Explain) { in.links.Send(e.To, e.Explanation) }
+
+// explain returns the notes of a request of this daemon, or else of a peer.
+func (in *Instance) explain(ctx context.Context, id gypsumshelf.RequestID) (notes []attempts.Note, ok bool) {
+	in.daemon.Query(ctx, func(r *Reducer) { notes = slices.Clone(r.attempts.Explain(id)) })
+	if len(notes) > 0 {
+		return notes, true
+	}
+	ticket, explained := in.questions.open()
+	defer in.questions.close(ticket)
+	in.links.Broadcast(attempts.Question{Ticket: ticket, Request: id})
+	ctx, cancel := context.WithTimeout(ctx, explainWait)
+	defer cancel()
+	select {
+	case notes = <-explained:
+		return notes, true
+	case <-ctx.Done():
+		return nil, false
+	}
+}
--- /dev/null
+++ b/daemons/freshness.go
@@ -0,0 +1,49 @@
+package daemons
+
+import (
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/configs"
+)
+
+func (r *Reducer) registerConfiguration() {
+	on(r, func(now time.Time, e configs.Proposed) {
+		r.configuration.propose(now, e.Command, e.Within, func(_ time.Time, result configs.Result, err error) {
+			r.emit(configs.Decided{Ticket: e.Ticket, Result: result, Err: err})
+		})
+	})
+	on(r, r.asked)
+	on(r, func(now time.Time, e configs.Forwarded) { r.configuration.forwarded(now, e) })
+}
+
+// notReady returns the refusal of new work while the freshness lease does not
+// hold, or nil.
+func (r *Reducer) notReady(now time.Time) *gypsumshelf.Error {
+	if r.configuration.fresh(now) {
+		return nil
+	}
+	return gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeNotReady,
+		"daemon %s has had no contact with a leader within its freshness lease", r.cfg.Daemon)
+}
+
+// refuseStale refuses the waiting requests that have not been sent to any
+// backend server, once the freshness lease has expired: another daemon may
+// serve them. Others wait for a renewal until their deadline.
+func (r *Reducer) refuseStale(now time.Time) {
+	failure := r.notReady(now)
+	if failure == nil {
+		return
+	}
+	var unsent []*attempts.Record
+	r.queue.Each(func(req gypsumshelf.Request) bool {
+		if rec := r.attempts.Record(req.ID); rec != nil && rec.Verdict() == gypsumshelf.NotRun {
+			unsent = append(unsent, rec)
+		}
+		return false
+	})
+	for _, rec := range unsent {
+		r.refuse(now, rec, failure)
+	}
+}
--- a/daemons/instance.go
+++ b/daemons/instance.go
@@ -13,11 +13,11 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/announcements"
 	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/configs"
 	"gypsumshelf.example/gypsumshelf/engines"
 	"gypsumshelf.example/gypsumshelf/entries"
 	"gypsumshelf.example/gypsumshelf/logs"
 	"gypsumshelf.example/gypsumshelf/metrics"
-	"gypsumshelf.example/gypsumshelf/operators"
 	"gypsumshelf.example/gypsumshelf/peers"
 	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
@@ -33,7 +33,12 @@
 	flushTime      = 2 * time.Second // time to export the last spans at a stop
 )
 
-func init() { gob.Register(gypsumshelf.Announcement{}) }
+func init() {
+	gob.Register(gypsumshelf.Announcement{})
+	gob.Register(configs.Proposal{})
+	gob.Register(attempts.Question{})
+	gob.Register(attempts.Explanation{})
+}
 
 // Instance is one running daemon with all its listeners.
 type Instance struct {
@@ -45,6 +50,9 @@
 	handler  *entries.Handler
 	traces   *traces.Provider
 	metrics  *metrics.Recorder
+	tickets  tickets
+
+	questions questions
 }
 
 // Start opens the listeners of a daemon and runs it.
@@ -88,6 +96,9 @@
 	Carry(in.daemon, in.handler.Refuse)
 	Carry(in.daemon, in.handler.Finish)
 	Carry(in.daemon, in.forward)
+	Carry(in.daemon, in.tickets.decided)
+	Carry(in.daemon, in.sendProposal)
+	Carry(in.daemon, in.sendExplanation)
 	in.daemon.Run()
 	if err := in.openHTTP(); err != nil {
 		in.Close()
@@ -131,7 +142,7 @@
 		{"backend-servers", in.settings.Listen.BackendServers, announcements.New(announcements.Config{
 			Submit: in.daemon.Submit, AllowedNetworks: in.settings.AllowedNetworks,
 		})},
-		{"operators", in.settings.Listen.Operators, in.traces.Handler("operator", operators.New(operators.Config{Status: in.status, Explain: in.explain}))},
+		{"operators", in.settings.Listen.Operators, in.traces.Handler("operator", in.operatorHandler())},
 		{"metrics", in.settings.Listen.Metrics, in.metrics.Handler()},
 	} {
 		listener, err := net.Listen("tcp", l.address)
@@ -170,37 +181,16 @@
 }
 
 func (in *Instance) receive(e peers.Envelope) {
-	if a, ok := e.Payload.(gypsumshelf.Announcement); ok {
-		in.daemon.Submit(servers.Announced{Announcement: a, Forwarded: true})
+	switch payload := e.Payload.(type) {
+	case gypsumshelf.Announcement:
+		in.daemon.Submit(servers.Announced{Announcement: payload, Forwarded: true})
+	case configs.Proposal:
+		in.daemon.Submit(configs.Forwarded{Proposal: payload})
+	case attempts.Question:
+		in.daemon.Submit(attempts.Asked{From: e.From, Question: payload})
+	case attempts.Explanation:
+		in.questions.explained(payload)
 	}
 }
 
 func (in *Instance) forward(e servers.Forward) { in.links.Broadcast(e.Announcement) }
-
-func (in *Instance) ready(ctx context.Context) bool {
-	return in.daemon.Query(ctx, func(*Reducer) {})
-}
-
-func (in *Instance) class(_ context.Context, name string) (gypsumshelf.Class, bool) {
-	class := gypsumshelf.Class{Name: name, Target: gypsumshelf.Target{FirstToken: time.Second, Finish: time.Minute}}
-	return class, name == gypsumshelf.DefaultClassName
-}
-
-func (in *Instance) status(ctx context.Context) (status operators.Status, ok bool) {
-	status.Daemon = in.settings.Daemon
-	ok = in.daemon.Query(ctx, func(r *Reducer) {
-		status.Ready = true
-		for _, s := range r.servers.All() {
-			n, _ := s.InFlight()
-			status.BackendServers = append(status.BackendServers, operators.ServerStatus{Announcement: s.Announcement(), Attempts: n})
-		}
-	})
-	return status, ok
-}
-
-func (in *Instance) explain(ctx context.Context, id gypsumshelf.RequestID) (notes []attempts.Note, ok bool) {
-	in.daemon.Query(ctx, func(r *Reducer) {
-		notes = append(notes, r.attempts.Explain(id)...)
-	})
-	return notes, len(notes) > 0
-}
--- /dev/null
+++ b/daemons/linearizability_test.go
@@ -0,0 +1,233 @@
+package daemons
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/configs"
+)
+
+func TestMain(m *testing.M) {
+	seed := os.Getenv("GYPSUMSHELF_SEED")
+	if seed == "" {
+		seed = "1"
+	}
+	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": "500"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	fmt.Println("GYPSUMSHELF_SEED", seed)
+	os.Exit(m.Run())
+}
+
+// maxOperations bounds a history: with 12, showing that one is not linearizable
+// took minutes.
+const maxOperations = 8
+
+// decision is the answer to one command in the specification.
+type decision struct {
+	id, name string
+	code     configs.Code
+	revision gypsumshelf.Revision
+	winner   string // command id of the winner of a conflict
+}
+
+// observed is the output of an operation; unknown when its answer was lost.
+type observed struct {
+	unknown bool
+	decision
+}
+
+// specification is the sequential behavior of operator commands: the state is
+// the list of decisions in order.
+var specification = porcupine.Model{
+	Init: func() any { return []decision(nil) },
+	Step: func(state, input, output any) (bool, any) {
+		want, next := decide(state.([]decision), input.(configs.Operate))
+		out := output.(observed)
+		return out.unknown || want == out.decision, next
+	},
+	Equal: func(a, b any) bool { return slices.Equal(a.([]decision), b.([]decision)) },
+}
+
+func decide(state []decision, c configs.Operate) (decision, []decision) {
+	var revision gypsumshelf.Revision
+	winners := map[gypsumshelf.Revision]string{}
+	for _, d := range state {
+		if d.id == c.CommandID && d.name == c.Change.Name {
+			return d, state
+		}
+		if d.code == "" {
+			revision = d.revision
+			winners[revision] = d.id
+		}
+	}
+	for _, d := range state {
+		if d.id == c.CommandID {
+			return decision{id: c.CommandID, name: c.Change.Name, code: configs.CodeCommandIDReused, revision: revision}, state
+		}
+	}
+	d := decision{id: c.CommandID, name: c.Change.Name, revision: revision + 1}
+	if c.Revision != revision {
+		d.code, d.revision, d.winner = configs.CodeConflict, revision, winners[c.Revision+1]
+	}
+	return d, append(slices.Clone(state), d)
+}
+
+// message is a Proposal on a fake link.
+type message struct {
+	to gypsumshelf.DaemonID
+	configs.Proposal
+}
+
+// simulation runs operators against three reducers with fake links.
+type simulation struct {
+	t       *rapid.T
+	now     time.Time
+	group   *fakeGroup
+	members []*member
+	links   []message
+	history []porcupine.Operation
+	open    map[uint64]int // operation by ticket
+}
+
+func newSimulation(t *rapid.T) *simulation {
+	s := &simulation{t: t, now: testStart, group: &fakeGroup{leader: "entry-1", term: 1}, open: map[uint64]int{}}
+	for i := range 3 {
+		s.members = append(s.members, newMember(s.group, gypsumshelf.DaemonID(fmt.Sprintf("entry-%d", i+1))))
+	}
+	return s
+}
+
+func (s *simulation) carry(effects []gypsumshelf.Effect) {
+	for _, f := range of[configs.Forward](effects) {
+		s.links = append(s.links, message{to: f.To, Proposal: f.Proposal})
+	}
+	for _, d := range of[configs.Decided](effects) {
+		op := &s.history[s.open[d.Ticket]]
+		input := op.Input.(configs.Operate)
+		if d.Err != nil {
+			continue // stays unknown
+		}
+		out := decision{id: input.CommandID, name: input.Change.Name, code: d.Result.Code, revision: d.Result.Revision}
+		if d.Result.Winner != nil {
+			out.winner = d.Result.Winner.CommandID
+		}
+		op.Output, op.Return = observed{decision: out}, int64(s.now.UnixNano())
+	}
+}
+
+// send starts a command of an operator at a daemon: a new one at the revision
+// known to that daemon, or an earlier one again.
+func (s *simulation) send() {
+	m := s.members[rapid.IntRange(0, 2).Draw(s.t, "daemon")]
+	n := len(s.history)
+	c := configs.Operate{
+		CommandID: fmt.Sprint("c", n), Operator: fmt.Sprint("operator-", n%3), Revision: m.configuration.state.Revision(),
+		Change: configs.Change{Action: configs.ActionTakeOut, Name: fmt.Sprint("dc-", n)},
+	}
+	if n > 0 && rapid.IntRange(0, 2).Draw(s.t, "resend") == 0 {
+		c = s.history[rapid.IntRange(0, n-1).Draw(s.t, "earlier")].Input.(configs.Operate)
+		if rapid.IntRange(0, 5).Draw(s.t, "reuse") == 0 {
+			c.Change.Name = "other"
+		}
+	}
+	s.history = append(s.history, porcupine.Operation{
+		ClientId: n, Input: c, Call: s.now.UnixNano(), Return: math.MaxInt64, Output: observed{unknown: true},
+	})
+	s.open[uint64(n)] = n
+	s.carry(m.Step(s.now, configs.Proposed{Ticket: uint64(n), Command: c, Within: 5 * time.Second}))
+}
+
+// deliver takes one message from the links: it arrives, is lost, or arrives
+// and stays to arrive again.
+func (s *simulation) deliver() {
+	if len(s.links) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(s.links)-1).Draw(s.t, "message")
+	m := s.links[i]
+	fate := rapid.IntRange(0, 4).Draw(s.t, "fate")
+	if fate > 0 {
+		s.links = slices.Delete(s.links, i, i+1)
+	}
+	if fate < 4 {
+		s.carry(s.member(m.to).Step(s.now, configs.Forwarded{Proposal: m.Proposal}))
+	}
+}
+
+func (s *simulation) member(id gypsumshelf.DaemonID) *member {
+	return s.members[slices.IndexFunc(s.members, func(m *member) bool { return m.cfg.Daemon == id })]
+}
+
+func (s *simulation) step() {
+	s.now = s.now.Add(10 * time.Millisecond)
+	switch rapid.IntRange(0, 11).Draw(s.t, "step") {
+	case 0, 1:
+		if len(s.history) < maxOperations {
+			s.send()
+		}
+	case 2, 3, 4:
+		s.deliver()
+	case 5, 6:
+		s.group.commit()
+	case 7, 8, 9:
+		s.carry(s.members[rapid.IntRange(0, 2).Draw(s.t, "applies")].applyNext(s.now))
+	case 10:
+		s.now = s.now.Add(proposalRetry)
+		for _, m := range s.members {
+			s.carry(m.Step(s.now, Tick{}))
+		}
+	case 11:
+		s.group.lead(s.members[rapid.IntRange(0, 2).Draw(s.t, "leader")].cfg.Daemon, rapid.IntRange(0, 2).Draw(s.t, "kept"))
+	}
+}
+
+// Guards against two winners of a revision, a command that is applied twice
+// and an answer that differs from the first one, with concurrent operators,
+// resends to other daemons, lost messages and changes of leader.
+func TestOperatorCommandsAreLinearizable(t *testing.T) {
+	answered := 0
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(t)
+		for range rapid.IntRange(50, 400).Draw(t, "steps") {
+			s.step()
+		}
+		for range s.group.entries {
+			s.group.commit()
+			for _, m := range s.members {
+				s.carry(m.applyNext(s.now))
+			}
+		}
+		for _, op := range s.history {
+			if !op.Output.(observed).unknown {
+				answered++
+			}
+		}
+		if result := porcupine.CheckOperationsTimeout(specification, s.history, time.Minute); result != porcupine.Ok {
+			t.Fatalf("history is not linearizable (%s):\n%s", result, describe(s.history))
+		}
+	})
+	if answered == 0 {
+		t.Fatal("no command was answered")
+	}
+	t.Logf("%d commands were answered", answered)
+}
+
+func describe(history []porcupine.Operation) (text string) {
+	for _, op := range history {
+		text += fmt.Sprintf("%d..%d %s %s at revision %d: %+v\n", op.Call, op.Return, op.Input.(configs.Operate).CommandID, op.Input.(configs.Operate).Change,
+			op.Input.(configs.Operate).Revision, op.Output)
+	}
+	return text
+}
--- /dev/null
+++ b/daemons/operators.go
@@ -0,0 +1,104 @@
+package daemons
+
+import (
+	"context"
+	"sync"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/configs"
+	"gypsumshelf.example/gypsumshelf/operators"
+	"gypsumshelf.example/gypsumshelf/settings"
+)
+
+// tickets holds the drivers that wait for the result of a command.
+type tickets struct {
+	mu      sync.Mutex
+	last    uint64
+	waiting map[uint64]chan configs.Decided
+}
+
+func (t *tickets) open() (uint64, chan configs.Decided) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.waiting == nil {
+		t.waiting = map[uint64]chan configs.Decided{}
+	}
+	t.last++
+	c := make(chan configs.Decided, 1)
+	t.waiting[t.last] = c
+	return t.last, c
+}
+
+func (t *tickets) close(ticket uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.waiting, ticket)
+}
+
+// decided carries out configs.Decided.
+func (t *tickets) decided(e configs.Decided) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c := t.waiting[e.Ticket]; c != nil {
+		c <- e // holds one result, and each ticket is decided once
+		delete(t.waiting, e.Ticket)
+	}
+}
+
+func (in *Instance) operate(ctx context.Context, command configs.Operate) (configs.Result, error) {
+	ticket, decided := in.tickets.open()
+	defer in.tickets.close(ticket)
+	in.daemon.Submit(configs.Proposed{Ticket: ticket, Command: command, Within: operators.CommandWait})
+	select {
+	case d := <-decided:
+		return d.Result, d.Err
+	case <-ctx.Done():
+		return configs.Result{}, ErrUnknownOutcome
+	case <-in.daemon.stop:
+		return configs.Result{}, ErrUnknownOutcome
+	}
+}
+
+func (in *Instance) sendProposal(e configs.Forward) { in.links.Send(e.To, e.Proposal) }
+
+func (in *Instance) operatorHandler() *operators.Handler {
+	return operators.New(operators.Config{
+		Status: in.status, Explain: in.explain, History: in.history, Operate: in.operate,
+	})
+}
+
+func (in *Instance) ready(ctx context.Context) (ready bool) {
+	in.daemon.Query(ctx, func(r *Reducer) { ready = r.configuration.fresh(in.timers.Now()) })
+	return ready
+}
+
+func (in *Instance) class(ctx context.Context, name string) (class gypsumshelf.Class, ok bool) {
+	in.daemon.Query(ctx, func(r *Reducer) { class, ok = r.configuration.state.Class(name) })
+	return class, ok
+}
+
+func (in *Instance) history(ctx context.Context) (history []configs.Recorded, ok bool) {
+	ok = in.daemon.Query(ctx, func(r *Reducer) { history = r.configuration.state.History() })
+	return history, ok
+}
+
+func (in *Instance) status(ctx context.Context) (status operators.Status, ok bool) {
+	status.Daemon = in.settings.Daemon
+	ok = in.daemon.Query(ctx, func(r *Reducer) {
+		c := r.configuration
+		status.Ready = c.fresh(in.timers.Now())
+		status.Leader, _ = c.log.Leader()
+		status.Revision = c.state.Revision()
+		status.TakenOut = c.state.TakenOut()
+		for _, class := range c.state.Classes() {
+			status.Classes = append(status.Classes, operators.ClassStatus{
+				Name: class.Name, FirstToken: settings.Duration(class.Target.FirstToken), Finish: settings.Duration(class.Target.Finish),
+			})
+		}
+		for _, s := range r.servers.All() {
+			n, _ := s.InFlight()
+			status.BackendServers = append(status.BackendServers, operators.ServerStatus{Announcement: s.Announcement(), Attempts: n})
+		}
+	})
+	return status, ok
+}
--- a/daemons/reducer.go
+++ b/daemons/reducer.go
@@ -10,6 +10,7 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/admissions"
 	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/members"
 	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
 )
@@ -20,6 +21,9 @@
 	Policy   routes.Policy
 	Servers  servers.Config
 	Attempts attempts.Config
+	Lease    members.Config
+	Session  string // unique to this start of the daemon
+	Log      replicatedLog
 }
 
 // Reducer makes every decision of a daemon. It has no clock, no I/O and no
@@ -31,6 +35,8 @@
 	queue    admissions.Queue
 	handlers map[reflect.Type]func(time.Time, gypsumshelf.Event)
 	out      []gypsumshelf.Effect
+
+	configuration *configuration
 }
 
 // NewReducer returns a Reducer without any backend server or request.
@@ -41,9 +47,11 @@
 		attempts: attempts.New(cfg.Attempts),
 		handlers: map[reflect.Type]func(time.Time, gypsumshelf.Event){},
 	}
+	r.configuration = newConfiguration(cfg, r.emit)
 	on(r, r.tick)
 	r.registerServers()
 	r.registerRequests()
+	r.registerConfiguration()
 	return r
 }
 
@@ -76,6 +84,8 @@
 		r.refuse(now, rec, gypsumshelf.Errorf(rec.Verdict(), gypsumshelf.CodeDeadline,
 			"not finished within %s of class %s", rec.Request().Class.Target.Finish, rec.Request().Class.Name))
 	}
+	r.configuration.tick(now)
+	r.refuseStale(now)
 	r.attempts.Expire(now)
 	r.servers.Expire(now)
 	r.dispatch(now)
--- a/daemons/requests.go
+++ b/daemons/requests.go
@@ -23,6 +23,10 @@
 		r.emit(attempts.Refuse{Request: req.ID, Err: gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeBadRequest, "request id %q is in use", req.ID)})
 		return
 	}
+	if failure := r.notReady(now); failure != nil {
+		r.refuse(now, rec, failure)
+		return
+	}
 	if !r.servers.Knows(req.Service, req.Model) {
 		r.refuse(now, rec, unknownTarget(req))
 		return
--- a/daemons/routing.go
+++ b/daemons/routing.go
@@ -28,11 +28,14 @@
 }
 
 func (r *Reducer) start(now time.Time, rec *attempts.Record) bool {
+	if r.notReady(now) != nil {
+		return false
+	}
 	req := rec.Request()
 	ready := r.servers.Ready(now, req.Service, req.Model)
 	candidates := make([]routes.Candidate, 0, len(ready))
 	for _, s := range ready {
-		if !rec.Tried(s.Announcement().Server) {
+		if !rec.Tried(s.Announcement().Server) && r.configuration.state.InService(s.Announcement().DataCentre) {
 			candidates = append(candidates, candidate(s))
 		}
 	}
@@ -50,6 +53,7 @@
 		Address:  server.Announcement().Address,
 		Priority: int(req.FirstTokenDeadline().Sub(now).Milliseconds()),
 		Resume:   rec.Position(),
+		NotAfter: r.configuration.lease.Expires(),
 	})
 	return true
 }
--- a/entries/handler.go
+++ b/entries/handler.go
@@ -117,6 +117,12 @@
 }
 
 func (h *Handler) attempt(x *exchange, start attempts.Start, body body, answer *answer) {
+	if !start.NotAfter.IsZero() && !h.cfg.Now().Before(start.NotAfter) {
+		// The process was stopped between the decision and now.
+		h.cfg.Submit(attempts.Failed{Attempt: start.Attempt, Position: answer.position, Failure: gypsumshelf.Errorf(
+			gypsumshelf.NotRun, gypsumshelf.CodeNotReady, "freshness lease expired before attempt %s was sent", start.Attempt)})
+		return
+	}
 	call := engines.Call{
 		Attempt: start.Attempt, Address: start.Address, Path: answer.path,
 		Body: body.data, Priority: start.Priority, Resume: start.Resume,
--- /dev/null
+++ b/operators/client.go
@@ -0,0 +1,154 @@
+package operators
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/google/uuid"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/configs"
+)
+
+const (
+	dialTimeout = time.Second
+	// answerTimeout is the wait for one daemon's answer, longer than the time
+	// for which a daemon waits for the replicated log.
+	answerTimeout = CommandWait + 2*time.Second
+	// rounds is how often the list of daemons is tried: an election may pass
+	// between two rounds.
+	rounds     = 3
+	roundPause = 500 * time.Millisecond
+)
+
+// CommandWait is the time for which a daemon waits for the result of a command.
+const CommandWait = 5 * time.Second
+
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	Servers []string // IP:PORT of the daemons' listeners for operators
+}
+
+// Client sends operator commands to the first daemon that responds.
+type Client struct {
+	cfg  ClientConfig
+	http *http.Client
+}
+
+// NewClient returns a Client.
+func NewClient(cfg ClientConfig) *Client {
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableKeepAlives: true}
+	return &Client{cfg: cfg, http: &http.Client{Transport: transport, Timeout: answerTimeout}}
+}
+
+// NewCommandID returns a command id that carries the current time.
+func NewCommandID() (string, error) {
+	id, err := uuid.NewV7()
+	return id.String(), err
+}
+
+// Operate sends a command until a daemon knows its result. The same command id
+// goes to every daemon, so that a lost answer does no harm.
+func (c *Client) Operate(ctx context.Context, command configs.Operate) (Answer, error) {
+	var answer Answer
+	body, err := json.Marshal(command)
+	if err != nil {
+		return answer, fmt.Errorf("command cannot be encoded: %w", err)
+	}
+	decided := func(status int, data []byte) error {
+		if err := json.Unmarshal(data, &answer); err != nil || answer.CommandID == "" {
+			return problemOf(status, data)
+		}
+		return nil
+	}
+	return answer, c.try(ctx, http.MethodPost, "/commands", body, decided)
+}
+
+// Status returns the status of the first daemon that responds.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return get[Status](ctx, c, "/status")
+}
+
+// History returns the accepted changes that are kept, the oldest first.
+func (c *Client) History(ctx context.Context) ([]configs.Recorded, error) {
+	return get[[]configs.Recorded](ctx, c, "/history")
+}
+
+// Explain returns the notes of a request from the first daemon that knows it.
+func (c *Client) Explain(ctx context.Context, id gypsumshelf.RequestID) ([]attempts.Note, error) {
+	return get[[]attempts.Note](ctx, c, "/explain/"+url.PathEscape(string(id)))
+}
+
+func get[T any](ctx context.Context, c *Client, path string) (out T, err error) {
+	err = c.try(ctx, http.MethodGet, path, nil, func(status int, data []byte) error {
+		if status != http.StatusOK {
+			return problemOf(status, data)
+		}
+		return json.Unmarshal(data, &out)
+	})
+	return out, err
+}
+
+func problemOf(status int, data []byte) error {
+	var p Problem
+	if err := json.Unmarshal(data, &p); err != nil || p.Code == "" {
+		return fmt.Errorf("unexpected answer with status %d", status)
+	}
+	return p
+}
+
+// try calls the daemons in turn until read accepts an answer. A refusal that
+// every daemon would repeat ends the search.
+func (c *Client) try(ctx context.Context, method, path string, body []byte, read func(status int, data []byte) error) error {
+	var failures []error
+	for round := range rounds {
+		failures = nil
+		again := false
+		for _, server := range c.cfg.Servers {
+			status, data, err := c.call(ctx, method, server, path, body)
+			if err == nil {
+				err = read(status, data)
+			}
+			if err == nil {
+				return nil
+			}
+			if status == http.StatusBadRequest {
+				return err
+			}
+			again = again || status != http.StatusNotFound
+			failures = append(failures, fmt.Errorf("%s: %w", server, err))
+		}
+		if !again || round == rounds-1 {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(roundPause):
+		}
+	}
+	return errors.Join(failures...)
+}
+
+func (c *Client) call(ctx context.Context, method, server, path string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+server+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, data, err
+}
--- /dev/null
+++ b/operators/client_test.go
@@ -0,0 +1,125 @@
+package operators
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/configs"
+)
+
+// fakeDaemon decides commands with a state machine of its own.
+type fakeDaemon struct {
+	state   *configs.State
+	unknown int // commands whose outcome is reported as unknown, though they were applied
+	seen    []string
+}
+
+func (f *fakeDaemon) operate(_ context.Context, c configs.Operate) (configs.Result, error) {
+	f.seen = append(f.seen, c.CommandID)
+	result := f.state.Apply(f.state.Index()+1, time.Now(), c)
+	if f.unknown > 0 {
+		f.unknown--
+		return configs.Result{}, errors.New("no answer")
+	}
+	return result, nil
+}
+
+func (f *fakeDaemon) serve(t *testing.T) string {
+	server := httptest.NewServer(New(Config{
+		Operate: f.operate,
+		Status: func(context.Context) (Status, bool) {
+			return Status{Daemon: "entry-1", Revision: f.state.Revision()}, true
+		},
+		History: func(context.Context) ([]configs.Recorded, bool) { return f.state.History(), true },
+		Explain: func(_ context.Context, id gypsumshelf.RequestID) ([]attempts.Note, bool) {
+			return []attempts.Note{{Text: "routed"}}, id == "a/b"
+		},
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func deadAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func command(id string, revision gypsumshelf.Revision, name string) configs.Operate {
+	return configs.Operate{CommandID: id, Operator: "ada", Revision: revision, Change: configs.Change{Action: configs.ActionTakeOut, Name: name}}
+}
+
+// Guards against an operator who is stuck with a daemon that is down, and
+// against a command that is made twice when its answer is lost.
+func TestClient(t *testing.T) {
+	ctx := context.Background()
+	f := &fakeDaemon{state: configs.New(), unknown: 1}
+	client := NewClient(ClientConfig{Servers: []string{deadAddress(t), f.serve(t)}})
+	t.Run("resends under the same id", func(t *testing.T) {
+		answer, err := client.Operate(ctx, command("a", 0, "wien-nord"))
+		if err != nil || !answer.Accepted || answer.Revision != 1 || answer.CommandID != "a" {
+			t.Fatalf("answer %+v, %v", answer, err)
+		}
+		if len(f.seen) != 2 || f.state.Revision() != 1 {
+			t.Errorf("daemon saw %v and made %d changes", f.seen, f.state.Revision())
+		}
+	})
+	t.Run("refusal names the winner", func(t *testing.T) {
+		answer, err := client.Operate(ctx, command("b", 0, "linz-hafen"))
+		if err != nil || answer.Accepted || answer.Winner == nil || answer.Winner.CommandID != "a" {
+			t.Fatalf("answer %+v, %v", answer, err)
+		}
+	})
+	t.Run("queries", func(t *testing.T) {
+		status, err := client.Status(ctx)
+		if err != nil || status.Revision != 1 {
+			t.Errorf("status %+v, %v", status, err)
+		}
+		history, err := client.History(ctx)
+		if err != nil || len(history) != 1 || history[0].CommandID != "a" {
+			t.Errorf("history %+v, %v", history, err)
+		}
+		if notes, err := client.Explain(ctx, "a/b"); err != nil || len(notes) != 1 {
+			t.Errorf("explanation %+v, %v", notes, err)
+		}
+		if _, err := client.Explain(ctx, "unknown"); err == nil || !strings.Contains(err.Error(), CodeUnknownRequest) {
+			t.Errorf("explanation of an unknown request: %v", err)
+		}
+	})
+	t.Run("all daemons down", func(t *testing.T) {
+		if _, err := NewClient(ClientConfig{Servers: []string{deadAddress(t)}}).Status(ctx); err == nil {
+			t.Error("status without a daemon")
+		}
+	})
+}
+
+// Guards against malformed commands that reach the replicated log.
+func TestHandlerRefusesMalformedCommands(t *testing.T) {
+	f := &fakeDaemon{state: configs.New()}
+	url := "http://" + f.serve(t) + "/commands"
+	for _, body := range []string{
+		"{", `{"command-id":"a"}`, `{"command-id":"a","operator":"ada","weight":3}`,
+		`{"command-id":"a","operator":"ada","change":{"action":"class-set","first-token":"soon"}}`,
+		`{"command-id":"` + strings.Repeat("a", maxCommandBytes) + `"}`,
+	} {
+		resp, err := http.Post(url, "application/json", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusBadRequest || len(f.seen) > 0 {
+			t.Errorf("%.60s: status %d, commands %v", body, resp.StatusCode, f.seen)
+		}
+	}
+}
--- a/operators/handler.go
+++ b/operators/handler.go
@@ -4,29 +4,25 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/configs"
 )
 
-// Status is the answer to the status command.
-type Status struct {
-	Daemon         gypsumshelf.DaemonID `json:"daemon"`
-	Ready          bool                 `json:"ready"`
-	BackendServers []ServerStatus       `json:"backend-servers"`
-}
-
-// ServerStatus is one backend server as a daemon sees it.
-type ServerStatus struct {
-	gypsumshelf.Announcement
-	Attempts int `json:"attempts"` // attempts of this daemon in progress
-}
+// maxCommandBytes bounds the body of a command.
+const maxCommandBytes = 64 << 10
 
 // Config configures a Handler.
 type Config struct {
 	Status  func(context.Context) (Status, bool)
 	Explain func(context.Context, gypsumshelf.RequestID) ([]attempts.Note, bool)
+	History func(context.Context) ([]configs.Recorded, bool)
+	// Operate returns the result of a command, or an error when its outcome is
+	// unknown.
+	Operate func(context.Context, configs.Operate) (configs.Result, error)
 }
 
 // Handler serves operators.
@@ -39,7 +35,9 @@
 func New(cfg Config) *Handler {
 	h := &Handler{cfg: cfg, mux: http.NewServeMux()}
 	h.mux.HandleFunc("GET /status", h.status)
+	h.mux.HandleFunc("GET /history", h.history)
 	h.mux.HandleFunc("GET /explain/{request}", h.explain)
+	h.mux.HandleFunc("POST /commands", h.operate)
 	return h
 }
 
@@ -49,22 +47,70 @@
 func (h *Handler) status(w http.ResponseWriter, r *http.Request) {
 	status, ok := h.cfg.Status(r.Context())
 	if !ok {
-		http.Error(w, "daemon is stopping", http.StatusServiceUnavailable)
+		writeProblem(w, http.StatusServiceUnavailable, CodeStopping, "daemon is stopping")
 		return
 	}
-	writeJSON(w, status)
+	writeJSON(w, http.StatusOK, status)
+}
+
+func (h *Handler) history(w http.ResponseWriter, r *http.Request) {
+	history, ok := h.cfg.History(r.Context())
+	if !ok {
+		writeProblem(w, http.StatusServiceUnavailable, CodeStopping, "daemon is stopping")
+		return
+	}
+	writeJSON(w, http.StatusOK, history)
 }
 
 func (h *Handler) explain(w http.ResponseWriter, r *http.Request) {
-	notes, ok := h.cfg.Explain(r.Context(), gypsumshelf.RequestID(r.PathValue("request")))
+	id := gypsumshelf.RequestID(r.PathValue("request"))
+	notes, ok := h.cfg.Explain(r.Context(), id)
 	if !ok {
-		http.Error(w, "request is not known to this daemon", http.StatusNotFound)
+		writeProblem(w, http.StatusNotFound, CodeUnknownRequest, fmt.Sprintf("request %q is not known to this daemon", id))
 		return
 	}
-	writeJSON(w, notes)
+	writeJSON(w, http.StatusOK, notes)
+}
+
+func (h *Handler) operate(w http.ResponseWriter, r *http.Request) {
+	var command configs.Operate
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCommandBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&command); err != nil {
+		writeProblem(w, http.StatusBadRequest, string(configs.CodeInvalid), fmt.Sprintf("command is not valid JSON: %v", err))
+		return
+	}
+	if command.CommandID == "" || command.Operator == "" {
+		writeProblem(w, http.StatusBadRequest, string(configs.CodeInvalid), "command-id and operator must not be empty")
+		return
+	}
+	result, err := h.cfg.Operate(r.Context(), command)
+	if err != nil {
+		writeProblem(w, http.StatusGatewayTimeout, CodeUnknownOutcome,
+			fmt.Sprintf("%v; send the command again with command id %s", err, command.CommandID))
+		return
+	}
+	writeJSON(w, statusOf(result), Answer{CommandID: command.CommandID, Accepted: result.Accepted(), Result: result})
+}
+
+func statusOf(r configs.Result) int {
+	switch {
+	case r.Accepted():
+		return http.StatusOK
+	case r.Code == configs.CodeInvalid:
+		return http.StatusBadRequest
+	case r.Code == configs.CodeNotFound:
+		return http.StatusNotFound
+	}
+	return http.StatusConflict
+}
+
+func writeProblem(w http.ResponseWriter, status int, code, text string) {
+	writeJSON(w, status, Problem{Code: code, Text: text})
 }
 
-func writeJSON(w http.ResponseWriter, v any) {
+func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v)
 }
