Renew the freshness lease from the log's confirmation and document the configuration

The log now states the commit index that goes with a confirmed quorum, which the lease waits for. A follower's own commit index would not do: a heartbeat may confirm the quorum while the entries before it are lost.

--- a/daemons/configuration.go
+++ b/daemons/configuration.go
@@ -25,8 +25,9 @@
 	Propose(now time.Time, data []byte) (index, term uint64, err error)
 	Leader() (gypsumshelf.DaemonID, bool)
 	Term() uint64
-	QuorumConfirmed() time.Time
-	CommitIndex() uint64
+	// Confirmation returns a time and an index: every entry committed before
+	// that time is at or before that index.
+	Confirmation() (asked time.Time, commit uint64)
 }
 
 // configuration is the reducer part that holds this daemon's copy of the
@@ -64,8 +65,7 @@
 func (noLog) Propose(time.Time, []byte) (index, term uint64, err error) { return 0, 0, errNoLog }
 func (noLog) Leader() (gypsumshelf.DaemonID, bool)                      { return "", false }
 func (noLog) Term() uint64                                              { return 0 }
-func (noLog) QuorumConfirmed() time.Time                                { return time.Time{} }
-func (noLog) CommitIndex() uint64                                       { return 0 }
+func (noLog) Confirmation() (asked time.Time, commit uint64)            { return time.Time{}, 0 }
 
 var errNoLog = errors.New("no replicated log")
 
@@ -163,7 +163,8 @@
 // renew passes what the log knows of its leader to the freshness lease. applied
 // is the index of the last entry that was applied, of any kind.
 func (c *configuration) renew(applied uint64) {
-	c.lease.Renew(c.log.QuorumConfirmed(), c.log.CommitIndex(), applied)
+	asked, commit := c.log.Confirmation()
+	c.lease.Renew(asked, commit, applied)
 }
 
 // tick sends proposals again and ends those that have waited too long.
--- a/daemons/fakelog_test.go
+++ b/daemons/fakelog_test.go
@@ -59,9 +59,8 @@
 func (l *fakeLog) Leader() (gypsumshelf.DaemonID, bool) {
 	return l.group.leader, l.group.leader != "" && !l.cut
 }
-func (l *fakeLog) Term() uint64               { return l.group.term }
-func (l *fakeLog) QuorumConfirmed() time.Time { return l.confirmed }
-func (l *fakeLog) CommitIndex() uint64        { return l.commit }
+func (l *fakeLog) Term() uint64                      { return l.group.term }
+func (l *fakeLog) Confirmation() (time.Time, uint64) { return l.confirmed, l.commit }
 
 // member is one reducer on a fakeLog.
 type member struct {
