--- a/attempts/event.go
+++ b/attempts/event.go
@@ -1,6 +1,10 @@
 package attempts
 
-import "gypsumshelf.example/gypsumshelf"
+import (
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+)
 
 // Arrived is the event of a request that a caller has sent.
 type Arrived struct{ Request gypsumshelf.Request }
@@ -15,6 +19,8 @@
 type Ended struct {
 	Attempt  gypsumshelf.AttemptID
 	Position int // tokens delivered to the caller in all
+	// Outcome is the answer of a keyed call, nil for all other requests.
+	Outcome *Outcome
 }
 
 // Failed is the event of an attempt that ended without a whole answer.
@@ -22,11 +28,17 @@
 	Attempt  gypsumshelf.AttemptID
 	Position int // tokens delivered to the caller in all
 	Failure  *gypsumshelf.Error
+	Broken   bool // the connection was reset or closed in mid-attempt
+	Dead     bool // a probe on a new connection got no answer from the server
 }
 
-// CallerGone is the event of a caller that closed its connection.
+// CallerGone is the event of a caller that closed its connection or does not
+// read its answer.
 type CallerGone struct{ Request gypsumshelf.RequestID }
 
+// Stop is the event of the first stop signal: the daemon takes no new requests.
+type Stop struct{}
+
 // EventName implements gypsumshelf.Event.
 func (Arrived) EventName() string { return "request-arrived" }
 
@@ -45,6 +57,9 @@
 // EventName implements gypsumshelf.Event.
 func (CallerGone) EventName() string { return "caller-gone" }
 
+// EventName implements gypsumshelf.Event.
+func (Stop) EventName() string { return "stop" }
+
 // Start is the effect that runs an attempt.
 type Start struct {
 	Request  gypsumshelf.RequestID
@@ -53,6 +68,26 @@
 	Address  string
 	Priority int // smaller is more urgent
 	Resume   int // position of the first token wanted
+	// Answer is the time by which the answer must have begun; past it another
+	// attempt still has time to finish.
+	Answer   time.Time
+	Deadline time.Time // time by which the request ends
+	Last     bool      // no other attempt can follow, the body may be dropped once sent
+}
+
+// Cancel is the effect that makes an engine drop an attempt whose answer is no
+// longer wanted, so that its memory comes back.
+type Cancel struct {
+	Attempt gypsumshelf.AttemptID
+	Server  gypsumshelf.ServerID
+	Address string
+}
+
+// Abort is the effect that ends an attempt whose backend server has restarted:
+// its connection may stay silent instead of being reset.
+type Abort struct {
+	Request gypsumshelf.RequestID
+	Attempt gypsumshelf.AttemptID
 }
 
 // Refuse is the effect that ends a request with an error.
@@ -72,3 +107,9 @@
 
 // EffectName implements gypsumshelf.Effect.
 func (Finish) EffectName() string { return "finish-request" }
+
+// EffectName implements gypsumshelf.Effect.
+func (Cancel) EffectName() string { return "cancel-attempt" }
+
+// EffectName implements gypsumshelf.Effect.
+func (Abort) EffectName() string { return "abort-attempt" }
--- /dev/null
+++ b/attempts/record.go
@@ -0,0 +1,112 @@
+package attempts
+
+import (
+	"fmt"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+)
+
+// Attempt is one try of a request on one backend server.
+type Attempt struct {
+	id          gypsumshelf.AttemptID
+	server      gypsumshelf.ServerID
+	address     string
+	incarnation string
+	started     time.Time
+	sent        bool
+	start       int // position of the first token wanted
+	position    int // tokens delivered when the attempt ended
+}
+
+// ID returns the attempt's id.
+func (a *Attempt) ID() gypsumshelf.AttemptID { return a.id }
+
+// Server returns the backend server of the attempt.
+func (a *Attempt) Server() gypsumshelf.ServerID { return a.server }
+
+// Address returns the IP:PORT of the attempt's backend server.
+func (a *Attempt) Address() string { return a.address }
+
+// Incarnation returns the incarnation of the server that the attempt ran on.
+func (a *Attempt) Incarnation() string { return a.incarnation }
+
+// Record is the state of one request.
+type Record struct {
+	request  gypsumshelf.Request
+	attempts []*Attempt
+	running  *Attempt
+	verdict  gypsumshelf.Verdict // worst verdict of the attempts that ended
+	position int                 // tokens delivered to the caller
+	retryAt  time.Time           // zero unless a retry is waiting
+	heldAt   time.Time           // start of a suspect's wait for a server without other work
+	key      keyState
+	ended    time.Time
+	notes    []Note
+}
+
+// Request returns the request.
+func (r *Record) Request() gypsumshelf.Request { return r.request }
+
+// Position returns the number of tokens delivered to the caller.
+func (r *Record) Position() int { return r.position }
+
+// Running returns the attempt in progress, or nil.
+func (r *Record) Running() *Attempt { return r.running }
+
+// Attempts returns all attempts of the request in order.
+func (r *Record) Attempts() []*Attempt { return r.attempts }
+
+// Closed reports whether the request has ended.
+func (r *Record) Closed() bool { return !r.ended.IsZero() }
+
+// Verdict returns the verdict over all attempts so far. An attempt in progress
+// counts as may-have-run from its start, because the driver's report that it
+// has sent bytes may still be waiting in the event backlog. So does a key whose
+// record has not been confirmed: another daemon may be running it.
+func (r *Record) Verdict() gypsumshelf.Verdict {
+	if r.running != nil || r.key == keyPending {
+		return r.verdict.Worse(gypsumshelf.MayHaveRun)
+	}
+	return r.verdict
+}
+
+// Waited returns how long the request has waited for a backend server without
+// other work; the first call starts the wait.
+func (r *Record) Waited(now time.Time) time.Duration {
+	if r.heldAt.IsZero() {
+		r.heldAt = now
+	}
+	return now.Sub(r.heldAt)
+}
+
+// LastServer returns the backend server of the latest attempt, or "".
+func (r *Record) LastServer() gypsumshelf.ServerID {
+	if len(r.attempts) == 0 {
+		return ""
+	}
+	return r.attempts[len(r.attempts)-1].server
+}
+
+// Tried reports whether an attempt was made on the server.
+func (r *Record) Tried(id gypsumshelf.ServerID) bool {
+	for _, a := range r.attempts {
+		if a.server == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Note is one line of a request's explanation.
+type Note struct {
+	At   time.Time `json:"at"`
+	Text string    `json:"text"`
+}
+
+// Note adds a line to the request's explanation.
+func (r *Record) Note(now time.Time, format string, args ...any) { r.note(now, format, args...) }
+
+func (r *Record) note(now time.Time, format string, args ...any) {
+	r.notes = append(r.notes, Note{At: now, Text: fmt.Sprintf(format, args...)})
+}
--- a/attempts/table.go
+++ b/attempts/table.go
@@ -3,7 +3,9 @@
 package attempts
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
@@ -13,78 +15,36 @@
 type Config struct {
 	MaxAttempts int           // attempts of one request in all
 	Keep        time.Duration // time for which ended requests can be explained
-}
-
-// Attempt is one try of a request on one backend server.
-type Attempt struct {
-	id       gypsumshelf.AttemptID
-	server   gypsumshelf.ServerID
-	started  time.Time
-	sent     bool
-	position int // tokens delivered when the attempt ended
-}
-
-// ID returns the attempt's id.
-func (a *Attempt) ID() gypsumshelf.AttemptID { return a.id }
-
-// Server returns the backend server of the attempt.
-func (a *Attempt) Server() gypsumshelf.ServerID { return a.server }
-
-// Record is the state of one request.
-type Record struct {
-	request  gypsumshelf.Request
-	attempts []*Attempt
-	running  *Attempt
-	verdict  gypsumshelf.Verdict
-	position int // tokens delivered to the caller
-	ended    time.Time
-	notes    []Note
-}
-
-// Request returns the request.
-func (r *Record) Request() gypsumshelf.Request { return r.request }
-
-// Position returns the number of tokens delivered to the caller.
-func (r *Record) Position() int { return r.position }
-
-// Running returns the attempt in progress, or nil.
-func (r *Record) Running() *Attempt { return r.running }
-
-// Verdict returns the verdict over all attempts so far.
-func (r *Record) Verdict() gypsumshelf.Verdict { return r.verdict }
-
-// Tried reports whether an attempt was made on the server.
-func (r *Record) Tried(id gypsumshelf.ServerID) bool {
-	for _, a := range r.attempts {
-		if a.server == id {
-			return true
-		}
-	}
-	return false
-}
-
-// Note is one line of a request's explanation.
-type Note struct {
-	At   time.Time `json:"at"`
-	Text string    `json:"text"`
+	Retries     BudgetConfig
+	Suspects    SuspectsConfig
 }
 
 // Table holds the requests of a daemon.
 type Table struct {
-	cfg     Config
-	records map[gypsumshelf.RequestID]*Record
-	byTry   map[gypsumshelf.AttemptID]*Record
+	cfg      Config
+	records  map[gypsumshelf.RequestID]*Record
+	open     map[gypsumshelf.RequestID]*Record
+	ended    []*Record // in the order of their ends
+	byTry    map[gypsumshelf.AttemptID]*Record
+	budget   *Budget
+	suspects *Suspects
 }
 
 // New returns an empty Table.
 func New(cfg Config) *Table {
 	return &Table{
-		cfg:     cfg,
-		records: map[gypsumshelf.RequestID]*Record{},
-		byTry:   map[gypsumshelf.AttemptID]*Record{},
+		cfg:      cfg,
+		records:  map[gypsumshelf.RequestID]*Record{},
+		open:     map[gypsumshelf.RequestID]*Record{},
+		byTry:    map[gypsumshelf.AttemptID]*Record{},
+		budget:   NewBudget(cfg.Retries),
+		suspects: NewSuspects(cfg.Suspects),
 	}
 }
 
+// Suspects returns the table of body hashes that crashed backend servers.
+func (t *Table) Suspects() *Suspects { return t.suspects }
+
 // Open adds an arrived request. It returns nil when the id is in use.
 func (t *Table) Open(now time.Time, req gypsumshelf.Request) *Record {
 	if t.records[req.ID] != nil {
@@ -92,6 +52,7 @@
 	}
 	r := &Record{request: req}
 	t.records[req.ID] = r
+	t.open[req.ID] = r
 	r.note(now, "arrived: class %s, workspace %s, about %d prompt tokens", req.Class.Name, req.Workspace, req.PromptTokens)
 	return r
 }
@@ -99,114 +60,181 @@
 // Record returns the record of a request, or nil.
 func (t *Table) Record(id gypsumshelf.RequestID) *Record { return t.records[id] }
 
-// Begin adds an attempt of the request on a backend server.
-func (t *Table) Begin(now time.Time, r *Record, server gypsumshelf.ServerID) *Attempt {
+// Target is the backend server of a new attempt.
+type Target struct {
+	Server      gypsumshelf.ServerID
+	Address     string
+	Incarnation string
+}
+
+// Begin adds an attempt of the request on a backend server. It panics when an
+// attempt is in progress and when a non-idempotent request may have run.
+func (t *Table) Begin(now time.Time, r *Record, target Target) *Attempt {
+	invariant(!r.Closed(), "request %s has ended", r.request.ID)
+	invariant(r.running == nil, "request %s has an attempt in progress", r.request.ID)
+	invariant(r.request.Idempotent || r.verdict == gypsumshelf.NotRun, "request %s may run only once", r.request.ID)
+	invariant(r.key != keyPending, "request %s starts before its key is recorded", r.request.ID)
 	a := &Attempt{
-		id:      gypsumshelf.AttemptID(fmt.Sprintf("%s.%d", r.request.ID, len(r.attempts)+1)),
-		server:  server,
-		started: now,
+		id:     gypsumshelf.AttemptID(fmt.Sprintf("%s.%d", r.request.ID, len(r.attempts)+1)),
+		server: target.Server, address: target.Address, incarnation: target.Incarnation,
+		started: now, start: r.position,
 	}
 	r.attempts = append(r.attempts, a)
 	r.running = a
+	r.heldAt = time.Time{}
 	t.byTry[a.id] = r
+	if len(r.attempts) == 1 {
+		t.budget.Earn(now, BudgetKey(r.request))
+	}
 	return a
 }
 
+// Last reports whether no attempt may follow the one in progress.
+func (t *Table) Last(r *Record) bool { return len(r.attempts) >= t.cfg.MaxAttempts }
+
+// Attempt returns the record and the attempt in progress with the id, or nil.
+func (t *Table) Attempt(id gypsumshelf.AttemptID) (*Record, *Attempt) {
+	r := t.byTry[id]
+	if r == nil || r.running == nil || r.running.id != id {
+		return nil, nil
+	}
+	return r, r.running
+}
+
 // Sent records that bytes of the attempt may have reached the backend server.
 func (t *Table) Sent(id gypsumshelf.AttemptID) {
-	if r := t.byTry[id]; r != nil && r.running != nil && r.running.id == id {
-		r.running.sent = true
-		r.verdict = r.verdict.Worse(gypsumshelf.MayHaveRun)
+	if _, a := t.Attempt(id); a != nil {
+		a.sent = true
 	}
 }
 
 // FirstToken records the first token of an attempt.
 func (t *Table) FirstToken(now time.Time, id gypsumshelf.AttemptID) {
-	if r := t.byTry[id]; r != nil && r.running != nil && r.running.id == id {
-		r.note(now, "first token of %s from %s after %s", id, r.running.server, now.Sub(r.running.started))
+	if r, a := t.Attempt(id); a != nil {
+		r.note(now, "first token of %s from %s after %s", id, a.server, now.Sub(a.started))
 	}
 }
 
 // Ended records that an attempt delivered its whole answer.
 func (t *Table) Ended(now time.Time, id gypsumshelf.AttemptID, position int) *Record {
-	r := t.release(id, position)
+	r, a := t.release(id, position)
 	if r == nil {
 		return nil
 	}
 	r.verdict = gypsumshelf.Ran
-	t.Close(now, r, "answered in full by %s after %d tokens", r.attempts[len(r.attempts)-1].server, position)
+	t.Close(now, r, "answered in full by %s after %d tokens", a.server, position)
 	return r
 }
 
 // Failed records that an attempt failed. It reports whether the request may be
-// tried again elsewhere.
-func (t *Table) Failed(now time.Time, id gypsumshelf.AttemptID, position int, failure *gypsumshelf.Error) (r *Record, retry bool) {
-	r = t.release(id, position)
+// tried again elsewhere; the retry budget has then been charged.
+func (t *Table) Failed(now time.Time, e Failed) (r *Record, retry bool) {
+	r, a := t.release(e.Attempt, e.Position)
 	if r == nil {
 		return nil, false
 	}
-	a := r.attempts[len(r.attempts)-1]
-	r.note(now, "%s on %s failed: %s", id, a.server, failure)
-	if failure.Verdict == gypsumshelf.NotRun && len(r.attempts) == 1 {
-		r.verdict = gypsumshelf.NotRun
+	r.note(now, "%s on %s failed: %s", e.Attempt, a.server, e.Failure)
+	verdict := e.Failure.Verdict
+	if e.Position > a.start {
+		verdict = verdict.Worse(gypsumshelf.MayHaveRun)
+	}
+	r.verdict = r.verdict.Worse(verdict)
+	return r, t.mayRetry(now, r, e.Failure.Code)
+}
+
+func (t *Table) mayRetry(now time.Time, r *Record, code gypsumshelf.Code) bool {
+	switch {
+	case code == gypsumshelf.CodeCallerGone, code == gypsumshelf.CodeBadRequest, code == gypsumshelf.CodeDeadline:
+		return false
+	case !r.request.Idempotent && r.verdict != gypsumshelf.NotRun:
+		return false
+	case r.request.Model == "" && r.position > 0:
+		return false // a plain service cannot resume an answer that has begun
+	case len(r.attempts) >= t.cfg.MaxAttempts, !now.Before(r.request.Deadline()):
+		return false
 	}
-	r.verdict = r.verdict.Worse(failure.Verdict)
-	repeatable := r.request.Idempotent || r.verdict == gypsumshelf.NotRun
-	retry = repeatable && len(r.attempts) < t.cfg.MaxAttempts && now.Before(r.request.Deadline())
-	return r, retry
+	if !t.budget.Spend(now, BudgetKey(r.request)) {
+		r.note(now, "not retried: the retry budget of %s is spent", BudgetKey(r.request))
+		return false
+	}
+	return true
 }
 
-func (t *Table) release(id gypsumshelf.AttemptID, position int) *Record {
-	r := t.byTry[id]
-	if r == nil || r.running == nil || r.running.id != id {
-		return nil
+// Postpone makes the request wait for its retry with full jitter.
+func (t *Table) Postpone(now time.Time, r *Record) {
+	r.retryAt = now.Add(t.budget.Delay(len(r.attempts)))
+}
+
+// Due returns the requests whose retry is due, in the order of their ids.
+func (t *Table) Due(now time.Time) []*Record {
+	return t.filter(func(r *Record) bool {
+		if r.retryAt.IsZero() || now.Before(r.retryAt) {
+			return false
+		}
+		r.retryAt = time.Time{}
+		return true
+	})
+}
+
+func (t *Table) release(id gypsumshelf.AttemptID, position int) (*Record, *Attempt) {
+	r, a := t.Attempt(id)
+	if r == nil {
+		return nil, nil
 	}
+	invariant(position >= r.position, "request %s went back from token %d to %d", r.request.ID, r.position, position)
 	delete(t.byTry, id)
-	r.running.position = position
-	r.position = max(r.position, position)
+	a.position = position
+	r.position = position
 	r.running = nil
-	return r
+	return r, a
 }
 
-// Close ends a request; its record is kept for Config.Keep.
-func (t *Table) Close(now time.Time, r *Record, format string, args ...any) {
-	if r.running != nil {
-		delete(t.byTry, r.running.id)
+// Close ends a request; its record is kept for Config.Keep. It returns the
+// attempt that was in progress, or nil.
+func (t *Table) Close(now time.Time, r *Record, format string, args ...any) *Attempt {
+	interrupted := r.running
+	if interrupted != nil {
+		r.verdict = r.Verdict()
+		delete(t.byTry, interrupted.id)
 		r.running = nil
 	}
 	r.ended = now
+	r.retryAt = time.Time{}
+	delete(t.open, r.request.ID)
+	t.ended = append(t.ended, r)
 	r.note(now, format, args...)
+	return interrupted
 }
 
 // Overdue returns the open requests whose deadline has passed.
 func (t *Table) Overdue(now time.Time) []*Record {
-	var late []*Record
-	for _, r := range t.records {
-		if r.ended.IsZero() && !now.Before(r.request.Deadline()) {
-			late = append(late, r)
-		}
-	}
-	return late
+	return t.filter(func(r *Record) bool { return !now.Before(r.request.Deadline()) })
 }
 
-// Active returns the number of requests that have not ended.
-func (t *Table) Active() int {
-	n := 0
-	for _, r := range t.records {
-		if r.ended.IsZero() {
-			n++
+// Open requests in the order of their ids.
+func (t *Table) filter(keep func(*Record) bool) []*Record {
+	var some []*Record
+	for _, r := range t.open {
+		if keep(r) {
+			some = append(some, r)
 		}
 	}
-	return n
+	slices.SortFunc(some, func(a, b *Record) int { return cmp.Compare(a.request.ID, b.request.ID) })
+	return some
 }
 
+// Active returns the requests that have not ended, in the order of their ids.
+func (t *Table) Active() []*Record { return t.filter(func(*Record) bool { return true }) }
+
 // Expire forgets requests that ended more than Config.Keep ago.
 func (t *Table) Expire(now time.Time) {
-	for id, r := range t.records {
-		if !r.ended.IsZero() && now.Sub(r.ended) > t.cfg.Keep {
-			delete(t.records, id)
-		}
+	n := 0
+	for n < len(t.ended) && now.Sub(t.ended[n].ended) > t.cfg.Keep {
+		delete(t.records, t.ended[n].request.ID)
+		n++
 	}
+	t.ended = slices.Delete(t.ended, 0, n)
+	t.suspects.Expire(now)
 }
 
 // Explain returns the notes of a request, or nil when it is not known.
@@ -217,12 +245,10 @@
 	return nil
 }
 
-// Note adds a line to the request's explanation.
-func (r *Record) Note(now time.Time, format string, args ...any) { r.note(now, format, args...) }
-
-func (r *Record) note(now time.Time, format string, args ...any) {
-	r.notes = append(r.notes, Note{At: now, Text: fmt.Sprintf(format, args...)})
+// invariant panics when a rule that every caller of the package must keep is
+// broken; going on could run work twice or mix up answers.
+func invariant(ok bool, format string, args ...any) {
+	if !ok {
+		panic("attempts: invariant broken: " + fmt.Sprintf(format, args...))
+	}
 }
-
-// Attempts returns all attempts of the request in order.
-func (r *Record) Attempts() []*Attempt { return r.attempts }
--- a/cmd/gypsumshelf/serve.go
+++ b/cmd/gypsumshelf/serve.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
 	"gypsumshelf.example/gypsumshelf/daemons"
@@ -18,6 +21,7 @@
 		Short: "Run one daemon",
 		Args:  cobra.NoArgs,
 		RunE: run(func(*cobra.Command, []string) error {
+			logrus.SetFormatter(&logrus.JSONFormatter{})
 			s, err := settings.Load(path)
 			if err != nil {
 				return err
@@ -29,11 +33,42 @@
 			signals := make(chan os.Signal, 2)
 			signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 			<-signals
-			instance.Close()
-			return nil
+			return stop(instance, signals)
 		}),
 	}
 	cmd.Flags().StringVar(&path, "config", "", "settings file")
 	_ = cmd.MarkFlagRequired("config")
 	return cmd
 }
+
+// stop shuts the daemon down gracefully; a second signal interrupts the
+// requests that are still in progress and logs them.
+func stop(instance *daemons.Instance, signals <-chan os.Signal) error {
+	logrus.Info("stopping: requests in progress go on up to their deadlines")
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	w := &signalWait{signals: signals, cancel: cancel}
+	go w.run(ctx)
+	err := instance.Shutdown(ctx)
+	if err != nil {
+		for _, id := range instance.Interrupted() {
+			logrus.WithField("request-id", id).Warn("request interrupted by a second stop signal")
+		}
+	}
+	instance.Close()
+	return err
+}
+
+// signalWait cancels a graceful shutdown at the next signal.
+type signalWait struct {
+	signals <-chan os.Signal
+	cancel  context.CancelCauseFunc
+}
+
+func (w *signalWait) run(ctx context.Context) {
+	select {
+	case <-w.signals:
+		w.cancel(errors.New("second stop signal"))
+	case <-ctx.Done():
+	}
+}
--- a/daemons/instance.go
+++ b/daemons/instance.go
@@ -38,6 +38,7 @@
 	links    *peers.Links
 	servers  []*http.Server
 	handler  *entries.Handler
+	cancels  *engines.Canceller
 }
 
 // Start opens the listeners of a daemon and runs it.
@@ -58,14 +59,7 @@
 	if err := in.openPeers(); err != nil {
 		return nil, err
 	}
-	in.handler = entries.New(entries.Config{
-		Engine: engines.NewClient(engines.ClientConfig{DialTimeout: s.Limits.DialTimeout.Std()}),
-		Submit: in.daemon.Submit, Ready: in.ready, Class: in.class,
-		Workspaces: s.Workspaces, MaxBodyBytes: s.Limits.MaxBodyBytes, Now: in.timers.Now,
-	})
-	Carry(in.daemon, in.handler.Start)
-	Carry(in.daemon, in.handler.Refuse)
-	Carry(in.daemon, in.handler.Finish)
+	in.openEntries()
 	Carry(in.daemon, in.forward)
 	in.daemon.Run()
 	if err := in.openHTTP(); err != nil {
@@ -133,19 +127,26 @@
 	}
 	in.links.Close()
 	in.daemon.Close()
+	in.cancels.Close()
 	in.timers.Close()
 }
 
 func (in *Instance) receive(e peers.Envelope) {
-	if a, ok := e.Payload.(gypsumshelf.Announcement); ok {
-		in.daemon.Submit(servers.Announced{Announcement: a, Forwarded: true})
+	switch p := e.Payload.(type) {
+	case gypsumshelf.Announcement:
+		in.daemon.Submit(servers.Announced{Announcement: p, Forwarded: true})
+	case attempts.Suspicion:
+		in.daemon.Submit(attempts.Suspected{Suspicion: p})
+	case attempts.Quarantine:
+		in.daemon.Submit(attempts.Quarantined(p))
 	}
 }
 
 func (in *Instance) forward(e servers.Forward) { in.links.Broadcast(e.Announcement) }
 
 func (in *Instance) ready(ctx context.Context) bool {
-	return in.daemon.Query(ctx, func(*Reducer) {})
+	ready := false
+	return in.daemon.Query(ctx, func(r *Reducer) { ready = !r.stopping }) && ready
 }
 
 func (in *Instance) class(_ context.Context, name string) (gypsumshelf.Class, bool) {
--- a/daemons/reducer.go
+++ b/daemons/reducer.go
@@ -31,6 +31,8 @@
 	queue    admissions.Queue
 	handlers map[reflect.Type]func(time.Time, gypsumshelf.Event)
 	out      []gypsumshelf.Effect
+	stopping bool
+	trials   map[gypsumshelf.ServerID]gypsumshelf.AttemptID // suspects that run apart from other work
 }
 
 // NewReducer returns a Reducer without any backend server or request.
@@ -40,6 +42,7 @@
 		servers:  servers.New(cfg.Servers),
 		attempts: attempts.New(cfg.Attempts),
 		handlers: map[reflect.Type]func(time.Time, gypsumshelf.Event){},
+		trials:   map[gypsumshelf.ServerID]gypsumshelf.AttemptID{},
 	}
 	on(r, r.tick)
 	r.registerServers()
@@ -72,10 +75,8 @@
 func (r *Reducer) emit(e gypsumshelf.Effect) { r.out = append(r.out, e) }
 
 func (r *Reducer) tick(now time.Time, _ Tick) {
-	for _, rec := range r.attempts.Overdue(now) {
-		r.refuse(now, rec, gypsumshelf.Errorf(rec.Verdict(), gypsumshelf.CodeDeadline,
-			"not finished within %s of class %s", rec.Request().Class.Target.Finish, rec.Request().Class.Name))
-	}
+	r.refuseOverdue(now)
+	r.queueRetries(now)
 	r.attempts.Expire(now)
 	r.servers.Expire(now)
 	r.dispatch(now)
--- a/daemons/requests.go
+++ b/daemons/requests.go
@@ -14,21 +14,34 @@
 	on(r, r.ended)
 	on(r, r.failed)
 	on(r, r.callerGone)
+	on(r, func(time.Time, attempts.Stop) { r.stopping = true })
+	r.registerKeys()
+	r.registerSuspects()
 }
 
 func (r *Reducer) arrived(now time.Time, e attempts.Arrived) {
 	req := e.Request
+	if r.stopping {
+		r.emit(attempts.Refuse{Request: req.ID, Err: gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeStopping, "daemon %s is stopping", r.cfg.Daemon)})
+		return
+	}
 	rec := r.attempts.Open(now, req)
 	if rec == nil {
 		r.emit(attempts.Refuse{Request: req.ID, Err: gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeBadRequest, "request id %q is in use", req.ID)})
 		return
 	}
+	if r.refuseGuilty(now, rec) {
+		return
+	}
 	if !r.servers.Knows(req.Service, req.Model) {
 		r.refuse(now, rec, unknownTarget(req))
 		return
 	}
-	r.queue.Push(req)
-	r.dispatch(now)
+	if attempts.Keyed(req) {
+		r.askKey(rec)
+		return
+	}
+	r.enqueue(now, rec)
 }
 
 func unknownTarget(req gypsumshelf.Request) *gypsumshelf.Error {
@@ -38,52 +51,131 @@
 	return gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeUnknownService, "no backend server serves service %q", req.Service)
 }
 
+func (r *Reducer) enqueue(now time.Time, rec *attempts.Record) {
+	r.queue.Push(rec.Request())
+	r.dispatch(now)
+}
+
+// begin records an attempt of the request on a backend server.
+func (r *Reducer) begin(now time.Time, rec *attempts.Record, server gypsumshelf.Announcement) *attempts.Attempt {
+	a := r.attempts.Begin(now, rec, attempts.Target{
+		Server: server.Server, Address: server.Address, Incarnation: server.Incarnation,
+	})
+	if r.attempts.Suspects().Suspect(rec.Request().BodyHash) {
+		r.trials[a.Server()] = a.ID()
+	}
+	return a
+}
+
+// startEffect returns the effect that runs the attempt. While another attempt
+// may follow, the answer must begin in half of the time left.
+func (r *Reducer) startEffect(now time.Time, rec *attempts.Record, a *attempts.Attempt) attempts.Start {
+	req := rec.Request()
+	answer := req.Deadline()
+	last := r.attempts.Last(rec)
+	if !last && req.Idempotent {
+		answer = now.Add(req.Deadline().Sub(now) / 2)
+	}
+	return attempts.Start{
+		Request: req.ID, Attempt: a.ID(), Server: a.Server(), Address: a.Address(),
+		Priority: int(req.FirstTokenDeadline().Sub(now).Milliseconds()),
+		Resume:   rec.Position(), Answer: answer, Deadline: req.Deadline(), Last: last,
+	}
+}
+
 func (r *Reducer) ended(now time.Time, e attempts.Ended) {
 	rec := r.attempts.Ended(now, e.Attempt, e.Position)
 	if rec == nil {
 		return
 	}
 	r.release(rec)
+	r.clear(now, rec)
+	outcome := attempts.Outcome{Verdict: gypsumshelf.Ran, Truncated: true}
+	if e.Outcome != nil {
+		outcome = *e.Outcome
+	}
+	r.finishKey(rec, outcome)
 	r.emit(attempts.Finish{Request: rec.Request().ID})
 	r.dispatch(now)
 }
 
 func (r *Reducer) failed(now time.Time, e attempts.Failed) {
-	rec, retry := r.attempts.Failed(now, e.Attempt, e.Position, e.Failure)
+	_, a := r.attempts.Attempt(e.Attempt)
+	rec, retry := r.attempts.Failed(now, e)
 	if rec == nil {
 		return
 	}
 	r.release(rec)
-	if retry {
-		r.queue.Push(rec.Request())
-	} else {
-		failure := *e.Failure
-		failure.Verdict = rec.Verdict()
-		r.refuse(now, rec, &failure)
+	if e.Failure.Verdict != gypsumshelf.NotRun {
+		r.cancel(rec, a)
+	}
+	switch guilty := r.collectEvidence(now, rec, a, e); {
+	case guilty:
+		// Ends when the quarantine is recorded, so that the caller cannot send
+		// the request again to a daemon that has not heard of it.
+		rec.Note(now, "waits for the quarantine of its body to be recorded")
+	case retry:
+		r.attempts.Postpone(now, rec)
+		r.queueRetries(now)
+	default:
+		r.refuse(now, rec, e.Failure)
 	}
 	r.dispatch(now)
 }
 
+// queueRetries puts the requests whose retry is due back into the queue.
+func (r *Reducer) queueRetries(now time.Time) {
+	for _, rec := range r.attempts.Due(now) {
+		r.queue.Push(rec.Request())
+	}
+}
+
+func (r *Reducer) refuseOverdue(now time.Time) {
+	for _, rec := range r.attempts.Overdue(now) {
+		r.refuse(now, rec, gypsumshelf.Errorf(rec.Verdict(), gypsumshelf.CodeDeadline,
+			"not finished within %s of class %s", rec.Request().Class.Target.Finish, rec.Request().Class.Name))
+	}
+}
+
 func (r *Reducer) callerGone(now time.Time, e attempts.CallerGone) {
 	rec := r.attempts.Record(e.Request)
-	if rec == nil {
+	if rec == nil || rec.Closed() {
 		return
 	}
-	r.queue.Remove(e.Request)
-	r.release(rec)
-	r.attempts.Close(now, rec, "caller closed the connection")
+	r.end(now, rec, "caller closed the connection or stopped reading")
 	r.dispatch(now)
 }
 
+// refuse ends a request with an error whose verdict covers all its attempts.
 func (r *Reducer) refuse(now time.Time, rec *attempts.Record, err *gypsumshelf.Error) {
+	refusal := *err
+	refusal.Verdict = err.Verdict.Worse(rec.Verdict())
+	r.end(now, rec, "ended with %s", &refusal)
+	r.emit(attempts.Refuse{Request: rec.Request().ID, Err: &refusal})
+}
+
+// end closes a request before its answer is whole.
+func (r *Reducer) end(now time.Time, rec *attempts.Record, format string, args ...any) {
 	r.queue.Remove(rec.Request().ID)
 	r.release(rec)
-	r.attempts.Close(now, rec, "ended with %s", err)
-	r.emit(attempts.Refuse{Request: rec.Request().ID, Err: err})
+	if a := r.attempts.Close(now, rec, format, args...); a != nil {
+		r.cancel(rec, a)
+	}
+	r.finishKey(rec, attempts.Outcome{Verdict: rec.Verdict()})
+}
+
+// cancel makes the engine drop an attempt. Plain services have no such call.
+func (r *Reducer) cancel(rec *attempts.Record, a *attempts.Attempt) {
+	if rec.Request().Model != "" {
+		r.emit(attempts.Cancel{Attempt: a.ID(), Server: a.Server(), Address: a.Address()})
+	}
 }
 
 func (r *Reducer) release(rec *attempts.Record) {
 	for _, a := range rec.Attempts() {
 		r.servers.Ended(a.Server(), a.ID())
+		if r.trials[a.Server()] == a.ID() {
+			delete(r.trials, a.Server())
+		}
 	}
 }
--- a/daemons/routing.go
+++ b/daemons/routing.go
@@ -12,7 +12,7 @@
 func (r *Reducer) registerServers() { on(r, r.announced) }
 
 func (r *Reducer) announced(now time.Time, e servers.Announced) {
-	r.servers.Announce(now, e.Announcement)
+	r.restarted(now, e.Announcement, r.servers.Announce(now, e.Announcement))
 	if !e.Forwarded {
 		r.emit(servers.Forward{Announcement: e.Announcement})
 	}
@@ -29,28 +29,20 @@
 
 func (r *Reducer) start(now time.Time, rec *attempts.Record) bool {
 	req := rec.Request()
-	ready := r.servers.Ready(now, req.Service, req.Model)
+	ready := r.eligible(now, rec, r.servers.Ready(now, req.Service, req.Model))
 	candidates := make([]routes.Candidate, 0, len(ready))
 	for _, s := range ready {
-		if !rec.Tried(s.Announcement().Server) {
-			candidates = append(candidates, candidate(s))
-		}
+		candidates = append(candidates, candidate(s))
 	}
 	i, ok := r.cfg.Policy.Choose(now, req, candidates)
 	if !ok {
 		return false
 	}
-	server := r.servers.Server(candidates[i].Server)
-	a := r.attempts.Begin(now, rec, candidates[i].Server)
+	a := r.begin(now, rec, r.servers.Server(candidates[i].Server).Announcement())
 	rec.Note(now, "routed to %s in %s: %d of %d candidates, %d tokens in progress", a.Server(),
 		candidates[i].DataCentre, i+1, len(candidates), candidates[i].Tokens)
 	r.servers.Started(a.Server(), a.ID(), req.PromptTokens+req.MaxTokens)
-	r.emit(attempts.Start{
-		Request: req.ID, Attempt: a.ID(), Server: a.Server(),
-		Address:  server.Announcement().Address,
-		Priority: int(req.FirstTokenDeadline().Sub(now).Milliseconds()),
-		Resume:   rec.Position(),
-	})
+	r.emit(r.startEffect(now, rec, a))
 	return true
 }
 
--- /dev/null
+++ b/daemons/stop.go
@@ -0,0 +1,55 @@
+package daemons
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/attempts"
+)
+
+// stopPoll is the time between two looks at the requests in progress.
+const stopPoll = 20 * time.Millisecond
+
+// Shutdown stops the daemon gracefully: it takes no new requests and returns
+// nil once all requests in progress have ended, which they do by their
+// deadlines. When ctx ends first it returns an error; Interrupted then lists
+// the requests that Close will interrupt.
+func (in *Instance) Shutdown(ctx context.Context) error {
+	in.daemon.Submit(attempts.Stop{})
+	ticker := time.NewTicker(stopPoll)
+	defer ticker.Stop()
+	for {
+		open, ok := in.open(ctx)
+		if ok && len(open) == 0 && in.handler.Open() == 0 {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%d requests in progress: %w", len(open), context.Cause(ctx))
+		case <-ticker.C:
+		}
+	}
+	for _, s := range in.servers {
+		if err := s.Shutdown(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Interrupted returns the requests in progress.
+func (in *Instance) Interrupted() []gypsumshelf.RequestID {
+	open, _ := in.open(context.Background())
+	return open
+}
+
+func (in *Instance) open(ctx context.Context) (ids []gypsumshelf.RequestID, ok bool) {
+	ok = in.daemon.Query(ctx, func(r *Reducer) {
+		for _, rec := range r.attempts.Active() {
+			ids = append(ids, rec.Request().ID)
+		}
+	})
+	return ids, ok
+}
--- /dev/null
+++ b/daemons/suspects.go
@@ -0,0 +1,155 @@
+package daemons
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/servers"
+)
+
+func (r *Reducer) registerSuspects() {
+	on(r, r.suspected)
+	on(r, r.quarantined)
+}
+
+// collectEvidence weighs a failed attempt and reports whether the body of its
+// request must be quarantined.
+func (r *Reducer) collectEvidence(now time.Time, rec *attempts.Record, a *attempts.Attempt, e attempts.Failed) bool {
+	if !e.Broken {
+		return false
+	}
+	crash := attempts.Crash{Server: a.Server(), Incarnation: a.Incarnation()}
+	current := r.servers.Server(a.Server())
+	restarted := current != nil && current.Announcement().Incarnation != a.Incarnation()
+	if e.Dead || restarted {
+		return r.crashed(now, rec.Request().BodyHash, crash)
+	}
+	r.attempts.Suspects().Broke(now, rec.Request().BodyHash, crash)
+	return false
+}
+
+// crashed records a crash and reports whether the hash is guilty of it.
+func (r *Reducer) crashed(now time.Time, hash uint64, crash attempts.Crash) bool {
+	suspects := r.attempts.Suspects()
+	fresh, guilty := suspects.Crashed(now, hash, crash)
+	if fresh {
+		r.emit(attempts.ShareSuspicion{Suspicion: attempts.Suspicion{Hash: hash, Crash: crash}})
+	}
+	if guilty {
+		r.emit(attempts.Quarantine{Hash: hash, Until: suspects.QuarantineUntil(now)})
+	}
+	return guilty
+}
+
+// restarted handles a new incarnation of a backend server: attempts on the
+// earlier one cannot go on, and connections that broke were a crash.
+func (r *Reducer) restarted(now time.Time, server gypsumshelf.Announcement, lost []gypsumshelf.AttemptID) {
+	for _, id := range lost {
+		if rec, a := r.attempts.Attempt(id); a != nil {
+			r.emit(attempts.Abort{Request: rec.Request().ID, Attempt: id})
+		}
+	}
+	confirmed := r.attempts.Suspects().Restarted(now, server.Server, server.Incarnation)
+	for _, hash := range slices.Sorted(maps.Keys(confirmed)) {
+		r.crashed(now, hash, confirmed[hash])
+	}
+}
+
+// clear drops the suspicion against the body of a request that ran to its end.
+func (r *Reducer) clear(now time.Time, rec *attempts.Record) {
+	hash := rec.Request().BodyHash
+	if r.attempts.Suspects().Clear(hash) {
+		rec.Note(now, "cleared of an earlier crash")
+		r.emit(attempts.ShareSuspicion{Suspicion: attempts.Suspicion{Hash: hash, Cleared: true}})
+	}
+}
+
+func (r *Reducer) suspected(now time.Time, e attempts.Suspected) {
+	s := e.Suspicion
+	if s.Cleared {
+		r.attempts.Suspects().Clear(s.Hash)
+		r.dispatch(now)
+		return
+	}
+	if fresh, guilty := r.attempts.Suspects().Crashed(now, s.Hash, s.Crash); fresh && guilty {
+		r.emit(attempts.Quarantine{Hash: s.Hash, Until: r.attempts.Suspects().QuarantineUntil(now)})
+	}
+}
+
+func (r *Reducer) quarantined(now time.Time, e attempts.Quarantined) {
+	r.attempts.Suspects().SetGuilty(e.Hash, e.Until)
+	for _, rec := range r.attempts.Active() {
+		if rec.Request().BodyHash == e.Hash {
+			r.refuseGuilty(now, rec)
+		}
+	}
+}
+
+// refuseGuilty refuses a request whose body is quarantined. A body that has
+// crashed two servers but is not yet recorded as quarantined is proposed again.
+func (r *Reducer) refuseGuilty(now time.Time, rec *attempts.Record) bool {
+	hash := rec.Request().BodyHash
+	if until, ok := r.attempts.Suspects().Guilty(now, hash); ok {
+		r.refuse(now, rec, gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeQuarantined,
+			"requests with this body crashed backend servers and are refused until %s", until.UTC().Format(time.RFC3339)))
+		return true
+	}
+	if r.attempts.Suspects().Convicted(hash) {
+		r.emit(attempts.Quarantine{Hash: hash, Until: r.attempts.Suspects().QuarantineUntil(now)})
+	}
+	return false
+}
+
+// eligible returns the ready backend servers on which the request may start:
+// servers it has not tried if there are any, apart from suspects of crashes,
+// and for a suspect servers without other work where possible.
+func (r *Reducer) eligible(now time.Time, rec *attempts.Record, ready []*servers.Server) []*servers.Server {
+	suspects := r.attempts.Suspects()
+	hash := rec.Request().BodyHash
+	if suspects.Held(now, hash) {
+		return nil
+	}
+	if !suspects.Suspect(hash) {
+		return preferred(untried(rec, ready), func(s *servers.Server) bool { return !r.onTrial(s) })
+	}
+	if n := len(r.trials); n > 0 && 2*(n+1) > len(ready) {
+		return nil // leaves half of the servers to requests that are not suspects
+	}
+	apart := slices.DeleteFunc(untried(rec, ready), r.onTrial)
+	idle := slices.DeleteFunc(slices.Clone(apart), func(s *servers.Server) bool { return !isIdle(s) })
+	if len(idle) > 0 || rec.Waited(now) < suspects.AloneWait() {
+		return idle
+	}
+	return apart
+}
+
+// untried returns the servers on which the request was not yet tried, or else
+// those other than that of its latest attempt, or else all.
+func untried(rec *attempts.Record, ready []*servers.Server) []*servers.Server {
+	fresh := preferred(ready, func(s *servers.Server) bool { return !rec.Tried(s.Announcement().Server) })
+	return preferred(fresh, func(s *servers.Server) bool { return s.Announcement().Server != rec.LastServer() })
+}
+
+// preferred returns a copy of the servers that satisfy want, or of all when
+// none does.
+func preferred(all []*servers.Server, want func(*servers.Server) bool) []*servers.Server {
+	some := slices.DeleteFunc(slices.Clone(all), func(s *servers.Server) bool { return !want(s) })
+	if len(some) == 0 {
+		return slices.Clone(all)
+	}
+	return some
+}
+
+func (r *Reducer) onTrial(s *servers.Server) bool {
+	_, ok := r.trials[s.Announcement().Server]
+	return ok
+}
+
+func isIdle(s *servers.Server) bool {
+	n, _ := s.InFlight()
+	load := s.Announcement().Load
+	return n == 0 && load.Running == 0 && load.Queued == 0
+}
--- a/engines/client.go
+++ b/engines/client.go
@@ -26,22 +26,48 @@
 	HeaderNotRun = "X-Not-Run"
 )
 
-// Client calls engines over HTTP.
+// Kernel probes on a connection that carries no data end it after about 11 s
+// when the other host is gone.
+const (
+	keepAliveIdle     = 5 * time.Second
+	keepAliveInterval = 2 * time.Second
+	keepAliveCount    = 3
+)
+
+// maxErrorBytes bounds the text of an error answer that is kept.
+const maxErrorBytes = 1024
+
+// Client calls engines and plain services over HTTP.
 type Client struct {
+	cfg  ClientConfig
 	http *http.Client
 }
 
-// ClientConfig configures a Client.
+// ClientConfig configures a Client. Zero fields take the defaults below.
 type ClientConfig struct {
-	DialTimeout time.Duration // time to establish a connection
+	DialTimeout     time.Duration // time to establish a connection, and for a probe
+	ProgressTimeout time.Duration // longest silence of a running stream
 }
 
+const (
+	defaultDialTimeout     = time.Second
+	defaultProgressTimeout = 20 * time.Second
+)
+
 // NewClient returns a Client. Each call opens its own connection: net/http
 // resends a request on its own when a kept-alive connection turns out dead,
 // which would run work twice, and an idle connection may have gone silent.
 func NewClient(cfg ClientConfig) *Client {
-	dialer := &net.Dialer{Timeout: cfg.DialTimeout}
-	return &Client{http: &http.Client{
+	if cfg.DialTimeout == 0 {
+		cfg.DialTimeout = defaultDialTimeout
+	}
+	if cfg.ProgressTimeout == 0 {
+		cfg.ProgressTimeout = defaultProgressTimeout
+	}
+	dialer := &net.Dialer{Timeout: cfg.DialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+	}}
+	return &Client{cfg: cfg, http: &http.Client{
 		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
@@ -50,31 +76,32 @@
 }
 
 // Do sends one request and reports through sent whether any byte of it may
-// have been delivered. The request must not have GetBody set, so that net/http
-// cannot replay it.
+// have been delivered. An error is a *Fault.
 func (c *Client) Do(r *http.Request, sent func()) (*http.Response, error) {
 	var wrote atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
 		wrote.Store(true)
 		sent()
 	}}
-	r.GetBody = nil
+	r.GetBody = nil // without it net/http cannot replay the body
 	resp, err := c.http.Do(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err == nil {
 		return resp, nil
 	}
 	if !wrote.Load() {
-		return nil, gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeBackendFailed, "no connection to %s: %v", r.URL.Host, err)
+		return nil, &Fault{Err: gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeBackendFailed, "no connection to %s: %v", r.URL.Host, err)}
 	}
-	return nil, gypsumshelf.Errorf(gypsumshelf.MayHaveRun, gypsumshelf.CodeBackendFailed, "no answer from %s: %v", r.URL.Host, err)
+	return nil, c.fault(r.Context(), r.URL.Host, gypsumshelf.CodeBackendFailed, err)
 }
 
 // Complete implements Completer.
-func (c *Client) Complete(ctx context.Context, call Call, sink Sink) error {
+func (c *Client) Complete(parent context.Context, call Call, sink Sink) error {
+	ctx, w := c.guard(parent, call.Address, call.Answer, call.Deadline)
+	defer w.stop()
 	url := "http://" + call.Address + call.Path
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(call.Body))
 	if err != nil {
-		return gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeInternal, "call to %s: %v", call.Address, err)
+		return &Fault{Err: gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeInternal, "call to %s: %v", call.Address, err)}
 	}
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set(HeaderAttempt, string(call.Attempt))
@@ -88,37 +115,46 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return statusError(call.Address, resp)
+		return &Fault{Err: statusError(call.Address, resp)}
 	}
-	return copyChunks(streams.NewReader(streams.ReaderConfig{
-		Source: resp.Body, Attempt: string(call.Attempt), Start: call.Resume,
-	}), sink)
+	reader := streams.NewReader(streams.ReaderConfig{
+		Source: resp.Body, Attempt: string(call.Attempt), Start: call.Resume, Finished: call.Finished,
+	})
+	return c.copyChunks(ctx, call.Address, reader, w, sink)
 }
 
-func copyChunks(r *streams.Reader, sink Sink) error {
+func (c *Client) copyChunks(ctx context.Context, address string, r *streams.Reader, w *watch, sink Sink) error {
 	for {
 		chunk, err := r.Next()
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
-			return gypsumshelf.Errorf(gypsumshelf.MayHaveRun, gypsumshelf.CodeBrokenStream, "stream broke at token %d: %v", r.Position(), err)
+			return c.fault(ctx, address, gypsumshelf.CodeBrokenStream, fmt.Errorf("stream broke at token %d: %w", r.Position(), err))
 		}
+		w.pause()
 		if err := sink.Chunk(chunk); err != nil {
-			return gypsumshelf.Errorf(gypsumshelf.MayHaveRun, gypsumshelf.CodeCallerGone, "caller does not read: %v", err)
+			return callerGone(err)
 		}
+		w.mark()
 	}
 }
 
-func statusError(address string, resp *http.Response) error {
-	text, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
+// statusError returns the error of an answer that is not a stream. A 4xx other
+// than those that ask for patience will be the same on every server.
+func statusError(address string, resp *http.Response) *gypsumshelf.Error {
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 	verdict := gypsumshelf.MayHaveRun
 	if resp.Header.Get(HeaderNotRun) == "true" {
 		verdict = gypsumshelf.NotRun
 	}
 	code := gypsumshelf.CodeBackendFailed
-	if resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable {
+	switch status := resp.StatusCode; {
+	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
 		code = gypsumshelf.CodeOverloaded
+	case status == http.StatusRequestTimeout, status == http.StatusTooEarly:
+	case status >= 400 && status < 500:
+		code = gypsumshelf.CodeBadRequest
 	}
 	return gypsumshelf.Errorf(verdict, code, "%s answered %d: %s", address, resp.StatusCode, bytes.TrimSpace(text))
 }
@@ -134,5 +170,9 @@
 	if err != nil {
 		return err
 	}
-	return resp.Body.Close()
+	defer resp.Body.Close()
+	if resp.StatusCode >= 500 {
+		return fmt.Errorf("cancel of %s at %s: status %d", id, address, resp.StatusCode)
+	}
+	return nil
 }
--- /dev/null
+++ b/engines/client_test.go
@@ -0,0 +1,250 @@
+package engines
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/streams"
+)
+
+// dropper is a server that answers the first request of its life on a
+// kept-alive connection and drops the connection after reading any other.
+type dropper struct {
+	listener net.Listener
+	mu       sync.Mutex
+	seen     map[string]int // by X-Request-Id
+	answered bool
+}
+
+func newDropper(t *testing.T) *dropper {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &dropper{listener: l, seen: map[string]int{}}
+	t.Cleanup(func() { l.Close() })
+	go d.run()
+	return d
+}
+
+func (d *dropper) run() {
+	for {
+		conn, err := d.listener.Accept()
+		if err != nil {
+			return
+		}
+		go d.serve(conn)
+	}
+}
+
+func (d *dropper) serve(conn net.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if d.count(req.Header.Get(HeaderAttempt)) {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+func (d *dropper) times(id string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.seen[id]
+}
+
+func (d *dropper) count(id string) (drop bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if id == "" {
+		return false // a probe
+	}
+	d.seen[id]++
+	drop = d.answered
+	d.answered = true
+	return drop
+}
+
+type discard struct{ status int }
+
+func (*discard) Sent() {}
+
+func (d *discard) Begin(status int, _ http.Header) error { d.status = status; return nil }
+
+func (*discard) Body([]byte) error { return nil }
+
+func (*discard) Chunk(streams.Chunk) error { return nil }
+
+func keyed(id string) ServiceCall {
+	return ServiceCall{
+		Attempt: gypsumshelf.AttemptID(id), Method: http.MethodPost, URI: "/charge", Body: []byte("10 euros"),
+		Header: http.Header{"Idempotency-Key": {"k"}},
+	}
+}
+
+// Guards against net/http sending work again that may not repeat: it does so
+// on a kept-alive connection that drops when an Idempotency-Key is present.
+func TestWorkIsSentOnce(t *testing.T) {
+	t.Run("control: the stand-in provokes a resend", func(t *testing.T) {
+		d := newDropper(t)
+		client := &http.Client{Transport: &http.Transport{}}
+		for _, id := range []string{"first", "second"} {
+			r, _ := http.NewRequest(http.MethodPost, "http://"+d.listener.Addr().String(), bytes.NewReader([]byte("10 euros")))
+			r.Header.Set("Idempotency-Key", "k")
+			r.Header.Set(HeaderAttempt, id)
+			if resp, err := client.Do(r); err == nil {
+				_, _ = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+		}
+		if d.times("second") != 2 {
+			t.Errorf("default client sent the work %d times, expected the resend to be provoked", d.times("second"))
+		}
+	})
+	t.Run("client", func(t *testing.T) {
+		d := newDropper(t)
+		c := NewClient(ClientConfig{})
+		for _, id := range []string{"first", "second"} {
+			call := keyed(id)
+			call.Address = d.listener.Addr().String()
+			err := c.Forward(context.Background(), call, &discard{})
+			if id == "second" {
+				assertFault(t, err, gypsumshelf.MayHaveRun, gypsumshelf.CodeBackendFailed)
+			}
+		}
+		if d.times("second") != 1 {
+			t.Errorf("work was sent %d times", d.times("second"))
+		}
+	})
+}
+
+func assertFault(t *testing.T, err error, verdict gypsumshelf.Verdict, code gypsumshelf.Code) {
+	t.Helper()
+	f := FaultOf(err)
+	if err == nil || f.Err.Verdict != verdict || f.Err.Code != code {
+		t.Errorf("got %v, want %s with verdict %s", err, code, verdict)
+	}
+}
+
+// Guards against verdicts that claim not-run after the work may have started,
+// and against retries of answers that would be the same on every server.
+func TestVerdicts(t *testing.T) {
+	refused, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused.Close()
+	status := func(code int, notRun string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(HeaderNotRun, notRun)
+			w.WriteHeader(code)
+		}))
+		t.Cleanup(s.Close)
+		return s.Listener.Addr().String()
+	}
+	for _, tt := range []struct {
+		name, address string
+		verdict       gypsumshelf.Verdict
+		code          gypsumshelf.Code
+	}{
+		{"connection refused", refused.Addr().String(), gypsumshelf.NotRun, gypsumshelf.CodeBackendFailed},
+		{"overloaded, not run", status(503, "true"), gypsumshelf.NotRun, gypsumshelf.CodeOverloaded},
+		{"overloaded, silent on the work", status(503, ""), gypsumshelf.MayHaveRun, gypsumshelf.CodeOverloaded},
+		{"header with another value", status(429, "yes"), gypsumshelf.MayHaveRun, gypsumshelf.CodeOverloaded},
+		{"bad request", status(400, "true"), gypsumshelf.NotRun, gypsumshelf.CodeBadRequest},
+		{"server error", status(500, ""), gypsumshelf.MayHaveRun, gypsumshelf.CodeBackendFailed},
+		{"stream without an end", status(200, "true"), gypsumshelf.MayHaveRun, gypsumshelf.CodeBrokenStream},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			err := NewClient(ClientConfig{}).Complete(context.Background(), Call{Attempt: "a.1", Address: tt.address, Path: "/"}, &discard{})
+			assertFault(t, err, tt.verdict, tt.code)
+		})
+	}
+}
+
+// Guards against calls that wait for ever on a server or connection that has
+// gone silent, and against taking a live server for a dead one.
+func TestSilence(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		answer time.Duration // 0: no limit for the first chunk
+		begin  bool          // the stream begins and then goes silent
+		probes bool          // the server answers on new connections
+		dead   bool
+	}{
+		{"stream goes silent, server alive", 0, true, true, false},
+		{"no answer in time, server alive", 200 * time.Millisecond, false, true, false},
+		{"no answer, server frozen", 0, false, false, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			hold := make(chan struct{})
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/healthz" && tt.probes {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				if tt.begin {
+					_, _ = io.WriteString(w, `data: {"id":"a.1","choices":[{"text":"x"}]}`+"\n\n")
+					w.(http.Flusher).Flush()
+				}
+				<-hold
+			}))
+			t.Cleanup(s.Close)
+			t.Cleanup(func() { close(hold) })
+			call := Call{Attempt: "a.1", Address: s.Listener.Addr().String(), Path: "/"}
+			if tt.answer > 0 {
+				call.Answer = time.Now().Add(tt.answer)
+			}
+			c := NewClient(ClientConfig{DialTimeout: 200 * time.Millisecond, ProgressTimeout: 100 * time.Millisecond})
+			err := c.Complete(context.Background(), call, &discard{})
+			if f := FaultOf(err); err == nil || f.Dead != tt.dead || f.Broken || f.Err.Verdict != gypsumshelf.MayHaveRun {
+				t.Errorf("got %+v, want dead %v", f, tt.dead)
+			}
+		})
+	}
+}
+
+// BenchmarkCall compares a connection for each call with a pool of kept-alive
+// connections; the p99 figures decide which the client uses.
+func BenchmarkCall(b *testing.B) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }))
+	b.Cleanup(s.Close)
+	for _, pooled := range []bool{false, true} {
+		name := map[bool]string{false: "fresh", true: "pooled"}[pooled]
+		b.Run(name, func(b *testing.B) {
+			c := NewClient(ClientConfig{})
+			c.http.Transport.(*http.Transport).DisableKeepAlives = !pooled
+			call := keyed("a.1")
+			call.Address = s.Listener.Addr().String()
+			call.Body = make([]byte, 4096)
+			var times []time.Duration
+			for b.Loop() {
+				start := time.Now()
+				if err := c.Forward(context.Background(), call, &discard{}); err != nil {
+					b.Fatal(err)
+				}
+				times = append(times, time.Since(start))
+			}
+			slices.Sort(times)
+			b.ReportMetric(float64(times[len(times)/2].Microseconds()), "p50-µs")
+			b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99-µs")
+		})
+	}
+}
--- a/engines/engine.go
+++ b/engines/engine.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"time"
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/streams"
@@ -16,6 +17,11 @@
 	Body     []byte // caller's request body, with streaming switched on
 	Priority int    // smaller is more urgent
 	Resume   int    // position of the first token wanted, 0 for a whole answer
+	// Finished says that the finish reason was delivered and only the end marker
+	// of the stream is missing.
+	Finished bool
+	Answer   time.Time // time by which the first chunk must have arrived
+	Deadline time.Time
 }
 
 // Sink receives the chunks of a call in order.
@@ -28,8 +34,8 @@
 
 // Completer runs completions.
 type Completer interface {
-	// Complete runs a call to its end. An error is a *gypsumshelf.Error whose
-	// verdict says whether the engine may have run the call.
+	// Complete runs a call to its end. An error is a *Fault whose verdict says
+	// whether the engine may have run the call.
 	Complete(ctx context.Context, call Call, sink Sink) error
 	// Cancel asks the engine to drop an attempt.
 	Cancel(ctx context.Context, address string, id gypsumshelf.AttemptID) error
--- /dev/null
+++ b/engines/service.go
@@ -0,0 +1,93 @@
+package engines
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+)
+
+// ServiceCall is one attempt of a call on one plain service.
+type ServiceCall struct {
+	Attempt  gypsumshelf.AttemptID
+	Address  string // IP:PORT of the server
+	Method   string
+	URI      string // path and query
+	Header   http.Header
+	Body     []byte
+	Answer   time.Time // time by which the answer must have begun
+	Deadline time.Time
+}
+
+// AnswerSink receives the answer of a plain service.
+type AnswerSink interface {
+	// Sent is called before the first byte that could start the work is written.
+	Sent()
+	// Begin is called once with the status and the headers of the answer.
+	Begin(status int, header http.Header) error
+	// Body is called for each part of the body; an error ends the call.
+	Body(p []byte) error
+}
+
+// Forwarder runs calls of plain services.
+type Forwarder interface {
+	// Forward runs a call to the end of its answer. An error is a *Fault.
+	Forward(ctx context.Context, call ServiceCall, sink AnswerSink) error
+}
+
+const copyBufferBytes = 32 << 10
+
+// Forward implements Forwarder. An answer of any status is the service's own
+// and is passed on, except an error that says that the call did not run.
+func (c *Client) Forward(parent context.Context, call ServiceCall, sink AnswerSink) error {
+	ctx, w := c.guard(parent, call.Address, call.Answer, call.Deadline)
+	defer w.stop()
+	r, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.URI, bytes.NewReader(call.Body))
+	if err != nil {
+		return &Fault{Err: gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeBadRequest, "call to %s: %v", call.Address, err)}
+	}
+	r.Header = call.Header.Clone()
+	r.Header.Set(HeaderAttempt, string(call.Attempt))
+	resp, err := c.Do(r, sink.Sent)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= 400 && resp.Header.Get(HeaderNotRun) == "true" {
+		return &Fault{Err: statusError(call.Address, resp)}
+	}
+	w.pause()
+	if err := sink.Begin(resp.StatusCode, resp.Header); err != nil {
+		return callerGone(err)
+	}
+	w.mark()
+	return c.copyBody(ctx, call.Address, resp.Body, w, sink)
+}
+
+func (c *Client) copyBody(ctx context.Context, address string, body io.Reader, w *watch, sink AnswerSink) error {
+	buf := make([]byte, copyBufferBytes)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			w.pause()
+			if err := sink.Body(buf[:n]); err != nil {
+				return callerGone(err)
+			}
+			w.mark()
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return c.fault(ctx, address, gypsumshelf.CodeBrokenStream, err)
+		}
+	}
+}
+
+func callerGone(err error) *Fault {
+	return &Fault{Err: gypsumshelf.Errorf(gypsumshelf.MayHaveRun, gypsumshelf.CodeCallerGone, "caller does not read: %v", err)}
+}
--- a/entries/answer.go
+++ b/entries/answer.go
@@ -6,13 +6,12 @@
 	"strings"
 
 	"gypsumshelf.example/gypsumshelf"
-	"gypsumshelf.example/gypsumshelf/attempts"
 	"gypsumshelf.example/gypsumshelf/streams"
 )
 
-// answer writes one request's answer to its caller.
+// answer writes one completion's answer to its caller.
 type answer struct {
-	w        http.ResponseWriter
+	writer
 	path     string
 	id       gypsumshelf.RequestID
 	stream   bool
@@ -20,29 +19,28 @@
 	position int  // tokens passed on
 	text     strings.Builder
 	reason   string
-}
-
-func newAnswer(w http.ResponseWriter, path string, id gypsumshelf.RequestID, stream bool) *answer {
-	return &answer{w: w, path: path, id: id, stream: stream}
+	finished bool // the finish reason has been passed on
 }
 
 // chunk passes a chunk on, or keeps its text when the caller does not stream.
 func (a *answer) chunk(c streams.Chunk) error {
-	a.position += c.Count()
-	if len(c.Choices) > 0 && c.Choices[0].FinishReason != nil {
+	if c.Finished() {
 		a.reason = *c.Choices[0].FinishReason
 	}
-	if !a.stream {
+	if a.stream {
+		data, err := c.Renamed(string(a.id))
+		if err != nil {
+			return err
+		}
+		if err := a.event(data); err != nil {
+			return err
+		}
+	} else {
 		a.text.WriteString(c.Text())
-		return nil
 	}
-	c.ID = string(a.id)
-	c.Position = nil
-	data, err := json.Marshal(c)
-	if err != nil {
-		return err
-	}
-	return a.event(data)
+	a.position += c.Count()
+	a.finished = a.finished || c.Finished()
+	return nil
 }
 
 func (a *answer) event(data []byte) error {
@@ -52,13 +50,7 @@
 		a.w.Header().Set(HeaderRequestID, string(a.id))
 		a.w.WriteHeader(http.StatusOK)
 	}
-	if _, err := a.w.Write([]byte("data: " + string(data) + "\n\n")); err != nil {
-		return err
-	}
-	if f, ok := a.w.(http.Flusher); ok {
-		f.Flush()
-	}
-	return nil
+	return a.write([]byte("data: " + string(data) + "\n\n"))
 }
 
 // finish ends a whole answer.
@@ -67,6 +59,7 @@
 		_ = a.event([]byte("[DONE]"))
 		return
 	}
+	a.extend()
 	a.w.Header().Set(HeaderVerdict, gypsumshelf.Ran.String())
 	a.w.Header().Set(HeaderRequestID, string(a.id))
 	writeJSON(a.w, http.StatusOK, a.whole())
@@ -82,13 +75,14 @@
 			FinishReason: a.reason,
 		}}, Usage: usage{CompletionTokens: a.position}}
 	}
-	return completion{ID: a.id, Object: object, Choices: []streams.Choice{choice}, Usage: usage{CompletionTokens: a.position}}
+	return textCompletion{ID: a.id, Object: object, Choices: []streams.Choice{choice}, Usage: usage{CompletionTokens: a.position}}
 }
 
 // fail ends a request with an error; after the first chunk it is the last
 // event of the stream, which then has no end marker.
 func (a *answer) fail(err *gypsumshelf.Error) {
 	if !a.begun {
+		a.extend()
 		writeError(a.w, a.id, err)
 		return
 	}
@@ -100,7 +94,7 @@
 	CompletionTokens int `json:"completion_tokens"`
 }
 
-type completion struct {
+type textCompletion struct {
 	ID      gypsumshelf.RequestID `json:"id"`
 	Object  string                `json:"object"`
 	Choices []streams.Choice      `json:"choices"`
@@ -119,23 +113,3 @@
 	Choices []chatChoice          `json:"choices"`
 	Usage   usage                 `json:"usage"`
 }
-
-// sink passes the chunks of one attempt to the answer and reports its marks.
-type sink struct {
-	handler *Handler
-	attempt gypsumshelf.AttemptID
-	answer  *answer
-	first   bool
-}
-
-// Sent implements engines.Sink.
-func (s *sink) Sent() { s.handler.cfg.Submit(attempts.Sent{Attempt: s.attempt}) }
-
-// Chunk implements engines.Sink.
-func (s *sink) Chunk(c streams.Chunk) error {
-	if !s.first && c.Count() > 0 {
-		s.first = true
-		s.handler.cfg.Submit(attempts.FirstToken{Attempt: s.attempt})
-	}
-	return s.answer.chunk(c)
-}
--- a/entries/handler.go
+++ b/entries/handler.go
@@ -1,8 +1,8 @@
+// Package entries is the HTTP interface for callers.
 package entries
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
@@ -18,16 +18,22 @@
 	HeaderRequestID = "Gypsumshelf-Request-Id"
 	HeaderVerdict   = "Gypsumshelf-Verdict"
 	HeaderKey       = "Idempotency-Key"
+	// HeaderReplayed marks an answer that was recorded for an idempotency key.
+	HeaderReplayed = "Gypsumshelf-Replayed"
 )
 
 // Config configures a Handler.
 type Config struct {
 	Engine       engines.Completer
+	Services     engines.Forwarder
+	Idempotent   map[string][]string // by service: calls that may be repeated, "METHOD /path-prefix"
 	Submit       func(gypsumshelf.Event)
 	Ready        func(context.Context) bool
 	Class        func(ctx context.Context, name string) (gypsumshelf.Class, bool)
 	Workspaces   []string // allowed workspaces, any when empty
 	MaxBodyBytes int64
+	BodyBudget   int64         // bytes of long bodies kept for a retry, unlimited when 0
+	WriteTimeout time.Duration // longest write to a caller that does not read, 20 s when 0
 	Now          func() time.Time
 }
 
@@ -36,21 +42,30 @@
 	cfg       Config
 	mux       *http.ServeMux
 	exchanges exchanges
+	bodies    bodies
 }
 
 // New returns a Handler.
 func New(cfg Config) *Handler {
-	h := &Handler{cfg: cfg, mux: http.NewServeMux()}
+	if cfg.WriteTimeout == 0 {
+		cfg.WriteTimeout = defaultWriteTimeout
+	}
+	h := &Handler{cfg: cfg, mux: http.NewServeMux(), bodies: bodies{limit: cfg.BodyBudget}}
 	h.exchanges.open = map[gypsumshelf.RequestID]*exchange{}
 	h.mux.HandleFunc("POST /v1/completions", h.complete)
 	h.mux.HandleFunc("POST /v1/chat/completions", h.complete)
+	h.mux.HandleFunc(servicePrefix+"{name}/", h.serve)
 	h.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	h.mux.HandleFunc("GET /readyz", h.readyz)
 	return h
 }
 
 // ServeHTTP implements http.Handler.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// Replaces the write deadline that an earlier request on the connection left.
+	writer{w: w, timeout: bodyReadTimeout + h.cfg.WriteTimeout}.extend()
+	h.mux.ServeHTTP(w, r)
+}
 
 // Start carries out attempts.Start.
 func (h *Handler) Start(e attempts.Start) { h.exchanges.decide(e.Request, e) }
@@ -69,66 +84,22 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func (h *Handler) complete(w http.ResponseWriter, r *http.Request) {
-	req, body, err := h.parse(w, r)
-	if err != nil {
-		writeError(w, req.ID, err)
-		return
-	}
-	x, ok := h.exchanges.add(r.Context(), req.ID)
-	if !ok {
-		writeError(w, req.ID, gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeBadRequest, "request id %q is in use", req.ID))
-		return
-	}
-	defer h.exchanges.remove(req.ID)
-	h.cfg.Submit(attempts.Arrived{Request: req})
-	answer := newAnswer(w, r.URL.Path, req.ID, body.stream)
-	h.follow(x, req, body, answer)
-}
+// Replay carries out attempts.Replay.
+func (h *Handler) Replay(e attempts.Replay) { h.exchanges.decide(e.Request, e) }
 
-// follow carries out the reducer's decisions for one request until its end.
-func (h *Handler) follow(x *exchange, req gypsumshelf.Request, body body, answer *answer) {
-	for {
-		select {
-		case d := <-x.decisions:
-			switch d := d.(type) {
-			case attempts.Start:
-				h.attempt(x, d, body, answer)
-			case attempts.Refuse:
-				answer.fail(d.Err)
-				return
-			case attempts.Finish:
-				answer.finish()
-				return
-			}
-		case <-x.ctx.Done():
-			select {
-			case d := <-x.decisions:
-				if refuse, ok := d.(attempts.Refuse); ok {
-					answer.fail(refuse.Err)
-					return
-				}
-			default:
-			}
-			h.cfg.Submit(attempts.CallerGone{Request: req.ID})
-			return
-		}
+// Abort carries out attempts.Abort.
+func (h *Handler) Abort(e attempts.Abort) {
+	if x := h.exchanges.get(e.Request); x != nil {
+		x.restart(e.Attempt)
 	}
 }
 
-func (h *Handler) attempt(x *exchange, start attempts.Start, body body, answer *answer) {
-	call := engines.Call{
-		Attempt: start.Attempt, Address: start.Address, Path: answer.path,
-		Body: body.data, Priority: start.Priority, Resume: start.Resume,
-	}
-	err := h.cfg.Engine.Complete(x.ctx, call, &sink{handler: h, attempt: start.Attempt, answer: answer})
-	if err == nil {
-		h.cfg.Submit(attempts.Ended{Attempt: start.Attempt, Position: answer.position})
-		return
-	}
-	failure := new(gypsumshelf.Error)
-	if !errors.As(err, &failure) {
-		failure = gypsumshelf.Errorf(gypsumshelf.MayHaveRun, gypsumshelf.CodeBackendFailed, "attempt %s: %v", start.Attempt, err)
-	}
-	h.cfg.Submit(attempts.Failed{Attempt: start.Attempt, Position: answer.position, Failure: failure})
+// Open returns the number of requests whose answer has not ended.
+func (h *Handler) Open() int { return h.exchanges.count() }
+
+// HeldBodyBytes returns the bytes of long bodies that are kept for a retry.
+func (h *Handler) HeldBodyBytes() int64 { return h.bodies.held() }
+
+func (h *Handler) writer(w http.ResponseWriter, req gypsumshelf.Request) writer {
+	return writer{w: w, timeout: h.cfg.WriteTimeout, deadline: req.Deadline()}
 }
--- a/entries/request.go
+++ b/entries/request.go
@@ -1,12 +1,13 @@
 package entries
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
-	"hash/fnv"
-	"io"
 	"net/http"
 	"slices"
+	"strings"
 
 	"github.com/google/uuid"
 
@@ -19,6 +20,10 @@
 // defaultMaxTokens bounds the generated tokens of a request that states none.
 const defaultMaxTokens = 256
 
+// maxMaxTokens bounds the generated tokens that a request may state, so that
+// sums of tokens cannot overflow.
+const maxMaxTokens = 1 << 30
+
 // prefixBytes is the length of the prompt start that identifies a shared prefix.
 const prefixBytes = 1024
 
@@ -26,6 +31,7 @@
 type body struct {
 	data   []byte
 	stream bool // the caller asked for a stream
+	lease  *lease
 }
 
 // fields are the parts of a completion request that the daemon reads.
@@ -37,23 +43,33 @@
 	Messages  json.RawMessage `json:"messages"`
 }
 
-func (h *Handler) parse(w http.ResponseWriter, r *http.Request) (gypsumshelf.Request, body, *gypsumshelf.Error) {
+// describe returns a request with what the headers say of it.
+func (h *Handler) describe(r *http.Request) (gypsumshelf.Request, *gypsumshelf.Error) {
+	id, ok := requestID(r)
 	req := gypsumshelf.Request{
-		ID:         requestID(r),
-		Workspace:  r.Header.Get(HeaderWorkspace),
-		Key:        r.Header.Get(HeaderKey),
-		Idempotent: true,
-		Arrived:    h.cfg.Now(),
+		ID: id, Workspace: r.Header.Get(HeaderWorkspace), Key: r.Header.Get(HeaderKey), Arrived: h.cfg.Now(),
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.cfg.MaxBodyBytes))
-	if err != nil {
-		return req, body{}, bodyError(err, h.cfg.MaxBodyBytes)
+	if !ok {
+		return req, gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeBadRequest,
+			"header %s is longer than %d bytes or has a character that is not allowed", HeaderRequestID, maxIDBytes)
 	}
-	f, failure := parseFields(data)
+	failure := h.checkNames(r, &req)
+	return req, failure
+}
+
+func (h *Handler) parse(w http.ResponseWriter, r *http.Request) (gypsumshelf.Request, body, *gypsumshelf.Error) {
+	req, failure := h.describe(r)
+	if failure != nil {
+		return req, body{}, failure
+	}
+	req.Idempotent = true
+	data, lease, failure := h.read(w, r)
 	if failure != nil {
 		return req, body{}, failure
 	}
-	if failure := h.checkNames(r, &req); failure != nil {
+	f, failure := parseFields(data)
+	if failure != nil {
+		lease.free()
 		return req, body{}, failure
 	}
 	prompt := f.prompt()
@@ -65,20 +81,36 @@
 	}
 	req.BodyHash = hashOf(data)
 	req.PrefixHash = hashOf(prompt[:min(len(prompt), prefixBytes)])
-	return req, body{data: withStream(data, f.Stream), stream: f.Stream}, nil
+	return req, body{data: withStream(data, f.Stream), stream: f.Stream, lease: lease}, nil
 }
 
-func requestID(r *http.Request) gypsumshelf.RequestID {
-	if id := r.Header.Get(HeaderRequestID); id != "" {
-		return gypsumshelf.RequestID(id)
+// requestID returns the id that the caller states, or a new one. It reports
+// false with a new id when the stated one is not acceptable.
+func requestID(r *http.Request) (gypsumshelf.RequestID, bool) {
+	id := r.Header.Get(HeaderRequestID)
+	ok := len(id) <= maxIDBytes && !strings.ContainsFunc(id, unfitForID)
+	if id == "" || !ok {
+		return gypsumshelf.RequestID(uuid.NewString()), ok
 	}
-	return gypsumshelf.RequestID(uuid.NewString())
+	return gypsumshelf.RequestID(id), true
+}
+
+// maxIDBytes bounds the request id that a caller may state.
+const maxIDBytes = 128
+
+// unfitForID reports whether a rune must not be part of a request id, which
+// becomes part of a header and of a URL path of calls to engines.
+func unfitForID(c rune) bool {
+	return c > '~' || c <= ' ' || strings.ContainsRune("/?#%\\\"", c)
 }
 
 func bodyError(err error, limit int64) *gypsumshelf.Error {
-	tooLarge := new(http.MaxBytesError)
-	if errors.As(err, &tooLarge) {
-		return gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeBodyTooLarge, "request body is larger than %d bytes", limit)
+	known := new(gypsumshelf.Error)
+	if errors.As(err, &known) {
+		return known
+	}
+	if errors.As(err, new(*http.MaxBytesError)) {
+		return tooLarge(limit)
 	}
 	return gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeBadRequest, "request body cannot be read: %v", err)
 }
@@ -109,8 +141,8 @@
 		return f, gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeBadRequest, "field %q is missing", "model")
 	case f.prompt() == nil:
 		return f, gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeBadRequest, "fields %q and %q are both missing", "prompt", "messages")
-	case f.MaxTokens < 0:
-		return f, gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeBadRequest, "field %q is negative", "max_tokens")
+	case f.MaxTokens < 0 || f.MaxTokens > maxMaxTokens:
+		return f, gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeBadRequest, "field %q is not between 0 and %d", "max_tokens", maxMaxTokens)
 	}
 	return f, nil
 }
@@ -140,8 +172,13 @@
 	return out
 }
 
-func hashOf(b []byte) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write(b)
-	return h.Sum64()
+// hashOf returns a hash that every daemon computes alike. It is cryptographic,
+// so that nobody can make another caller's body share a quarantine.
+func hashOf(parts ...[]byte) uint64 {
+	h := sha256.New()
+	for _, b := range parts {
+		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(b))))
+		_, _ = h.Write(b)
+	}
+	return binary.BigEndian.Uint64(h.Sum(nil))
 }
--- a/streams/chunk.go
+++ b/streams/chunk.go
@@ -3,10 +3,14 @@
 package streams
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 )
 
+// maxTokens bounds positions, so that their sums cannot overflow.
+const maxTokens = 1 << 30
+
 // Chunk is one event of an engine's completion stream.
 type Chunk struct {
 	ID       string   `json:"id"`                 // attempt id
@@ -14,6 +18,24 @@
 	Tokens   int      `json:"tokens,omitempty"`   // tokens in the chunk, 0 means 1
 	Choices  []Choice `json:"choices"`
 	Error    *Failure `json:"error,omitempty"`
+
+	raw []byte // the chunk as the engine sent it
+}
+
+// Renamed returns the chunk as JSON for the caller: under another id, without
+// the position, and with all other fields as the engine sent them.
+func (c Chunk) Renamed(id string) ([]byte, error) {
+	fields := map[string]json.RawMessage{}
+	if err := json.Unmarshal(c.raw, &fields); err != nil {
+		return nil, fmt.Errorf("malformed chunk: %w", err)
+	}
+	name, err := json.Marshal(id)
+	if err != nil {
+		return nil, err
+	}
+	fields["id"] = name
+	delete(fields, "position")
+	return json.Marshal(fields)
 }
 
 // Choice is one alternative of a chunk; engines send exactly one.
@@ -70,8 +92,15 @@
 	if err := json.Unmarshal(data, &c); err != nil {
 		return Chunk{}, fmt.Errorf("malformed chunk: %w", err)
 	}
+	if len(c.Choices) > 1 {
+		return Chunk{}, fmt.Errorf("chunk of %q has %d choices, want one", c.ID, len(c.Choices))
+	}
+	if c.Tokens > maxTokens || (c.Position != nil && *c.Position > maxTokens) {
+		return Chunk{}, fmt.Errorf("chunk of %q has a position or token count over %d", c.ID, maxTokens)
+	}
 	if c.Tokens < 0 || (c.Position != nil && *c.Position < 0) {
 		return Chunk{}, fmt.Errorf("chunk of %q has a negative position or token count", c.ID)
 	}
+	c.raw = bytes.Clone(data)
 	return c, nil
 }
--- a/streams/reader.go
+++ b/streams/reader.go
@@ -17,6 +17,7 @@
 	ErrNoEnd        = errors.New("stream ended without its end marker")
 	ErrForeignChunk = errors.New("chunk belongs to another attempt")
 	ErrGap          = errors.New("chunk does not continue at the expected position")
+	ErrNoPosition   = errors.New("chunk has no position where one is needed")
 )
 
 // Reader reads the chunks of one attempt from an event stream.
@@ -25,6 +26,9 @@
 	id      string
 	next    int  // position expected next, in tokens
 	done    bool // the generation's finish reason was seen
+	// placed is set once a token without a position could be taken for another:
+	// after a resume, which engines may ignore, and after a positioned chunk.
+	placed bool
 }
 
 // ReaderConfig configures a Reader.
@@ -32,13 +36,16 @@
 	Source  io.Reader
 	Attempt string
 	Start   int // position of the first expected token
+	// Finished says that an earlier attempt has delivered the finish reason, so
+	// that only the end marker is missing.
+	Finished bool
 }
 
 // NewReader returns a Reader for one attempt.
 func NewReader(cfg ReaderConfig) *Reader {
 	s := bufio.NewScanner(cfg.Source)
 	s.Buffer(make([]byte, 0, 4096), MaxLineBytes)
-	return &Reader{scanner: s, id: cfg.Attempt, next: cfg.Start}
+	return &Reader{scanner: s, id: cfg.Attempt, next: cfg.Start, placed: cfg.Start > 0, done: cfg.Finished}
 }
 
 // Position returns the position after the last delivered token.
@@ -46,8 +53,9 @@
 
 // Next returns the next chunk that belongs to the attempt. A repeated chunk is
 // passed over. It returns io.EOF after the end marker, ErrNoEnd when the
-// stream stops before it, and ErrForeignChunk or ErrGap for a chunk that must
-// not reach the caller.
+// stream stops before it, and ErrForeignChunk, ErrGap or ErrNoPosition for a
+// chunk that must not reach the caller. An engine that ignores the resume
+// position repeats the tokens before it, which are passed over by position.
 func (r *Reader) Next() (Chunk, error) {
 	for r.scanner.Scan() {
 		data, ok := bytes.CutPrefix(bytes.TrimSpace(r.scanner.Bytes()), []byte("data:"))
@@ -86,18 +94,39 @@
 	if c.Error != nil {
 		return Chunk{}, false, fmt.Errorf("engine reported %s: %s", c.Error.Code, c.Error.Message)
 	}
+	repeated, err = r.place(c)
+	if err != nil || repeated {
+		return Chunk{}, repeated, err
+	}
+	r.next += c.Count()
+	r.done = r.done || c.Finished()
+	return c, false, nil
+}
+
+// place checks that the chunk continues the stream and reports whether it only
+// repeats what was delivered before.
+func (r *Reader) place(c Chunk) (repeated bool, err error) {
+	n := c.Count()
+	if r.placed && c.Position == nil && n > 0 {
+		return false, fmt.Errorf("%w: expected %d", ErrNoPosition, r.next)
+	}
 	if c.Position != nil {
-		if *c.Position+c.Count() <= r.next && c.Count() > 0 {
-			return c, true, nil
+		r.placed = true
+		if n > 0 && *c.Position+n <= r.next {
+			if c.Finished() && !r.done {
+				return false, fmt.Errorf("%w: generation ended at %d, %d tokens were delivered", ErrGap, *c.Position+n, r.next)
+			}
+			return true, nil
 		}
 		if *c.Position != r.next {
-			return Chunk{}, false, fmt.Errorf("%w: got %d, want %d", ErrGap, *c.Position, r.next)
+			return false, fmt.Errorf("%w: got %d, want %d", ErrGap, *c.Position, r.next)
 		}
 	}
-	if r.done && c.Count() > 0 {
-		return Chunk{}, false, fmt.Errorf("%w: token after the finish reason", ErrGap)
+	if !r.done {
+		return false, nil
 	}
-	r.next += c.Count()
-	r.done = r.done || c.Finished()
-	return c, false, nil
+	if n > 0 {
+		return false, fmt.Errorf("%w: token after the finish reason", ErrGap)
+	}
+	return c.Finished(), nil
 }
