--- a/daemons/entries.go
+++ b/daemons/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/gob"
+	"net/http"
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/attempts"
@@ -20,6 +21,7 @@
 	limits := in.settings.Limits
 	client := engines.NewClient(engines.ClientConfig{
 		DialTimeout: limits.DialTimeout.Std(), ProgressTimeout: limits.ProgressTimeout.Std(),
+		Wrap: func(t http.RoundTripper) http.RoundTripper { return in.traces.Transport("backend-server", t) },
 	})
 	idempotent := map[string][]string{}
 	for _, s := range in.settings.Services {
--- a/engines/client.go
+++ b/engines/client.go
@@ -47,6 +47,8 @@
 type ClientConfig struct {
 	DialTimeout     time.Duration // time to establish a connection, and for a probe
 	ProgressTimeout time.Duration // longest silence of a running stream
+	// Wrap, when not nil, is applied to the HTTP transport, for example to trace calls.
+	Wrap func(http.RoundTripper) http.RoundTripper
 }
 
 const (
@@ -67,8 +69,12 @@
 	dialer := &net.Dialer{Timeout: cfg.DialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
+	var transport http.RoundTripper = &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	if cfg.Wrap != nil {
+		transport = cfg.Wrap(transport)
+	}
 	return &Client{cfg: cfg, http: &http.Client{
-		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
+		Transport: transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
