--- a/daemons/configuration_test.go
+++ b/daemons/configuration_test.go
@@ -11,6 +11,9 @@
 	"gypsumshelf.example/gypsumshelf/servers"
 )
 
+// longestRetryDelay is the upper bound of the jittered delay before a retry.
+const longestRetryDelay = time.Second
+
 // single returns a member that leads its own group, with engines in two data
 // centres and a lease that was renewed at testStart.
 func single(t *testing.T) *member {
@@ -81,7 +84,7 @@
 			t.Fatalf("resumed on %s, which is taken out", s[0].Server)
 		}
 		m.change(t, "b", configs.Change{Action: configs.ActionBringBack, Name: "linz-hafen"})
-		assertStarted(t, m.Step(testStart, Tick{}), "fk-2")
+		assertStarted(t, m.Step(testStart.Add(longestRetryDelay), Tick{}), "fk-2")
 	})
 	t.Run("work in progress finishes", func(t *testing.T) {
 		m := single(t)
@@ -124,8 +127,11 @@
 		if s := of[attempts.Start](m.Step(late, failed)); len(s) > 0 {
 			t.Fatalf("retried on %s after the lease", s[0].Server)
 		}
-		m.contact(late)
-		assertStarted(t, m.Step(late, Tick{}), "fk-2")
+		if s := of[attempts.Start](m.Step(late.Add(longestRetryDelay), Tick{})); len(s) > 0 {
+			t.Fatalf("retried on %s after the lease", s[0].Server)
+		}
+		m.contact(late.Add(longestRetryDelay))
+		assertStarted(t, m.Step(late.Add(longestRetryDelay), Tick{}), "fk-2")
 	})
 	t.Run("contact without the newest entries does not renew", func(t *testing.T) {
 		m := single(t)
--- a/daemons/instance.go
+++ b/daemons/instance.go
@@ -48,6 +48,7 @@
 	links    *peers.Links
 	servers  []*http.Server
 	handler  *entries.Handler
+	cancels  *engines.Canceller
 	traces   *traces.Provider
 	metrics  *metrics.Recorder
 	tickets  tickets
@@ -84,17 +85,7 @@
 	if err := in.openPeers(); err != nil {
 		return nil, err
 	}
-	in.handler = entries.New(entries.Config{
-		Engine: engines.NewClient(engines.ClientConfig{
-			DialTimeout: s.Limits.DialTimeout.Std(),
-			Wrap:        func(t http.RoundTripper) http.RoundTripper { return in.traces.Transport("engine", t) },
-		}),
-		Submit: in.daemon.Submit, Ready: in.ready, Class: in.class,
-		Workspaces: s.Workspaces, MaxBodyBytes: s.Limits.MaxBodyBytes, Now: in.timers.Now,
-	})
-	Carry(in.daemon, in.handler.Start)
-	Carry(in.daemon, in.handler.Refuse)
-	Carry(in.daemon, in.handler.Finish)
+	in.openEntries()
 	Carry(in.daemon, in.forward)
 	Carry(in.daemon, in.tickets.decided)
 	Carry(in.daemon, in.sendProposal)
@@ -174,6 +165,7 @@
 	}
 	in.links.Close()
 	in.daemon.Close()
+	in.cancels.Close()
 	in.timers.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), flushTime)
 	defer cancel()
@@ -190,6 +182,10 @@
 		in.daemon.Submit(attempts.Asked{From: e.From, Question: payload})
 	case attempts.Explanation:
 		in.questions.explained(payload)
+	case attempts.Suspicion:
+		in.daemon.Submit(attempts.Suspected{Suspicion: payload})
+	case attempts.Quarantine:
+		in.daemon.Submit(attempts.Quarantined(payload))
 	}
 }
 
--- a/traces/hop.go
+++ b/traces/hop.go
@@ -39,10 +39,11 @@
 }
 
 // Flush implements http.Flusher.
-func (w *statusWriter) Flush() {
-	if f, ok := w.ResponseWriter.(http.Flusher); ok {
-		f.Flush()
-	}
+func (w *statusWriter) Flush() { _ = w.FlushError() }
+
+// FlushError lets http.ResponseController see that the caller is gone.
+func (w *statusWriter) FlushError() error {
+	return http.NewResponseController(w.ResponseWriter).Flush()
 }
 
 // Unwrap lets http.ResponseController reach the wrapped writer.
