Order announcements, gate data centres and start servers slowly

Cause: a late forwarded announcement could undo leaving, a data centre had no gate, and every server had no limit. Ruled out: ordering by receive time, which differs between hosts; a sequence alone, because servers may send none. State only moves forward within an incarnation and replaced incarnations are remembered.

--- a/announcement.go
+++ b/announcement.go
@@ -38,5 +38,8 @@
 	MemoryTokens  int         `json:"memory-tokens,omitempty"`
 	ChecksFencing bool        `json:"checks-fencing,omitempty"`
 	State         ServerState `json:"state"`
-	Load          Load        `json:"load"`
+	// Sequence grows with every announcement of the server, across its starts
+	// too, for instance milliseconds since 1970; 0 when the server sends none.
+	Sequence uint64 `json:"sequence,omitempty"`
+	Load     Load   `json:"load"`
 }
--- a/daemons/routing.go
+++ b/daemons/routing.go
@@ -12,8 +12,10 @@
 func (r *Reducer) registerServers() { on(r, r.announced) }
 
 func (r *Reducer) announced(now time.Time, e servers.Announced) {
-	r.servers.Announce(now, e.Announcement)
-	if !e.Forwarded {
+	if e.Forwarded {
+		r.servers.AnnounceForwarded(now, e.Announcement, e.Age)
+	} else {
+		r.servers.Announce(now, e.Announcement)
 		r.emit(servers.Forward{Announcement: e.Announcement})
 	}
 	r.dispatch(now)
@@ -44,7 +46,7 @@
 	a := r.attempts.Begin(now, rec, candidates[i].Server)
 	rec.Note(now, "routed to %s in %s: %d of %d candidates, %d tokens in progress", a.Server(),
 		candidates[i].DataCentre, i+1, len(candidates), candidates[i].Tokens)
-	r.servers.Started(a.Server(), a.ID(), req.PromptTokens+req.MaxTokens)
+	r.servers.Started(now, a.Server(), a.ID(), req.PromptTokens+req.MaxTokens)
 	r.emit(attempts.Start{
 		Request: req.ID, Attempt: a.ID(), Server: a.Server(),
 		Address:  server.Announcement().Address,
@@ -56,9 +58,27 @@
 
 func candidate(s *servers.Server) routes.Candidate {
 	a := s.Announcement()
-	n, tokens := s.InFlight()
+	n, tokens := s.Load()
 	return routes.Candidate{
-		Server: a.Server, DataCentre: a.DataCentre,
-		Attempts: n + a.Load.Queued, Tokens: tokens + a.Load.UsedTokens, Memory: a.MemoryTokens,
+		Server: a.Server, DataCentre: a.DataCentre, Attempts: n, Tokens: tokens, Memory: a.MemoryTokens,
+	}
+}
+
+func (r *Reducer) observeFirstToken(now time.Time, id gypsumshelf.AttemptID) {
+	if s, ok := r.attempts.ServerOf(id); ok {
+		r.servers.FirstToken(now, s, id)
+	}
+}
+
+// observeEnd passes the outcome of a request's last attempt to slow start. A
+// caller that left says nothing about the server.
+func (r *Reducer) observeEnd(rec *attempts.Record, failure *gypsumshelf.Error) {
+	all := rec.Attempts()
+	last := all[len(all)-1]
+	switch {
+	case failure == nil:
+		r.servers.Completed(last.Server(), last.ID())
+	case failure.Code != gypsumshelf.CodeCallerGone:
+		r.servers.Failed(last.Server(), last.ID())
 	}
 }
--- a/servers/event.go
+++ b/servers/event.go
@@ -1,11 +1,16 @@
 package servers
 
-import "gypsumshelf.example/gypsumshelf"
+import (
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+)
 
 // Announced is the event of an announcement by a backend server.
 type Announced struct {
 	Announcement gypsumshelf.Announcement
-	Forwarded    bool // came from another daemon, must not be forwarded again
+	Forwarded    bool          // came from another daemon, must not be forwarded again
+	Age          time.Duration // age of a forwarded announcement when it was sent
 }
 
 // Forward is the effect that passes an announcement on to the other daemons.
--- a/servers/table.go
+++ b/servers/table.go
@@ -15,88 +15,116 @@
 	// Expiry is the time without an announcement after which a backend server
 	// is taken for dead.
 	Expiry time.Duration
+	// InService reports whether a data centre may receive new work; nil when
+	// all may. It must answer from the reducer's own state.
+	InService func(dataCentre string) bool
+	Ramp      RampConfig // DefaultRamp when zero
 }
 
-// Server is one backend server as this daemon sees it.
-type Server struct {
-	announcement gypsumshelf.Announcement
-	heard        time.Time
-	inFlight     map[gypsumshelf.AttemptID]int // tokens of each attempt of this daemon
-	tokens       int
-}
-
-// Announcement returns the last announcement.
-func (s *Server) Announcement() gypsumshelf.Announcement { return s.announcement }
-
-// InFlight returns the number of attempts and tokens that this daemon has in
-// progress on the server.
-func (s *Server) InFlight() (attempts, tokens int) { return len(s.inFlight), s.tokens }
-
 // Table holds all known backend servers.
 type Table struct {
 	cfg     Config
 	servers map[gypsumshelf.ServerID]*Server
+	past    map[gypsumshelf.ServerID]*history
 }
 
 // New returns an empty Table.
 func New(cfg Config) *Table {
-	return &Table{cfg: cfg, servers: map[gypsumshelf.ServerID]*Server{}}
+	if cfg.Ramp == (RampConfig{}) {
+		cfg.Ramp = DefaultRamp
+	}
+	if cfg.InService == nil {
+		cfg.InService = func(string) bool { return true }
+	}
+	return &Table{cfg: cfg, servers: map[gypsumshelf.ServerID]*Server{}, past: map[gypsumshelf.ServerID]*history{}}
+}
+
+// Announce takes an announcement heard directly from the server.
+func (t *Table) Announce(now time.Time, a gypsumshelf.Announcement) (changed bool) {
+	return t.take(now, a, false, now)
 }
 
-// Announce takes an announcement. It returns the attempts of an earlier
-// incarnation, which can no longer be in progress.
-func (t *Table) Announce(now time.Time, a gypsumshelf.Announcement) (lost []gypsumshelf.AttemptID) {
+// AnnounceForwarded takes an announcement that another daemon heard age ago.
+func (t *Table) AnnounceForwarded(now time.Time, a gypsumshelf.Announcement, age time.Duration) (changed bool) {
+	return t.take(now, a, true, now.Add(-age))
+}
+
+// take applies an announcement unless it is outdated. It reports whether
+// anything but the load and the sequence differs from what was known.
+func (t *Table) take(now time.Time, a gypsumshelf.Announcement, forwarded bool, heard time.Time) (changed bool) {
+	if t.outdated(now, a, forwarded) {
+		return false
+	}
 	s := t.servers[a.Server]
 	if s == nil || s.announcement.Incarnation != a.Incarnation {
 		if s != nil {
-			lost = s.attempts()
+			t.forget(now, a.Server, s.announcement.Incarnation)
 		}
-		s = &Server{inFlight: map[gypsumshelf.AttemptID]int{}}
+		s = newServer(now, t.cfg.Ramp, a)
+		s.out = !t.cfg.InService(a.DataCentre)
 		t.servers[a.Server] = s
+		changed = true
 	}
-	s.announcement = a
-	s.heard = now
-	return lost
+	changed = changed || !sameButLoad(s.announcement, a)
+	s.report(a)
+	if heard.After(s.heard) {
+		s.heard = heard
+	}
+	return changed
+}
+
+func sameButLoad(a, b gypsumshelf.Announcement) bool {
+	return a.State == b.State && a.Address == b.Address && a.DataCentre == b.DataCentre &&
+		a.Service == b.Service && a.Kind == b.Kind && slices.Equal(a.Models, b.Models) &&
+		a.MemoryTokens == b.MemoryTokens && a.ChecksFencing == b.ChecksFencing
 }
 
-func (s *Server) attempts() []gypsumshelf.AttemptID {
-	ids := make([]gypsumshelf.AttemptID, 0, len(s.inFlight))
-	for id := range s.inFlight {
-		ids = append(ids, id)
+func (t *Table) forget(now time.Time, id gypsumshelf.ServerID, incarnation string) {
+	h := t.past[id]
+	if h == nil {
+		h = &history{}
+		t.past[id] = h
 	}
-	slices.Sort(ids)
-	return ids
+	h.add(now, incarnation)
 }
 
+func (t *Table) silent(now time.Time, s *Server) bool { return now.Sub(s.heard) > t.cfg.Expiry }
+
 // Expire drops servers that have not announced themselves for Config.Expiry
 // and have no attempt in progress.
 func (t *Table) Expire(now time.Time) {
 	for id, s := range t.servers {
-		if now.Sub(s.heard) > t.cfg.Expiry && len(s.inFlight) == 0 {
+		t.observeService(now, s)
+		if t.silent(now, s) && len(s.inFlight) == 0 {
 			delete(t.servers, id)
 		}
 	}
+	for id, h := range t.past {
+		if now.Sub(h.last) > pastKeep && t.servers[id] == nil {
+			delete(t.past, id)
+		}
+	}
 }
 
-// Server returns a server by its id, or nil.
-func (t *Table) Server(id gypsumshelf.ServerID) *Server { return t.servers[id] }
-
-// Started records an attempt that is sent to a server.
-func (t *Table) Started(id gypsumshelf.ServerID, attempt gypsumshelf.AttemptID, tokens int) {
-	if s := t.servers[id]; s != nil {
-		s.inFlight[attempt] = tokens
-		s.tokens += tokens
+// observeService notes whether the server's data centre is in service; slow
+// start begins when it comes back.
+func (t *Table) observeService(now time.Time, s *Server) {
+	out := !t.cfg.InService(s.announcement.DataCentre)
+	if s.out && !out {
+		s.ramp.reset(now)
+		s.cold = coldDetector{}
 	}
+	s.out = out
 }
 
-// Ended records the end of an attempt.
-func (t *Table) Ended(id gypsumshelf.ServerID, attempt gypsumshelf.AttemptID) {
-	s := t.servers[id]
-	if s == nil {
-		return
-	}
-	s.tokens -= s.inFlight[attempt]
-	delete(s.inFlight, attempt)
+// Server returns a server by its id, or nil.
+func (t *Table) Server(id gypsumshelf.ServerID) *Server { return t.servers[id] }
+
+// Accepts reports whether a server may take a new attempt now: it is ready,
+// heard of, and its data centre is in service.
+func (t *Table) Accepts(now time.Time, s *Server) bool {
+	t.observeService(now, s)
+	return !s.out && s.announcement.State == gypsumshelf.ServerReady && !t.silent(now, s)
 }
 
 // Ready returns the servers that may take new work for a service or model, in
@@ -104,14 +132,11 @@
 func (t *Table) Ready(now time.Time, service, model string) []*Server {
 	var ready []*Server
 	for _, s := range t.servers {
-		if s.announcement.State != gypsumshelf.ServerReady || now.Sub(s.heard) > t.cfg.Expiry {
-			continue
-		}
-		if s.serves(service, model) {
+		if s.serves(service, model) && t.Accepts(now, s) {
 			ready = append(ready, s)
 		}
 	}
-	slices.SortFunc(ready, func(a, b *Server) int { return cmp.Compare(a.announcement.Server, b.announcement.Server) })
+	sortByID(ready)
 	return ready
 }
 
@@ -125,19 +150,16 @@
 	return false
 }
 
-func (s *Server) serves(service, model string) bool {
-	if model != "" {
-		return slices.Contains(s.announcement.Models, model)
-	}
-	return s.announcement.Service == service && s.announcement.Kind == gypsumshelf.KindPlain
-}
-
 // All returns every known server in the order of their ids.
 func (t *Table) All() []*Server {
 	all := make([]*Server, 0, len(t.servers))
 	for _, s := range t.servers {
 		all = append(all, s)
 	}
-	slices.SortFunc(all, func(a, b *Server) int { return cmp.Compare(a.announcement.Server, b.announcement.Server) })
+	sortByID(all)
 	return all
 }
+
+func sortByID(all []*Server) {
+	slices.SortFunc(all, func(a, b *Server) int { return cmp.Compare(a.announcement.Server, b.announcement.Server) })
+}
