Divide the limit of a server by owner-granted shares

Cause: each daemon applied a server's limit alone, so n daemons sent n times the limit. Ruled out: trusting the live set of each daemon, since two daemons that do not hear each other would both own a server; a majority of all daemons, which the loss of two of four hosts would end. An owner needs promises of a majority of voters, which new work needs anyway. Not yet connected to the daemon.

--- /dev/null
+++ b/shares/harness_test.go
@@ -0,0 +1,366 @@
+package shares
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/servers"
+)
+
+func init() { _ = flag.Set("rapid.seed", strconv.Itoa(seed())) }
+
+func seed() int {
+	if n, err := strconv.Atoi(os.Getenv("GYPSUMSHELF_SEED")); err == nil {
+		return n
+	}
+	return 1
+}
+
+const (
+	simStep = 10 * time.Millisecond
+	simTick = 50 * time.Millisecond
+)
+
+// policy is a way to divide limits that the harness compares.
+type policy string
+
+const (
+	ownerGranted policy = "owner-granted"
+	oneAllocator policy = "one allocator"
+	staticParts  policy = "static division"
+)
+
+// node is one daemon with its own clock.
+type node struct {
+	id     gypsumshelf.DaemonID
+	table  *Table
+	up     bool
+	frozen time.Duration // true time until which the node does nothing
+	offset time.Duration
+	rate   float64
+	jobs   map[gypsumshelf.ServerID][]job
+	demand int // attempts it would like to have running on each server
+	back   time.Duration
+}
+
+type job struct {
+	end    time.Duration
+	tokens int
+}
+
+type delivery struct {
+	at       time.Duration
+	from, to *node
+	payload  any
+}
+
+type simConfig struct {
+	seed    uint64
+	nodes   int
+	servers int
+	policy  policy
+	faults  bool
+	limit   Amount
+	config  Config
+}
+
+// sim runs several daemons over fake links in simulated time.
+type sim struct {
+	cfg     simConfig
+	rand    *rand.Rand
+	now     time.Duration
+	nodes   []*node
+	servers []gypsumshelf.ServerID
+	limits  map[gypsumshelf.ServerID]Amount
+	floor   map[gypsumshelf.ServerID]Amount // highest limit in the life of a share
+	changed map[gypsumshelf.ServerID]time.Duration
+	queue   []delivery
+	cut     map[[2]gypsumshelf.DaemonID]time.Duration
+	lossy   time.Duration
+	steps   int
+	sent    int
+	faults  map[string]int
+	wanted  float64 // attempts wanted, summed over steps
+	used    float64 // attempts running, summed over steps
+	starved map[gypsumshelf.ServerID]time.Duration
+	longest time.Duration // longest time in which no live daemon held a share of a server
+	broken  []string
+}
+
+func newSim(cfg simConfig) *sim {
+	if cfg.config.Share == 0 {
+		cfg.config = DefaultConfig(cfg.nodes)
+	}
+	s := &sim{
+		cfg: cfg, rand: rand.New(rand.NewPCG(cfg.seed, 1)),
+		limits: map[gypsumshelf.ServerID]Amount{}, floor: map[gypsumshelf.ServerID]Amount{},
+		changed: map[gypsumshelf.ServerID]time.Duration{}, starved: map[gypsumshelf.ServerID]time.Duration{},
+		cut: map[[2]gypsumshelf.DaemonID]time.Duration{}, faults: map[string]int{},
+	}
+	for i := range cfg.servers {
+		id := gypsumshelf.ServerID(fmt.Sprintf("fk-%02d", i))
+		s.servers = append(s.servers, id)
+		s.limits[id], s.floor[id] = cfg.limit, cfg.limit
+	}
+	for i := range cfg.nodes {
+		n := &node{
+			id: gypsumshelf.DaemonID(fmt.Sprintf("d%d", i)), rate: 1 + (s.rand.Float64()-0.5)*0.04,
+			offset: time.Duration(s.rand.IntN(int(time.Hour))),
+		}
+		s.nodes = append(s.nodes, n)
+	}
+	for _, n := range s.nodes {
+		s.start(n)
+	}
+	return s
+}
+
+func (s *sim) clock(n *node) time.Time {
+	return time.Unix(1_700_000_000, 0).Add(n.offset + time.Duration(float64(s.now)*n.rate))
+}
+
+func (s *sim) start(n *node) {
+	var ids []gypsumshelf.DaemonID
+	for _, o := range s.nodes {
+		ids = append(ids, o.id)
+	}
+	cfg := s.cfg.config
+	cfg.Daemon, cfg.Daemons = n.id, ids
+	cfg.Voters = func() []gypsumshelf.DaemonID { return ids[:min(3, len(ids))] }
+	cfg.Limit = func(id gypsumshelf.ServerID) (Amount, uint32, bool) { return s.limits[id], 1, true }
+	cfg.Running = func(id gypsumshelf.ServerID) (Amount, servers.Evidence) { return n.running(id), servers.Evidence{} }
+	cfg.Learn = func(time.Time, gypsumshelf.ServerID, servers.Evidence) {}
+	cfg.Adopt = func(gypsumshelf.ServerID, Amount) {}
+	n.table, n.up, n.jobs = New(s.clock(n), cfg), true, map[gypsumshelf.ServerID][]job{}
+	if s.cfg.policy == oneAllocator {
+		for slot := range Slot(slots) {
+			n.table.ranks[slot] = ids
+		}
+	}
+}
+
+func (n *node) running(id gypsumshelf.ServerID) Amount {
+	a := Amount{Attempts: len(n.jobs[id])}
+	for _, j := range n.jobs[id] {
+		a.Tokens += j.tokens
+	}
+	return a
+}
+
+func (s *sim) run(d time.Duration) {
+	for end := s.now + d; s.now < end; s.now += simStep {
+		s.steps++
+		if s.cfg.faults {
+			s.inject()
+		}
+		s.deliver()
+		for i, n := range s.nodes {
+			s.work(n)
+			if s.active(n) && (s.now/simStep+time.Duration(i))%(simTick/simStep) == 0 {
+				s.emit(n, n.table.Tick(s.clock(n), s.servers))
+				s.heartbeat(n)
+			}
+		}
+		s.check()
+	}
+}
+
+func (s *sim) active(n *node) bool { return n.up && s.now >= n.frozen }
+
+func (s *sim) heartbeat(n *node) {
+	if s.now%(500*time.Millisecond) < simTick {
+		for _, o := range s.nodes {
+			if o != n {
+				s.link(n, o, nil)
+			}
+		}
+	}
+}
+
+func (s *sim) emit(n *node, out []Send) {
+	for _, m := range out {
+		for _, o := range s.nodes {
+			if o.id == m.To {
+				s.sent++
+				s.link(n, o, m.Payload)
+			}
+		}
+	}
+}
+
+// link queues a message with the delay and the faults of the link.
+func (s *sim) link(from, to *node, payload any) {
+	if s.now < s.cut[[2]gypsumshelf.DaemonID{from.id, to.id}] {
+		return
+	}
+	delay, copies := time.Millisecond, 1
+	if s.now < s.lossy {
+		switch s.rand.IntN(6) {
+		case 0:
+			copies = 0
+		case 1:
+			copies = 2
+		case 2:
+			delay = time.Duration(s.rand.IntN(3000)) * time.Millisecond
+		}
+	}
+	for range copies {
+		s.queue = append(s.queue, delivery{at: s.now + delay, from: from, to: to, payload: payload})
+		delay += time.Duration(s.rand.IntN(500)) * time.Millisecond
+	}
+}
+
+func (s *sim) deliver() {
+	due := s.queue
+	s.queue = nil
+	for _, m := range due {
+		if m.at > s.now || (m.to.up && s.now < m.to.frozen) {
+			s.queue = append(s.queue, m)
+			continue
+		}
+		if !m.to.up {
+			continue
+		}
+		if m.payload == nil {
+			m.to.table.Heard(s.clock(m.to), m.from.id)
+			continue
+		}
+		s.emit(m.to, m.to.table.Receive(s.clock(m.to), m.from.id, m.payload))
+	}
+}
+
+// inject starts faults at random; they overlap.
+func (s *sim) inject() {
+	if s.rand.IntN(100) != 0 {
+		return
+	}
+	n := s.nodes[s.rand.IntN(len(s.nodes))]
+	o := s.nodes[s.rand.IntN(len(s.nodes))]
+	length := time.Duration(100+s.rand.IntN(6000)) * time.Millisecond
+	switch s.rand.IntN(6) {
+	case 0:
+		s.faults["freeze"]++
+		n.frozen = max(n.frozen, s.now+length)
+	case 1:
+		s.kill(n, length)
+	case 2:
+		s.faults["loss, delay, duplicates"]++
+		s.lossy = max(s.lossy, s.now+length)
+	case 3:
+		s.faults["one-way cut"]++
+		s.cut[[2]gypsumshelf.DaemonID{n.id, o.id}] = s.now + length
+	case 4:
+		s.faults["isolation"]++
+		for _, o := range s.nodes {
+			s.cut[[2]gypsumshelf.DaemonID{n.id, o.id}] = s.now + length
+			s.cut[[2]gypsumshelf.DaemonID{o.id, n.id}] = s.now + length
+		}
+	case 5:
+		s.faults["limit change"]++
+		s.setLimit(s.servers[s.rand.IntN(len(s.servers))], Amount{1 + s.rand.IntN(32), 10_000 + s.rand.IntN(300_000)})
+	}
+}
+
+func (s *sim) kill(n *node, length time.Duration) {
+	if n.up {
+		s.faults["kill"]++
+		n.up, n.back, n.jobs = false, s.now+length, nil
+	}
+}
+
+func (s *sim) setLimit(id gypsumshelf.ServerID, a Amount) {
+	s.floor[id] = s.floor[id].atLeast(s.limits[id]).atLeast(a)
+	s.limits[id], s.changed[id] = a, s.now
+}
+
+// work ends and starts jobs and states what waits.
+func (s *sim) work(n *node) {
+	if !n.up {
+		if n.back > 0 && s.now >= n.back {
+			s.start(n)
+		}
+		return
+	}
+	for id, jobs := range n.jobs {
+		n.jobs[id] = slices.DeleteFunc(jobs, func(j job) bool { return s.now >= j.end })
+	}
+	if !s.active(n) {
+		return
+	}
+	if s.rand.IntN(200) == 0 {
+		n.demand = s.rand.IntN(24)
+	}
+	for _, id := range s.servers {
+		need := Amount{1, 2000}
+		if s.rand.IntN(50) == 0 {
+			need.Tokens = 100_000
+		}
+		running := n.running(id)
+		missing := max(0, n.demand-running.Attempts)
+		s.wanted += float64(min(n.demand, s.limits[id].Attempts/len(s.nodes)+1))
+		s.used += float64(running.Attempts)
+		if missing == 0 {
+			n.table.Await(id, Amount{}, Amount{})
+			continue
+		}
+		n.table.Await(id, need, Amount{missing, missing * need.Tokens})
+		share := s.share(n, id)
+		if running.Attempts+1 <= share.Attempts && running.Tokens+need.Tokens <= share.Tokens {
+			length := time.Duration(50+s.rand.IntN(1000)) * time.Millisecond
+			n.jobs[id] = append(n.jobs[id], job{end: s.now + length, tokens: need.Tokens})
+		}
+	}
+}
+
+func (s *sim) share(n *node, id gypsumshelf.ServerID) Amount {
+	if s.cfg.policy == staticParts {
+		return Amount{s.limits[id].Attempts / len(s.nodes), s.limits[id].Tokens / len(s.nodes)}
+	}
+	share, _ := n.table.Share(s.clock(n), id)
+	return share
+}
+
+// check asserts that all unexpired shares fit into the limit, and that only
+// one daemon may grant shares of a server.
+func (s *sim) check() {
+	for _, id := range s.servers {
+		if s.now-s.changed[id] > 2*s.cfg.config.Share {
+			s.floor[id] = s.limits[id]
+		}
+		var sum Amount
+		grantors, held := 0, false
+		for _, n := range s.nodes {
+			if !n.up {
+				continue
+			}
+			share := s.share(n, id)
+			sum.Attempts += share.Attempts
+			sum.Tokens += share.Tokens
+			held = held || share.Attempts > 0
+			if o := n.table.owners[SlotOf(id)]; o != nil && o.mayGrant(s.clock(n), n.table.cfg.Voters()) {
+				grantors++
+			}
+		}
+		if sum.Attempts > s.floor[id].Attempts || sum.Tokens > s.floor[id].Tokens || grantors > 1 {
+			s.broken = append(s.broken, fmt.Sprintf("%s at %s: shares %+v, limit %+v, grantors %d", id, s.now, sum, s.floor[id], grantors))
+		}
+		if held || s.starved[id] == 0 {
+			s.starved[id] = s.now
+		}
+		s.longest = max(s.longest, s.now-s.starved[id])
+	}
+}
+
+func assertSound(t testing.TB, s *sim) {
+	t.Helper()
+	if len(s.broken) > 0 {
+		t.Fatalf("seed %d: %d violations, first: %s", s.cfg.seed, len(s.broken), s.broken[0])
+	}
+}
--- /dev/null
+++ b/shares/slot.go
@@ -0,0 +1,58 @@
+package shares
+
+import (
+	"cmp"
+	"encoding/binary"
+	"hash/fnv"
+	"slices"
+
+	"gypsumshelf.example/gypsumshelf"
+)
+
+// slots is the number of slots. 1,024 gives each of 400 daemons about 30 with
+// 12 members each, so that none is left without servers.
+const slots = 1024
+
+// SlotOf returns the slot of a server.
+func SlotOf(id gypsumshelf.ServerID) Slot {
+	return Slot(mix(hashString(string(id))) % slots)
+}
+
+// IncarnationHash shortens an incarnation id for messages.
+func IncarnationHash(incarnation string) uint32 { return uint32(mix(hashString(incarnation))) }
+
+func hashString(s string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s))
+	return h.Sum64()
+}
+
+// mix spreads the bits of x; FNV alone leaves similar names close together.
+// The constants are those of the finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Rank returns the daemons in the order in which rendezvous hashing prefers
+// them for a slot.
+func Rank(slot Slot, daemons []gypsumshelf.DaemonID) []gypsumshelf.DaemonID {
+	type scored struct {
+		daemon gypsumshelf.DaemonID
+		score  uint64
+	}
+	all := make([]scored, len(daemons))
+	for i, d := range daemons {
+		b := binary.LittleEndian.AppendUint16([]byte(d), uint16(slot))
+		all[i] = scored{d, mix(hashString(string(b)))}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.daemon, b.daemon))
+	})
+	ranked := make([]gypsumshelf.DaemonID, len(all))
+	for i, s := range all {
+		ranked[i] = s.daemon
+	}
+	return ranked
+}
--- /dev/null
+++ b/shares/table.go
@@ -0,0 +1,242 @@
+// Package shares divides the limit of each backend server between the daemons.
+//
+// Servers are grouped into slots. The owner of a slot is the daemon that
+// rendezvous hashing prefers among the live members of the slot and that holds
+// promises of a majority of the voters. It grants shares that run out after
+// Config.Share. A new owner grants nothing until all shares of earlier owners
+// have run out. Every interval is counted on one clock: a holder counts its
+// share from when it sent the Ask, an owner counts a promise from when it sent
+// the Claim.
+package shares
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/servers"
+)
+
+// clockMargin is the inverse of the rate difference between clocks that is
+// tolerated.
+const clockMargin = 20
+
+// Config configures a Table.
+type Config struct {
+	Daemon  gypsumshelf.DaemonID
+	Daemons []gypsumshelf.DaemonID // all daemons of the settings
+	Voters  func() []gypsumshelf.DaemonID
+	Members int // daemons that work with a server, all when 0
+	// Limit returns a server's limit and the hash of its incarnation.
+	Limit func(gypsumshelf.ServerID) (limit Amount, incarnation uint32, ok bool)
+	// Running returns what this daemon has in progress and its evidence.
+	Running func(gypsumshelf.ServerID) (Amount, servers.Evidence)
+	// Learn takes new evidence of another daemon, Adopt the limit stated by an owner.
+	Learn func(time.Time, gypsumshelf.ServerID, servers.Evidence)
+	Adopt func(gypsumshelf.ServerID, Amount)
+
+	Share       time.Duration // life of a share
+	Promise     time.Duration // life of a voter's promise
+	AskPeriod   time.Duration
+	ClaimPeriod time.Duration
+	Silence     time.Duration // time without a message after which a daemon is taken for dead
+	RunningKeep time.Duration // time for which the work of a silent daemon counts
+	AnswerWait  time.Duration // time after which an Ask without an answer is repeated
+}
+
+// manyDaemons is the number of daemons above which messages are sent less
+// often, so that a voter stays within its share of 20 KB/s.
+const manyDaemons = 16
+
+// DefaultConfig returns the durations used in a deployment of n daemons.
+func DefaultConfig(n int) Config {
+	cfg := Config{
+		Share: time.Second, Promise: 1200 * time.Millisecond,
+		AskPeriod: 300 * time.Millisecond, ClaimPeriod: 350 * time.Millisecond,
+		Silence: time.Second, RunningKeep: 10 * time.Second, AnswerWait: 300 * time.Millisecond,
+	}
+	if n > manyDaemons {
+		cfg.Share, cfg.Promise = 3*time.Second, 8*time.Second
+		cfg.AskPeriod, cfg.ClaimPeriod = time.Second, 2500*time.Millisecond
+		cfg.Silence, cfg.Members = 3*time.Second, 12
+	}
+	return cfg
+}
+
+// Table is one daemon's part in the division of limits: voter, owner and holder.
+type Table struct {
+	cfg     Config
+	voter   *voter
+	owners  map[Slot]*owner
+	epochs  map[Slot]uint64
+	holds   map[gypsumshelf.ServerID]*hold
+	pending map[gypsumshelf.DaemonID]*pending
+	asked   map[gypsumshelf.DaemonID]time.Time
+	heard   map[gypsumshelf.DaemonID]time.Time
+	ranks   map[Slot][]gypsumshelf.DaemonID
+	claims  map[int64]time.Time // claims that may still be answered
+	claimed time.Time
+	retried time.Time
+	clock   int64
+	stopped bool
+	out     []Send
+}
+
+// New returns a Table of a daemon that starts at now.
+func New(now time.Time, cfg Config) *Table {
+	if !slices.Contains(cfg.Daemons, cfg.Daemon) {
+		cfg.Daemons = append(slices.Clone(cfg.Daemons), cfg.Daemon)
+	}
+	return &Table{
+		cfg: cfg, voter: newVoter(now, cfg.Promise+cfg.Promise/clockMargin),
+		owners: map[Slot]*owner{}, epochs: map[Slot]uint64{},
+		holds:   map[gypsumshelf.ServerID]*hold{},
+		pending: map[gypsumshelf.DaemonID]*pending{}, asked: map[gypsumshelf.DaemonID]time.Time{},
+		claims: map[int64]time.Time{},
+		heard:  map[gypsumshelf.DaemonID]time.Time{}, ranks: map[Slot][]gypsumshelf.DaemonID{},
+	}
+}
+
+// Heard records a sign of life of a daemon.
+func (t *Table) Heard(now time.Time, from gypsumshelf.DaemonID) { t.heard[from] = now }
+
+// Live reports whether a daemon has been heard of lately.
+func (t *Table) Live(now time.Time, d gypsumshelf.DaemonID) bool {
+	if d == t.cfg.Daemon {
+		return !t.stopped
+	}
+	heard, ok := t.heard[d]
+	return ok && now.Sub(heard) <= t.cfg.Silence
+}
+
+// Members returns the daemons that work with the servers of a slot, the
+// preferred owner first.
+func (t *Table) Members(slot Slot) []gypsumshelf.DaemonID {
+	ranked, ok := t.ranks[slot]
+	if !ok {
+		ranked = Rank(slot, t.cfg.Daemons)
+		if n := t.cfg.Members; n > 0 && n < len(ranked) {
+			ranked = ranked[:n]
+		}
+		t.ranks[slot] = ranked
+	}
+	return ranked
+}
+
+// Member reports whether this daemon works with a server.
+func (t *Table) Member(id gypsumshelf.ServerID) bool {
+	return slices.Contains(t.Members(SlotOf(id)), t.cfg.Daemon)
+}
+
+// Owner returns the daemon that should own a slot.
+func (t *Table) Owner(now time.Time, slot Slot) (gypsumshelf.DaemonID, bool) {
+	for _, d := range t.Members(slot) {
+		if t.Live(now, d) {
+			return d, true
+		}
+	}
+	return "", false
+}
+
+// Share returns this daemon's unexpired share of a server and the server's
+// limit; both are zero without a share.
+func (t *Table) Share(now time.Time, id gypsumshelf.ServerID) (share, limit Amount) {
+	h := t.hold(id)
+	if !now.Before(h.until) {
+		return Amount{}, Amount{}
+	}
+	return h.share, h.limit
+}
+
+// Await states the requests that wait for a server: need is what the most
+// urgent one takes, all is what all of them take.
+func (t *Table) Await(id gypsumshelf.ServerID, need, all Amount) {
+	h := t.hold(id)
+	h.need, h.extra = need, all
+}
+
+// hold returns this daemon's share of a server's present incarnation.
+func (t *Table) hold(id gypsumshelf.ServerID) *hold {
+	h := t.holds[id]
+	if _, incarnation, _ := t.cfg.Limit(id); h == nil || h.incarnation != incarnation {
+		h = &hold{incarnation: incarnation}
+		t.holds[id] = h
+	}
+	return h
+}
+
+// Tick renews claims and shares for the known servers. It returns the messages
+// to send.
+func (t *Table) Tick(now time.Time, known []gypsumshelf.ServerID) []Send {
+	t.forget(known)
+	t.claim(now, known)
+	t.ask(now, known)
+	return t.flush(now)
+}
+
+// Stop resigns from all slots and gives up all shares.
+func (t *Table) Stop(now time.Time) []Send {
+	t.stopped = true
+	t.resign(func(Slot) bool { return true })
+	clear(t.holds)
+	return t.flush(now)
+}
+
+// Receive takes a message of another daemon and returns the messages to send.
+func (t *Table) Receive(now time.Time, from gypsumshelf.DaemonID, payload any) []Send {
+	t.Heard(now, from)
+	t.receive(now, from, payload)
+	return t.flush(now)
+}
+
+func (t *Table) receive(now time.Time, from gypsumshelf.DaemonID, payload any) {
+	switch m := payload.(type) {
+	case Claim:
+		t.send(from, t.voter.claim(now, from, m))
+	case Resign:
+		t.voter.resign(now, from, m)
+	case Promise:
+		t.promised(now, from, m)
+	case Ask:
+		t.grant(now, from, m)
+	case Grant:
+		t.granted(from, m)
+	}
+}
+
+func (t *Table) send(to gypsumshelf.DaemonID, payload any) {
+	t.out = append(t.out, Send{To: to, Payload: payload})
+}
+
+// flush delivers messages to this daemon itself and returns the others.
+func (t *Table) flush(now time.Time) []Send {
+	var out []Send
+	for len(t.out) > 0 {
+		m := t.out[0]
+		t.out = t.out[1:]
+		if m.To == t.cfg.Daemon {
+			t.receive(now, m.To, m.Payload)
+		} else {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// stamp returns a time of this daemon's clock that is used only once.
+func (t *Table) stamp(now time.Time) int64 {
+	t.clock = max(t.clock+1, now.UnixNano())
+	return t.clock
+}
+
+func (t *Table) forget(known []gypsumshelf.ServerID) {
+	if len(t.holds) <= len(known) {
+		return
+	}
+	keep := map[gypsumshelf.ServerID]bool{}
+	for _, id := range known {
+		keep[id] = true
+	}
+	maps.DeleteFunc(t.holds, func(id gypsumshelf.ServerID, _ *hold) bool { return !keep[id] })
+}
