--- a/daemons/reducer.go
+++ b/daemons/reducer.go
@@ -45,12 +45,13 @@
 func NewReducer(cfg ReducerConfig) *Reducer {
 	r := &Reducer{
 		cfg:      cfg,
-		servers:  servers.New(cfg.Servers),
 		attempts: attempts.New(cfg.Attempts),
 		handlers: map[reflect.Type]func(time.Time, gypsumshelf.Event){},
 		trials:   map[gypsumshelf.ServerID]gypsumshelf.AttemptID{},
 	}
 	r.configuration = newConfiguration(cfg, r.emit)
+	cfg.Servers.InService = r.inService
+	r.servers = servers.New(cfg.Servers)
 	on(r, r.tick)
 	r.registerServers()
 	r.registerRequests()
@@ -58,6 +59,12 @@
 	return r
 }
 
+// inService reports whether a data centre may receive new work. It reads the
+// present state, which a snapshot may replace.
+func (r *Reducer) inService(dataCentre string) bool {
+	return r.configuration.state.InService(dataCentre)
+}
+
 // on makes handle the handler of all events of type E.
 func on[E gypsumshelf.Event](r *Reducer, handle func(time.Time, E)) {
 	r.handlers[reflect.TypeFor[E]()] = func(now time.Time, ev gypsumshelf.Event) { handle(now, ev.(E)) }
--- a/daemons/requests.go
+++ b/daemons/requests.go
@@ -10,7 +10,10 @@
 func (r *Reducer) registerRequests() {
 	on(r, r.arrived)
 	on(r, func(_ time.Time, e attempts.Sent) { r.attempts.Sent(e.Attempt) })
-	on(r, func(now time.Time, e attempts.FirstToken) { r.attempts.FirstToken(now, e.Attempt) })
+	on(r, func(now time.Time, e attempts.FirstToken) {
+		r.attempts.FirstToken(now, e.Attempt)
+		r.observeFirstToken(now, e.Attempt)
+	})
 	on(r, r.ended)
 	on(r, r.failed)
 	on(r, r.callerGone)
@@ -93,6 +96,7 @@
 	if rec == nil {
 		return
 	}
+	r.observeEnd(rec, nil)
 	r.release(rec)
 	r.clear(now, rec)
 	outcome := attempts.Outcome{Verdict: gypsumshelf.Ran, Truncated: true}
@@ -110,6 +114,7 @@
 	if rec == nil {
 		return
 	}
+	r.observeEnd(rec, e.Failure)
 	r.release(rec)
 	if e.Failure.Verdict != gypsumshelf.NotRun {
 		r.cancel(rec, a)
