--- a/loads/target.go
+++ b/loads/target.go
@@ -22,6 +22,17 @@
 	budgetBytes = 20e3  // bytes per second
 )
 
+// Sizes of the groups that replace the mechanisms which do not reach the
+// target: the daemons of a group work with the same backend servers, and each
+// daemon has links only to its group and to observers of the log.
+const (
+	groupDaemons    = 7
+	groupServers    = 30  // 1,700 x 7 / 400
+	groupObservers  = 2   // links of a daemon to observers
+	groupHeartbeats = 1.0 // announcements of a backend server per second
+	groupRecords    = 5 * time.Minute
+)
+
 // slopeSet holds the slopes from which the target size is worked out.
 type slopeSet struct {
 	announce, encode, request, records, tick, workspaces, tokens, links slope
@@ -78,13 +89,52 @@
 	}
 }
 
+// groupLoads returns the costs of one of the target's daemons when it belongs
+// to a group. Servers announce themselves to their owner in the group.
+func (m slopeSet) groupLoads() []load {
+	requests := float64(targetRequests) / targetDaemons
+	kept := requests * groupRecords.Seconds()
+	links := 2 * float64(groupDaemons-1+groupObservers)
+	heard := groupServers * groupHeartbeats
+	own := heard / groupDaemons
+	half := m.encode.last().cpu / 2
+	return []load{
+		{
+			name: "idle peer links", formula: "2 x (6 daemons + 2 observers)",
+			core: perSecond(links/2, m.links.last().cpu), heap: links / 2 * m.links.last().heap,
+			bytes: links * m.links.last().bytes,
+		},
+		{
+			name: "announcements forwarded in the group", formula: "4.3/s sent to each of 6 peers",
+			core: perSecond(own*(groupDaemons-1), half), bytes: own * (groupDaemons - 1) * m.encode.last().bytes,
+		},
+		{
+			name: "announcements received", formula: "30 servers x 1/s",
+			core:  perSecond(heard, half+m.announce.cpuAt(groupServers)),
+			heap:  groupServers * m.announce.last().heap,
+			bytes: (heard-own)*m.encode.last().bytes + own*float64(announcementBytes()),
+		},
+		{name: "requests in the reducer", formula: "52.5/s with 30 candidates", core: perSecond(requests, m.request.cpuAt(groupServers))},
+		{name: "records kept 5 min", formula: "15,750 records", heap: kept * m.records.last().heap},
+	}
+}
+
 func (m slopeSet) writeTarget(w io.Writer) error {
-	fmt.Fprintf(w, "\none of %d daemons with today's mechanisms; budget %.1f%% of a core, %.0f MB, %.0f KB/s\n",
+	fmt.Fprintf(w, "\none of %d daemons; control budget %.1f%% of a core, %.0f MB, %.0f KB/s\n",
 		targetDaemons, budgetCore*100, budgetHeap/1e6, budgetBytes/1e3)
+	fmt.Fprintln(w, "\nwith today's mechanisms")
+	if err := writeLoads(w, m.targetLoads()); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "\nwith groups of %d daemons and %d backend servers (not built)\n", groupDaemons, groupServers)
+	return writeLoads(w, m.groupLoads())
+}
+
+func writeLoads(w io.Writer, loads []load) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(table, "mechanism\tfrom\tcore\theap MB\tKB/s\tagainst the budget\t")
 	var sum load
-	for _, l := range m.targetLoads() {
+	for _, l := range loads {
 		verdict := "serving, not counted"
 		if !l.serving {
 			verdict = l.verdict()
