Add the load command with independent checks of every answer

Cause: load could be sent only from the demo, in a closed loop, and a missing end was told from a broken stream only by the daemons' own reader.

Arrivals follow a seeded Poisson process and do not wait for answers; latency counts from the intended send time. The checker compares ids, text, finish reason and end marker with the only right answer and counts an answer that is presented as whole without being so as wrong. Calls to plain services are compared with the stand-ins' ledger: a call that ran twice, or a verdict that the ledger contradicts, fails the command.

Ruled out: use of package streams for the check, because a fault there would then not be seen.

Before: no open-loop figures. After: TestLoadThroughProcesses sends 2 s at 20 requests/s through three daemon processes, all answers whole. Plain services are not yet served by the daemons, so that part is tested against the ledger only.

--- /dev/null
+++ b/cmd/gypsumshelf/load_test.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"encoding/json"
+	"os/exec"
+	"syscall"
+	"testing"
+
+	"gypsumshelf.example/gypsumshelf/loads"
+)
+
+// Guards against load and stand-ins that work only inside one process, and
+// against stand-ins that end on SIGTERM with requests in progress.
+func TestLoadThroughProcesses(t *testing.T) {
+	members := newDeployment(t, 3)
+	standIns := []string{"stand-ins", "--engines", "3"}
+	args := []string{"load", "--output", "json", "--duration", "2s", "--rate", "20", "--short-only", "--whole-share", "0.2"}
+	for _, m := range members {
+		startProcess(t, "serve", "--config", m.file)
+		standIns = append(standIns, "--daemon", m.addresses["backend-servers"])
+		args = append(args, "--server", m.addresses["callers"])
+	}
+	fleet := startProcess(t, standIns...)
+	for _, m := range members {
+		waitReady(t, m, 3)
+	}
+	out, err := exec.Command(binary, args...).Output()
+	if err != nil {
+		t.Fatalf("load: %v\n%s", err, out)
+	}
+	var report loads.Report
+	if err := json.Unmarshal(out, &report); err != nil {
+		t.Fatalf("report: %v\n%s", err, out)
+	}
+	if report.Whole == 0 || report.Whole != report.Requests {
+		t.Errorf("got %d whole answers of %d requests: %+v", report.Whole, report.Requests, report.Failures)
+	}
+	if err := fleet.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := fleet.cmd.Wait(); err != nil {
+		t.Errorf("stand-ins after SIGTERM: %v", err)
+	}
+}
--- a/cmd/gypsumshelf/main.go
+++ b/cmd/gypsumshelf/main.go
@@ -41,7 +41,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: false,
 	}
-	root.AddCommand(newServe(), newConfig(), newDemo(), newStandIns(), newMeasure())
+	root.AddCommand(newServe(), newConfig(), newDemo(), newStandIns(), newMeasure(), newLoad())
 	return root
 }
 
--- /dev/null
+++ b/loads/checker.go
@@ -0,0 +1,160 @@
+package loads
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/standins"
+)
+
+// maxEventBytes bounds one line of a stream.
+const maxEventBytes = 1 << 20
+
+// checker compares an answer with the only right one. It does not use the
+// daemons' own reader, so that a fault there is seen here.
+type checker struct {
+	id       string // request id that every part must carry
+	want     string // whole answer
+	now      func() time.Time
+	start    time.Time
+	out      Outcome
+	got      int // bytes of want received
+	finished bool
+}
+
+func newChecker(o Order, prompt string, start time.Time) *checker {
+	return &checker{id: o.RequestID, want: standins.Answer(prompt, o.MaxTokens), now: time.Now, start: start}
+}
+
+// errorBody is the JSON form of an error in a response or a stream.
+type errorBody struct {
+	Code    gypsumshelf.Code    `json:"code"`
+	Text    string              `json:"text"`
+	Verdict gypsumshelf.Verdict `json:"verdict"`
+}
+
+// event is one event of a stream or the body of a whole answer.
+type event struct {
+	ID      string `json:"id"`
+	Choices []struct {
+		Text         string   `json:"text"`
+		Delta        *content `json:"delta"`
+		Message      *content `json:"message"`
+		FinishReason *string  `json:"finish_reason"`
+	} `json:"choices"`
+	Error *errorBody `json:"error"`
+}
+
+type content struct {
+	Content string `json:"content"`
+}
+
+func (e event) text() string {
+	if len(e.Choices) == 0 {
+		return ""
+	}
+	switch c := e.Choices[0]; {
+	case c.Delta != nil:
+		return c.Delta.Content
+	case c.Message != nil:
+		return c.Message.Content
+	default:
+		return c.Text
+	}
+}
+
+// stream checks an event stream to its end.
+func (c *checker) stream(r io.Reader) Outcome {
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	for s.Scan() {
+		data, ok := bytes.CutPrefix(bytes.TrimSpace(s.Bytes()), []byte("data:"))
+		if !ok {
+			continue
+		}
+		data = bytes.TrimSpace(data)
+		if bytes.Equal(data, []byte("[DONE]")) {
+			return c.end()
+		}
+		if !c.event(data) {
+			return c.done()
+		}
+	}
+	err := s.Err()
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	c.fail(Broken, fmt.Errorf("stream ended without its end marker after %d tokens: %w", c.out.Tokens, err))
+	return c.done()
+}
+
+// whole checks an answer that is not streamed.
+func (c *checker) whole(r io.Reader) Outcome {
+	data, err := io.ReadAll(r)
+	if err != nil {
+		c.fail(Broken, fmt.Errorf("answer is cut off: %w", err))
+		return c.done()
+	}
+	if !c.event(data) {
+		return c.done()
+	}
+	c.out.FirstToken = 0 // cannot be told from the last
+	return c.end()
+}
+
+// event checks one event and reports whether the answer goes on.
+func (c *checker) event(data []byte) bool {
+	var e event
+	if err := json.Unmarshal(data, &e); err != nil {
+		c.fail(Wrong, fmt.Errorf("event is not valid JSON: %w", err))
+		return false
+	}
+	if e.Error != nil {
+		c.out.Code, c.out.Verdict = e.Error.Code, e.Error.Verdict
+		c.fail(Broken, fmt.Errorf("%s: %s", e.Error.Code, e.Error.Text))
+		return false
+	}
+	if e.ID != c.id {
+		c.fail(Wrong, fmt.Errorf("part belongs to request %q, want %q", e.ID, c.id))
+		return false
+	}
+	text := e.text()
+	if text != "" && c.out.Tokens == 0 {
+		c.out.FirstToken = c.now().Sub(c.start)
+	}
+	if !strings.HasPrefix(c.want[c.got:], text) {
+		c.fail(Wrong, fmt.Errorf("after token %d came %.40q, want %.40q", c.out.Tokens, text, c.want[c.got:]))
+		return false
+	}
+	c.got += len(text)
+	c.out.Tokens += strings.Count(text, " ")
+	c.finished = c.finished || (len(e.Choices) > 0 && e.Choices[0].FinishReason != nil && *e.Choices[0].FinishReason != "")
+	return true
+}
+
+// end checks an answer that was presented as whole.
+func (c *checker) end() Outcome {
+	switch {
+	case c.got < len(c.want):
+		c.fail(Wrong, fmt.Errorf("answer of %d tokens was presented as whole without its end", c.out.Tokens))
+	case !c.finished:
+		c.fail(Wrong, fmt.Errorf("answer was presented as whole without a finish reason"))
+	default:
+		c.out.Result = Whole
+		c.out.Verdict = gypsumshelf.Ran
+	}
+	return c.done()
+}
+
+func (c *checker) fail(result Result, err error) { c.out.Result, c.out.Err = result, err }
+
+func (c *checker) done() Outcome {
+	c.out.Total = c.now().Sub(c.start)
+	return c.out
+}
--- /dev/null
+++ b/loads/load_test.go
@@ -0,0 +1,150 @@
+package loads
+
+import (
+	"bytes"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/standins"
+)
+
+// Guards against a mixture without the long prompts that the targets speak of.
+func TestDefaultMixture(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	long, n := 0, 100_000
+	sum := 0.0
+	for range n {
+		i, tokens := DefaultMixture().draw(r)
+		if b := DefaultMixture()[i]; tokens < b.Min || tokens > b.Max {
+			t.Fatalf("%d tokens are outside bucket %s", tokens, b)
+		}
+		if tokens > 100_000 {
+			long++
+		}
+		sum += float64(tokens)
+	}
+	if share := float64(long) / float64(n); share < 0.018 || share > 0.022 {
+		t.Errorf("share of prompts over 100,000 tokens is %.3f, want 0.02", share)
+	}
+	if mean := DefaultMixture().meanTokens(); sum/float64(n) < 0.95*mean || sum/float64(n) > 1.05*mean {
+		t.Errorf("mean is %.0f tokens, worked out %.0f", sum/float64(n), mean)
+	}
+}
+
+// Guards against flags that are taken for another mixture.
+func TestParseBucket(t *testing.T) {
+	for text, ok := range map[string]bool{
+		"1000-2000=3": true, "1-1=0.5": true, "0-1=1": false, "2-1=1": false, "1-2": false, "1=2": false, "a-b=c": false, "1-2=-1": false,
+	} {
+		b, err := ParseBucket(text)
+		if (err == nil) != ok || (ok && b.String() != text) {
+			t.Errorf("%q: got %v, %v", text, b, err)
+		}
+	}
+}
+
+// slowServer answers after all requests have arrived, so that a client which
+// waits for answers before it sends again never ends.
+type slowServer struct {
+	arrived chan struct{}
+	release chan struct{}
+	open    atomic.Int32
+	most    atomic.Int32 // requests without an answer at once
+}
+
+func (s *slowServer) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	s.most.Store(max(s.most.Load(), s.open.Add(1)))
+	defer s.open.Add(-1)
+	s.arrived <- struct{}{}
+	<-s.release
+	w.WriteHeader(http.StatusTooManyRequests)
+	_, _ = w.Write([]byte(`{"code":"overloaded","text":"full","verdict":"not-run"}`))
+}
+
+// Guards against a closed loop, against a bound that is passed, and against
+// refusals that are not counted by code and verdict.
+func TestOpenLoop(t *testing.T) {
+	s := &slowServer{arrived: make(chan struct{}, 100), release: make(chan struct{})}
+	server := httptest.NewServer(s)
+	defer server.Close()
+	cfg := DefaultConfig()
+	cfg.Addresses = []string{server.Listener.Addr().String()}
+	cfg.Mixture, cfg.Rate, cfg.Duration, cfg.MaxRequests, cfg.Outstanding = Mixture{{1, 1, 1}}, 1e4, time.Minute, 30, 20
+	go s.loop(20)
+	rep, err := Run(t.Context(), cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if rep.Refused < 20 || rep.Refused+rep.Unsent != 30 || rep.Failures["refused overloaded not-run"] != rep.Refused || rep.Err() != nil {
+		t.Errorf("got %+v", rep)
+	}
+	if s.most.Load() > 20 {
+		t.Errorf("%d requests without an answer, bound 20", s.most.Load())
+	}
+	var text, data bytes.Buffer
+	if err := rep.WriteText(&text); err != nil || !strings.Contains(text.String(), "refused overloaded not-run: ") {
+		t.Errorf("text: %v\n%s", err, text.String())
+	}
+	var back Report
+	if err := rep.WriteJSON(&data); err != nil || json.Unmarshal(data.Bytes(), &back) != nil || back.Refused != rep.Refused {
+		t.Errorf("json: %v\n%s", err, data.String())
+	}
+}
+
+func (s *slowServer) loop(n int) {
+	for range n {
+		<-s.arrived
+	}
+	close(s.release)
+}
+
+// Guards against latency that is counted from the actual send time.
+func TestLatencyCountsFromIntendedTime(t *testing.T) {
+	engine := standins.NewEngine(standins.EngineConfig{PrefillRate: 1e9})
+	defer engine.Close()
+	server := httptest.NewServer(engine)
+	defer server.Close()
+	out := NewCaller().Do(t.Context(), Order{
+		Address: server.Listener.Addr().String(), Model: "m", PromptTokens: 10, MaxTokens: 3, Intended: time.Now().Add(-time.Hour),
+	})
+	if out.Result != Whole || out.FirstToken < time.Hour || out.Total < out.FirstToken || out.Tokens != 3 || out.Verdict != gypsumshelf.Ran {
+		t.Errorf("got %+v", out)
+	}
+}
+
+// Guards against seeds that do not repeat a run, and small workspaces that get
+// the share of the large ones.
+func TestDraw(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Addresses, cfg.Workspaces, cfg.Large = []string{"a", "b"}, []string{"w1", "w2", "w3", "w4"}, 1
+	draw := func(seed uint64) (orders []Order, large int) {
+		g := newGenerator(t.Context(), cfg)
+		defer g.cancel()
+		r := rand.New(rand.NewPCG(seed, 1))
+		for i := range 1_000 {
+			o := g.draw(r, i).order
+			orders = append(orders, o)
+			if o.Workspace == "w1" {
+				large++
+			}
+		}
+		return orders, large
+	}
+	one, large := draw(7)
+	two, _ := draw(7)
+	for i := range one {
+		if one[i] != two[i] {
+			t.Fatalf("order %d differs: %+v, %+v", i, one[i], two[i])
+		}
+	}
+	if large < 750 || large > 850 {
+		t.Errorf("the large workspace sent %d of 1,000 requests, want about 800", large)
+	}
+}
--- /dev/null
+++ b/loads/mixture.go
@@ -0,0 +1,82 @@
+package loads
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+)
+
+// Bucket is a range of prompt lengths in tokens and its weight in a Mixture.
+type Bucket struct {
+	Min    int     `json:"min"`
+	Max    int     `json:"max"`
+	Weight float64 `json:"weight"`
+}
+
+// String returns the bucket in the form that ParseBucket reads.
+func (b Bucket) String() string { return fmt.Sprintf("%d-%d=%g", b.Min, b.Max, b.Weight) }
+
+// ParseBucket reads a bucket of the form MIN-MAX=WEIGHT.
+func ParseBucket(s string) (Bucket, error) {
+	span, weight, ok1 := strings.Cut(s, "=")
+	low, high, ok2 := strings.Cut(span, "-")
+	var b Bucket
+	var err1, err2, err3 error
+	b.Min, err1 = strconv.Atoi(low)
+	b.Max, err2 = strconv.Atoi(high)
+	b.Weight, err3 = strconv.ParseFloat(weight, 64)
+	if !ok1 || !ok2 || err1 != nil || err2 != nil || err3 != nil || b.Min < 1 || b.Max < b.Min || b.Weight < 0 {
+		return Bucket{}, fmt.Errorf("bucket %q is not of the form MIN-MAX=WEIGHT with 1 <= MIN <= MAX", s)
+	}
+	return b, nil
+}
+
+// Mixture is a distribution of prompt lengths.
+type Mixture []Bucket
+
+// DefaultMixture returns lengths from 1,000 to 1,000,000 tokens with one in
+// fifty over 100,000.
+func DefaultMixture() Mixture {
+	return Mixture{
+		{Min: 1_000, Max: 4_000, Weight: 60},
+		{Min: 4_001, Max: 16_000, Weight: 26},
+		{Min: 16_001, Max: 100_000, Weight: 12},
+		{Min: 100_001, Max: 1_000_000, Weight: 2},
+	}
+}
+
+// ShortMixture returns the first bucket of DefaultMixture alone.
+func ShortMixture() Mixture { return DefaultMixture()[:1] }
+
+// draw returns a bucket's index and a length in it. Lengths are evenly spread
+// on a logarithmic scale.
+func (m Mixture) draw(r *rand.Rand) (bucket, tokens int) {
+	total := 0.0
+	for _, b := range m {
+		total += b.Weight
+	}
+	x := r.Float64() * total
+	for bucket < len(m)-1 && x >= m[bucket].Weight {
+		x -= m[bucket].Weight
+		bucket++
+	}
+	b := m[bucket]
+	low, high := math.Log(float64(b.Min)), math.Log(float64(b.Max))
+	return bucket, min(b.Max, max(b.Min, int(math.Exp(low+r.Float64()*(high-low)))))
+}
+
+// meanTokens returns the mean prompt length.
+func (m Mixture) meanTokens() float64 {
+	sum, weight := 0.0, 0.0
+	for _, b := range m {
+		mean := float64(b.Min)
+		if b.Max > b.Min {
+			mean = float64(b.Max-b.Min) / math.Log(float64(b.Max)/float64(b.Min))
+		}
+		sum += b.Weight * mean
+		weight += b.Weight
+	}
+	return sum / weight
+}
--- /dev/null
+++ b/loads/plain.go
@@ -0,0 +1,151 @@
+package loads
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/standins"
+)
+
+// PlainReport is the part of a Report on plain services.
+type PlainReport struct {
+	Requests int            `json:"requests"`
+	Answered int            `json:"answered"`
+	Failures map[string]int `json:"failures"` // by code and verdict
+	Checked  bool           `json:"checked"`  // the counters of the stand-ins were read
+	Twice    int            `json:"twice"`    // non-idempotent calls that ran more than once
+	Untrue   int            `json:"untrue"`   // verdict or answer that the counters contradict
+	Foreign  int            `json:"foreign"`  // answers to another call
+}
+
+// Err returns an error when a call ran twice or an answer was untrue.
+func (p PlainReport) Err() error {
+	if p.Twice+p.Untrue+p.Foreign > 0 {
+		return fmt.Errorf("plain calls: %d ran twice, %d untrue verdicts, %d foreign answers", p.Twice, p.Untrue, p.Foreign)
+	}
+	return nil
+}
+
+func (p PlainReport) writeText(w io.Writer) {
+	fmt.Fprintf(w, "plain calls %d, answered %d, ran twice %d, untrue verdicts %d, foreign answers %d, counters read: %t\n",
+		p.Requests, p.Answered, p.Twice, p.Untrue, p.Foreign, p.Checked)
+	for _, key := range slices.Sorted(maps.Keys(p.Failures)) {
+		fmt.Fprintf(w, "  %s: %d\n", key, p.Failures[key])
+	}
+}
+
+// plainCall is one call to a plain service and what its caller was told.
+type plainCall struct {
+	id      string
+	post    bool // must not be repeated
+	ok      bool
+	verdict gypsumshelf.Verdict
+}
+
+// plainRecorder collects the calls of a run.
+type plainRecorder struct {
+	mu     sync.Mutex
+	calls  []plainCall
+	report PlainReport
+}
+
+func newPlainRecorder() *plainRecorder {
+	return &plainRecorder{report: PlainReport{Failures: map[string]int{}}}
+}
+
+// plain sends one call to a plain service through a daemon.
+func (c *Caller) plain(ctx context.Context, address, service string, call plainCall, rec *plainRecorder) {
+	method := http.MethodGet
+	if call.post {
+		method = http.MethodPost
+	}
+	url := fmt.Sprintf("http://%s/services/%s/calls/%s", address, service, call.id)
+	r, err := http.NewRequestWithContext(ctx, method, url, nil)
+	if err != nil {
+		rec.add(call, "", CodeConnection)
+		return
+	}
+	resp, err := c.http.Do(r)
+	if err != nil {
+		call.verdict = gypsumshelf.MayHaveRun
+		rec.add(call, "", CodeConnection)
+		return
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		out := refusal(resp, time.Now())
+		call.verdict = out.Verdict
+		rec.add(call, "", out.Code)
+		return
+	}
+	var answer standins.PlainAnswer
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		call.verdict = gypsumshelf.MayHaveRun
+		rec.add(call, "", CodeConnection)
+		return
+	}
+	call.ok, call.verdict = true, gypsumshelf.Ran
+	rec.add(call, answer.Call, "")
+}
+
+func (p *plainRecorder) add(call plainCall, answered string, code gypsumshelf.Code) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls = append(p.calls, call)
+	p.report.Requests++
+	if !call.ok {
+		p.report.Failures[fmt.Sprintf("%s %s", code, call.verdict)]++
+		return
+	}
+	p.report.Answered++
+	if answered != call.id {
+		p.report.Foreign++
+	}
+}
+
+// check compares what callers were told with how often each call ran.
+func (p *plainRecorder) check(runs map[string]int) PlainReport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.report
+	r.Checked = true
+	for _, call := range p.calls {
+		if !call.post {
+			continue
+		}
+		n := runs[call.id]
+		if n > 1 {
+			r.Twice++
+		}
+		if (call.ok && n == 0) || (!call.ok && call.verdict == gypsumshelf.NotRun && n > 0) {
+			r.Untrue++
+		}
+	}
+	return r
+}
+
+// fetchRuns reads the counters of a fleet of stand-ins from its control port.
+func (c *Caller) fetchRuns(ctx context.Context, control string) (map[string]int, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+control+"/calls", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return nil, fmt.Errorf("counters of the stand-ins: %w", err)
+	}
+	defer resp.Body.Close()
+	var runs map[string]int
+	if err := json.NewDecoder(resp.Body).Decode(&runs); err != nil {
+		return nil, fmt.Errorf("counters of the stand-ins: %w", err)
+	}
+	return runs, nil
+}
