Run the replicated log in the daemon

daemons/log.go holds the replica in the reducer, daemons/storage.go connects it with the data folder and the peers.

The test with real disks found that damage in the first record after a compaction was taken for a torn write: term and vote were forgotten, and with them the group, so that peers could not be asked either. That record is synced before its file gets its name, so a bad one is damage now; TestDamageInTheFirstRecord cuts it at every byte.

--- a/daemons/instance.go
+++ b/daemons/instance.go
@@ -19,6 +19,7 @@
 	"gypsumshelf.example/gypsumshelf/metrics"
 	"gypsumshelf.example/gypsumshelf/operators"
 	"gypsumshelf.example/gypsumshelf/peers"
+	"gypsumshelf.example/gypsumshelf/replicas"
 	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
 	"gypsumshelf.example/gypsumshelf/settings"
@@ -44,6 +45,8 @@
 	servers  []*http.Server
 	handler  *entries.Handler
 	traces   *traces.Provider
+	storage  *storage
+	renewals []*renewal
 	metrics  *metrics.Recorder
 }
 
@@ -64,16 +67,23 @@
 	if err != nil {
 		return nil, err
 	}
+	in.storage = &storage{settings: s, log: log, submit: func(ev gypsumshelf.Event) { in.daemon.Submit(ev) }}
+	node, recovered, err := in.storage.open()
+	if err != nil {
+		return nil, err
+	}
 	in.daemon = New(Config{
 		Reducer: ReducerConfig{
 			Daemon: s.Daemon, Policy: policy,
 			Servers:  servers.Config{Expiry: s.Limits.ServerExpiry.Std()},
 			Attempts: attempts.Config{MaxAttempts: s.Limits.MaxAttempts, Keep: keepEnded},
+			Log:      logConfig(s, node, recovered),
 		},
 		Timers: in.timers, TickPeriod: tickPeriod,
 		Observers: []Observer{in.metrics, logs.NewObserver(log)},
 	})
 	if err := in.openPeers(); err != nil {
+		in.closeStorage()
 		return nil, err
 	}
 	in.handler = entries.New(entries.Config{
@@ -88,7 +98,9 @@
 	Carry(in.daemon, in.handler.Refuse)
 	Carry(in.daemon, in.handler.Finish)
 	Carry(in.daemon, in.forward)
+	in.carryLog()
 	in.daemon.Run()
+	in.storage.run()
 	if err := in.openHTTP(); err != nil {
 		in.Close()
 		return nil, err
@@ -164,14 +176,18 @@
 	in.links.Close()
 	in.daemon.Close()
 	in.timers.Close()
+	in.closeStorage()
 	ctx, cancel := context.WithTimeout(context.Background(), flushTime)
 	defer cancel()
 	_ = in.traces.Close(ctx)
 }
 
 func (in *Instance) receive(e peers.Envelope) {
-	if a, ok := e.Payload.(gypsumshelf.Announcement); ok {
-		in.daemon.Submit(servers.Announced{Announcement: a, Forwarded: true})
+	switch payload := e.Payload.(type) {
+	case gypsumshelf.Announcement:
+		in.daemon.Submit(servers.Announced{Announcement: payload, Forwarded: true})
+	case replicas.Message:
+		in.receiveLog(e, payload)
 	}
 }
 
--- /dev/null
+++ b/daemons/log.go
@@ -0,0 +1,171 @@
+package daemons
+
+import (
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/replicas"
+)
+
+const (
+	// compactEntries is the number of applied entries after which the log is
+	// replaced by a snapshot.
+	compactEntries = 4096
+	// compactBytes is the size of their data that has the same effect, since
+	// outcomes of runs can be large.
+	compactBytes = 8 << 20
+)
+
+// Machine is the state machine that the replicated log feeds.
+type Machine interface {
+	Apply(e replicas.Entry) // entries of every kind, in order and without gaps
+	Install(s *replicas.Snapshot)
+	Snapshot() []byte // state after the last entry
+}
+
+// replicatedLog is the log with its state machine in the reducer.
+type replicatedLog struct {
+	replica *replicas.Replica
+	cfg     replicas.Config
+	machine Machine
+	applied uint64
+	entries int // applied since the last snapshot
+	bytes   int
+}
+
+// LogReceived is the event of a log message from another daemon.
+type LogReceived struct{ Message replicas.Message }
+
+// LogSynced is the event of a completed sync.
+type LogSynced struct{ Sequence uint64 }
+
+// LogFailed is the event of storage that accepts no more writes.
+type LogFailed struct{}
+
+// LogRenewed is the event of storage that was replaced by an empty one.
+type LogRenewed struct {
+	ID        replicas.NodeID
+	Recovered replicas.Recovered
+	Session   uint64
+}
+
+// LogSend is the effect that sends a log message.
+type LogSend struct{ Message replicas.Message }
+
+// LogWrite is the effect that writes and syncs.
+type LogWrite struct{ Persist *replicas.Persist }
+
+// LogRenew is the effect that discards storage which is older than what other
+// daemons know this one to have promised.
+type LogRenew struct{}
+
+// EventName implements gypsumshelf.Event.
+func (LogReceived) EventName() string { return "log-received" }
+
+// EventName implements gypsumshelf.Event.
+func (LogSynced) EventName() string { return "log-synced" }
+
+// EventName implements gypsumshelf.Event.
+func (LogFailed) EventName() string { return "log-failed" }
+
+// EventName implements gypsumshelf.Event.
+func (LogRenewed) EventName() string { return "log-renewed" }
+
+// EffectName implements gypsumshelf.Effect.
+func (LogSend) EffectName() string { return "log-send" }
+
+// EffectName implements gypsumshelf.Effect.
+func (LogWrite) EffectName() string { return "log-write" }
+
+// EffectName implements gypsumshelf.Effect.
+func (LogRenew) EffectName() string { return "log-renew" }
+
+func (r *Reducer) registerLog() {
+	r.log = replicatedLog{replica: replicas.New(r.cfg.Log), cfg: r.cfg.Log, machine: r.cfg.Machine}
+	on(r, func(now time.Time, e LogReceived) {
+		r.log.replica.Receive(now, e.Message)
+		r.flushLog(now)
+	})
+	on(r, func(now time.Time, e LogSynced) {
+		r.log.replica.Synced(now, e.Sequence)
+		r.flushLog(now)
+	})
+	on(r, func(time.Time, LogFailed) { r.log.replica.Halt() })
+	on(r, r.renewLog)
+}
+
+func (r *Reducer) tickLog(now time.Time) {
+	r.log.replica.Tick(now)
+	r.flushLog(now)
+}
+
+// renewLog starts again without any entry; the leader sends a snapshot.
+func (r *Reducer) renewLog(now time.Time, e LogRenewed) {
+	cfg := r.log.cfg
+	cfg.ID, cfg.Recovered, cfg.Session = e.ID, e.Recovered, e.Session
+	r.log = replicatedLog{replica: replicas.New(cfg), cfg: cfg, machine: r.log.machine}
+	r.tickLog(now)
+}
+
+// flushLog carries out what the replica asks for.
+func (r *Reducer) flushLog(now time.Time) {
+	for {
+		out := r.log.replica.Take()
+		if out.Renew {
+			r.emit(LogRenew{})
+			r.log.replica.Halt()
+			return
+		}
+		for _, m := range out.Messages {
+			r.emit(LogSend{Message: m})
+		}
+		r.applyLog(out)
+		switch {
+		case out.Persist == nil:
+			return
+		case r.log.cfg.Durable:
+			r.emit(LogWrite{Persist: out.Persist})
+		default:
+			// Without a data folder nothing that this daemon stores counts.
+			r.log.replica.Synced(now, out.Persist.Sequence)
+		}
+	}
+}
+
+func (r *Reducer) applyLog(out replicas.Output) {
+	l := &r.log
+	if out.Install != nil {
+		l.applied, l.entries, l.bytes = out.Install.Index, 0, 0
+		if l.machine != nil {
+			l.machine.Install(out.Install)
+		}
+	}
+	for _, e := range out.Committed {
+		l.applied = e.Index
+		l.entries++
+		l.bytes += len(e.Data)
+		if l.machine != nil {
+			l.machine.Apply(e)
+		}
+	}
+	if l.entries < compactEntries && l.bytes < compactBytes {
+		return
+	}
+	l.entries, l.bytes = 0, 0
+	var data []byte
+	if l.machine != nil {
+		data = l.machine.Snapshot()
+	}
+	l.replica.Compact(l.applied, data)
+}
+
+// logPeers returns the other daemons.
+func logPeers(self gypsumshelf.DaemonID, all []gypsumshelf.DaemonID) []gypsumshelf.DaemonID {
+	var peers []gypsumshelf.DaemonID
+	for _, id := range all {
+		if id != self {
+			peers = append(peers, id)
+		}
+	}
+	return peers
+}
--- /dev/null
+++ b/daemons/log_test.go
@@ -0,0 +1,217 @@
+package daemons
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/replicas"
+	"gypsumshelf.example/gypsumshelf/settings"
+)
+
+// group is a set of instances that share a replicated log.
+type group struct {
+	t         testing.TB
+	settings  []settings.Settings
+	instances []*Instance
+}
+
+func newGroup(t testing.TB, hosts int) *group {
+	g := &group{t: t, instances: make([]*Instance, hosts)}
+	var listeners []net.Listener
+	var all []settings.Peer
+	for i := range hosts {
+		s := settings.Default()
+		s.Deployment, s.Daemon = "test", gypsumshelf.DaemonID(fmt.Sprintf("entry-%d", i+1))
+		s.DataCentre = fmt.Sprintf("centre-%d", i%3)
+		s.DataFolder = filepath.Join(t.TempDir(), "data")
+		s.LogLevel = "panic"
+		s.Voters = []string{"entry-1", "entry-2", "entry-3"}
+		for _, address := range []*string{&s.Listen.Callers, &s.Listen.BackendServers, &s.Listen.Peers, &s.Listen.Operators, &s.Listen.Metrics} {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			*address = l.Addr().String()
+			listeners = append(listeners, l)
+		}
+		all = append(all, settings.Peer{Daemon: s.Daemon, Address: s.Listen.Peers, DataCentre: s.DataCentre})
+		g.settings = append(g.settings, s)
+	}
+	for _, l := range listeners {
+		l.Close()
+	}
+	for i := range hosts {
+		g.settings[i].Peers = all
+		g.start(i)
+	}
+	t.Cleanup(func() {
+		for i := range g.instances {
+			g.stop(i)
+		}
+	})
+	return g
+}
+
+func (g *group) start(i int) {
+	g.t.Helper()
+	in, err := Start(g.settings[i])
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.instances[i] = in
+}
+
+func (g *group) stop(i int) {
+	if g.instances[i] != nil {
+		g.instances[i].Close()
+		g.instances[i] = nil
+	}
+}
+
+// run runs a subtest whose failures end only the subtest.
+func (g *group) run(name string, f func()) {
+	outer := g.t.(*testing.T)
+	outer.Run(name, func(t *testing.T) {
+		g.t = t
+		defer func() { g.t = outer }()
+		f()
+	})
+}
+
+// on reads the replica of a running instance.
+func (g *group) on(i int, f func(r *replicas.Replica)) {
+	if in := g.instances[i]; in != nil {
+		in.daemon.Query(context.Background(), func(r *Reducer) { f(r.log.replica) })
+	}
+}
+
+// leader returns the instance with confirmed leadership, -1 when there is none.
+func (g *group) leader() int {
+	leader := -1
+	for i := range g.instances {
+		g.on(i, func(r *replicas.Replica) {
+			if r.Confirmed(time.Now().Add(-electionTimeout)) {
+				leader = i
+			}
+		})
+	}
+	return leader
+}
+
+// until polls a condition; the bound only ends a hopeless test.
+func (g *group) until(what string, ok func() bool) {
+	g.t.Helper()
+	for deadline := time.Now().Add(60 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			g.t.Fatalf("never happened: %s", what)
+		}
+	}
+}
+
+// commit proposes commands at the leader and waits until all that run have them.
+func (g *group) commit(n int) {
+	g.t.Helper()
+	var index uint64
+	g.until("proposal", func() bool {
+		accepted := false
+		if leader := g.leader(); leader >= 0 {
+			g.on(leader, func(r *replicas.Replica) {
+				for range n {
+					var err error
+					index, _, err = r.Propose(time.Now(), make([]byte, 200))
+					accepted = err == nil
+				}
+			})
+		}
+		return accepted
+	})
+	g.until(fmt.Sprintf("commit of entry %d everywhere", index), func() bool {
+		all := true
+		for i := range g.instances {
+			g.on(i, func(r *replicas.Replica) { all = all && r.CommitIndex() >= index })
+		}
+		return all
+	})
+}
+
+func (g *group) member(i int) (m replicas.Member) {
+	if leader := g.leader(); leader >= 0 {
+		g.on(leader, func(r *replicas.Replica) {
+			for _, member := range r.Members() {
+				if member.ID.Daemon == g.settings[i].Daemon {
+					m = member
+				}
+			}
+		})
+	}
+	return m
+}
+
+// Guards against a log that works only with fakes of disk and link, and against
+// a damaged data folder that votes or needs a human.
+func TestLogThroughDiskAndPeers(t *testing.T) {
+	g := newGroup(t, 4)
+	g.commit(100)
+	g.run("leader stopped", func() {
+		old := g.leader()
+		g.stop(old)
+		g.commit(100)
+		g.start(old)
+		g.commit(100)
+	})
+	g.run("log compacted", func() {
+		g.commit(2 * compactEntries)
+		for i := range g.instances {
+			g.on(i, func(r *replicas.Replica) {
+				if r.SnapshotIndex() < compactEntries {
+					g.t.Errorf("snapshot of %s at entry %d", r.ID(), r.SnapshotIndex())
+				}
+			})
+		}
+	})
+	g.run("data folder damaged", func() {
+		i := (g.leader() + 1) % 3
+		old := g.member(i)
+		g.stop(i)
+		g.damage(i)
+		g.start(i)
+		g.commit(1)
+		g.until("membership with the new incarnation", func() bool {
+			m := g.member(i)
+			return m.ID.Daemon != "" && m.ID != old.ID
+		})
+	})
+	g.run("all stopped", func() {
+		for i := range g.instances {
+			g.stop(i)
+		}
+		for i := range g.instances {
+			g.start(i)
+		}
+		g.commit(1)
+	})
+}
+
+// damage changes one byte in the middle of the log. In the last record that looks
+// like a torn write, and the peers tell the daemon that its log is too short.
+func (g *group) damage(i int) {
+	g.t.Helper()
+	logs, err := filepath.Glob(filepath.Join(g.settings[i].DataFolder, "log-*"))
+	if err != nil || len(logs) != 1 {
+		g.t.Fatalf("log files %v, %v", logs, err)
+	}
+	data, err := os.ReadFile(logs[0])
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	data[len(data)/2] ^= 1
+	if err := os.WriteFile(logs[0], data, 0o600); err != nil {
+		g.t.Fatal(err)
+	}
+}
--- a/daemons/reducer.go
+++ b/daemons/reducer.go
@@ -10,6 +10,7 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/admissions"
 	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/replicas"
 	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
 )
@@ -20,6 +21,8 @@
 	Policy   routes.Policy
 	Servers  servers.Config
 	Attempts attempts.Config
+	Log      replicas.Config
+	Machine  Machine // nil when nothing reads the log
 }
 
 // Reducer makes every decision of a daemon. It has no clock, no I/O and no
@@ -29,6 +32,7 @@
 	servers  *servers.Table
 	attempts *attempts.Table
 	queue    admissions.Queue
+	log      replicatedLog
 	handlers map[reflect.Type]func(time.Time, gypsumshelf.Event)
 	out      []gypsumshelf.Effect
 }
@@ -44,6 +48,7 @@
 	on(r, r.tick)
 	r.registerServers()
 	r.registerRequests()
+	r.registerLog()
 	return r
 }
 
@@ -79,4 +84,5 @@
 	r.attempts.Expire(now)
 	r.servers.Expire(now)
 	r.dispatch(now)
+	r.tickLog(now)
 }
--- /dev/null
+++ b/daemons/storage.go
@@ -0,0 +1,158 @@
+package daemons
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/disks"
+	"gypsumshelf.example/gypsumshelf/peers"
+	"gypsumshelf.example/gypsumshelf/replicas"
+	"gypsumshelf.example/gypsumshelf/settings"
+)
+
+const (
+	// electionTimeout is ten ticks, so that a late tick is not taken for a dead leader.
+	electionTimeout   = 500 * time.Millisecond
+	heartbeatInterval = 100 * time.Millisecond
+	// replaceAfter is longer than a restart of a host takes, so that a planned
+	// restart does not move votes.
+	replaceAfter = 3 * time.Minute
+	wantedVoters = 3
+	// retainEntries lets a member that missed a few seconds catch up without a
+	// snapshot.
+	retainEntries = 1024
+)
+
+// storage holds the data folder of an instance.
+type storage struct {
+	settings settings.Settings
+	log      *logrus.Entry
+	submit   func(gypsumshelf.Event)
+	store    *disks.Store
+}
+
+// open opens the data folder. A damaged one is given a new incarnation: the
+// daemon then joins as a learner and is repaired from its peers.
+func (s *storage) open() (id replicas.NodeID, recovered replicas.Recovered, err error) {
+	id = replicas.NodeID{Daemon: s.settings.Daemon, Incarnation: uuid.NewString()}
+	if s.settings.DataFolder == "" {
+		return id, replicas.Recovered{}, nil
+	}
+	cfg := disks.Config{Folder: s.settings.DataFolder, Synced: s.synced, Failed: s.failed}
+	s.store, err = disks.Open(cfg)
+	var damaged *disks.DamagedError
+	if errors.As(err, &damaged) {
+		s.log.WithError(err).Error("the data folder is damaged; the daemon does not vote and is repaired from its peers")
+		if err := disks.Renew(cfg.Folder); err != nil {
+			return id, recovered, fmt.Errorf("damaged data folder: %w", err)
+		}
+		s.store, err = disks.Open(cfg)
+	}
+	if err != nil {
+		return id, recovered, fmt.Errorf("data folder: %w", err)
+	}
+	if s.store.Torn() {
+		s.log.Warn("an incomplete write was removed from the end of the log")
+	}
+	id.Incarnation = s.store.Incarnation()
+	return id, s.store.Recovered(), nil
+}
+
+func (s *storage) synced(sequence uint64) { s.submit(LogSynced{Sequence: sequence}) }
+
+func (s *storage) failed(err error) {
+	s.log.WithError(err).Error("the data folder accepts no writes; the daemon no longer takes part in the log")
+	s.submit(LogFailed{})
+}
+
+func (s *storage) run() {
+	if s.store != nil {
+		s.store.Run()
+	}
+}
+
+func (s *storage) close() error {
+	if s.store == nil {
+		return nil
+	}
+	return s.store.Close()
+}
+
+// renewal replaces the data folder while the event loop goes on.
+type renewal struct {
+	storage *storage
+	closed  chan struct{}
+}
+
+// run gives the folder a new incarnation and reports it to the reducer.
+func (n *renewal) run() {
+	defer close(n.closed)
+	s := n.storage
+	s.log.Error("the data folder is older than what peers saw of this daemon; it joins with a new incarnation")
+	err := s.store.Close()
+	if err == nil {
+		err = disks.Renew(s.settings.DataFolder)
+	}
+	if err != nil {
+		s.store = nil
+		s.failed(err)
+		return
+	}
+	id, recovered, err := s.open()
+	if err != nil {
+		s.store = nil
+		s.failed(err)
+		return
+	}
+	s.run()
+	s.submit(LogRenewed{ID: id, Recovered: recovered, Session: rand.Uint64()})
+}
+
+// logConfig returns the configuration of the replicated log.
+func logConfig(s settings.Settings, id replicas.NodeID, recovered replicas.Recovered) replicas.Config {
+	var all, founders []gypsumshelf.DaemonID
+	for _, p := range s.Peers {
+		all = append(all, p.Daemon)
+	}
+	for _, v := range s.Voters {
+		founders = append(founders, gypsumshelf.DaemonID(v))
+	}
+	return replicas.Config{
+		ID: id, DataCentre: s.DataCentre, Durable: s.DataFolder != "",
+		Peers: logPeers(s.Daemon, all), Founders: founders, Recovered: recovered,
+		Session: rand.Uint64(), Seed: rand.Uint64(),
+		ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval,
+		ReplaceAfter: replaceAfter, Voters: wantedVoters, Retain: retainEntries,
+	}
+}
+
+// carryLog connects the effects of the log with the data folder and the peers.
+func (in *Instance) carryLog() {
+	Carry(in.daemon, func(e LogSend) { in.links.Send(e.Message.To.Daemon, e.Message) })
+	Carry(in.daemon, func(e LogWrite) { in.storage.store.Write(e.Persist) })
+	Carry(in.daemon, func(LogRenew) {
+		n := &renewal{storage: in.storage, closed: make(chan struct{})}
+		in.renewals = append(in.renewals, n)
+		go n.run()
+	})
+}
+
+func (in *Instance) closeStorage() {
+	for _, n := range in.renewals {
+		<-n.closed
+	}
+	_ = in.storage.close()
+}
+
+// receiveLog accepts a log message only from the daemon that it names.
+func (in *Instance) receiveLog(e peers.Envelope, m replicas.Message) {
+	if m.From.Daemon == e.From {
+		in.daemon.Submit(LogReceived{Message: m})
+	}
+}
--- a/disks/recover.go
+++ b/disks/recover.go
@@ -12,10 +12,11 @@
 
 // recovered is what the newest log file of a folder holds.
 type recovered struct {
-	header header
-	state  replicas.Recovered
-	size   int64 // bytes of whole records
-	torn   bool  // an incomplete record followed them
+	header  header
+	state   replicas.Recovered
+	size    int64 // bytes of whole records
+	batches int
+	torn    bool // an incomplete record followed them
 }
 
 // readLog reads the newest generation. A torn tail is reported, for the last
@@ -46,7 +47,13 @@
 			return nil, err
 		}
 	}
-	return r, r.readBatches(path, data)
+	if err := r.readBatches(path, data); err != nil {
+		return nil, err
+	}
+	if r.header.Snapshot && r.batches == 0 {
+		return nil, &DamagedError{File: path, Offset: int(r.size), Reason: "no record follows the header"}
+	}
+	return r, nil
 }
 
 func readSnapshot(path string) (*replicas.Snapshot, error) {
@@ -75,6 +82,13 @@
 			if holdsRecord(rest[1:]) {
 				return &DamagedError{File: path, Offset: int(r.size), Reason: "a bad record is followed by a whole one"}
 			}
+			// The first record is damage in any case. After a compaction it
+			// was synced before the file got its name; in the first log of a
+			// folder it may hold the only vote, without which peers cannot
+			// even be asked.
+			if r.batches == 0 {
+				return &DamagedError{File: path, Offset: int(r.size), Reason: "the first record is bad"}
+			}
 			r.torn = true
 			return nil
 		}
@@ -86,6 +100,7 @@
 			return &DamagedError{File: path, Offset: int(r.size), Reason: err.Error()}
 		}
 		r.size += int64(size)
+		r.batches++
 	}
 	return nil
 }
--- a/disks/store_test.go
+++ b/disks/store_test.go
@@ -190,6 +190,28 @@
 	h.close()
 }
 
+// Guards against a term and a vote that are forgotten with the first record
+// after a compaction: it is not a torn write, although no record follows it.
+func TestDamageInTheFirstRecord(t *testing.T) {
+	h := newHarness(t)
+	h.write(replicas.Persist{Hard: testHard, Snapshot: &replicas.Snapshot{Index: 1, Term: 1}, Entries: []replicas.Entry{entry(2, 1)}})
+	path := h.logFile()
+	h.close()
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for size := range whole {
+		if err := os.WriteFile(path, whole[:size], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var damaged *DamagedError
+		if err := h.tryOpen(); !errors.As(err, &damaged) {
+			t.Fatalf("cut at byte %d: error %v", size, err)
+		}
+	}
+}
+
 // Guards against snapshots and identities that are lost without an error.
 func TestLostFilesAreDamage(t *testing.T) {
 	for _, name := range []string{identityName, snapshotName(2)} {
--- a/replicas/storage_test.go
+++ b/replicas/storage_test.go
@@ -131,6 +131,23 @@
 	}
 }
 
+// Guards against a stamp that is confirmed by contact from before it arrived.
+func TestStampWaitsForLaterContact(t *testing.T) {
+	r, now, others := leadLone(t)
+	sync(r, now)
+	lead := now.Sub(r.epoch)
+	receive(r, now, others[0], 2, AppendResponse{OK: true, Match: 2, Sent: lead})
+	now = now.Add(testElection / 2)
+	receive(r, now, others[1], 2, AppendResponse{OK: true, Match: 2, Sent: lead, Stamp: Stamp{Session: 9, At: time.Hour}})
+	if got := r.progress[others[1]].approved; got != (Confirmation{}) {
+		t.Fatalf("confirmed %+v by an answer to an earlier request", got)
+	}
+	receive(r, now, others[0], 2, AppendResponse{OK: true, Match: 2, Sent: lead + testElection/2})
+	if got := r.progress[others[1]].approved; got.Asked.At != time.Hour || got.Commit != 2 {
+		t.Fatalf("confirmed %+v by contact after the stamp", got)
+	}
+}
+
 // Guards against a member counted with entries from before its restart.
 func TestNewSessionStartsFromNothing(t *testing.T) {
 	r, now, others := leadLone(t)
