--- a/daemons/instance.go
+++ b/daemons/instance.go
@@ -10,6 +10,8 @@
 	"os"
 	"time"
 
+	"github.com/google/uuid"
+
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/announcements"
 	"gypsumshelf.example/gypsumshelf/attempts"
@@ -17,8 +19,10 @@
 	"gypsumshelf.example/gypsumshelf/engines"
 	"gypsumshelf.example/gypsumshelf/entries"
 	"gypsumshelf.example/gypsumshelf/logs"
+	"gypsumshelf.example/gypsumshelf/members"
 	"gypsumshelf.example/gypsumshelf/metrics"
 	"gypsumshelf.example/gypsumshelf/peers"
+	"gypsumshelf.example/gypsumshelf/replicas"
 	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
 	"gypsumshelf.example/gypsumshelf/settings"
@@ -50,6 +54,8 @@
 	handler  *entries.Handler
 	cancels  *engines.Canceller
 	traces   *traces.Provider
+	storage  *storage
+	renewals []*renewal
 	metrics  *metrics.Recorder
 	tickets  tickets
 
@@ -73,16 +79,29 @@
 	if err != nil {
 		return nil, err
 	}
+	in.storage = &storage{settings: s, log: log, submit: func(ev gypsumshelf.Event) { in.daemon.Submit(ev) }}
+	node, recovered, err := in.storage.open()
+	if err != nil {
+		return nil, err
+	}
+	var replica *replicas.Config
+	if len(s.Voters) > 0 {
+		replica = logConfig(s, node, recovered)
+	}
 	in.daemon = New(Config{
 		Reducer: ReducerConfig{
 			Daemon: s.Daemon, Policy: policy,
 			Servers:  servers.Config{Expiry: s.Limits.ServerExpiry.Std()},
 			Attempts: attempts.Config{MaxAttempts: s.Limits.MaxAttempts, Keep: keepEnded},
+			Lease:    members.Config{Duration: s.Limits.FreshnessLease.Std()},
+			Session:  uuid.NewString(),
+			Replica:  replica,
 		},
 		Timers: in.timers, TickPeriod: tickPeriod,
 		Observers: []Observer{in.metrics, logs.NewObserver(log)},
 	})
 	if err := in.openPeers(); err != nil {
+		in.closeStorage()
 		return nil, err
 	}
 	in.openEntries()
@@ -90,7 +109,9 @@
 	Carry(in.daemon, in.tickets.decided)
 	Carry(in.daemon, in.sendProposal)
 	Carry(in.daemon, in.sendExplanation)
+	in.carryLog()
 	in.daemon.Run()
+	in.storage.run()
 	if err := in.openHTTP(); err != nil {
 		in.Close()
 		return nil, err
@@ -167,6 +188,7 @@
 	in.daemon.Close()
 	in.cancels.Close()
 	in.timers.Close()
+	in.closeStorage()
 	ctx, cancel := context.WithTimeout(context.Background(), flushTime)
 	defer cancel()
 	_ = in.traces.Close(ctx)
@@ -186,6 +208,8 @@
 		in.daemon.Submit(attempts.Suspected{Suspicion: payload})
 	case attempts.Quarantine:
 		in.daemon.Submit(attempts.Quarantined(payload))
+	case replicas.Message:
+		in.receiveLog(e, payload)
 	}
 }
 
--- a/daemons/reducer.go
+++ b/daemons/reducer.go
@@ -11,6 +11,7 @@
 	"gypsumshelf.example/gypsumshelf/admissions"
 	"gypsumshelf.example/gypsumshelf/attempts"
 	"gypsumshelf.example/gypsumshelf/members"
+	"gypsumshelf.example/gypsumshelf/replicas"
 	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
 )
@@ -22,8 +23,9 @@
 	Servers  servers.Config
 	Attempts attempts.Config
 	Lease    members.Config
-	Session  string // unique to this start of the daemon
-	Log      replicatedLog
+	Session  string           // unique to this start of the daemon
+	Replica  *replicas.Config // replicated log, nil for a configuration that never changes
+	Log      replicatedLog    // used in place of Replica when not nil
 }
 
 // Reducer makes every decision of a daemon. It has no clock, no I/O and no
@@ -33,6 +35,7 @@
 	servers  *servers.Table
 	attempts *attempts.Table
 	queue    admissions.Queue
+	log      logState
 	handlers map[reflect.Type]func(time.Time, gypsumshelf.Event)
 	out      []gypsumshelf.Effect
 	stopping bool
@@ -49,6 +52,10 @@
 		handlers: map[reflect.Type]func(time.Time, gypsumshelf.Event){},
 		trials:   map[gypsumshelf.ServerID]gypsumshelf.AttemptID{},
 	}
+	if cfg.Replica != nil {
+		r.log = logState{replica: replicas.New(*cfg.Replica), cfg: *cfg.Replica}
+		cfg.Log = &r.log
+	}
 	r.configuration = newConfiguration(cfg, r.emit)
 	cfg.Servers.InService = r.inService
 	r.servers = servers.New(cfg.Servers)
@@ -56,6 +63,7 @@
 	r.registerServers()
 	r.registerRequests()
 	r.registerConfiguration()
+	r.registerLog()
 	return r
 }
 
@@ -84,6 +92,7 @@
 	}
 	r.out = nil
 	handle(now, ev)
+	r.flushLog(now)
 	return r.out
 }
 
@@ -97,4 +106,5 @@
 	r.attempts.Expire(now)
 	r.servers.Expire(now)
 	r.dispatch(now)
+	r.tickLog(now)
 }
--- a/loads/demo.go
+++ b/loads/demo.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 	"text/tabwriter"
@@ -28,6 +31,7 @@
 	demoModel  = "quill"
 	demoTokens = 16
 	demoPeriod = 200 * time.Millisecond
+	readyPoll  = 20 * time.Millisecond
 	// demoMemory lets an engine hold four of the longest prompts at once.
 	demoMemory = 4_500_000
 )
@@ -37,7 +41,12 @@
 // Demo runs daemons and stand-in engines in this process, sends requests of
 // several lengths through each daemon and writes a table of first-token times.
 func Demo(ctx context.Context, w io.Writer, cfg DemoConfig) error {
-	all, err := demoSettings(cfg.Daemons)
+	folder, err := os.MkdirTemp("", "gypsumshelf-demo")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(folder)
+	all, err := demoSettings(cfg.Daemons, folder)
 	if err != nil {
 		return err
 	}
@@ -63,6 +72,9 @@
 		return err
 	}
 	defer fleet.Close()
+	if err := waitReady(ctx, callers); err != nil {
+		return err
+	}
 	time.Sleep(3 * demoPeriod) // every daemon has then heard of every engine
 	return sendDemo(ctx, w, callers, cfg.Rounds)
 }
@@ -113,7 +125,30 @@
 	return times, bad
 }
 
-func demoSettings(n int) ([]settings.Settings, error) {
+// waitReady waits until every daemon may take new work.
+func waitReady(ctx context.Context, callers []string) error {
+	for _, address := range callers {
+		for {
+			resp, err := http.Get("http://" + address + "/readyz")
+			if err == nil {
+				resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("daemon at %s is not ready: %w", address, ctx.Err())
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+// demoSettings returns the settings of n daemons, up to three of them voters,
+// with their data under folder.
+func demoSettings(n int, folder string) ([]settings.Settings, error) {
 	all := make([]settings.Settings, n)
 	var peers []settings.Peer
 	for i := range all {
@@ -122,6 +157,7 @@
 		s.Daemon = gypsumshelf.DaemonID(fmt.Sprintf("demo-%d", i+1))
 		s.DataCentre = fmt.Sprintf("demo-%c", 'a'+i%3)
 		s.Region = "demo"
+		s.DataFolder = filepath.Join(folder, string(s.Daemon))
 		s.AllowedNetworks = []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}
 		for _, address := range []*string{&s.Listen.Callers, &s.Listen.BackendServers, &s.Listen.Peers, &s.Listen.Operators, &s.Listen.Metrics} {
 			free, err := freeAddress()
@@ -133,8 +169,12 @@
 		peers = append(peers, settings.Peer{Daemon: s.Daemon, Address: s.Listen.Peers, DataCentre: s.DataCentre})
 		all[i] = s
 	}
+	var voters []string
+	for _, p := range peers[:min(3, n-(n+1)%2)] {
+		voters = append(voters, string(p.Daemon))
+	}
 	for i := range all {
-		all[i].Peers = peers
+		all[i].Peers, all[i].Voters = peers, voters
 	}
 	return all, nil
 }
