Measure first tokens, slowdown, overhead, leaving and overload in one process

Each measurement starts daemons and stand-ins in this process, prints seed, time scale and sizes, and compares against its target. The capacity is that of the engines' prefill.

The demo starts its daemons through the same code.

--- a/cmd/gypsumshelf/measure.go
+++ b/cmd/gypsumshelf/measure.go
@@ -37,7 +37,7 @@
 	}
 	f := cmd.Flags()
 	f.Uint64Var(&cfg.Seed, "seed", 1, "seed of the arrivals and lengths")
-	f.Float64Var(&cfg.TimeScale, "time-scale", 10, "factor by which the stand-ins are faster than the engines that they stand for")
+	f.Float64Var(&cfg.TimeScale, "time-scale", 5, "factor by which the stand-ins are faster than the engines that they stand for")
 	f.DurationVar(&cfg.Duration, "duration", 10*time.Second, "time of each part of the run")
 	f.IntVar(&cfg.Daemons, "daemons", 4, "number of daemons")
 	f.IntVar(&cfg.Engines, "engines", 14, "number of stand-in engines")
--- a/loads/demo.go
+++ b/loads/demo.go
@@ -4,16 +4,11 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
-	"net/netip"
 	"slices"
 	"sync"
 	"text/tabwriter"
 	"time"
 
-	"gypsumshelf.example/gypsumshelf"
-	"gypsumshelf.example/gypsumshelf/daemons"
-	"gypsumshelf.example/gypsumshelf/settings"
 	"gypsumshelf.example/gypsumshelf/standins"
 )
 
@@ -37,34 +32,20 @@
 // Demo runs daemons and stand-in engines in this process, sends requests of
 // several lengths through each daemon and writes a table of first-token times.
 func Demo(ctx context.Context, w io.Writer, cfg DemoConfig) error {
-	all, err := demoSettings(cfg.Daemons)
-	if err != nil {
-		return err
-	}
-	var announce, callers []string
-	for _, s := range all {
-		instance, err := daemons.Start(s)
-		if err != nil {
-			return err
-		}
-		defer instance.Close()
-		announce = append(announce, s.Listen.BackendServers)
-		callers = append(callers, s.Listen.Callers)
-	}
-	fleet, err := standins.NewFleet(standins.FleetConfig{
-		Service: "demo-engine", Engines: cfg.Engines, Daemons: announce, Period: demoPeriod,
-		DataCentres: []string{"demo-a", "demo-b", "demo-c"},
-		Engine: standins.EngineConfig{
-			Model: demoModel, PrefillRate: 2e6, TokenInterval: time.Millisecond,
-			MemoryTokens: demoMemory,
+	c, err := newCluster(ctx, clusterConfig{
+		Daemons: cfg.Daemons,
+		Fleet: standins.FleetConfig{
+			Service: "demo-engine", Engines: cfg.Engines, Period: demoPeriod,
+			Engine: standins.EngineConfig{
+				Model: demoModel, PrefillRate: 2e6, TokenInterval: time.Millisecond, MemoryTokens: demoMemory,
+			},
 		},
 	})
 	if err != nil {
 		return err
 	}
-	defer fleet.Close()
-	time.Sleep(3 * demoPeriod) // every daemon has then heard of every engine
-	return sendDemo(ctx, w, callers, cfg.Rounds)
+	defer c.Close()
+	return sendDemo(ctx, w, c.callers(), cfg.Rounds)
 }
 
 func sendDemo(ctx context.Context, w io.Writer, callers []string, rounds int) error {
@@ -112,38 +93,3 @@
 	wg.Wait()
 	return times, bad
 }
-
-func demoSettings(n int) ([]settings.Settings, error) {
-	all := make([]settings.Settings, n)
-	var peers []settings.Peer
-	for i := range all {
-		s := settings.Default()
-		s.Deployment = "demo"
-		s.Daemon = gypsumshelf.DaemonID(fmt.Sprintf("demo-%d", i+1))
-		s.DataCentre = fmt.Sprintf("demo-%c", 'a'+i%3)
-		s.Region = "demo"
-		s.AllowedNetworks = []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}
-		for _, address := range []*string{&s.Listen.Callers, &s.Listen.BackendServers, &s.Listen.Peers, &s.Listen.Operators, &s.Listen.Metrics} {
-			free, err := freeAddress()
-			if err != nil {
-				return nil, err
-			}
-			*address = free
-		}
-		peers = append(peers, settings.Peer{Daemon: s.Daemon, Address: s.Listen.Peers, DataCentre: s.DataCentre})
-		all[i] = s
-	}
-	for i := range all {
-		all[i].Peers = peers
-	}
-	return all, nil
-}
-
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
--- a/loads/load.go
+++ b/loads/load.go
@@ -26,9 +26,10 @@
 	Outstanding  int           // bound on requests without an answer
 	Grace        time.Duration // time for the last answers after the arrivals
 	PlainService string
-	PlainRate    float64 // calls per second
-	Control      string  // control port of the stand-ins, to count runs of plain calls
-	TimeScale    float64 // of the stand-ins, only reported
+	PlainRate    float64               // calls per second
+	Control      string                // control port of the stand-ins, to count runs of plain calls
+	Runs         func() map[string]int // runs of plain calls, in place of Control
+	TimeScale    float64               // of the stand-ins, only reported
 }
 
 // largeShare is the share of requests that the large workspaces send together.
@@ -62,7 +63,7 @@
 	grace := time.AfterFunc(cfg.Grace, g.cancel)
 	defer grace.Stop()
 	g.answers.Wait()
-	return g.report(ctx, elapsed)
+	return g.report(ctx, elapsed, time.Since(start))
 }
 
 // generator makes the arrivals of a run.
@@ -195,21 +196,28 @@
 	s.owner.caller.plain(s.owner.ctx, s.address, s.owner.cfg.PlainService, s.call, s.owner.plain)
 }
 
-func (g *generator) report(ctx context.Context, elapsed time.Duration) (Report, error) {
+func (g *generator) report(ctx context.Context, elapsed, finished time.Duration) (Report, error) {
 	rep := g.record.report()
-	rep.Seed, rep.Elapsed, rep.TimeScale = g.cfg.Seed, elapsed, g.cfg.TimeScale
+	rep.Seed, rep.Elapsed, rep.Finished, rep.TimeScale = g.cfg.Seed, elapsed, finished, g.cfg.TimeScale
 	if g.plain.report.Requests == 0 {
 		return rep, nil
 	}
-	plain := g.plain.report
-	rep.Plain = &plain
-	if g.cfg.Control == "" {
-		return rep, nil
+	rep.Plain = &g.plain.report
+	runs, err := g.runs(ctx)
+	if runs != nil {
+		checked := g.plain.check(runs)
+		rep.Plain = &checked
 	}
-	runs, err := g.caller.fetchRuns(ctx, g.cfg.Control)
-	if err != nil {
-		return rep, err
+	return rep, err
+}
+
+// runs reads how often each plain call ran, nil when that is not known.
+func (g *generator) runs(ctx context.Context) (map[string]int, error) {
+	switch {
+	case g.cfg.Runs != nil:
+		return g.cfg.Runs(), nil
+	case g.cfg.Control != "":
+		return g.caller.fetchRuns(ctx, g.cfg.Control)
 	}
-	plain = g.plain.check(runs)
-	return rep, nil
+	return nil, nil
 }
--- a/loads/measurement.go
+++ b/loads/measurement.go
@@ -44,6 +44,11 @@
 // Measurements lists all measurements.
 func Measurements() []Measurement {
 	return []Measurement{
+		{"first-token", "first-token time by prompt length at 70% of the capacity", measureLength},
+		{"slowdown", "short requests with long ones present against without, for each routing policy", measureSlowdown},
+		{"overhead", "first token through a daemon against a direct call to the engine", measureOverhead},
+		{"leaving", "service while a data centre leaves and returns", measureLeaving},
+		{"overload", "whole answers at up to twice the capacity", measureOverload},
 		{"slopes", "bytes, processor time and heap for each unit of load, and their product at the target size", measureSlopes},
 	}
 }
--- a/loads/report.go
+++ b/loads/report.go
@@ -31,7 +31,8 @@
 // from the intended send time.
 type Report struct {
 	Seed      uint64         `json:"seed"`
-	Elapsed   time.Duration  `json:"elapsed"` // of the arrivals
+	Elapsed   time.Duration  `json:"elapsed"`  // of the arrivals
+	Finished  time.Duration  `json:"finished"` // time to the last answer
 	Requests  int            `json:"requests"`
 	Whole     int            `json:"whole"`
 	Refused   int            `json:"refused"`
--- a/standins/fleet.go
+++ b/standins/fleet.go
@@ -95,6 +95,17 @@
 // Ledger returns the ledger of the fleet's plain services.
 func (f *Fleet) Ledger() *Ledger { return f.ledger }
 
+// Addresses returns the addresses of the stand-ins that are not dead.
+func (f *Fleet) Addresses() []string {
+	var list []string
+	for _, u := range f.units {
+		if a := u.address(); a != "" {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
 // Status lists all stand-ins.
 func (f *Fleet) Status() []UnitStatus {
 	list := make([]UnitStatus, 0, len(f.units))
--- a/standins/unit.go
+++ b/standins/unit.go
@@ -123,6 +123,15 @@
 	}
 }
 
+func (u *unit) address() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.announcer == nil {
+		return ""
+	}
+	return u.announcer.cfg.Announcement.Address
+}
+
 // UnitStatus is one stand-in as the fleet's control port lists it.
 type UnitStatus struct {
 	Server      gypsumshelf.ServerID    `json:"backend-server"`
