--- a/daemons/reducer.go
+++ b/daemons/reducer.go
@@ -10,6 +10,7 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/admissions"
 	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/members"
 	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
 )
@@ -20,6 +21,9 @@
 	Policy   routes.Policy
 	Servers  servers.Config
 	Attempts attempts.Config
+	Lease    members.Config
+	Session  string // unique to this start of the daemon
+	Log      replicatedLog
 }
 
 // Reducer makes every decision of a daemon. It has no clock, no I/O and no
@@ -31,22 +35,36 @@
 	queue    admissions.Queue
 	handlers map[reflect.Type]func(time.Time, gypsumshelf.Event)
 	out      []gypsumshelf.Effect
+	stopping bool
+	trials   map[gypsumshelf.ServerID]gypsumshelf.AttemptID // suspects that run apart from other work
+
+	configuration *configuration
 }
 
 // NewReducer returns a Reducer without any backend server or request.
 func NewReducer(cfg ReducerConfig) *Reducer {
 	r := &Reducer{
 		cfg:      cfg,
-		servers:  servers.New(cfg.Servers),
 		attempts: attempts.New(cfg.Attempts),
 		handlers: map[reflect.Type]func(time.Time, gypsumshelf.Event){},
+		trials:   map[gypsumshelf.ServerID]gypsumshelf.AttemptID{},
 	}
+	r.configuration = newConfiguration(cfg, r.emit)
+	cfg.Servers.InService = r.inService
+	r.servers = servers.New(cfg.Servers)
 	on(r, r.tick)
 	r.registerServers()
 	r.registerRequests()
+	r.registerConfiguration()
 	return r
 }
 
+// inService reports whether a data centre may receive new work. It reads the
+// present state, which a snapshot may replace.
+func (r *Reducer) inService(dataCentre string) bool {
+	return r.configuration.state.InService(dataCentre)
+}
+
 // on makes handle the handler of all events of type E.
 func on[E gypsumshelf.Event](r *Reducer, handle func(time.Time, E)) {
 	r.handlers[reflect.TypeFor[E]()] = func(now time.Time, ev gypsumshelf.Event) { handle(now, ev.(E)) }
@@ -72,10 +90,10 @@
 func (r *Reducer) emit(e gypsumshelf.Effect) { r.out = append(r.out, e) }
 
 func (r *Reducer) tick(now time.Time, _ Tick) {
-	for _, rec := range r.attempts.Overdue(now) {
-		r.refuse(now, rec, gypsumshelf.Errorf(rec.Verdict(), gypsumshelf.CodeDeadline,
-			"not finished within %s of class %s", rec.Request().Class.Target.Finish, rec.Request().Class.Name))
-	}
+	r.refuseOverdue(now)
+	r.queueRetries(now)
+	r.configuration.tick(now)
+	r.refuseStale(now)
 	r.attempts.Expire(now)
 	r.servers.Expire(now)
 	r.dispatch(now)
--- /dev/null
+++ b/replicas/member.go
@@ -0,0 +1,131 @@
+package replicas
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"gypsumshelf.example/gypsumshelf"
+)
+
+// MaxVoters is the largest number of voters of a group.
+const MaxVoters = 5
+
+// NodeID identifies one life of a daemon's storage. A daemon that returns
+// without the storage it had gets a new incarnation and is a different node.
+type NodeID struct {
+	Daemon      gypsumshelf.DaemonID `json:"daemon"`
+	Incarnation string               `json:"incarnation"`
+}
+
+// String returns the daemon and the start of its incarnation.
+func (n NodeID) String() string {
+	return fmt.Sprintf("%s/%.8s", n.Daemon, n.Incarnation)
+}
+
+// Role says whether a member counts towards a majority.
+type Role int
+
+// Roles of members.
+const (
+	Learner Role = iota
+	Voter
+)
+
+// Member is a node that the leader replicates to.
+type Member struct {
+	ID         NodeID `json:"id"`
+	DataCentre string `json:"data-centre"`
+	Role       Role   `json:"role"`
+	Durable    bool   `json:"durable"` // has a data folder, without which it never votes
+}
+
+// Members is a membership, in no particular order.
+type Members []Member
+
+// Voters returns the IDs of the voters.
+func (m Members) Voters() []NodeID {
+	var ids []NodeID
+	for _, member := range m {
+		if member.Role == Voter {
+			ids = append(ids, member.ID)
+		}
+	}
+	return ids
+}
+
+// Quorum returns the smallest number of voters that is a majority.
+func (m Members) Quorum() int { return len(m.Voters())/2 + 1 }
+
+// Member returns the member with an ID.
+func (m Members) Member(id NodeID) (Member, bool) {
+	i := slices.IndexFunc(m, func(o Member) bool { return o.ID == id })
+	if i < 0 {
+		return Member{}, false
+	}
+	return m[i], true
+}
+
+// IsVoter reports whether id is a voter.
+func (m Members) IsVoter(id NodeID) bool {
+	member, ok := m.Member(id)
+	return ok && member.Role == Voter
+}
+
+// daemon returns the member that is an incarnation of a daemon.
+func (m Members) daemon(id gypsumshelf.DaemonID) (Member, bool) {
+	i := slices.IndexFunc(m, func(o Member) bool { return o.ID.Daemon == id })
+	if i < 0 {
+		return Member{}, false
+	}
+	return m[i], true
+}
+
+// with returns a copy in which the member of the same daemon is replaced.
+func (m Members) with(member Member) Members {
+	c := slices.DeleteFunc(slices.Clone(m), func(o Member) bool { return o.ID.Daemon == member.ID.Daemon })
+	return append(c, member)
+}
+
+// withRole returns a copy in which one member has another role.
+func (m Members) withRole(id NodeID, role Role) Members {
+	c := slices.Clone(m)
+	for i := range c {
+		if c[i].ID == id {
+			c[i].Role = role
+		}
+	}
+	return c
+}
+
+// votersChanged returns the number of voters in exactly one of two memberships.
+func votersChanged(a, b Members) int {
+	n := 0
+	for _, id := range a.Voters() {
+		if !b.IsVoter(id) {
+			n++
+		}
+	}
+	for _, id := range b.Voters() {
+		if !a.IsVoter(id) {
+			n++
+		}
+	}
+	return n
+}
+
+func (m Members) encode() []byte {
+	data, err := json.Marshal(m)
+	if err != nil {
+		panic(fmt.Sprintf("membership cannot be encoded: %v", err))
+	}
+	return data
+}
+
+func decodeMembers(data []byte) Members {
+	var m Members
+	if err := json.Unmarshal(data, &m); err != nil {
+		panic(fmt.Sprintf("membership entry cannot be decoded: %v", err))
+	}
+	return m
+}
