Measure leaving by operators, keyed calls, idle daemons and the log's records

`measure leaving --by-operator` takes a data centre out by command. Half of the non-idempotent plain calls carry a key, and one in five of these is sent twice at once to two daemons; the ledger must show one run. `measure slopes` adds whole idle daemons (by daemons and by engines) and the state machine's records.

--- a/loads/checker_test.go
+++ b/loads/checker_test.go
@@ -98,6 +98,7 @@
 		{"not-run, ran", plainCall{post: true, verdict: gypsumshelf.NotRun}, 1, 0, 1},
 		{"not-run, never ran", plainCall{post: true, verdict: gypsumshelf.NotRun}, 0, 0, 0},
 		{"may-have-run, ran", plainCall{post: true, verdict: gypsumshelf.MayHaveRun}, 1, 0, 0},
+		{"not-run copy of a call that ran", plainCall{post: true, key: true, again: true, verdict: gypsumshelf.NotRun}, 1, 0, 0},
 		{"repeatable call", plainCall{ok: true, verdict: gypsumshelf.Ran}, 0, 0, 0},
 	} {
 		p := newPlainRecorder()
--- a/loads/load.go
+++ b/loads/load.go
@@ -35,6 +35,9 @@
 // largeShare is the share of requests that the large workspaces send together.
 const largeShare = 0.8
 
+// repeatedKeys is the number of keyed calls of which one is sent twice.
+const repeatedKeys = 5
+
 // DefaultConfig returns the settings that hold where flags are silent.
 func DefaultConfig() Config {
 	return Config{
@@ -174,16 +177,23 @@
 func (g *generator) runPlain() {
 	r := rand.New(rand.NewPCG(g.cfg.Seed, 3))
 	g.arrivals(r, g.cfg.PlainRate, func(i int, _ time.Time) {
-		s := &plainSending{
-			owner: g, address: g.cfg.Addresses[r.IntN(len(g.cfg.Addresses))],
-			call: plainCall{id: fmt.Sprintf("%d-%d-%x", g.cfg.Seed, i, r.Uint64()), post: r.IntN(2) == 0},
-		}
-		if g.take() {
-			g.answers.Go(s.run)
+		call := plainCall{id: fmt.Sprintf("%d-%d-%x", g.cfg.Seed, i, r.Uint64()), post: r.IntN(2) == 0}
+		call.key = call.post && r.IntN(2) == 0
+		call.again = call.key && r.IntN(repeatedKeys) == 0
+		g.sendPlain(r, call)
+		if call.again {
+			g.sendPlain(r, call)
 		}
 	})
 }
 
+func (g *generator) sendPlain(r *rand.Rand, call plainCall) {
+	s := &plainSending{owner: g, address: g.cfg.Addresses[r.IntN(len(g.cfg.Addresses))], call: call}
+	if g.take() {
+		g.answers.Go(s.run)
+	}
+}
+
 // plainSending is one call to a plain service on its way.
 type plainSending struct {
 	owner   *generator
--- a/loads/measurement.go
+++ b/loads/measurement.go
@@ -19,7 +19,10 @@
 	Daemons   int
 	Rate      float64 // requests per second, 0 for the measurement's own
 	Policies  []string
-	Out       io.Writer
+	// ByOperator makes a data centre leave by an operator command, not by the
+	// announcements of its servers.
+	ByOperator bool
+	Out        io.Writer
 }
 
 // Measurement is a named run that prints a table.
--- a/loads/plain.go
+++ b/loads/plain.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/entries"
 	"gypsumshelf.example/gypsumshelf/standins"
 )
 
@@ -19,6 +20,7 @@
 type PlainReport struct {
 	Requests int            `json:"requests"`
 	Answered int            `json:"answered"`
+	Repeated int            `json:"repeated"` // requests whose key was sent twice
 	Failures map[string]int `json:"failures"` // by code and verdict
 	Checked  bool           `json:"checked"`  // the counters of the stand-ins were read
 	Twice    int            `json:"twice"`    // non-idempotent calls that ran more than once
@@ -35,8 +37,8 @@
 }
 
 func (p PlainReport) writeText(w io.Writer) {
-	fmt.Fprintf(w, "plain calls %d, answered %d, ran twice %d, untrue verdicts %d, foreign answers %d, counters read: %t\n",
-		p.Requests, p.Answered, p.Twice, p.Untrue, p.Foreign, p.Checked)
+	fmt.Fprintf(w, "plain calls %d (%d with a repeated key), answered %d, ran twice %d, untrue verdicts %d, foreign answers %d, counters read: %t\n",
+		p.Requests, p.Repeated, p.Answered, p.Twice, p.Untrue, p.Foreign, p.Checked)
 	for _, key := range slices.Sorted(maps.Keys(p.Failures)) {
 		fmt.Fprintf(w, "  %s: %d\n", key, p.Failures[key])
 	}
@@ -46,6 +48,8 @@
 type plainCall struct {
 	id      string
 	post    bool // must not be repeated
+	key     bool // sent with an idempotency key
+	again   bool // sent twice with the same key at the same time
 	ok      bool
 	verdict gypsumshelf.Verdict
 }
@@ -73,6 +77,9 @@
 		rec.add(call, "", CodeConnection)
 		return
 	}
+	if call.key {
+		r.Header.Set(entries.HeaderKey, call.id)
+	}
 	resp, err := c.http.Do(r)
 	if err != nil {
 		call.verdict = gypsumshelf.MayHaveRun
@@ -101,6 +108,9 @@
 	defer p.mu.Unlock()
 	p.calls = append(p.calls, call)
 	p.report.Requests++
+	if call.again {
+		p.report.Repeated++
+	}
 	if !call.ok {
 		p.report.Failures[fmt.Sprintf("%s %s", code, call.verdict)]++
 		return
@@ -117,15 +127,18 @@
 	defer p.mu.Unlock()
 	r := p.report
 	r.Checked = true
+	seen := map[string]bool{}
 	for _, call := range p.calls {
 		if !call.post {
 			continue
 		}
 		n := runs[call.id]
-		if n > 1 {
+		if n > 1 && !seen[call.id] {
 			r.Twice++
 		}
-		if (call.ok && n == 0) || (!call.ok && call.verdict == gypsumshelf.NotRun && n > 0) {
+		seen[call.id] = true
+		// Of two requests with one key, one may be refused while the other runs.
+		if (call.ok && n == 0) || (!call.ok && !call.again && call.verdict == gypsumshelf.NotRun && n > 0) {
 			r.Untrue++
 		}
 	}
--- a/loads/slope.go
+++ b/loads/slope.go
@@ -86,14 +86,21 @@
 	m := slopeSet{
 		announce: announceSlope(), request: requestSlope(), records: recordSlope(),
 		tick: tickSlope(), encode: encodeSlope(), workspaces: workspaceSlope(), tokens: tokenSlope(),
+		runs: runSlope(), changes: changeSlope(),
 	}
 	var err error
 	if m.links, err = linkSlope(ctx, cfg.Duration); err != nil {
 		return err
 	}
+	if m.idleDaemons, err = idleDaemonSlope(ctx, cfg.Duration); err != nil {
+		return err
+	}
+	if m.idleEngines, err = idleEngineSlope(ctx, cfg.Duration); err != nil {
+		return err
+	}
 	table := tabwriter.NewWriter(cfg.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(table, "operation\tsize\tcounted in\tprocessor time\theap bytes\twire bytes\t")
-	for _, s := range []slope{m.announce, m.encode, m.request, m.records, m.tick, m.workspaces, m.tokens, m.links} {
+	for _, s := range []slope{m.announce, m.encode, m.request, m.records, m.tick, m.workspaces, m.tokens, m.runs, m.changes, m.links, m.idleDaemons, m.idleEngines} {
 		for _, p := range s.samples {
 			fmt.Fprintf(table, "%s\t%d\t%s\t%s\t%.0f\t%.0f\t\n", s.name, p.size, s.per, p.cost.cpu, p.cost.heap, p.cost.bytes)
 		}
--- a/loads/target.go
+++ b/loads/target.go
@@ -35,7 +35,8 @@
 
 // slopeSet holds the slopes from which the target size is worked out.
 type slopeSet struct {
-	announce, encode, request, records, tick, workspaces, tokens, links slope
+	announce, encode, request, records, tick, workspaces, tokens slope
+	runs, changes, links, idleDaemons, idleEngines               slope
 }
 
 // load is what one mechanism costs one daemon at the target size.
