Let measurements have 6,000 requests without an answer

Cause: at twice the capacity the client's bound of 2,000 kept 1,084 of 3,351 requests back, so that less than twice the capacity was offered.

--- a/loads/bench.go
+++ b/loads/bench.go
@@ -20,6 +20,9 @@
 	benchTokens        = 64                     // of each answer
 	benchTarget        = time.Second            // of the first token of a short prompt
 	benchLoad          = 0.7                    // of the capacity
+	// benchOutstanding bounds requests without an answer. At 70 KB for a mean
+	// prompt, 2,000 were too few for twice the capacity: 1,084 were not sent.
+	benchOutstanding = 6_000
 )
 
 // fleetConfig returns the stand-ins of a measurement.
@@ -59,6 +62,7 @@
 	l := DefaultConfig()
 	l.Addresses, l.Model, l.Seed, l.TimeScale = c.callers(), benchModel, cfg.Seed, cfg.TimeScale
 	l.Rate, l.Duration, l.Mixture, l.MaxTokens = rate, cfg.Duration, m, benchTokens
+	l.Outstanding = benchOutstanding
 	l.Target = time.Duration(float64(benchTarget) / cfg.TimeScale)
 	return l
 }
