Measure a data centre whose servers die and return cold

Cause: leaving by announcement and by command keeps the engines warm; the design asks for slow start after a return. The stand-ins start warm and are cold after a restart; the table counts how often a cold engine got more than it bears and failed all its requests.

--- a/cmd/gypsumshelf/measure.go
+++ b/cmd/gypsumshelf/measure.go
@@ -43,7 +43,7 @@
 	f.IntVar(&cfg.Engines, "engines", 14, "number of stand-in engines")
 	f.IntVar(&cfg.Plains, "plain-servers", 3, "number of stand-ins of a plain service")
 	f.Float64Var(&cfg.Rate, "rate", 0, "requests per second, 0 for the measurement's own")
-	f.BoolVar(&cfg.ByOperator, "by-operator", false, "leaving: by operator commands instead of announcements")
+	f.StringVar(&cfg.By, "by", loads.ByAnnouncement, "leaving: by announcement, operator or crash")
 	f.StringSliceVar(&cfg.Policies, "policy", nil, "routing policies to compare, all when empty")
 	return cmd
 }
--- a/loads/bench_leaving.go
+++ b/loads/bench_leaving.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +17,13 @@
 // three have 75%.
 const leavingLoad = 0.5
 
+// Engines that return cold after a crash.
+const (
+	coldLimit   = 4  // requests at once that they bear at first
+	coldWork    = 40 // completed requests until they are warm
+	coldPenalty = 3
+)
+
 // phase is one part of a measurement; its arrivals end when the next part
 // begins, its answers may come later.
 type phase struct {
@@ -30,7 +39,12 @@
 
 // measureLeaving runs load while a data centre leaves and returns.
 func measureLeaving(ctx context.Context, cfg MeasureConfig) error {
-	c, err := cfg.cluster(ctx, first(cfg.Policies))
+	fleet := cfg.fleetConfig()
+	if cfg.By == ByCrash {
+		fleet.StartWarm = true
+		fleet.Engine.WarmupLimit, fleet.Engine.WarmupWork, fleet.Engine.ColdPenalty = coldLimit, coldWork, coldPenalty
+	}
+	c, err := newCluster(ctx, clusterConfig{Daemons: cfg.Daemons, Policy: first(cfg.Policies), Fleet: fleet})
 	if err != nil {
 		return err
 	}
@@ -38,11 +52,7 @@
 	mixture := DefaultMixture()
 	rate := cfg.rate(mixture, leavingLoad)
 	name := clusterDataCentres[0]
-	way := "by announcements of its servers"
-	if cfg.ByOperator {
-		way = "by operator commands"
-	}
-	fmt.Fprintf(cfg.Out, "%.1f requests/s, capacity of all data centres %.1f/s; %s leaves and returns %s\n", rate, cfg.capacity(mixture), name, way)
+	fmt.Fprintf(cfg.Out, "%.1f requests/s, capacity of all data centres %.1f/s; %s leaves and returns by %s\n", rate, cfg.capacity(mixture), name, cfg.By)
 	var answers sync.WaitGroup
 	var phases []*phase
 	var left time.Time
@@ -69,15 +79,32 @@
 	if err := writePhases(cfg, phases); err != nil {
 		return err
 	}
+	collapses := 0
+	for _, s := range c.fleet.Status() {
+		collapses += s.Collapses
+	}
+	fmt.Fprintf(cfg.Out, "engines that failed all their requests because they were cold and overloaded: %d times\n", collapses)
 	fmt.Fprintf(cfg.Out, "last new work in %s: %s after it began to leave (target: a few seconds)\n", name, max(0, quiet).Round(time.Millisecond))
 	return ctx.Err()
 }
 
 // change makes a data centre leave or return.
 func (cfg MeasureConfig) change(ctx context.Context, c *cluster, action, dataCentre string) error {
-	if !cfg.ByOperator {
+	switch cfg.By {
+	case ByAnnouncement:
+		return c.fleet.Do(action, "", dataCentre)
+	case ByCrash:
+		if action == standins.ActionLeaving {
+			action = standins.ActionDead
+		}
 		return c.fleet.Do(action, "", dataCentre)
+	case ByOperator:
+		return operate(ctx, cfg, c, action, dataCentre)
 	}
+	return fmt.Errorf("unknown way to leave %q", cfg.By)
+}
+
+func operate(ctx context.Context, cfg MeasureConfig, c *cluster, action, dataCentre string) error {
 	client := operators.NewClient(operators.ClientConfig{Servers: []string{c.settings[len(c.settings)-1].Listen.Operators}})
 	status, err := client.Status(ctx)
 	if err != nil {
@@ -126,8 +153,8 @@
 		return err
 	}
 	for _, p := range phases {
-		for key, n := range p.report.Failures {
-			fmt.Fprintf(cfg.Out, "  %s: %s: %d\n", p.name, key, n)
+		for _, key := range slices.Sorted(maps.Keys(p.report.Failures)) {
+			fmt.Fprintf(cfg.Out, "  %s: %s: %d\n", p.name, key, p.report.Failures[key])
 		}
 	}
 	return nil
--- a/loads/bench_overload.go
+++ b/loads/bench_overload.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 )
 
 // overloadShares are the shares of the capacity that are offered.
@@ -25,8 +27,8 @@
 		fmt.Fprintf(table, "%.0f%%\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.0f%%\t%.0f%%\t%s\t\n", share*100,
 			rep.Requests, rep.Whole, rep.Refused, rep.Broken, rep.Wrong, rep.Unsent, rep.Finished.Seconds(),
 			100*float64(rep.Whole)/rep.Finished.Seconds()/capacity, 100*float64(short.InTime)/float64(max(1, short.Requests)), ms(short.FirstToken.P95))
-		for key, n := range rep.Failures {
-			notes = append(notes, fmt.Sprintf("  %.0f%%: %s: %d", share*100, key, n))
+		for _, key := range slices.Sorted(maps.Keys(rep.Failures)) {
+			notes = append(notes, fmt.Sprintf("  %.0f%%: %s: %d", share*100, key, rep.Failures[key]))
 		}
 	}
 	if err := table.Flush(); err != nil {
--- a/loads/measurement.go
+++ b/loads/measurement.go
@@ -19,12 +19,17 @@
 	Daemons   int
 	Rate      float64 // requests per second, 0 for the measurement's own
 	Policies  []string
-	// ByOperator makes a data centre leave by an operator command, not by the
-	// announcements of its servers.
-	ByOperator bool
-	Out        io.Writer
+	By        string // way in which a data centre leaves: ByAnnouncement, ByOperator or ByCrash
+	Out       io.Writer
 }
 
+// Ways in which a data centre leaves and returns.
+const (
+	ByAnnouncement = "announcement" // its servers announce that they leave
+	ByOperator     = "operator"     // operator commands
+	ByCrash        = "crash"        // its servers die and return cold
+)
+
 // Measurement is a named run that prints a table.
 type Measurement struct {
 	name, short string
--- a/standins/engine.go
+++ b/standins/engine.go
@@ -31,6 +31,7 @@
 	LoadLag       time.Duration // age of the reported load
 	WarmupLimit   int           // requests at once that a cold engine bears
 	WarmupWork    int           // completed requests after which it is warm, 0 for always warm
+	Warm          bool          // starts warm
 	ColdPenalty   float64       // factor by which a cold engine is slower
 	CrashMark     string        // a prompt that contains it crashes the engine
 	ChecksFencing bool          // rejects orders with an old fencing number
@@ -66,7 +67,7 @@
 	e := &Engine{
 		cfg: cfg, mux: http.NewServeMux(), running: map[string]context.CancelFunc{},
 		memory:  newMemory(cfg.MemoryTokens),
-		warmth:  newWarmth(warmthConfig{Limit: cfg.WarmupLimit, Work: cfg.WarmupWork, Penalty: cfg.ColdPenalty}),
+		warmth:  newWarmth(warmthConfig{Limit: cfg.WarmupLimit, Work: cfg.WarmupWork, Penalty: cfg.ColdPenalty, Warm: cfg.Warm}),
 		orders:  &orders{checks: cfg.ChecksFencing},
 		reports: &loadReports{lag: cfg.scaled(cfg.LoadLag)},
 		cache: newPrefixCache(cacheConfig{
--- a/standins/fleet.go
+++ b/standins/fleet.go
@@ -14,7 +14,8 @@
 	Service      string
 	Engines      int
 	Engine       EngineConfig
-	IgnoreFence  int // every n-th engine ignores fencing numbers, 0 for none
+	StartWarm    bool // engines are warm at their first start, cold after a restart
+	IgnoreFence  int  // every n-th engine ignores fencing numbers, 0 for none
 	PlainService string
 	Plains       int
 	PlainTime    time.Duration // time that a call of the plain service takes
@@ -65,8 +66,10 @@
 	cfg.Announcement.Models = []string{engine.Model}
 	cfg.Announcement.MemoryTokens = engine.MemoryTokens
 	cfg.Announcement.ChecksFencing = engine.ChecksFencing
+	engine.Warm = f.cfg.StartWarm
 	cfg.Backend = func(crashed func()) backend {
 		engine.Crashed = crashed
+		defer func() { engine.Warm = false }()
 		return NewEngine(engine)
 	}
 	return cfg
--- a/standins/fleet_test.go
+++ b/standins/fleet_test.go
@@ -42,7 +42,7 @@
 	daemon := httptest.NewServer(b)
 	t.Cleanup(daemon.Close)
 	f, err := NewFleet(FleetConfig{
-		Service: "llm", Engines: 2, Engine: EngineConfig{PrefillRate: 1e9, CrashMark: "CRASH"},
+		Service: "llm", Engines: 2, Engine: EngineConfig{PrefillRate: 1e9, CrashMark: "CRASH", WarmupLimit: 4, WarmupWork: 9}, StartWarm: true,
 		PlainService: "plain", Plains: 2, DataCentres: []string{"a", "b"},
 		Daemons: []string{daemon.Listener.Addr().String()}, Period: time.Millisecond, RestartAfter: time.Millisecond,
 	})
@@ -90,6 +90,24 @@
 	}
 }
 
+// Guards against a server that is warm after a restart or cold at its start.
+func TestRestartIsCold(t *testing.T) {
+	f, _, control := startFleet(t)
+	for _, tc := range []struct {
+		action string
+		warm   bool
+	}{{ActionReady, true}, {ActionDead, true}, {ActionReady, false}} {
+		assertStatus(t, control, "/servers/llm-01/"+tc.action, nil, http.StatusNoContent)
+		u := f.units[0]
+		u.mu.Lock()
+		warm, _ := u.backend.(*Engine).warmth.state()
+		u.mu.Unlock()
+		if warm != tc.warm {
+			t.Errorf("%s: warm is %t, want %t", tc.action, warm, tc.warm)
+		}
+	}
+}
+
 // Guards against a crash that leaves the server reachable or dead for good.
 func TestCrashRestarts(t *testing.T) {
 	_, b, _ := startFleet(t)
--- a/standins/warmth.go
+++ b/standins/warmth.go
@@ -7,6 +7,7 @@
 	Limit   int     // requests at once that a cold engine bears, 0 for no limit
 	Work    int     // completed requests after which the engine is warm
 	Penalty float64 // factor by which a cold engine is slower, at least 1
+	Warm    bool    // warm from the start
 }
 
 // warmth is the state of an engine between its start and full speed. A cold
@@ -22,7 +23,7 @@
 }
 
 func newWarmth(cfg warmthConfig) *warmth {
-	return &warmth{cfg: cfg, warm: cfg.Work == 0}
+	return &warmth{cfg: cfg, warm: cfg.Warm || cfg.Work == 0}
 }
 
 // chill makes the engine cold.
@@ -32,7 +33,7 @@
 	w.warm, w.completed = false, 0
 }
 
-// collapses reports whether the engine collapses with this many requests.
+// overloaded reports whether the engine collapses with this many requests.
 func (w *warmth) overloaded(running int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
