--- a/cmd/gypsumshelf/main.go
+++ b/cmd/gypsumshelf/main.go
@@ -41,7 +41,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: false,
 	}
-	root.AddCommand(newServe(), newConfig(), newDemo(), newStandIns(), newMeasure())
+	root.AddCommand(newServe(), newConfig(), newDemo(), newStandIns(), newMeasure(), newLoad())
+	root.AddCommand(newStatus(), newClass(), newDataCentre(), newName(), newExplain())
 	return root
 }
 
--- a/daemons/instance.go
+++ b/daemons/instance.go
@@ -10,14 +10,17 @@
 	"os"
 	"time"
 
+	"github.com/google/uuid"
+
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/announcements"
 	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/configs"
 	"gypsumshelf.example/gypsumshelf/engines"
 	"gypsumshelf.example/gypsumshelf/entries"
 	"gypsumshelf.example/gypsumshelf/logs"
+	"gypsumshelf.example/gypsumshelf/members"
 	"gypsumshelf.example/gypsumshelf/metrics"
-	"gypsumshelf.example/gypsumshelf/operators"
 	"gypsumshelf.example/gypsumshelf/peers"
 	"gypsumshelf.example/gypsumshelf/replicas"
 	"gypsumshelf.example/gypsumshelf/routes"
@@ -34,7 +37,12 @@
 	flushTime      = 2 * time.Second // time to export the last spans at a stop
 )
 
-func init() { gob.Register(gypsumshelf.Announcement{}) }
+func init() {
+	gob.Register(gypsumshelf.Announcement{})
+	gob.Register(configs.Proposal{})
+	gob.Register(attempts.Question{})
+	gob.Register(attempts.Explanation{})
+}
 
 // Instance is one running daemon with all its listeners.
 type Instance struct {
@@ -44,10 +52,14 @@
 	links    *peers.Links
 	servers  []*http.Server
 	handler  *entries.Handler
+	cancels  *engines.Canceller
 	traces   *traces.Provider
 	storage  *storage
 	renewals []*renewal
 	metrics  *metrics.Recorder
+	tickets  tickets
+
+	questions questions
 }
 
 // Start opens the listeners of a daemon and runs it.
@@ -77,7 +89,9 @@
 			Daemon: s.Daemon, Policy: policy,
 			Servers:  servers.Config{Expiry: s.Limits.ServerExpiry.Std()},
 			Attempts: attempts.Config{MaxAttempts: s.Limits.MaxAttempts, Keep: keepEnded},
-			Log:      logConfig(s, node, recovered),
+			Replica:  logConfig(s, node, recovered),
+			Session:  uuid.NewString(),
+			Lease:    members.Config{Duration: s.Limits.FreshnessLease.Std()},
 		},
 		Timers: in.timers, TickPeriod: tickPeriod,
 		Observers: []Observer{in.metrics, logs.NewObserver(log)},
@@ -86,18 +100,11 @@
 		in.closeStorage()
 		return nil, err
 	}
-	in.handler = entries.New(entries.Config{
-		Engine: engines.NewClient(engines.ClientConfig{
-			DialTimeout: s.Limits.DialTimeout.Std(),
-			Wrap:        func(t http.RoundTripper) http.RoundTripper { return in.traces.Transport("engine", t) },
-		}),
-		Submit: in.daemon.Submit, Ready: in.ready, Class: in.class,
-		Workspaces: s.Workspaces, MaxBodyBytes: s.Limits.MaxBodyBytes, Now: in.timers.Now,
-	})
-	Carry(in.daemon, in.handler.Start)
-	Carry(in.daemon, in.handler.Refuse)
-	Carry(in.daemon, in.handler.Finish)
+	in.openEntries()
 	Carry(in.daemon, in.forward)
+	Carry(in.daemon, in.tickets.decided)
+	Carry(in.daemon, in.sendProposal)
+	Carry(in.daemon, in.sendExplanation)
 	in.carryLog()
 	in.daemon.Run()
 	in.storage.run()
@@ -143,7 +150,7 @@
 		{"backend-servers", in.settings.Listen.BackendServers, announcements.New(announcements.Config{
 			Submit: in.daemon.Submit, AllowedNetworks: in.settings.AllowedNetworks,
 		})},
-		{"operators", in.settings.Listen.Operators, in.traces.Handler("operator", operators.New(operators.Config{Status: in.status, Explain: in.explain}))},
+		{"operators", in.settings.Listen.Operators, in.traces.Handler("operator", in.operatorHandler())},
 		{"metrics", in.settings.Listen.Metrics, in.metrics.Handler()},
 	} {
 		listener, err := net.Listen("tcp", l.address)
@@ -175,6 +182,7 @@
 	}
 	in.links.Close()
 	in.daemon.Close()
+	in.cancels.Close()
 	in.timers.Close()
 	in.closeStorage()
 	ctx, cancel := context.WithTimeout(context.Background(), flushTime)
@@ -188,35 +196,17 @@
 		in.daemon.Submit(servers.Announced{Announcement: payload, Forwarded: true})
 	case replicas.Message:
 		in.receiveLog(e, payload)
+	case configs.Proposal:
+		in.daemon.Submit(configs.Forwarded{Proposal: payload})
+	case attempts.Question:
+		in.daemon.Submit(attempts.Asked{From: e.From, Question: payload})
+	case attempts.Explanation:
+		in.questions.explained(payload)
+	case attempts.Suspicion:
+		in.daemon.Submit(attempts.Suspected{Suspicion: payload})
+	case attempts.Quarantine:
+		in.daemon.Submit(attempts.Quarantined(payload))
 	}
 }
 
 func (in *Instance) forward(e servers.Forward) { in.links.Broadcast(e.Announcement) }
-
-func (in *Instance) ready(ctx context.Context) bool {
-	return in.daemon.Query(ctx, func(*Reducer) {})
-}
-
-func (in *Instance) class(_ context.Context, name string) (gypsumshelf.Class, bool) {
-	class := gypsumshelf.Class{Name: name, Target: gypsumshelf.Target{FirstToken: time.Second, Finish: time.Minute}}
-	return class, name == gypsumshelf.DefaultClassName
-}
-
-func (in *Instance) status(ctx context.Context) (status operators.Status, ok bool) {
-	status.Daemon = in.settings.Daemon
-	ok = in.daemon.Query(ctx, func(r *Reducer) {
-		status.Ready = true
-		for _, s := range r.servers.All() {
-			n, _ := s.InFlight()
-			status.BackendServers = append(status.BackendServers, operators.ServerStatus{Announcement: s.Announcement(), Attempts: n})
-		}
-	})
-	return status, ok
-}
-
-func (in *Instance) explain(ctx context.Context, id gypsumshelf.RequestID) (notes []attempts.Note, ok bool) {
-	in.daemon.Query(ctx, func(r *Reducer) {
-		notes = append(notes, r.attempts.Explain(id)...)
-	})
-	return notes, len(notes) > 0
-}
--- a/daemons/log.go
+++ b/daemons/log.go
@@ -1,6 +1,7 @@
 package daemons
 
 import (
+	"fmt"
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
@@ -16,23 +17,34 @@
 	compactBytes = 8 << 20
 )
 
-// Machine is the state machine that the replicated log feeds.
-type Machine interface {
-	Apply(e replicas.Entry) // entries of every kind, in order and without gaps
-	Install(s *replicas.Snapshot)
-	Snapshot() []byte // state after the last entry
-}
-
-// replicatedLog is the log with its state machine in the reducer.
-type replicatedLog struct {
+// logPart is the replicated log in the reducer. It outlives its replica, which
+// is replaced together with its storage.
+type logPart struct {
 	replica *replicas.Replica
 	cfg     replicas.Config
-	machine Machine
-	applied uint64
-	entries int // applied since the last snapshot
+	applied uint64 // last entry of any kind
+	entries int    // applied since the last snapshot
 	bytes   int
 }
 
+func newLogPart(cfg replicas.Config) *logPart {
+	return &logPart{replica: replicas.New(cfg), cfg: cfg}
+}
+
+// Propose implements replicatedLog.
+func (l *logPart) Propose(now time.Time, data []byte) (index, term uint64, err error) {
+	return l.replica.Propose(now, data)
+}
+
+// Leader implements replicatedLog.
+func (l *logPart) Leader() (gypsumshelf.DaemonID, bool) { return l.replica.Leader() }
+
+// Term implements replicatedLog.
+func (l *logPart) Term() uint64 { return l.replica.Term() }
+
+// Confirmation implements replicatedLog.
+func (l *logPart) Confirmation() (asked time.Time, commit uint64) { return l.replica.Confirmation() }
+
 // LogReceived is the event of a log message from another daemon.
 type LogReceived struct{ Message replicas.Message }
 
@@ -81,35 +93,31 @@
 func (LogRenew) EffectName() string { return "log-renew" }
 
 func (r *Reducer) registerLog() {
-	r.log = replicatedLog{replica: replicas.New(r.cfg.Log), cfg: r.cfg.Log, machine: r.cfg.Machine}
-	on(r, func(now time.Time, e LogReceived) {
-		r.log.replica.Receive(now, e.Message)
-		r.flushLog(now)
-	})
-	on(r, func(now time.Time, e LogSynced) {
-		r.log.replica.Synced(now, e.Sequence)
-		r.flushLog(now)
-	})
+	on(r, func(now time.Time, e LogReceived) { r.log.replica.Receive(now, e.Message) })
+	on(r, func(now time.Time, e LogSynced) { r.log.replica.Synced(now, e.Sequence) })
 	on(r, func(time.Time, LogFailed) { r.log.replica.Halt() })
 	on(r, r.renewLog)
 }
 
 func (r *Reducer) tickLog(now time.Time) {
-	r.log.replica.Tick(now)
-	r.flushLog(now)
+	if r.log != nil {
+		r.log.replica.Tick(now)
+	}
 }
 
-// renewLog starts again without any entry; the leader sends a snapshot.
+// renewLog starts again without any entry; the leader sends a snapshot. The
+// configuration stays in force, since nothing in it reverts.
 func (r *Reducer) renewLog(now time.Time, e LogRenewed) {
 	cfg := r.log.cfg
 	cfg.ID, cfg.Recovered, cfg.Session = e.ID, e.Recovered, e.Session
-	r.log = replicatedLog{replica: replicas.New(cfg), cfg: cfg, machine: r.log.machine}
+	*r.log = *newLogPart(cfg)
 	r.tickLog(now)
 }
 
-// flushLog carries out what the replica asks for.
+// flushLog carries out what the replica asks for and renews the freshness
+// lease. It runs after every event, since any event can propose a command.
 func (r *Reducer) flushLog(now time.Time) {
-	for {
+	for r.log != nil {
 		out := r.log.replica.Take()
 		if out.Renew {
 			r.emit(LogRenew{})
@@ -119,9 +127,10 @@
 		for _, m := range out.Messages {
 			r.emit(LogSend{Message: m})
 		}
-		r.applyLog(out)
+		r.applyLog(now, out)
 		switch {
 		case out.Persist == nil:
+			r.configuration.renew(r.log.applied)
 			return
 		case r.log.cfg.Durable:
 			r.emit(LogWrite{Persist: out.Persist})
@@ -132,30 +141,34 @@
 	}
 }
 
-func (r *Reducer) applyLog(out replicas.Output) {
-	l := &r.log
-	if out.Install != nil {
-		l.applied, l.entries, l.bytes = out.Install.Index, 0, 0
-		if l.machine != nil {
-			l.machine.Install(out.Install)
+// applyLog passes snapshots and commands on to the configuration. After its
+// storage was renewed a daemon sees entries again that it has applied.
+func (r *Reducer) applyLog(now time.Time, out replicas.Output) {
+	l, c := r.log, r.configuration
+	if s := out.Install; s != nil {
+		l.applied, l.entries, l.bytes = s.Index, 0, 0
+		if len(s.Data) > 0 && s.Index > c.state.Index() {
+			if err := c.install(s.Index, s.Data); err != nil {
+				panic(fmt.Sprintf("snapshot at entry %d cannot be installed: %v", s.Index, err))
+			}
 		}
 	}
 	for _, e := range out.Committed {
 		l.applied = e.Index
 		l.entries++
 		l.bytes += len(e.Data)
-		if l.machine != nil {
-			l.machine.Apply(e)
+		if e.Kind == replicas.Command && e.Index > c.state.Index() {
+			c.apply(now, e.Index, e.At, e.Data)
 		}
 	}
-	if l.entries < compactEntries && l.bytes < compactBytes {
+	if l.entries < compactEntries && l.bytes < compactBytes || c.state.Index() > l.applied {
 		return
 	}
-	l.entries, l.bytes = 0, 0
-	var data []byte
-	if l.machine != nil {
-		data = l.machine.Snapshot()
+	data, err := c.state.Snapshot()
+	if err != nil {
+		panic(fmt.Sprintf("configuration cannot be encoded: %v", err))
 	}
+	l.entries, l.bytes = 0, 0
 	l.replica.Compact(l.applied, data)
 }
 
--- a/daemons/log_test.go
+++ b/daemons/log_test.go
@@ -1,6 +1,7 @@
 package daemons
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -10,6 +11,7 @@
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/configs"
 	"gypsumshelf.example/gypsumshelf/replicas"
 	"gypsumshelf.example/gypsumshelf/settings"
 )
@@ -19,6 +21,7 @@
 	t         testing.TB
 	settings  []settings.Settings
 	instances []*Instance
+	tokens    int
 }
 
 func newGroup(t testing.TB, hosts int) *group {
@@ -114,6 +117,45 @@
 	}
 }
 
+// command returns a log entry that changes one of a few keys, so that the
+// state stays small.
+func (g *group) command(i int) []byte {
+	g.t.Helper()
+	g.tokens++
+	data, err := configs.Entry{
+		Origin: "test", Token: fmt.Sprint(g.tokens), Command: configs.Quarantine{
+			BodyHash: uint64(i % 100), Reason: fmt.Sprint(g.tokens), Keep: settings.Duration(time.Hour),
+		},
+	}.Encode()
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return data
+}
+
+// assertSameState asserts that all running instances hold the same configuration.
+func (g *group) assertSameState() {
+	g.t.Helper()
+	var first []byte
+	for _, in := range g.instances {
+		if in == nil {
+			continue
+		}
+		in.daemon.Query(context.Background(), func(r *Reducer) {
+			data, err := r.configuration.state.Snapshot()
+			if err != nil {
+				g.t.Error(err)
+			}
+			if first == nil {
+				first = data
+			}
+			if !bytes.Equal(first, data) {
+				g.t.Errorf("%s holds the configuration\n%s, another daemon\n%s", in.settings.Daemon, data, first)
+			}
+		})
+	}
+}
+
 // commit proposes commands at the leader and waits until all that run have them.
 func (g *group) commit(n int) {
 	g.t.Helper()
@@ -122,9 +164,10 @@
 		accepted := false
 		if leader := g.leader(); leader >= 0 {
 			g.on(leader, func(r *replicas.Replica) {
-				for range n {
+				for i := range n {
+					command := g.command(i)
 					var err error
-					index, _, err = r.Propose(time.Now(), make([]byte, 200))
+					index, _, err = r.Propose(time.Now(), command)
 					accepted = err == nil
 				}
 			})
@@ -138,6 +181,7 @@
 		}
 		return all
 	})
+	g.assertSameState()
 }
 
 func (g *group) member(i int) (m replicas.Member) {
--- a/daemons/reducer.go
+++ b/daemons/reducer.go
@@ -10,6 +10,7 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/admissions"
 	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/members"
 	"gypsumshelf.example/gypsumshelf/replicas"
 	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
@@ -21,8 +22,10 @@
 	Policy   routes.Policy
 	Servers  servers.Config
 	Attempts attempts.Config
-	Log      replicas.Config
-	Machine  Machine // nil when nothing reads the log
+	Lease    members.Config
+	Session  string // unique to this start of the daemon
+	Replica  replicas.Config
+	Log      replicatedLog // stands for the replica in tests
 }
 
 // Reducer makes every decision of a daemon. It has no clock, no I/O and no
@@ -32,26 +35,44 @@
 	servers  *servers.Table
 	attempts *attempts.Table
 	queue    admissions.Queue
-	log      replicatedLog
+	log      *logPart // nil without a replica
 	handlers map[reflect.Type]func(time.Time, gypsumshelf.Event)
 	out      []gypsumshelf.Effect
+	stopping bool
+	trials   map[gypsumshelf.ServerID]gypsumshelf.AttemptID // suspects that run apart from other work
+
+	configuration *configuration
 }
 
 // NewReducer returns a Reducer without any backend server or request.
 func NewReducer(cfg ReducerConfig) *Reducer {
 	r := &Reducer{
 		cfg:      cfg,
-		servers:  servers.New(cfg.Servers),
 		attempts: attempts.New(cfg.Attempts),
 		handlers: map[reflect.Type]func(time.Time, gypsumshelf.Event){},
+		trials:   map[gypsumshelf.ServerID]gypsumshelf.AttemptID{},
+	}
+	if cfg.Log == nil && cfg.Replica.ID.Daemon != "" {
+		r.log = newLogPart(cfg.Replica)
+		r.registerLog()
+		cfg.Log = r.log
 	}
+	r.configuration = newConfiguration(cfg, r.emit)
+	cfg.Servers.InService = r.inService
+	r.servers = servers.New(cfg.Servers)
 	on(r, r.tick)
 	r.registerServers()
 	r.registerRequests()
-	r.registerLog()
+	r.registerConfiguration()
 	return r
 }
 
+// inService reports whether a data centre may receive new work. It reads the
+// present state, which a snapshot may replace.
+func (r *Reducer) inService(dataCentre string) bool {
+	return r.configuration.state.InService(dataCentre)
+}
+
 // on makes handle the handler of all events of type E.
 func on[E gypsumshelf.Event](r *Reducer, handle func(time.Time, E)) {
 	r.handlers[reflect.TypeFor[E]()] = func(now time.Time, ev gypsumshelf.Event) { handle(now, ev.(E)) }
@@ -71,18 +92,19 @@
 	}
 	r.out = nil
 	handle(now, ev)
+	r.flushLog(now)
 	return r.out
 }
 
 func (r *Reducer) emit(e gypsumshelf.Effect) { r.out = append(r.out, e) }
 
 func (r *Reducer) tick(now time.Time, _ Tick) {
-	for _, rec := range r.attempts.Overdue(now) {
-		r.refuse(now, rec, gypsumshelf.Errorf(rec.Verdict(), gypsumshelf.CodeDeadline,
-			"not finished within %s of class %s", rec.Request().Class.Target.Finish, rec.Request().Class.Name))
-	}
+	r.tickLog(now)
+	r.refuseOverdue(now)
+	r.queueRetries(now)
+	r.configuration.tick(now)
+	r.refuseStale(now)
 	r.attempts.Expire(now)
 	r.servers.Expire(now)
 	r.dispatch(now)
-	r.tickLog(now)
 }
--- a/loads/demo.go
+++ b/loads/demo.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 	"text/tabwriter"
@@ -25,9 +28,11 @@
 }
 
 const (
-	demoModel  = "quill"
-	demoTokens = 16
-	demoPeriod = 200 * time.Millisecond
+	demoModel     = "quill"
+	demoTokens    = 16
+	demoPeriod    = 200 * time.Millisecond
+	demoReadyTime = 30 * time.Second
+	maxDemoVoters = 3
 	// demoMemory lets an engine hold four of the longest prompts at once.
 	demoMemory = 4_500_000
 )
@@ -37,7 +42,12 @@
 // Demo runs daemons and stand-in engines in this process, sends requests of
 // several lengths through each daemon and writes a table of first-token times.
 func Demo(ctx context.Context, w io.Writer, cfg DemoConfig) error {
-	all, err := demoSettings(cfg.Daemons)
+	folder, err := os.MkdirTemp("", "gypsumshelf-demo")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(folder)
+	all, err := demoSettings(cfg.Daemons, folder)
 	if err != nil {
 		return err
 	}
@@ -63,6 +73,9 @@
 		return err
 	}
 	defer fleet.Close()
+	if err := waitReady(ctx, callers); err != nil {
+		return err
+	}
 	time.Sleep(3 * demoPeriod) // every daemon has then heard of every engine
 	return sendDemo(ctx, w, callers, cfg.Rounds)
 }
@@ -113,15 +126,17 @@
 	return times, bad
 }
 
-func demoSettings(n int) ([]settings.Settings, error) {
+func demoSettings(n int, folder string) ([]settings.Settings, error) {
 	all := make([]settings.Settings, n)
 	var peers []settings.Peer
+	var voters []string
 	for i := range all {
 		s := settings.Default()
 		s.Deployment = "demo"
 		s.Daemon = gypsumshelf.DaemonID(fmt.Sprintf("demo-%d", i+1))
 		s.DataCentre = fmt.Sprintf("demo-%c", 'a'+i%3)
 		s.Region = "demo"
+		s.DataFolder = filepath.Join(folder, string(s.Daemon))
 		s.AllowedNetworks = []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}
 		for _, address := range []*string{&s.Listen.Callers, &s.Listen.BackendServers, &s.Listen.Peers, &s.Listen.Operators, &s.Listen.Metrics} {
 			free, err := freeAddress()
@@ -131,14 +146,47 @@
 			*address = free
 		}
 		peers = append(peers, settings.Peer{Daemon: s.Daemon, Address: s.Listen.Peers, DataCentre: s.DataCentre})
+		if i < maxDemoVoters {
+			voters = append(voters, string(s.Daemon))
+		}
 		all[i] = s
 	}
 	for i := range all {
 		all[i].Peers = peers
+		all[i].Voters = voters
 	}
 	return all, nil
 }
 
+// waitReady waits until every daemon has a leader and accepts requests.
+func waitReady(ctx context.Context, callers []string) error {
+	ctx, cancel := context.WithTimeout(ctx, demoReadyTime)
+	defer cancel()
+	for _, address := range callers {
+		for !ready(ctx, address) {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("daemon at %s is not ready within %s", address, demoReadyTime)
+			case <-time.After(demoPeriod / 4):
+			}
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, address string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 func freeAddress() (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/replicas/random_test.go
+++ b/replicas/random_test.go
@@ -57,6 +57,12 @@
 			entries += c.highest
 			faults["terms with a leader"] += len(c.leaders)
 		}()
+		if n == 5 && members[4].Durable && rapid.Bool().Draw(t, "five voters") {
+			c.voters = 5
+			for _, h := range c.hosts {
+				c.start(h)
+			}
+		}
 		c.until("a settled cluster", c.settled)
 		c.drop = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "drop")
 		c.duplic = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "duplicate")
