Measure the replicated log and hand over leadership at a planned stop

'gypsumshelf measure log' prints commits per second against batch size, restart and disk size with and without compaction, and leader changes.

A daemon that stops asks an up-to-date voter to campaign at once.

--- a/daemons/log.go
+++ b/daemons/log.go
@@ -102,6 +102,9 @@
 func (r *Reducer) tickLog(now time.Time) {
 	if r.log != nil {
 		r.log.replica.Tick(now)
+		if r.stopping {
+			r.log.replica.Resign(now)
+		}
 	}
 }
 
--- a/loads/measurement.go
+++ b/loads/measurement.go
@@ -45,6 +45,7 @@
 func Measurements() []Measurement {
 	return []Measurement{
 		{"slopes", "bytes, processor time and heap for each unit of load, and their product at the target size", measureSlopes},
+		{"log", "commits, restart and leader changes of the replicated log", measureLog},
 	}
 }
 
--- a/replicas/election.go
+++ b/replicas/election.go
@@ -5,6 +5,9 @@
 func (r *Replica) resetElection() {
 	spread := time.Duration(r.rand.Int64N(int64(r.cfg.ElectionTimeout)))
 	r.electionAt = r.now.Add(r.cfg.ElectionTimeout + spread)
+	if r.handover.resigned {
+		r.electionAt = r.electionAt.Add(2 * r.cfg.ElectionTimeout)
+	}
 }
 
 // mayVote reports whether this node's votes can be trusted to be remembered.
@@ -46,9 +49,20 @@
 	r.resetElection()
 }
 
-// campaign asks for votes, first without entering a new term: a node that was
-// cut off would otherwise return with a higher term and depose a good leader.
-func (r *Replica) campaign(pre bool) {
+// campaignKind says why a node asks for votes.
+type campaignKind int
+
+const (
+	// preVote asks without entering a new term: a node that was cut off would
+	// otherwise return with a higher term and depose a good leader.
+	preVote    campaignKind = iota
+	elected                 // a majority would vote for the node
+	handedOver              // the leader asked for it
+)
+
+// campaign asks for votes.
+func (r *Replica) campaign(kind campaignKind) {
+	pre := kind == preVote
 	r.resetElection()
 	if !r.Members().IsVoter(r.cfg.ID) || !r.mayVote() {
 		return
@@ -62,7 +76,7 @@
 		r.state = candidate
 		r.vote(r.cfg.ID)
 	}
-	request := VoteRequest{Pre: pre, LastIndex: r.log.last(), LastTerm: r.log.lastTerm()}
+	request := VoteRequest{Pre: pre, Handover: kind == handedOver, LastIndex: r.log.last(), LastTerm: r.log.lastTerm()}
 	for _, id := range r.Members().Voters() {
 		switch {
 		case id == r.cfg.ID:
@@ -98,7 +112,7 @@
 		return
 	}
 	if r.state == preCandidate {
-		r.campaign(false)
+		r.campaign(elected)
 	} else {
 		r.becomeLeader()
 	}
@@ -117,7 +131,7 @@
 	}
 	// A node that hears the leader disregards candidates, so that one with
 	// a bad link cannot depose a leader that has a quorum.
-	hears := r.state == leading || r.leader != (NodeID{}) && r.now.Sub(r.leaderContact) < r.cfg.ElectionTimeout
+	hears := !q.Handover && (r.state == leading || r.leader != (NodeID{}) && r.now.Sub(r.leaderContact) < r.cfg.ElectionTimeout)
 	answer := VoteResponse{Pre: q.Pre, Asked: m.Term}
 	if q.Pre {
 		answer.Asked++
--- a/replicas/message.go
+++ b/replicas/message.go
@@ -26,6 +26,7 @@
 // whether such a vote would be given.
 type VoteRequest struct {
 	Pre       bool
+	Handover  bool // the leader asked the sender to campaign
 	LastIndex uint64
 	LastTerm  uint64
 }
@@ -116,7 +117,7 @@
 func init() {
 	for _, body := range []any{
 		VoteRequest{}, VoteResponse{}, AppendRequest{}, AppendResponse{}, SnapshotChunk{},
-		SnapshotResponse{}, Join{}, JoinResponse{}, VerifyRequest{}, VerifyResponse{}, Message{},
+		SnapshotResponse{}, Join{}, JoinResponse{}, VerifyRequest{}, VerifyResponse{}, Handover{}, Message{},
 	} {
 		gob.Register(body)
 	}
--- a/replicas/random_test.go
+++ b/replicas/random_test.go
@@ -125,6 +125,11 @@
 	case 10:
 		c.heal()
 	case 11:
+		if h.r != nil && c.rng.IntN(2) == 0 {
+			c.faults["resignation"]++
+			h.r.Resign(c.clock(h))
+			return
+		}
 		c.faults["restart of all"]++
 		for _, o := range c.hosts {
 			c.crash(o)
--- a/replicas/replica.go
+++ b/replicas/replica.go
@@ -100,6 +100,7 @@
 
 	incoming incomingSnapshot
 	joining  joining
+	handover handover
 	verify   verification
 	marks    map[NodeID]Mark // promises seen from other nodes
 }
@@ -139,7 +140,7 @@
 	r.join()
 	r.verifyTick()
 	if !now.Before(r.electionAt) {
-		r.campaign(true)
+		r.campaign(preVote)
 	}
 }
 
@@ -190,6 +191,8 @@
 		r.receiveChunk(m, body)
 	case SnapshotResponse:
 		r.receiveSnapshotResponse(m, body)
+	case Handover:
+		r.receiveHandover(m)
 	case VerifyRequest:
 		r.send(m.From, VerifyResponse{Asked: m.Session, Mark: r.marks[m.From]})
 	case VerifyResponse:
--- a/replicas/replication.go
+++ b/replicas/replication.go
@@ -66,7 +66,7 @@
 // index and another term means that the command is lost.
 func (r *Replica) Propose(now time.Time, data []byte) (index, term uint64, err error) {
 	r.advance(now)
-	if r.state != leading {
+	if r.state != leading || r.handingOver() {
 		leader, _ := r.Leader()
 		return 0, 0, ErrNotLeader{Leader: leader}
 	}
--- a/replicas/rules_test.go
+++ b/replicas/rules_test.go
@@ -344,6 +344,29 @@
 	}
 }
 
+// Guards against an election timeout without a leader at a planned stop, and
+// against entries that the handover loses.
+func TestResigningLeaderHandsOver(t *testing.T) {
+	c := settledCluster(t, fourHosts()...)
+	old, term := c.leader(), c.leader().r.Term()
+	for range 20 {
+		c.propose(old)
+	}
+	start := c.now
+	c.until("another leader", func() bool {
+		old.r.Resign(c.clock(old))
+		c.pump(old)
+		return c.leader() != nil && c.leader() != old
+	})
+	if took := c.now.Sub(start); took >= testElection || c.leader().r.Term() != term+1 {
+		t.Errorf("handover took %s and ended in term %d, from term %d", took, c.leader().r.Term(), term)
+	}
+	if _, _, err := old.r.Propose(c.clock(old), nil); err == nil {
+		t.Error("a resigned node accepts a proposal")
+	}
+	c.until("a settled cluster", c.settled)
+}
+
 // Guards against a proposal that a node which is not the leader accepts.
 func TestProposeNamesTheLeader(t *testing.T) {
 	c := settledCluster(t, fourHosts()...)
