--- a/daemons/instance.go
+++ b/daemons/instance.go
@@ -84,18 +84,14 @@
 	if err != nil {
 		return nil, err
 	}
-	var replica *replicas.Config
-	if len(s.Voters) > 0 {
-		replica = logConfig(s, node, recovered)
-	}
 	in.daemon = New(Config{
 		Reducer: ReducerConfig{
 			Daemon: s.Daemon, Policy: policy,
 			Servers:  servers.Config{Expiry: s.Limits.ServerExpiry.Std()},
 			Attempts: attempts.Config{MaxAttempts: s.Limits.MaxAttempts, Keep: keepEnded},
-			Lease:    members.Config{Duration: s.Limits.FreshnessLease.Std()},
+			Replica:  logConfig(s, node, recovered),
 			Session:  uuid.NewString(),
-			Replica:  replica,
+			Lease:    members.Config{Duration: s.Limits.FreshnessLease.Std()},
 		},
 		Timers: in.timers, TickPeriod: tickPeriod,
 		Observers: []Observer{in.metrics, logs.NewObserver(log)},
@@ -198,6 +194,8 @@
 	switch payload := e.Payload.(type) {
 	case gypsumshelf.Announcement:
 		in.daemon.Submit(servers.Announced{Announcement: payload, Forwarded: true})
+	case replicas.Message:
+		in.receiveLog(e, payload)
 	case configs.Proposal:
 		in.daemon.Submit(configs.Forwarded{Proposal: payload})
 	case attempts.Question:
@@ -208,8 +206,6 @@
 		in.daemon.Submit(attempts.Suspected{Suspicion: payload})
 	case attempts.Quarantine:
 		in.daemon.Submit(attempts.Quarantined(payload))
-	case replicas.Message:
-		in.receiveLog(e, payload)
 	}
 }
 
--- a/daemons/log.go
+++ b/daemons/log.go
@@ -1,6 +1,7 @@
 package daemons
 
 import (
+	"fmt"
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
@@ -16,28 +17,33 @@
 	compactBytes = 8 << 20
 )
 
-// logState is the replica with what was applied of its log.
-type logState struct {
+// logPart is the replicated log in the reducer. It outlives its replica, which
+// is replaced together with its storage.
+type logPart struct {
 	replica *replicas.Replica
 	cfg     replicas.Config
-	applied uint64
-	entries int // applied since the last snapshot
+	applied uint64 // last entry of any kind
+	entries int    // applied since the last snapshot
 	bytes   int
 }
 
+func newLogPart(cfg replicas.Config) *logPart {
+	return &logPart{replica: replicas.New(cfg), cfg: cfg}
+}
+
 // Propose implements replicatedLog.
-func (l *logState) Propose(now time.Time, data []byte) (index, term uint64, err error) {
+func (l *logPart) Propose(now time.Time, data []byte) (index, term uint64, err error) {
 	return l.replica.Propose(now, data)
 }
 
 // Leader implements replicatedLog.
-func (l *logState) Leader() (gypsumshelf.DaemonID, bool) { return l.replica.Leader() }
+func (l *logPart) Leader() (gypsumshelf.DaemonID, bool) { return l.replica.Leader() }
 
 // Term implements replicatedLog.
-func (l *logState) Term() uint64 { return l.replica.Term() }
+func (l *logPart) Term() uint64 { return l.replica.Term() }
 
 // Confirmation implements replicatedLog.
-func (l *logState) Confirmation() (asked time.Time, commit uint64) { return l.replica.Confirmation() }
+func (l *logPart) Confirmation() (asked time.Time, commit uint64) { return l.replica.Confirmation() }
 
 // LogReceived is the event of a log message from another daemon.
 type LogReceived struct{ Message replicas.Message }
@@ -94,27 +100,27 @@
 }
 
 func (r *Reducer) tickLog(now time.Time) {
-	if r.log.replica != nil {
+	if r.log != nil {
 		r.log.replica.Tick(now)
+		if r.stopping {
+			r.log.replica.Resign(now)
+		}
 	}
 }
 
 // renewLog starts again without any entry; the leader sends a snapshot. The
-// configuration in force stays and moves on from there.
+// configuration stays in force, since nothing in it reverts.
 func (r *Reducer) renewLog(now time.Time, e LogRenewed) {
 	cfg := r.log.cfg
 	cfg.ID, cfg.Recovered, cfg.Session = e.ID, e.Recovered, e.Session
-	r.log = logState{replica: replicas.New(cfg), cfg: cfg}
+	*r.log = *newLogPart(cfg)
 	r.tickLog(now)
 }
 
-// flushLog carries out what the replica asks for, until it asks for nothing:
-// an applied entry can lead to another proposal.
+// flushLog carries out what the replica asks for and renews the freshness
+// lease. It runs after every event, since any event can propose a command.
 func (r *Reducer) flushLog(now time.Time) {
-	if r.log.replica == nil {
-		return
-	}
-	for {
+	for r.log != nil {
 		out := r.log.replica.Take()
 		if out.Renew {
 			r.emit(LogRenew{})
@@ -127,38 +133,46 @@
 		r.applyLog(now, out)
 		switch {
 		case out.Persist == nil:
+			r.configuration.renew(r.log.applied)
+			return
 		case r.log.cfg.Durable:
 			r.emit(LogWrite{Persist: out.Persist})
 		default:
 			// Without a data folder nothing that this daemon stores counts.
 			r.log.replica.Synced(now, out.Persist.Sequence)
 		}
-		if out.Persist == nil && len(out.Messages) == 0 && len(out.Committed) == 0 && out.Install == nil {
-			r.configuration.renew(r.log.applied)
-			return
-		}
 	}
 }
 
+// applyLog passes snapshots and commands on to the configuration. After its
+// storage was renewed a daemon sees entries again that it has applied.
 func (r *Reducer) applyLog(now time.Time, out replicas.Output) {
-	l := &r.log
-	if out.Install != nil {
-		l.applied, l.entries, l.bytes = out.Install.Index, 0, 0
-		r.configuration.install(out.Install.Index, out.Install.Data)
+	l, c := r.log, r.configuration
+	if s := out.Install; s != nil {
+		l.applied, l.entries, l.bytes = s.Index, 0, 0
+		if len(s.Data) > 0 && s.Index > c.state.Index() {
+			if err := c.install(s.Index, s.Data); err != nil {
+				panic(fmt.Sprintf("snapshot at entry %d cannot be installed: %v", s.Index, err))
+			}
+		}
 	}
 	for _, e := range out.Committed {
 		l.applied = e.Index
 		l.entries++
 		l.bytes += len(e.Data)
-		if e.Kind == replicas.Command {
-			r.configuration.apply(now, e.Index, e.At, e.Data)
+		if e.Kind == replicas.Command && e.Index > c.state.Index() {
+			c.apply(now, e.Index, e.At, e.Data)
 		}
 	}
-	if l.entries < compactEntries && l.bytes < compactBytes {
+	if l.entries < compactEntries && l.bytes < compactBytes || c.state.Index() > l.applied {
 		return
 	}
+	data, err := c.state.Snapshot()
+	if err != nil {
+		panic(fmt.Sprintf("configuration cannot be encoded: %v", err))
+	}
 	l.entries, l.bytes = 0, 0
-	l.replica.Compact(l.applied, r.configuration.snapshot())
+	l.replica.Compact(l.applied, data)
 }
 
 // logPeers returns the other daemons.
--- a/daemons/reducer.go
+++ b/daemons/reducer.go
@@ -23,9 +23,9 @@
 	Servers  servers.Config
 	Attempts attempts.Config
 	Lease    members.Config
-	Session  string           // unique to this start of the daemon
-	Replica  *replicas.Config // replicated log, nil for a configuration that never changes
-	Log      replicatedLog    // used in place of Replica when not nil
+	Session  string // unique to this start of the daemon
+	Replica  replicas.Config
+	Log      replicatedLog // stands for the replica in tests
 }
 
 // Reducer makes every decision of a daemon. It has no clock, no I/O and no
@@ -35,7 +35,7 @@
 	servers  *servers.Table
 	attempts *attempts.Table
 	queue    admissions.Queue
-	log      logState
+	log      *logPart // nil without a replica
 	handlers map[reflect.Type]func(time.Time, gypsumshelf.Event)
 	out      []gypsumshelf.Effect
 	stopping bool
@@ -52,9 +52,10 @@
 		handlers: map[reflect.Type]func(time.Time, gypsumshelf.Event){},
 		trials:   map[gypsumshelf.ServerID]gypsumshelf.AttemptID{},
 	}
-	if cfg.Replica != nil {
-		r.log = logState{replica: replicas.New(*cfg.Replica), cfg: *cfg.Replica}
-		cfg.Log = &r.log
+	if cfg.Log == nil && cfg.Replica.ID.Daemon != "" {
+		r.log = newLogPart(cfg.Replica)
+		r.registerLog()
+		cfg.Log = r.log
 	}
 	r.configuration = newConfiguration(cfg, r.emit)
 	cfg.Servers.InService = r.inService
@@ -63,7 +64,6 @@
 	r.registerServers()
 	r.registerRequests()
 	r.registerConfiguration()
-	r.registerLog()
 	return r
 }
 
@@ -99,6 +99,7 @@
 func (r *Reducer) emit(e gypsumshelf.Effect) { r.out = append(r.out, e) }
 
 func (r *Reducer) tick(now time.Time, _ Tick) {
+	r.tickLog(now)
 	r.refuseOverdue(now)
 	r.queueRetries(now)
 	r.configuration.tick(now)
@@ -106,5 +107,4 @@
 	r.attempts.Expire(now)
 	r.servers.Expire(now)
 	r.dispatch(now)
-	r.tickLog(now)
 }
