Check positions of resumed streams and fuzz the stream parser

Cause: an engine that ignores the resume position and sends no positions would repeat tokens to the caller; a chunk without a position after positioned ones was counted as the next token; fields of a chunk that the daemon does not know were dropped on the way to the caller; after a lost end marker the resumed stream could not end.

Ruled out: dropping tokens by count when an engine sends no positions, since a resume that was honoured cannot be told from one that was not. Such a stream now fails.

--- /dev/null
+++ b/streams/reader_test.go
@@ -0,0 +1,115 @@
+package streams
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+)
+
+func token(position int) string {
+	return fmt.Sprintf(`data: {"id":"a.1","position":%d,"choices":[{"text":"%d "}]}`, position, position)
+}
+
+const (
+	end  = `data: {"id":"a.1","choices":[{"finish_reason":"stop"}]}`
+	done = `data: [DONE]`
+)
+
+// read returns the text of all chunks and the error that ended the stream.
+func read(cfg ReaderConfig) (string, error) {
+	r := NewReader(cfg)
+	var text strings.Builder
+	for {
+		c, err := r.Next()
+		if err != nil {
+			return text.String(), err
+		}
+		text.WriteString(c.Text())
+	}
+}
+
+// Guards against late, crossed, duplicate and missing chunks that reach a
+// caller, and against a stream without its end that is taken for an answer.
+func TestReader(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		lines []string
+		start int
+		text  string
+		err   error
+	}{
+		{"whole", []string{token(0), token(1), end, done}, 0, "0 1 ", io.EOF},
+		{"no end marker", []string{token(0), end}, 0, "0 ", ErrNoEnd},
+		{"no finish reason", []string{token(0), done}, 0, "0 ", ErrNoEnd},
+		{"repeated chunk", []string{token(0), token(0), token(1), end, end, done}, 0, "0 1 ", io.EOF},
+		{"missing chunk", []string{token(0), token(2), end, done}, 0, "0 ", ErrGap},
+		{"crossed chunk", []string{token(0), strings.Replace(token(1), "a.1", "b.1", 1)}, 0, "0 ", ErrForeignChunk},
+		{"late chunk of an earlier attempt", []string{strings.Replace(token(0), "a.1", "a.0", 1)}, 0, "", ErrForeignChunk},
+		{"chunk without id", []string{`data: {"choices":[{"text":"x"}]}`}, 0, "", ErrForeignChunk},
+		{"token after the finish reason", []string{token(0), end, token(1), done}, 0, "0 ", ErrGap},
+		{"position vanishes", []string{token(0), `data: {"id":"a.1","choices":[{"text":"x"}]}`}, 0, "0 ", ErrNoPosition},
+		{"resumed", []string{token(2), end, done}, 2, "2 ", io.EOF},
+		{"resume ignored, positions known", []string{token(0), token(1), token(2), end, done}, 2, "2 ", io.EOF},
+		{"resume ignored, no positions", []string{`data: {"id":"a.1","choices":[{"text":"x"}]}`, end, done}, 2, "", ErrNoPosition},
+		{"chunk straddles the resume position", []string{`data: {"id":"a.1","position":1,"tokens":2,"choices":[{"text":"1 2 "}]}`}, 2, "", ErrGap},
+		{"resumed generation is shorter", []string{`data: {"id":"a.1","position":0,"choices":[{"text":"0","finish_reason":"stop"}]}`, done}, 2, "", ErrGap},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			source := strings.NewReader(strings.Join(tt.lines, "\n\n") + "\n\n")
+			text, err := read(ReaderConfig{Source: source, Attempt: "a.1", Start: tt.start})
+			if text != tt.text || !errors.Is(err, tt.err) {
+				t.Errorf("got %q and %v, want %q and %v", text, err, tt.text, tt.err)
+			}
+		})
+	}
+}
+
+// Guards against a caller's error after an answer of which only the end marker
+// was lost.
+func TestResumeAfterFinishReason(t *testing.T) {
+	for _, lines := range []string{done, end + "\n\n" + done} {
+		text, err := read(ReaderConfig{Source: strings.NewReader(lines + "\n\n"), Attempt: "a.1", Start: 3, Finished: true})
+		if text != "" || !errors.Is(err, io.EOF) {
+			t.Errorf("got %q and %v, want the end of the stream", text, err)
+		}
+	}
+}
+
+// Guards against fields of an engine's chunk that the daemon does not know and
+// would lose.
+func TestRenamedKeepsFields(t *testing.T) {
+	c, err := ParseChunk([]byte(`{"id":"a.1","position":4,"model":"quill","choices":[{"delta":{"tool_calls":[1]}}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := c.Renamed("a")
+	if want := `{"choices":[{"delta":{"tool_calls":[1]}}],"id":"a","model":"quill"}`; err != nil || string(data) != want {
+		t.Errorf("got %s, %v, want %s", data, err, want)
+	}
+}
+
+// FuzzReader guards against panics and hangs on any stream, and against
+// positions that do not grow by the delivered tokens.
+func FuzzReader(f *testing.F) {
+	f.Add([]byte(strings.Join([]string{token(0), token(1), end, done}, "\n\n")), 0)
+	f.Add([]byte(token(0)+"\r\n\r\n: comment\r\ndata: {\"id\":\"a.1\",\"tokens\":1073741824,\"choices\":[{}]}\n\n"), 1)
+	f.Fuzz(func(t *testing.T, data []byte, start int) {
+		start = max(0, start%maxTokens)
+		r := NewReader(ReaderConfig{Source: strings.NewReader(string(data)), Attempt: "a.1", Start: start})
+		for n := 0; ; n++ {
+			before := r.Position()
+			c, err := r.Next()
+			if err != nil {
+				return
+			}
+			if r.Position() != before+c.Count() || n > len(data) {
+				t.Fatalf("position went from %d to %d over %d tokens, %d chunks", before, r.Position(), c.Count(), n)
+			}
+			if _, err := c.Renamed("r"); err != nil {
+				t.Fatalf("delivered chunk cannot be passed on: %v", err)
+			}
+		}
+	})
+}
