--- a/daemons/suspects.go
+++ b/daemons/suspects.go
@@ -115,6 +115,9 @@
 	if !suspects.Suspect(hash) {
 		return preferred(untried(rec, ready), func(s *servers.Server) bool { return !r.onTrial(s) })
 	}
+	if r.onTrialAlready(hash) {
+		return nil // a second run of the body could crash a third server
+	}
 	if n := len(r.trials); n > 0 && 2*(n+1) > len(ready) {
 		return nil // leaves half of the servers to requests that are not suspects
 	}
@@ -143,6 +146,15 @@
 	return some
 }
 
+func (r *Reducer) onTrialAlready(hash uint64) bool {
+	for _, id := range r.trials {
+		if rec, _ := r.attempts.Attempt(id); rec != nil && rec.Request().BodyHash == hash {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Reducer) onTrial(s *servers.Server) bool {
 	_, ok := r.trials[s.Announcement().Server]
 	return ok
