--- a/daemons/requests.go
+++ b/daemons/requests.go
@@ -10,7 +10,10 @@
 func (r *Reducer) registerRequests() {
 	on(r, r.arrived)
 	on(r, func(_ time.Time, e attempts.Sent) { r.attempts.Sent(e.Attempt) })
-	on(r, func(now time.Time, e attempts.FirstToken) { r.attempts.FirstToken(now, e.Attempt) })
+	on(r, func(now time.Time, e attempts.FirstToken) {
+		r.attempts.FirstToken(now, e.Attempt)
+		r.observeFirstToken(now, e.Attempt)
+	})
 	on(r, r.ended)
 	on(r, r.failed)
 	on(r, r.callerGone)
@@ -30,6 +33,10 @@
 		r.emit(attempts.Refuse{Request: req.ID, Err: gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeBadRequest, "request id %q is in use", req.ID)})
 		return
 	}
+	if failure := r.notReady(now); failure != nil {
+		r.refuse(now, rec, failure)
+		return
+	}
 	if r.refuseGuilty(now, rec) {
 		return
 	}
@@ -80,6 +87,7 @@
 		Request: req.ID, Attempt: a.ID(), Server: a.Server(), Address: a.Address(),
 		Priority: int(req.FirstTokenDeadline().Sub(now).Milliseconds()),
 		Resume:   rec.Position(), Answer: answer, Deadline: req.Deadline(), Last: last,
+		NotAfter: r.configuration.lease.Expires(),
 	}
 }
 
@@ -88,6 +96,7 @@
 	if rec == nil {
 		return
 	}
+	r.observeEnd(rec, nil)
 	r.release(rec)
 	r.clear(now, rec)
 	outcome := attempts.Outcome{Verdict: gypsumshelf.Ran, Truncated: true}
@@ -105,6 +114,7 @@
 	if rec == nil {
 		return
 	}
+	r.observeEnd(rec, e.Failure)
 	r.release(rec)
 	if e.Failure.Verdict != gypsumshelf.NotRun {
 		r.cancel(rec, a)
--- a/entries/job.go
+++ b/entries/job.go
@@ -60,6 +60,12 @@
 // attempt runs an attempt and reports its end to the reducer. It returns true
 // when the caller does not read its answer.
 func (h *Handler) attempt(x *exchange, start attempts.Start, j job) (gone bool) {
+	if !start.NotAfter.IsZero() && !h.cfg.Now().Before(start.NotAfter) {
+		// The process was stopped between the decision and now.
+		h.cfg.Submit(attempts.Failed{Attempt: start.Attempt, Position: j.delivered(), Failure: gypsumshelf.Errorf(
+			gypsumshelf.NotRun, gypsumshelf.CodeNotReady, "freshness lease expired before attempt %s was sent", start.Attempt)})
+		return false
+	}
 	ctx, cancel := x.begin(start.Attempt)
 	defer cancel(nil)
 	end, err := j.attempt(ctx, start)
