--- a/attempts/record.go
+++ b/attempts/record.go
@@ -41,6 +41,7 @@
 	retryAt  time.Time           // zero unless a retry is waiting
 	heldAt   time.Time           // start of a suspect's wait for a server without other work
 	key      keyState
+	run      string // id of the run in the record of the key
 	ended    time.Time
 	notes    []Note
 }
--- a/attempts/suspects.go
+++ b/attempts/suspects.go
@@ -44,13 +44,13 @@
 // Suspected is the event of a suspicion that another daemon shares.
 type Suspected struct{ Suspicion Suspicion }
 
-// Quarantine is the effect that records a guilty body hash in the replicated log.
+// Quarantine is the effect that tells all daemons of a guilty body hash.
 type Quarantine struct {
 	Hash  uint64
 	Until time.Time
 }
 
-// Quarantined is the event of a body hash that is recorded as guilty.
+// Quarantined is the event of a body hash that a daemon found guilty.
 type Quarantined struct {
 	Hash  uint64
 	Until time.Time
@@ -194,8 +194,8 @@
 	return e.guilty, true
 }
 
-// QuarantineUntil returns the end of a quarantine that starts now.
-func (s *Suspects) QuarantineUntil(now time.Time) time.Time { return now.Add(s.cfg.Quarantine) }
+// QuarantineTime returns the time for which a guilty body hash is refused.
+func (s *Suspects) QuarantineTime() time.Duration { return s.cfg.Quarantine }
 
 // AloneWait returns how long a suspect waits for a server without other work.
 func (s *Suspects) AloneWait() time.Duration { return s.cfg.AloneWait }
--- a/daemons/configuration.go
+++ b/daemons/configuration.go
@@ -95,8 +95,13 @@
 // fresh reports whether new work may be started with this copy.
 // A reducer without a replicated log has a configuration that never changes.
 func (c *configuration) fresh(now time.Time) bool {
-	_, fixed := c.log.(noLog)
-	return fixed || c.lease.Valid(now)
+	return c.fixed() || c.lease.Valid(now)
+}
+
+// fixed reports whether there is no replicated log.
+func (c *configuration) fixed() bool {
+	_, none := c.log.(noLog)
+	return none
 }
 
 func (c *configuration) send(now time.Time, p *proposal) {
--- a/daemons/entries.go
+++ b/daemons/entries.go
@@ -17,7 +17,7 @@
 
 // openEntries creates the interface for callers and the drivers of the effects
 // that concern requests.
-func (in *Instance) openEntries() {
+func (in *Instance) openEntries(adjust func(*entries.Config)) {
 	limits := in.settings.Limits
 	client := engines.NewClient(engines.ClientConfig{
 		DialTimeout: limits.DialTimeout.Std(), ProgressTimeout: limits.ProgressTimeout.Std(),
@@ -28,12 +28,14 @@
 		idempotent[s.Name] = s.Idempotent
 	}
 	in.cancels = engines.NewCanceller(client)
-	in.handler = entries.New(entries.Config{
+	cfg := entries.Config{
 		Engine: client, Services: client, Idempotent: idempotent,
 		Submit: in.daemon.Submit, Ready: in.ready, Class: in.class,
 		Workspaces: in.settings.Workspaces, MaxBodyBytes: limits.MaxBodyBytes,
 		BodyBudget: limits.BodyBudgetBytes, WriteTimeout: limits.ProgressTimeout.Std(), Now: in.timers.Now,
-	})
+	}
+	adjust(&cfg)
+	in.handler = entries.New(cfg)
 	Carry(in.daemon, in.handler.Start)
 	Carry(in.daemon, in.handler.Refuse)
 	Carry(in.daemon, in.handler.Finish)
@@ -42,23 +44,15 @@
 	Carry(in.daemon, func(e attempts.Cancel) { in.cancels.Cancel(e.Address, e.Attempt) })
 	Carry(in.daemon, func(e attempts.ShareSuspicion) { in.links.Broadcast(e.Suspicion) })
 	Carry(in.daemon, in.quarantine)
-	Carry(in.daemon, in.beginKey)
-	Carry(in.daemon, func(attempts.FinishKey) {})
 }
 
-// quarantine tells all daemons of a guilty body hash. It is not yet recorded
-// in the replicated log, so that a daemon that restarts forgets it.
+// quarantine tells all daemons of a guilty body hash. The reducer asks for it
+// only where there is no replicated log to record it.
 func (in *Instance) quarantine(e attempts.Quarantine) {
 	in.links.Broadcast(e)
 	in.submitLater(attempts.Quarantined(e))
 }
 
-// beginKey refuses keyed calls: the replicated state has no key records yet.
-func (in *Instance) beginKey(e attempts.BeginKey) {
-	in.submitLater(attempts.KeyRefused{Request: e.Request, Err: gypsumshelf.Errorf(
-		gypsumshelf.NotRun, gypsumshelf.CodeNotReady, "idempotency keys cannot be recorded")})
-}
-
 // submitLater submits an event from an effect's driver, which runs on the event
 // loop and must not wait for it.
 func (in *Instance) submitLater(ev gypsumshelf.Event) {
--- a/daemons/instance.go
+++ b/daemons/instance.go
@@ -10,6 +10,8 @@
 	"os"
 	"time"
 
+	"github.com/google/uuid"
+
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/announcements"
 	"gypsumshelf.example/gypsumshelf/attempts"
@@ -58,6 +60,10 @@
 
 // Start opens the listeners of a daemon and runs it.
 func Start(s settings.Settings) (*Instance, error) {
+	return start(s, func(*entries.Config) {})
+}
+
+func start(s settings.Settings, adjust func(*entries.Config)) (*Instance, error) {
 	policy, err := routes.New(s.Routing.Policy)
 	if err != nil {
 		return nil, err
@@ -75,7 +81,7 @@
 	}
 	in.daemon = New(Config{
 		Reducer: ReducerConfig{
-			Daemon: s.Daemon, Policy: policy,
+			Daemon: s.Daemon, Policy: policy, Session: uuid.NewString(),
 			Servers:  servers.Config{Expiry: s.Limits.ServerExpiry.Std()},
 			Attempts: attempts.Config{MaxAttempts: s.Limits.MaxAttempts, Keep: keepEnded},
 		},
@@ -85,7 +91,7 @@
 	if err := in.openPeers(); err != nil {
 		return nil, err
 	}
-	in.openEntries()
+	in.openEntries(adjust)
 	Carry(in.daemon, in.forward)
 	Carry(in.daemon, in.tickets.decided)
 	Carry(in.daemon, in.sendProposal)
--- a/daemons/keys.go
+++ b/daemons/keys.go
@@ -1,65 +1,138 @@
 package daemons
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/configs"
+	"gypsumshelf.example/gypsumshelf/settings"
 )
 
-func (r *Reducer) registerKeys() {
-	on(r, r.keyBegun)
-	on(r, r.keyRefused)
-	on(r, r.keyOutcome)
-}
+const (
+	// keyKeep is the time for which the record of a key answers resends.
+	keyKeep = 24 * time.Hour
+	// recordWait bounds the wait for a record that no request waits for.
+	recordWait = time.Minute
+)
 
-func (r *Reducer) askKey(rec *attempts.Record) {
+// beginKey records the key of a request before the request may run.
+func (r *Reducer) beginKey(now time.Time, rec *attempts.Record) {
 	req := rec.Request()
-	rec.AskKey()
-	r.emit(attempts.BeginKey{Request: req.ID, Key: attempts.KeyOf(req), BodyHash: req.BodyHash, Deadline: req.Deadline()})
+	if r.configuration.fixed() {
+		r.refuse(now, rec, gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeNotReady,
+			"daemon %s has no replicated log to record idempotency keys in", r.cfg.Daemon))
+		return
+	}
+	// The run's id must differ from those of all other runs, also of a resend
+	// under the same request id after a restart of the daemon.
+	r.runs++
+	rec.AskKey(fmt.Sprintf("%s.%s.%d", r.cfg.Daemon, r.cfg.Session, r.runs))
+	command := configs.BeginRun{
+		RunKey: attempts.KeyOf(req), Run: rec.Run(), BodyHash: req.BodyHash,
+		Owner: r.cfg.Daemon, Keep: settings.Duration(keyKeep),
+	}
+	r.configuration.propose(now, command, req.Deadline().Sub(now), func(now time.Time, result configs.Result, err error) {
+		r.keyDecided(now, rec, result, err)
+	})
 }
 
-func (r *Reducer) keyBegun(now time.Time, e attempts.KeyBegun) {
-	rec := r.attempts.Record(e.Request)
-	if rec == nil || !rec.HoldKey() {
-		return
+func (r *Reducer) keyDecided(now time.Time, rec *attempts.Record, result configs.Result, err error) {
+	key := rec.Request().Key
+	switch {
+	case err != nil:
+		// The verdict is may-have-run: an earlier request with the key may be
+		// running, and this one stays recorded without an outcome.
+		r.refuseOpen(now, rec, gypsumshelf.Errorf(gypsumshelf.MayHaveRun, gypsumshelf.CodeNotReady,
+			"idempotency key %q could not be recorded: %v", key, err))
+	case result.Accepted():
+		r.keyBegun(now, rec)
+	case result.Code == configs.CodeKeyTaken && result.Run.Outcome == nil:
+		if !rec.Closed() {
+			rec.Note(now, "waits for a run of its key on %s", result.Run.Owner)
+			r.waiting[rec.Request().ID] = result.Run.RunKey
+		}
+	case result.Code == configs.CodeKeyTaken:
+		r.replay(now, rec, *result.Run.Outcome)
+	case result.Code == configs.CodeKeyExpired:
+		r.refuseOpen(now, rec, gypsumshelf.Errorf(gypsumshelf.MayHaveRun, gypsumshelf.CodeKeyExpired, "%s", result.Text))
+	case result.Code == configs.CodeKeyReused:
+		rec.DropKey()
+		r.refuseOpen(now, rec, gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeDuplicateKey, "%s", result.Text))
+	default:
+		rec.DropKey()
+		r.refuseOpen(now, rec, gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeInternal, "key %q: %s", key, result.Text))
 	}
+}
+
+func (r *Reducer) refuseOpen(now time.Time, rec *attempts.Record, err *gypsumshelf.Error) {
+	if !rec.Closed() {
+		r.refuse(now, rec, err)
+	}
+}
+
+func (r *Reducer) keyBegun(now time.Time, rec *attempts.Record) {
+	rec.HoldKey()
 	if rec.Closed() {
 		// The request ended while its key was being recorded, and never ran.
-		r.finishKey(rec, attempts.Outcome{Verdict: gypsumshelf.NotRun})
+		r.finishKey(now, rec, attempts.Outcome{Verdict: gypsumshelf.NotRun})
 		return
 	}
 	rec.Note(now, "idempotency key recorded")
 	r.enqueue(now, rec)
 }
 
-func (r *Reducer) keyRefused(now time.Time, e attempts.KeyRefused) {
-	if rec := r.attempts.Record(e.Request); rec != nil && rec.DropKey() && !rec.Closed() {
-		r.refuse(now, rec, e.Err)
+// checkKeys answers the requests that wait for a run of their key once its
+// outcome is recorded. They end at their deadlines otherwise.
+func (r *Reducer) checkKeys(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(r.waiting)) {
+		rec := r.attempts.Record(id)
+		run := r.configuration.state.Run(r.waiting[id])
+		switch {
+		case rec == nil || rec.Closed():
+			delete(r.waiting, id)
+		case run != nil && run.Outcome != nil:
+			delete(r.waiting, id)
+			r.replay(now, rec, *run.Outcome)
+		}
 	}
 }
 
-func (r *Reducer) keyOutcome(now time.Time, e attempts.KeyOutcome) {
-	rec := r.attempts.Record(e.Request)
-	if rec == nil || !rec.DropKey() || rec.Closed() {
+// replay answers a request with the outcome of an earlier one with its key.
+func (r *Reducer) replay(now time.Time, rec *attempts.Record, o configs.Outcome) {
+	if rec.Closed() {
 		return
 	}
+	rec.DropKey()
+	key := rec.Request().Key
 	switch {
-	case e.Outcome.Verdict != gypsumshelf.Ran:
+	case o.Verdict == gypsumshelf.NotRun:
+		r.refuse(now, rec, gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeDuplicateKey,
+			"an earlier request with idempotency key %q did not run; a new attempt needs a new key", key))
+	case o.Verdict != gypsumshelf.Ran:
 		r.refuse(now, rec, gypsumshelf.Errorf(gypsumshelf.MayHaveRun, gypsumshelf.CodeDuplicateKey,
-			"an earlier request with idempotency key %q has an unknown outcome", rec.Request().Key))
-	case e.Outcome.Truncated:
+			"an earlier request with idempotency key %q has an unknown outcome", key))
+	case o.BodyOmitted:
 		r.refuse(now, rec, gypsumshelf.Errorf(gypsumshelf.Ran, gypsumshelf.CodeDuplicateKey,
-			"an earlier request with idempotency key %q ran; its answer was too large to be recorded", rec.Request().Key))
+			"an earlier request with idempotency key %q ran; its answer was too large to be recorded", key))
 	default:
 		r.end(now, rec, "answered with the recorded outcome of its key")
-		r.emit(attempts.Replay{Request: rec.Request().ID, Outcome: e.Outcome})
+		r.emit(attempts.Replay{Request: rec.Request().ID, Outcome: attempts.Outcome{
+			Verdict: o.Verdict, Status: o.Status, ContentType: o.ContentType, Body: o.Body,
+		}})
 	}
 }
 
 // finishKey records the outcome of a request that holds its key.
-func (r *Reducer) finishKey(rec *attempts.Record, outcome attempts.Outcome) {
-	if rec.GiveKey() {
-		r.emit(attempts.FinishKey{Request: rec.Request().ID, Key: attempts.KeyOf(rec.Request()), Outcome: outcome})
+func (r *Reducer) finishKey(now time.Time, rec *attempts.Record, o attempts.Outcome) {
+	if !rec.GiveKey() {
+		return
 	}
+	command := configs.FinishRun{RunKey: attempts.KeyOf(rec.Request()), Run: rec.Run(), Outcome: configs.Outcome{
+		Verdict: o.Verdict, Status: o.Status, ContentType: o.ContentType, Body: o.Body, BodyOmitted: o.Truncated,
+	}}
+	r.configuration.propose(now, command, recordWait, func(time.Time, configs.Result, error) {})
 }
--- a/daemons/reducer.go
+++ b/daemons/reducer.go
@@ -10,6 +10,7 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/admissions"
 	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/configs"
 	"gypsumshelf.example/gypsumshelf/members"
 	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
@@ -39,6 +40,8 @@
 	trials   map[gypsumshelf.ServerID]gypsumshelf.AttemptID // suspects that run apart from other work
 
 	configuration *configuration
+	runs          uint64                                   // keyed runs begun since the start
+	waiting       map[gypsumshelf.RequestID]configs.RunKey // requests that wait for a run of their key
 }
 
 // NewReducer returns a Reducer without any backend server or request.
@@ -48,6 +51,7 @@
 		attempts: attempts.New(cfg.Attempts),
 		handlers: map[reflect.Type]func(time.Time, gypsumshelf.Event){},
 		trials:   map[gypsumshelf.ServerID]gypsumshelf.AttemptID{},
+		waiting:  map[gypsumshelf.RequestID]configs.RunKey{},
 	}
 	r.configuration = newConfiguration(cfg, r.emit)
 	cfg.Servers.InService = r.inService
@@ -93,6 +97,8 @@
 	r.refuseOverdue(now)
 	r.queueRetries(now)
 	r.configuration.tick(now)
+	r.checkKeys(now)
+	r.refuseQuarantined(now)
 	r.refuseStale(now)
 	r.attempts.Expire(now)
 	r.servers.Expire(now)
--- a/daemons/requests.go
+++ b/daemons/requests.go
@@ -18,7 +18,6 @@
 	on(r, r.failed)
 	on(r, r.callerGone)
 	on(r, func(time.Time, attempts.Stop) { r.stopping = true })
-	r.registerKeys()
 	r.registerSuspects()
 }
 
@@ -45,7 +44,7 @@
 		return
 	}
 	if attempts.Keyed(req) {
-		r.askKey(rec)
+		r.beginKey(now, rec)
 		return
 	}
 	r.enqueue(now, rec)
@@ -103,7 +102,7 @@
 	if e.Outcome != nil {
 		outcome = *e.Outcome
 	}
-	r.finishKey(rec, outcome)
+	r.finishKey(now, rec, outcome)
 	r.emit(attempts.Finish{Request: rec.Request().ID})
 	r.dispatch(now)
 }
@@ -171,7 +170,7 @@
 	if a := r.attempts.Close(now, rec, format, args...); a != nil {
 		r.cancel(rec, a)
 	}
-	r.finishKey(rec, attempts.Outcome{Verdict: rec.Verdict()})
+	r.finishKey(now, rec, attempts.Outcome{Verdict: rec.Verdict()})
 }
 
 // cancel makes the engine drop an attempt. Plain services have no such call.
--- a/daemons/requests_test.go
+++ b/daemons/requests_test.go
@@ -13,7 +13,7 @@
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/attempts"
-	"gypsumshelf.example/gypsumshelf/routes"
+	"gypsumshelf.example/gypsumshelf/configs"
 	"gypsumshelf.example/gypsumshelf/servers"
 )
 
@@ -39,61 +39,90 @@
 	truth    gypsumshelf.Verdict // what the servers know of the request
 	starts   int
 	closed   bool
+	at       *member // daemon that the caller uses
 }
 
-// fakeKey is a key in the fake replicated state.
-type fakeKey struct {
-	holder  gypsumshelf.RequestID
-	outcome *attempts.Outcome
-	runs    int
+// lateEvent is an event that is delivered again.
+type lateEvent struct {
+	to *member
+	ev gypsumshelf.Event
 }
 
-// world drives a reducer with fake servers, callers and replicated state, and
-// checks every effect against what they know.
+// world drives the reducers of two daemons with fake servers, callers and
+// links, and checks every effect against what these know.
 type world struct {
 	t        *rapid.T
-	r        *Reducer
+	group    *fakeGroup
+	daemons  []*member
+	cut      *member // daemon without contact to the leader, or nil
 	now      time.Time
 	server   map[gypsumshelf.ServerID]string // incarnations of running servers
 	requests []*fakeRequest
 	running  []*fakeAttempt
-	asked    []attempts.BeginKey
-	keys     map[attempts.Key]*fakeKey
-	late     []gypsumshelf.Event // events that may be delivered again
-	first    int
-	retries  int
+	holders  map[string]*fakeRequest // by key: the request that started
+	late     []lateEvent
+	first    map[*member]int
+	retries  map[*member]int
 	struck   int // servers crashed by the poison request
 }
 
 // totals over all runs, reported at the end.
 var totals = map[string]int{}
 
-func newWorld(t *rapid.T, seed uint64) *world {
-	policy, _ := routes.New(routes.RoundRobin)
+func newWorld(t *rapid.T) *world {
 	w := &world{
-		t: t, now: time.Unix(1_800_000_000, 0), server: map[gypsumshelf.ServerID]string{}, keys: map[attempts.Key]*fakeKey{},
-		r: NewReducer(ReducerConfig{Daemon: "d-1", Policy: policy, Servers: servers.Config{Expiry: 3 * time.Second},
-			Attempts: attempts.Config{MaxAttempts: 3, Keep: time.Minute, Retries: attempts.BudgetConfig{Rand: rand.New(rand.NewPCG(seed, 0))}}}),
+		t: t, now: testStart, group: &fakeGroup{}, server: map[gypsumshelf.ServerID]string{},
+		holders: map[string]*fakeRequest{}, first: map[*member]int{}, retries: map[*member]int{},
 	}
+	for _, id := range []gypsumshelf.DaemonID{"d-1", "d-2"} {
+		m := newMember(w.group, id)
+		m.attempts = attempts.New(attempts.Config{MaxAttempts: 3, Keep: time.Minute,
+			Retries: attempts.BudgetConfig{Rand: rand.New(rand.NewPCG(1, uint64(len(w.daemons))))}})
+		w.daemons = append(w.daemons, m)
+	}
+	w.group.lead("d-1", 0)
+	w.replicate()
 	for i := range 5 {
 		w.announce(gypsumshelf.ServerID(fmt.Sprintf("s-%d", i)), true)
 	}
 	return w
 }
 
+// replicate commits and applies all entries and renews the leases.
+func (w *world) replicate() {
+	for w.group.committed < len(w.group.entries) {
+		w.group.commit()
+	}
+	for _, m := range w.daemons {
+		if m == w.cut {
+			continue
+		}
+		for m.log.applied < w.group.committed {
+			w.applyAll(m, m.applyNext(w.now))
+		}
+		m.contact(w.now)
+	}
+}
+
 func (w *world) announce(id gypsumshelf.ServerID, fresh bool) {
 	if fresh {
 		w.server[id] = fmt.Sprintf("i-%d-%d", w.now.UnixNano(), totals["steps"])
 	}
 	a := gypsumshelf.Announcement{Server: id, Incarnation: w.server[id], Address: "127.0.0.1:1", State: gypsumshelf.ServerReady,
 		Service: "book", Kind: gypsumshelf.KindPlain, Models: []string{"quill"}}
-	w.step(servers.Announced{Announcement: a})
+	for _, m := range w.daemons {
+		w.step(m, servers.Announced{Announcement: a})
+	}
 }
 
-func (w *world) step(ev gypsumshelf.Event) {
+func (w *world) step(m *member, ev gypsumshelf.Event) {
 	totals["steps"]++
-	for _, effect := range w.r.Step(w.now, ev) {
-		w.apply(effect)
+	w.applyAll(m, m.Step(w.now, ev))
+}
+
+func (w *world) applyAll(m *member, effects []gypsumshelf.Effect) {
+	for _, effect := range slices.Clone(effects) {
+		w.apply(m, effect)
 	}
 }
 
@@ -102,7 +131,7 @@
 	return w.requests[i]
 }
 
-func (w *world) apply(effect gypsumshelf.Effect) {
+func (w *world) apply(m *member, effect gypsumshelf.Effect) {
 	switch e := effect.(type) {
 	case attempts.Start:
 		w.start(e)
@@ -115,12 +144,18 @@
 	case attempts.Replay:
 		totals["replayed"]++
 		w.close(w.find(e.Request), gypsumshelf.Ran, nil)
-	case attempts.BeginKey:
-		w.asked = append(w.asked, e)
-	case attempts.FinishKey:
-		w.finishKey(e)
-	case attempts.Quarantine:
-		w.late = append(w.late, attempts.Quarantined(e))
+	case configs.Forward:
+		for _, to := range w.daemons {
+			if to.log.id == e.To && m != w.cut && to != w.cut {
+				w.step(to, configs.Forwarded{Proposal: e.Proposal})
+			}
+		}
+	case attempts.ShareSuspicion:
+		for _, to := range w.daemons {
+			if to != m {
+				w.step(to, attempts.Suspected(e))
+			}
+		}
 	case attempts.Abort:
 		if req := w.find(e.Request); req.running != nil {
 			w.fail(req.running, attempts.Failed{Broken: true}, gypsumshelf.MayHaveRun)
@@ -139,13 +174,19 @@
 	if !req.Idempotent && req.truth != gypsumshelf.NotRun {
 		w.t.Fatalf("non-idempotent request %s starts again", req.ID)
 	}
+	if req.Key != "" {
+		if holder := w.holders[req.Key]; holder != nil && holder != req {
+			w.t.Fatalf("key %s runs for %s and %s", req.Key, holder.ID, req.ID)
+		}
+		w.holders[req.Key] = req
+	}
 	if req.starts++; req.starts == 1 {
-		w.first++
+		w.first[req.at]++
 	} else {
-		w.retries++
+		w.retries[req.at]++
 	}
-	if allowed := 20 + float64(w.first)*0.1 + w.now.Sub(w.requests[0].Arrived).Seconds(); float64(w.retries) > allowed {
-		w.t.Fatalf("%d retries, the budget allows %.1f", w.retries, allowed)
+	if allowed := 20 + float64(w.first[req.at])*0.1 + w.now.Sub(testStart).Seconds(); float64(w.retries[req.at]) > allowed {
+		w.t.Fatalf("%d retries, the budget allows %.1f", w.retries[req.at], allowed)
 	}
 	a := &fakeAttempt{start: e, req: req, inc: w.server[e.Server]}
 	req.running = a
@@ -165,7 +206,7 @@
 	req.closed = true
 	if a := req.running; a != nil {
 		// The cancelled attempt reports its end when the request is closed.
-		w.late = append(w.late, attempts.Failed{Attempt: a.start.Attempt, Failure: failure(gypsumshelf.MayHaveRun)})
+		w.late = append(w.late, lateEvent{req.at, attempts.Failed{Attempt: a.start.Attempt, Failure: failure(gypsumshelf.MayHaveRun)}})
 		w.drop(a)
 	}
 }
@@ -188,8 +229,8 @@
 	a.req.truth = a.req.truth.Worse(truth)
 	e.Attempt, e.Position, e.Failure = a.start.Attempt, a.req.position, failure(truth)
 	w.drop(a)
-	w.late = append(w.late, e)
-	w.step(e)
+	w.late = append(w.late, lateEvent{a.req.at, e})
+	w.step(a.req.at, e)
 }
 
 // crash ends a server. With quick its successor answers the probes at once,
@@ -204,50 +245,30 @@
 	w.announce(id, true)
 }
 
-func (w *world) finishKey(e attempts.FinishKey) {
-	k := w.keys[e.Key]
-	if k == nil || k.holder != e.Request || k.outcome != nil {
-		w.t.Fatalf("key %v is finished by %s, which does not hold it", e.Key, e.Request)
-	}
-	if e.Outcome.Verdict == gypsumshelf.NotRun {
-		delete(w.keys, e.Key)
-		return
-	}
-	k.outcome = &e.Outcome
-}
-
-func (w *world) answerKey(e attempts.BeginKey) {
-	switch k := w.keys[e.Key]; {
-	case k == nil:
-		w.keys[e.Key] = &fakeKey{holder: e.Request}
-		w.step(attempts.KeyBegun{Request: e.Request})
-	case k.outcome != nil:
-		w.step(attempts.KeyOutcome{Request: e.Request, Outcome: *k.outcome})
-	default:
-		w.asked = append(w.asked, e) // a run is in progress
-	}
-}
-
 func (w *world) arrive(kind string) {
+	m := rapid.SampledFrom(w.daemons).Draw(w.t, "daemon")
 	id := gypsumshelf.RequestID(fmt.Sprintf("r-%d", len(w.requests)))
-	req := &fakeRequest{Request: gypsumshelf.Request{
+	req := &fakeRequest{at: m, Request: gypsumshelf.Request{
 		ID: id, Model: "quill", Idempotent: true, BodyHash: uint64(1000 + len(w.requests)), Arrived: w.now,
 		Class: gypsumshelf.Class{Name: "c", Target: gypsumshelf.Target{FirstToken: time.Second, Finish: 10 * time.Second}},
 	}}
 	switch kind {
 	case "poison":
-		if w.struck == 0 && slices.ContainsFunc(w.requests, func(r *fakeRequest) bool { return r.BodyHash == poison && !r.closed }) {
-			return // the first run is resent only after it has failed
+		if slices.ContainsFunc(w.requests, func(r *fakeRequest) bool {
+			return r.BodyHash == poison && !r.closed && (w.struck == 0 || r.at != m)
+		}) {
+			return // the caller sends it to another daemon only after an error
 		}
 		req.BodyHash = poison
 	case "plain", "keyed":
 		req.Model, req.Service, req.Idempotent = "", "book", false
 		if kind == "keyed" {
-			req.Key = fmt.Sprintf("k%d", rapid.IntRange(1, 9).Draw(w.t, "key"))
+			n := rapid.IntRange(1, 9).Draw(w.t, "key")
+			req.Key, req.BodyHash = fmt.Sprintf("k%d", n), uint64(n)
 		}
 	}
 	w.requests = append(w.requests, req)
-	w.step(attempts.Arrived{Request: req.Request})
+	w.step(m, attempts.Arrived{Request: req.Request})
 }
 
 func (w *world) advance(d time.Duration) {
@@ -258,7 +279,12 @@
 				w.announce(id, false)
 			}
 		}
-		w.step(Tick{})
+		if w.now.UnixMilli()%100 == 0 {
+			w.replicate()
+		}
+		for _, m := range w.daemons {
+			w.step(m, Tick{})
+		}
 	}
 	for _, req := range w.requests {
 		if !req.closed && !w.now.Before(req.Deadline()) {
@@ -276,12 +302,7 @@
 	action := rapid.SampledFrom([]string{"token", "token", "end", "end", "reset", "not-run", "refused", "silent"}).Draw(w.t, "action")
 	if action != "refused" && action != "not-run" && !a.began {
 		a.began = true
-		if k := w.keys[attempts.KeyOf(a.req.Request)]; k != nil && a.req.Key != "" {
-			if k.runs++; k.runs > 1 {
-				w.t.Fatalf("key %s runs %d times", a.req.Key, k.runs)
-			}
-		}
-		w.step(attempts.Sent{Attempt: a.start.Attempt})
+		w.step(a.req.at, attempts.Sent{Attempt: a.start.Attempt})
 	}
 	a.req.truth = a.req.truth.Worse(map[bool]gypsumshelf.Verdict{true: gypsumshelf.MayHaveRun}[a.began])
 	switch {
@@ -293,12 +314,13 @@
 		w.crash(a.start.Server, rapid.Bool().Draw(w.t, "quick"))
 	case action == "token" && a.req.Model != "":
 		a.req.position++
-		w.step(attempts.FirstToken{Attempt: a.start.Attempt})
+		w.step(a.req.at, attempts.FirstToken{Attempt: a.start.Attempt})
 	case action == "end":
 		a.req.truth = gypsumshelf.Ran
 		w.drop(a)
-		w.late = append(w.late, attempts.Ended{Attempt: a.start.Attempt, Position: a.req.position, Outcome: &attempts.Outcome{Verdict: gypsumshelf.Ran}})
-		w.step(w.late[len(w.late)-1])
+		e := attempts.Ended{Attempt: a.start.Attempt, Position: a.req.position, Outcome: &attempts.Outcome{Verdict: gypsumshelf.Ran}}
+		w.late = append(w.late, lateEvent{a.req.at, e})
+		w.step(a.req.at, e)
 	case action == "not-run", action == "refused":
 		w.fail(a, attempts.Failed{}, gypsumshelf.NotRun)
 	case action == "reset":
@@ -316,14 +338,14 @@
 		"arrive": func(*rapid.T) {
 			w.arrive(rapid.SampledFrom([]string{"model", "model", "plain", "keyed", "poison"}).Draw(w.t, "kind"))
 		},
-		"act":   func(*rapid.T) { w.act() },
-		"again": func(*rapid.T) { w.act(); w.act() },
-		"key": func(*rapid.T) {
-			if len(w.asked) > 0 {
-				e := w.asked[0]
-				w.asked = w.asked[1:]
-				w.answerKey(e)
-			}
+		"act":       func(*rapid.T) { w.act() },
+		"again":     func(*rapid.T) { w.act(); w.act() },
+		"replicate": func(*rapid.T) { w.replicate() },
+		"leader": func(*rapid.T) {
+			w.group.lead(rapid.SampledFrom([]gypsumshelf.DaemonID{"d-1", "d-2"}).Draw(w.t, "leader"), rapid.IntRange(0, 1).Draw(w.t, "kept"))
+		},
+		"cut": func(*rapid.T) {
+			w.cut = map[bool]*member{true: rapid.SampledFrom(w.daemons).Draw(w.t, "cut")}[w.cut == nil && rapid.Bool().Draw(w.t, "cut off")]
 		},
 		"crash": func(*rapid.T) { w.crash(server(), rapid.Bool().Draw(w.t, "quick")) },
 		"two crash": func(*rapid.T) {
@@ -332,7 +354,8 @@
 		},
 		"late": func(*rapid.T) {
 			if len(w.late) > 0 {
-				w.step(rapid.SampledFrom(w.late).Draw(w.t, "event"))
+				e := rapid.SampledFrom(w.late).Draw(w.t, "event")
+				w.step(e.to, e.ev)
 			}
 		},
 		"gone": func(*rapid.T) {
@@ -342,7 +365,7 @@
 			req := rapid.SampledFrom(w.requests).Draw(w.t, "request")
 			if !req.closed && req.Key == "" {
 				w.close(req, gypsumshelf.Ran, nil)
-				w.step(attempts.CallerGone{Request: req.ID})
+				w.step(req.at, attempts.CallerGone{Request: req.ID})
 			}
 		},
 		"tick": func(*rapid.T) { w.advance(50 * time.Millisecond) },
@@ -368,24 +391,22 @@
 		}
 	}
 	rapid.Check(t, func(rt *rapid.T) {
-		w := newWorld(rt, 1)
+		w := newWorld(rt)
 		rt.Repeat(w.actions())
-		for _, e := range w.asked {
-			w.answerKey(e)
-		}
+		w.cut = nil
 		w.advance(11 * time.Second)
 		for _, req := range w.requests {
 			if !req.closed {
 				rt.Fatalf("request %s never ends", req.ID)
 			}
 		}
-		for key, k := range w.keys {
-			if k.outcome == nil {
-				rt.Fatalf("key %v of ended request %s has no outcome", key, k.holder)
+		for key, req := range w.holders {
+			if run := w.daemons[0].configuration.state.Run(configs.RunKey{Key: key}); run == nil || run.Outcome == nil {
+				rt.Fatalf("key %s of ended request %s has no outcome", key, req.ID)
 			}
 		}
 		totals["requests"] += len(w.requests)
-		totals["retries"] += w.retries
+		totals["retries"] += w.retries[w.daemons[0]] + w.retries[w.daemons[1]]
 	})
 	t.Logf("seed %s: %v", seed, totals)
 }
--- a/daemons/suspects.go
+++ b/daemons/suspects.go
@@ -7,7 +7,9 @@
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/configs"
 	"gypsumshelf.example/gypsumshelf/servers"
+	"gypsumshelf.example/gypsumshelf/settings"
 )
 
 func (r *Reducer) registerSuspects() {
@@ -39,7 +41,7 @@
 		r.emit(attempts.ShareSuspicion{Suspicion: attempts.Suspicion{Hash: hash, Crash: crash}})
 	}
 	if guilty {
-		r.emit(attempts.Quarantine{Hash: hash, Until: suspects.QuarantineUntil(now)})
+		r.quarantine(now, hash)
 	}
 	return guilty
 }
@@ -75,30 +77,61 @@
 		return
 	}
 	if fresh, guilty := r.attempts.Suspects().Crashed(now, s.Hash, s.Crash); fresh && guilty {
-		r.emit(attempts.Quarantine{Hash: s.Hash, Until: r.attempts.Suspects().QuarantineUntil(now)})
+		r.quarantine(now, s.Hash)
 	}
 }
 
+// quarantine has a guilty body hash recorded in the replicated log. Without a
+// log the daemons tell each other.
+func (r *Reducer) quarantine(now time.Time, hash uint64) {
+	keep := r.attempts.Suspects().QuarantineTime()
+	if r.configuration.fixed() {
+		r.emit(attempts.Quarantine{Hash: hash, Until: now.Add(keep)})
+		return
+	}
+	command := configs.Quarantine{BodyHash: hash, Reason: "crashed two backend servers", Keep: settings.Duration(keep)}
+	r.configuration.propose(now, command, recordWait, func(now time.Time, _ configs.Result, _ error) {
+		r.refuseQuarantined(now)
+	})
+}
+
 func (r *Reducer) quarantined(now time.Time, e attempts.Quarantined) {
 	r.attempts.Suspects().SetGuilty(e.Hash, e.Until)
+	r.refuseQuarantined(now)
+}
+
+// refuseQuarantined refuses all open requests whose body is in quarantine.
+func (r *Reducer) refuseQuarantined(now time.Time) {
 	for _, rec := range r.attempts.Active() {
-		if rec.Request().BodyHash == e.Hash {
-			r.refuseGuilty(now, rec)
+		if until, ok := r.guilty(now, rec.Request().BodyHash); ok {
+			r.refuse(now, rec, quarantineError(until))
 		}
 	}
 }
 
-// refuseGuilty refuses a request whose body is quarantined. A body that has
-// crashed two servers but is not yet recorded as quarantined is proposed again.
+// guilty returns the end of a body hash's quarantine, or false when it has none.
+func (r *Reducer) guilty(now time.Time, hash uint64) (time.Time, bool) {
+	if q, ok := r.configuration.state.Quarantined(now, hash); ok {
+		return q.Expires, true
+	}
+	return r.attempts.Suspects().Guilty(now, hash)
+}
+
+func quarantineError(until time.Time) *gypsumshelf.Error {
+	return gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeQuarantined,
+		"requests with this body crashed backend servers and are refused until %s", until.UTC().Format(time.RFC3339))
+}
+
+// refuseGuilty refuses an arrived request whose body is quarantined. A body
+// that has crashed two servers but is not recorded yet is proposed again.
 func (r *Reducer) refuseGuilty(now time.Time, rec *attempts.Record) bool {
 	hash := rec.Request().BodyHash
-	if until, ok := r.attempts.Suspects().Guilty(now, hash); ok {
-		r.refuse(now, rec, gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeQuarantined,
-			"requests with this body crashed backend servers and are refused until %s", until.UTC().Format(time.RFC3339)))
+	if until, ok := r.guilty(now, hash); ok {
+		r.refuse(now, rec, quarantineError(until))
 		return true
 	}
 	if r.attempts.Suspects().Convicted(hash) {
-		r.emit(attempts.Quarantine{Hash: hash, Until: r.attempts.Suspects().QuarantineUntil(now)})
+		r.quarantine(now, hash)
 	}
 	return false
 }
--- /dev/null
+++ b/entries/request_test.go
@@ -0,0 +1,87 @@
+package entries
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+)
+
+func newTestHandler() *Handler {
+	return New(Config{
+		MaxBodyBytes: 1 << 10, Now: time.Now, Workspaces: []string{"", "small"},
+		Class: func(_ context.Context, name string) (gypsumshelf.Class, bool) {
+			return gypsumshelf.Class{Name: name}, name == gypsumshelf.DefaultClassName
+		},
+		Submit: func(gypsumshelf.Event) { panic("an invalid request reached the reducer") },
+	})
+}
+
+// Guards against invalid input that is admitted, or answered without a code and
+// the verdict not-run.
+func TestInvalidInput(t *testing.T) {
+	for _, tt := range []struct {
+		name, body, header, value string
+		code                      gypsumshelf.Code
+	}{
+		{"not JSON", `{`, "", "", gypsumshelf.CodeBadRequest},
+		{"empty", ``, "", "", gypsumshelf.CodeBadRequest},
+		{"no model", `{"prompt":"p"}`, "", "", gypsumshelf.CodeBadRequest},
+		{"no prompt", `{"model":"m"}`, "", "", gypsumshelf.CodeBadRequest},
+		{"negative length", `{"model":"m","prompt":"p","max_tokens":-1}`, "", "", gypsumshelf.CodeBadRequest},
+		{"length that overflows", `{"model":"m","prompt":"p","max_tokens":9223372036854775807}`, "", "", gypsumshelf.CodeBadRequest},
+		{"body too large", strings.Repeat(" ", 2<<10), "", "", gypsumshelf.CodeBodyTooLarge},
+		{"unknown class", `{"model":"m","prompt":"p"}`, HeaderClass, "c", gypsumshelf.CodeUnknownClass},
+		{"unknown workspace", `{"model":"m","prompt":"p"}`, HeaderWorkspace, "w", gypsumshelf.CodeUnknownWorkspace},
+		{"request id that ends a path", `{"model":"m","prompt":"p"}`, HeaderRequestID, "a/../b", gypsumshelf.CodeBadRequest},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			r := httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(tt.body))
+			if tt.header != "" {
+				r.Header.Set(tt.header, tt.value)
+			}
+			w := httptest.NewRecorder()
+			newTestHandler().ServeHTTP(w, r)
+			var body errorBody
+			if err := json.Unmarshal(w.Body.Bytes(), &body); err != nil || body.Code != tt.code || body.RequestID == "" ||
+				w.Header().Get(HeaderVerdict) != "not-run" || w.Code < 400 {
+				t.Errorf("status %d, body %s, want code %s", w.Code, w.Body, tt.code)
+			}
+		})
+	}
+}
+
+// FuzzRequest guards against panics on any body, and against a body that is
+// changed on its way to the engine in anything but its stream field.
+func FuzzRequest(f *testing.F) {
+	f.Add([]byte(`{"model":"m","prompt":"p","max_tokens":4,"stream":true}`))
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"p"}],"stream":false,"top_p":0.5}`))
+	f.Add([]byte(`{"model":"m","prompt":null}`))
+	h := newTestHandler()
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := httptest.NewRequest(http.MethodPost, "/v1/completions", bytes.NewReader(data))
+		req, body, failure := h.parse(httptest.NewRecorder(), r)
+		if failure != nil {
+			if failure.Verdict != gypsumshelf.NotRun {
+				t.Fatalf("refused with verdict %s", failure.Verdict)
+			}
+			return
+		}
+		if req.Model == "" || req.PromptTokens < 1 || req.MaxTokens < 1 || !req.Idempotent {
+			t.Fatalf("admitted as %+v", req)
+		}
+		var sent, got map[string]json.RawMessage
+		if json.Unmarshal(data, &sent) != nil || json.Unmarshal(body.data, &got) != nil {
+			t.Fatalf("body %q is sent as %q", data, body.data)
+		}
+		if !body.stream && string(got["stream"]) != "true" {
+			t.Fatalf("body %q does not ask the engine for a stream", body.data)
+		}
+	})
+}
--- a/entries/service.go
+++ b/entries/service.go
@@ -49,10 +49,10 @@
 	uri = "/" + strings.TrimLeft(uri, "/")
 	req.Idempotent = h.idempotent(req.Service, r.Method, r.URL.Path)
 	req.PromptTokens = 1
-	req.BodyHash = hashOf([]byte(r.Method), []byte(uri), data)
 	if r.URL.RawQuery != "" {
 		uri += "?" + r.URL.RawQuery
 	}
+	req.BodyHash = hashOf([]byte(req.Service), []byte(r.Method), []byte(uri), data)
 	s := &serviceCall{
 		writer: h.writer(w, req), handler: h, request: req, lease: lease,
 		call: engines.ServiceCall{Method: r.Method, URI: uri, Header: endToEnd(r.Header), Body: data},
@@ -139,8 +139,8 @@
 
 func (s *serviceCall) replay(o attempts.Outcome) {
 	s.extend()
-	for name, values := range o.Header {
-		s.w.Header()[name] = values
+	if o.ContentType != "" {
+		s.w.Header().Set("Content-Type", o.ContentType)
 	}
 	s.w.Header().Set(HeaderRequestID, string(s.request.ID))
 	s.w.Header().Set(HeaderReplayed, "true")
@@ -167,7 +167,7 @@
 	s.call.Body = nil
 	header = endToEnd(header)
 	if s.outcome != nil {
-		s.outcome.Verdict, s.outcome.Status, s.outcome.Header = gypsumshelf.Ran, status, header.Clone()
+		s.outcome.Verdict, s.outcome.Status, s.outcome.ContentType = gypsumshelf.Ran, status, header.Get("Content-Type")
 	}
 	for name, values := range header {
 		s.w.Header()[name] = values
