--- a/daemons/reducer.go
+++ b/daemons/reducer.go
@@ -12,6 +12,7 @@
 	"gypsumshelf.example/gypsumshelf/attempts"
 	"gypsumshelf.example/gypsumshelf/configs"
 	"gypsumshelf.example/gypsumshelf/members"
+	"gypsumshelf.example/gypsumshelf/replicas"
 	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
 )
@@ -23,8 +24,9 @@
 	Servers  servers.Config
 	Attempts attempts.Config
 	Lease    members.Config
-	Session  string // unique to this start of the daemon
-	Log      replicatedLog
+	Session  string           // unique to this start of the daemon
+	Replica  *replicas.Config // replicated log, nil for a configuration that never changes
+	Log      replicatedLog    // used in place of Replica when not nil
 }
 
 // Reducer makes every decision of a daemon. It has no clock, no I/O and no
@@ -34,6 +36,7 @@
 	servers  *servers.Table
 	attempts *attempts.Table
 	queue    admissions.Queue
+	log      logState
 	handlers map[reflect.Type]func(time.Time, gypsumshelf.Event)
 	out      []gypsumshelf.Effect
 	stopping bool
@@ -53,6 +56,10 @@
 		trials:   map[gypsumshelf.ServerID]gypsumshelf.AttemptID{},
 		waiting:  map[gypsumshelf.RequestID]configs.RunKey{},
 	}
+	if cfg.Replica != nil {
+		r.log = logState{replica: replicas.New(*cfg.Replica), cfg: *cfg.Replica}
+		cfg.Log = &r.log
+	}
 	r.configuration = newConfiguration(cfg, r.emit)
 	cfg.Servers.InService = r.inService
 	r.servers = servers.New(cfg.Servers)
@@ -60,6 +67,7 @@
 	r.registerServers()
 	r.registerRequests()
 	r.registerConfiguration()
+	r.registerLog()
 	return r
 }
 
@@ -88,6 +96,7 @@
 	}
 	r.out = nil
 	handle(now, ev)
+	r.flushLog(now)
 	return r.out
 }
 
@@ -103,4 +112,5 @@
 	r.attempts.Expire(now)
 	r.servers.Expire(now)
 	r.dispatch(now)
+	r.tickLog(now)
 }
