--- /dev/null
+++ b/daemons/requests_test.go
@@ -0,0 +1,412 @@
+package daemons
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/configs"
+	"gypsumshelf.example/gypsumshelf/servers"
+)
+
+const (
+	poison    = 666 // body hash of the request that crashes its servers
+	randSteps = "400"
+	randRuns  = "250"
+)
+
+// fakeAttempt is an attempt as its backend server knows it.
+type fakeAttempt struct {
+	start attempts.Start
+	req   *fakeRequest
+	inc   string
+	began bool // bytes have reached the server
+}
+
+// fakeRequest is a request as its caller knows it.
+type fakeRequest struct {
+	gypsumshelf.Request
+	running  *fakeAttempt
+	position int
+	truth    gypsumshelf.Verdict // what the servers know of the request
+	starts   int
+	closed   bool
+	at       *member // daemon that the caller uses
+}
+
+// lateEvent is an event that is delivered again.
+type lateEvent struct {
+	to *member
+	ev gypsumshelf.Event
+}
+
+// world drives the reducers of two daemons with fake servers, callers and
+// links, and checks every effect against what these know.
+type world struct {
+	t        *rapid.T
+	group    *fakeGroup
+	daemons  []*member
+	cut      *member // daemon without contact to the leader, or nil
+	now      time.Time
+	server   map[gypsumshelf.ServerID]string // incarnations of running servers
+	requests []*fakeRequest
+	running  []*fakeAttempt
+	holders  map[string]*fakeRequest // by key: the request that started
+	late     []lateEvent
+	first    map[*member]int
+	retries  map[*member]int
+	struck   int // servers crashed by the poison request
+}
+
+// totals over all runs, reported at the end.
+var totals = map[string]int{}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t: t, now: testStart, group: &fakeGroup{}, server: map[gypsumshelf.ServerID]string{},
+		holders: map[string]*fakeRequest{}, first: map[*member]int{}, retries: map[*member]int{},
+	}
+	for _, id := range []gypsumshelf.DaemonID{"d-1", "d-2"} {
+		m := newMember(w.group, id)
+		m.attempts = attempts.New(attempts.Config{MaxAttempts: 3, Keep: time.Minute,
+			Retries: attempts.BudgetConfig{Rand: rand.New(rand.NewPCG(1, uint64(len(w.daemons))))}})
+		w.daemons = append(w.daemons, m)
+	}
+	w.group.lead("d-1", 0)
+	w.replicate()
+	for i := range 5 {
+		w.announce(gypsumshelf.ServerID(fmt.Sprintf("s-%d", i)), true)
+	}
+	return w
+}
+
+// replicate commits and applies all entries and renews the leases.
+func (w *world) replicate() {
+	for w.group.committed < len(w.group.entries) {
+		w.group.commit()
+	}
+	for _, m := range w.daemons {
+		if m == w.cut {
+			continue
+		}
+		for m.log.applied < w.group.committed {
+			w.applyAll(m, m.applyNext(w.now))
+		}
+		m.contact(w.now)
+	}
+}
+
+func (w *world) announce(id gypsumshelf.ServerID, fresh bool) {
+	if fresh {
+		w.server[id] = fmt.Sprintf("i-%d-%d", w.now.UnixNano(), totals["steps"])
+	}
+	a := gypsumshelf.Announcement{Server: id, Incarnation: w.server[id], Address: "127.0.0.1:1", State: gypsumshelf.ServerReady,
+		Service: "book", Kind: gypsumshelf.KindPlain, Models: []string{"quill"}}
+	for _, m := range w.daemons {
+		w.step(m, servers.Announced{Announcement: a})
+	}
+}
+
+func (w *world) step(m *member, ev gypsumshelf.Event) {
+	totals["steps"]++
+	w.applyAll(m, m.Step(w.now, ev))
+}
+
+func (w *world) applyAll(m *member, effects []gypsumshelf.Effect) {
+	for _, effect := range slices.Clone(effects) {
+		w.apply(m, effect)
+	}
+}
+
+func (w *world) find(id gypsumshelf.RequestID) *fakeRequest {
+	i := slices.IndexFunc(w.requests, func(r *fakeRequest) bool { return r.ID == id })
+	return w.requests[i]
+}
+
+func (w *world) apply(m *member, effect gypsumshelf.Effect) {
+	switch e := effect.(type) {
+	case attempts.Start:
+		w.start(e)
+	case attempts.Refuse:
+		totals["refused "+string(e.Err.Code)]++
+		w.close(w.find(e.Request), e.Err.Verdict, e.Err)
+	case attempts.Finish:
+		totals["finished"]++
+		w.close(w.find(e.Request), gypsumshelf.Ran, nil)
+	case attempts.Replay:
+		totals["replayed"]++
+		w.close(w.find(e.Request), gypsumshelf.Ran, nil)
+	case configs.Forward:
+		for _, to := range w.daemons {
+			if to.log.id == e.To && m != w.cut && to != w.cut {
+				w.step(to, configs.Forwarded{Proposal: e.Proposal})
+			}
+		}
+	case attempts.ShareSuspicion:
+		for _, to := range w.daemons {
+			if to != m {
+				w.step(to, attempts.Suspected(e))
+			}
+		}
+	case attempts.Abort:
+		if req := w.find(e.Request); req.running != nil {
+			w.fail(req.running, attempts.Failed{Broken: true}, gypsumshelf.MayHaveRun)
+		}
+	}
+}
+
+func (w *world) start(e attempts.Start) {
+	req := w.find(e.Request)
+	if req.closed || req.running != nil {
+		w.t.Fatalf("attempt %s starts on a request that is closed (%v) or running", e.Attempt, req.closed)
+	}
+	if e.Resume != req.position {
+		w.t.Fatalf("attempt %s resumes at %d, caller has %d tokens", e.Attempt, e.Resume, req.position)
+	}
+	if !req.Idempotent && req.truth != gypsumshelf.NotRun {
+		w.t.Fatalf("non-idempotent request %s starts again", req.ID)
+	}
+	if req.Key != "" {
+		if holder := w.holders[req.Key]; holder != nil && holder != req {
+			w.t.Fatalf("key %s runs for %s and %s", req.Key, holder.ID, req.ID)
+		}
+		w.holders[req.Key] = req
+	}
+	if req.starts++; req.starts == 1 {
+		w.first[req.at]++
+	} else {
+		w.retries[req.at]++
+	}
+	if allowed := 20 + float64(w.first[req.at])*0.1 + w.now.Sub(testStart).Seconds(); float64(w.retries[req.at]) > allowed {
+		w.t.Fatalf("%d retries, the budget allows %.1f", w.retries[req.at], allowed)
+	}
+	a := &fakeAttempt{start: e, req: req, inc: w.server[e.Server]}
+	req.running = a
+	w.running = append(w.running, a)
+}
+
+func (w *world) close(req *fakeRequest, claimed gypsumshelf.Verdict, err *gypsumshelf.Error) {
+	if req.closed {
+		w.t.Fatalf("request %s ends twice", req.ID)
+	}
+	if claimed < req.truth {
+		w.t.Fatalf("request %s ends with %s (%v), the servers know %s", req.ID, claimed, err, req.truth)
+	}
+	if claimed == gypsumshelf.MayHaveRun && req.truth == gypsumshelf.NotRun && req.running == nil && req.Key == "" {
+		w.t.Fatalf("request %s ends with %v, but no attempt reached a server", req.ID, err)
+	}
+	req.closed = true
+	if a := req.running; a != nil {
+		// The cancelled attempt reports its end when the request is closed.
+		w.late = append(w.late, lateEvent{req.at, attempts.Failed{Attempt: a.start.Attempt, Failure: failure(gypsumshelf.MayHaveRun)}})
+		w.drop(a)
+	}
+}
+
+func (w *world) drop(a *fakeAttempt) {
+	a.req.running = nil
+	w.running = slices.DeleteFunc(w.running, func(b *fakeAttempt) bool { return a == b })
+}
+
+func failure(v gypsumshelf.Verdict) *gypsumshelf.Error {
+	return gypsumshelf.Errorf(v, gypsumshelf.CodeBackendFailed, "fault")
+}
+
+// fail ends an attempt; the server knows truth of it.
+func (w *world) fail(a *fakeAttempt, e attempts.Failed, truth gypsumshelf.Verdict) {
+	totals["faults"]++
+	if a.req.position > a.start.Resume || a.began {
+		truth = gypsumshelf.MayHaveRun
+	}
+	a.req.truth = a.req.truth.Worse(truth)
+	e.Attempt, e.Position, e.Failure = a.start.Attempt, a.req.position, failure(truth)
+	w.drop(a)
+	w.late = append(w.late, lateEvent{a.req.at, e})
+	w.step(a.req.at, e)
+}
+
+// crash ends a server. With quick its successor answers the probes at once,
+// and only the announcement shows that it is another incarnation.
+func (w *world) crash(id gypsumshelf.ServerID, quick bool) {
+	totals["crashes"]++
+	for _, a := range slices.Clone(w.running) {
+		if a.start.Server == id && a.req.running == a {
+			w.fail(a, attempts.Failed{Broken: true, Dead: !quick}, gypsumshelf.MayHaveRun)
+		}
+	}
+	w.announce(id, true)
+}
+
+func (w *world) arrive(kind string) {
+	m := rapid.SampledFrom(w.daemons).Draw(w.t, "daemon")
+	id := gypsumshelf.RequestID(fmt.Sprintf("r-%d", len(w.requests)))
+	req := &fakeRequest{at: m, Request: gypsumshelf.Request{
+		ID: id, Model: "quill", Idempotent: true, BodyHash: uint64(1000 + len(w.requests)), Arrived: w.now,
+		Class: gypsumshelf.Class{Name: "c", Target: gypsumshelf.Target{FirstToken: time.Second, Finish: 10 * time.Second}},
+	}}
+	switch kind {
+	case "poison":
+		if slices.ContainsFunc(w.requests, func(r *fakeRequest) bool {
+			return r.BodyHash == poison && !r.closed && (w.struck == 0 || r.at != m)
+		}) {
+			return // the caller sends it to another daemon only after an error
+		}
+		req.BodyHash = poison
+	case "plain", "keyed":
+		req.Model, req.Service, req.Idempotent = "", "book", false
+		if kind == "keyed" {
+			n := rapid.IntRange(1, 9).Draw(w.t, "key")
+			req.Key, req.BodyHash = fmt.Sprintf("k%d", n), uint64(n)
+		}
+	}
+	w.requests = append(w.requests, req)
+	w.step(m, attempts.Arrived{Request: req.Request})
+}
+
+func (w *world) advance(d time.Duration) {
+	for ; d > 0; d -= 50 * time.Millisecond {
+		w.now = w.now.Add(50 * time.Millisecond)
+		for id := range w.server {
+			if w.now.UnixMilli()%500 == 0 {
+				w.announce(id, false)
+			}
+		}
+		if w.now.UnixMilli()%100 == 0 {
+			w.replicate()
+		}
+		for _, m := range w.daemons {
+			w.step(m, Tick{})
+		}
+	}
+	for _, req := range w.requests {
+		if !req.closed && !w.now.Before(req.Deadline()) {
+			w.t.Fatalf("request %s is open %s after its deadline", req.ID, w.now.Sub(req.Deadline()))
+		}
+	}
+}
+
+// act does one random thing to an attempt in progress.
+func (w *world) act() {
+	if len(w.running) == 0 {
+		return
+	}
+	a := rapid.SampledFrom(w.running).Draw(w.t, "attempt")
+	action := rapid.SampledFrom([]string{"token", "token", "end", "end", "reset", "not-run", "refused", "silent"}).Draw(w.t, "action")
+	if action != "refused" && action != "not-run" && !a.began {
+		a.began = true
+		w.step(a.req.at, attempts.Sent{Attempt: a.start.Attempt})
+	}
+	a.req.truth = a.req.truth.Worse(map[bool]gypsumshelf.Verdict{true: gypsumshelf.MayHaveRun}[a.began])
+	switch {
+	case a.req.BodyHash == poison && a.began:
+		if w.struck++; w.struck > 2 {
+			w.t.Fatalf("the poison request crashes %d servers", w.struck)
+		}
+		totals["poison crashes"]++
+		w.crash(a.start.Server, rapid.Bool().Draw(w.t, "quick"))
+	case action == "token" && a.req.Model != "":
+		a.req.position++
+		w.step(a.req.at, attempts.FirstToken{Attempt: a.start.Attempt})
+	case action == "end":
+		a.req.truth = gypsumshelf.Ran
+		w.drop(a)
+		e := attempts.Ended{Attempt: a.start.Attempt, Position: a.req.position, Outcome: &attempts.Outcome{Verdict: gypsumshelf.Ran}}
+		w.late = append(w.late, lateEvent{a.req.at, e})
+		w.step(a.req.at, e)
+	case action == "not-run", action == "refused":
+		w.fail(a, attempts.Failed{}, gypsumshelf.NotRun)
+	case action == "reset":
+		w.fail(a, attempts.Failed{Broken: true}, gypsumshelf.MayHaveRun)
+	default:
+		w.fail(a, attempts.Failed{Dead: rapid.Bool().Draw(w.t, "dead")}, gypsumshelf.MayHaveRun)
+	}
+}
+
+func (w *world) actions() map[string]func(*rapid.T) {
+	server := func() gypsumshelf.ServerID {
+		return gypsumshelf.ServerID(fmt.Sprintf("s-%d", rapid.IntRange(0, 4).Draw(w.t, "server")))
+	}
+	return map[string]func(*rapid.T){
+		"arrive": func(*rapid.T) {
+			w.arrive(rapid.SampledFrom([]string{"model", "model", "plain", "keyed", "poison"}).Draw(w.t, "kind"))
+		},
+		"act":       func(*rapid.T) { w.act() },
+		"again":     func(*rapid.T) { w.act(); w.act() },
+		"replicate": func(*rapid.T) { w.replicate() },
+		"leader": func(*rapid.T) {
+			w.group.lead(rapid.SampledFrom([]gypsumshelf.DaemonID{"d-1", "d-2"}).Draw(w.t, "leader"), rapid.IntRange(0, 1).Draw(w.t, "kept"))
+		},
+		"cut": func(*rapid.T) {
+			w.cut = map[bool]*member{true: rapid.SampledFrom(w.daemons).Draw(w.t, "cut")}[w.cut == nil && rapid.Bool().Draw(w.t, "cut off")]
+		},
+		"crash": func(*rapid.T) { w.crash(server(), rapid.Bool().Draw(w.t, "quick")) },
+		"two crash": func(*rapid.T) {
+			w.crash(server(), true)
+			w.crash(server(), false)
+		},
+		"late": func(*rapid.T) {
+			if len(w.late) > 0 {
+				e := rapid.SampledFrom(w.late).Draw(w.t, "event")
+				w.step(e.to, e.ev)
+			}
+		},
+		"gone": func(*rapid.T) {
+			if len(w.requests) == 0 {
+				return
+			}
+			req := rapid.SampledFrom(w.requests).Draw(w.t, "request")
+			if !req.closed && req.Key == "" {
+				w.close(req, gypsumshelf.Ran, nil)
+				w.step(req.at, attempts.CallerGone{Request: req.ID})
+			}
+		},
+		"tick": func(*rapid.T) { w.advance(50 * time.Millisecond) },
+		"wait": func(*rapid.T) {
+			w.advance(time.Duration(rapid.IntRange(1, 40).Draw(w.t, "ticks")) * 50 * time.Millisecond)
+		},
+	}
+}
+
+// Guards against any order of faults, alone, together or twice, that lets a
+// request run twice that may not, outlive its deadline, end twice, claim less
+// than its servers know, lose a position, or crash more than two servers.
+func TestRequestsUnderRandomFaults(t *testing.T) {
+	seed := os.Getenv("GYPSUMSHELF_SEED")
+	if seed == "" {
+		seed = "1"
+	}
+	for name, value := range map[string]string{"rapid.seed": seed, "rapid.steps": randSteps, "rapid.checks": randRuns} {
+		if f := flag.Lookup(name); f != nil && f.Value.String() == f.DefValue {
+			if err := flag.Set(name, value); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(rt)
+		rt.Repeat(w.actions())
+		w.cut = nil
+		w.advance(11 * time.Second)
+		for _, req := range w.requests {
+			if !req.closed {
+				rt.Fatalf("request %s never ends", req.ID)
+			}
+		}
+		for key, req := range w.holders {
+			if run := w.daemons[0].configuration.state.Run(configs.RunKey{Key: key}); run == nil || run.Outcome == nil {
+				rt.Fatalf("key %s of ended request %s has no outcome", key, req.ID)
+			}
+		}
+		totals["requests"] += len(w.requests)
+		totals["retries"] += w.retries[w.daemons[0]] + w.retries[w.daemons[1]]
+	})
+	t.Logf("seed %s: %v", seed, totals)
+}
