Leave out the replicated log of a daemon without voters

Tests of the request path run one daemon without voters, whose configuration is fixed; after the merge of the log such a daemon waited for a leader for ever and refused every request with not-ready.

--- a/daemons/instance.go
+++ b/daemons/instance.go
@@ -94,7 +94,6 @@
 			Servers:  servers.Config{Expiry: s.Limits.ServerExpiry.Std()},
 			Attempts: attempts.Config{MaxAttempts: s.Limits.MaxAttempts, Keep: keepEnded},
 			Replica:  logConfig(s, node, recovered),
-			Session:  uuid.NewString(),
 			Lease:    members.Config{Duration: s.Limits.FreshnessLease.Std()},
 		},
 		Timers: in.timers, TickPeriod: tickPeriod,
--- a/daemons/storage.go
+++ b/daemons/storage.go
@@ -114,8 +114,13 @@
 	s.submit(LogRenewed{ID: id, Recovered: recovered, Session: rand.Uint64()})
 }
 
-// logConfig returns the configuration of the replicated log.
+// logConfig returns the configuration of the replicated log; it is empty, and
+// the daemon's configuration never changes, without any voter. Checked settings
+// have voters.
 func logConfig(s settings.Settings, id replicas.NodeID, recovered replicas.Recovered) replicas.Config {
+	if len(s.Voters) == 0 {
+		return replicas.Config{}
+	}
 	var all, founders []gypsumshelf.DaemonID
 	for _, p := range s.Peers {
 		all = append(all, p.Daemon)
