--- a/daemons/storage.go
+++ b/daemons/storage.go
@@ -114,8 +114,13 @@
 	s.submit(LogRenewed{ID: id, Recovered: recovered, Session: rand.Uint64()})
 }
 
-// logConfig returns the configuration of the replicated log.
-func logConfig(s settings.Settings, id replicas.NodeID, recovered replicas.Recovered) *replicas.Config {
+// logConfig returns the configuration of the replicated log; it is empty, and
+// the daemon's configuration never changes, without any voter. Checked settings
+// have voters.
+func logConfig(s settings.Settings, id replicas.NodeID, recovered replicas.Recovered) replicas.Config {
+	if len(s.Voters) == 0 {
+		return replicas.Config{}
+	}
 	var all, founders []gypsumshelf.DaemonID
 	for _, p := range s.Peers {
 		all = append(all, p.Daemon)
@@ -123,7 +128,7 @@
 	for _, v := range s.Voters {
 		founders = append(founders, gypsumshelf.DaemonID(v))
 	}
-	return &replicas.Config{
+	return replicas.Config{
 		ID: id, DataCentre: s.DataCentre, Durable: s.DataFolder != "",
 		Peers: logPeers(s.Daemon, all), Founders: founders, Recovered: recovered,
 		Session: rand.Uint64(), Seed: rand.Uint64(),
