--- a/loads/bench_leaving.go
+++ b/loads/bench_leaving.go
@@ -56,14 +56,16 @@
 	var answers sync.WaitGroup
 	var phases []*phase
 	var left time.Time
-	var quiet time.Duration
+	var count int
+	var quiet string
 	for i, part := range []struct{ name, action string }{
 		{"before", ""}, {"while it leaves", standins.ActionLeaving}, {"after its return", standins.ActionReady},
 	} {
 		if part.action == standins.ActionReady {
-			quiet = lastArrival(c, name).Sub(left)
+			quiet = newWork(c, name, left, count)
 		}
 		if part.action != "" {
+			count, _ = arrivalsAt(c, name)
 			left = time.Now()
 			if err := cfg.change(ctx, c, part.action, name); err != nil {
 				return err
@@ -84,7 +86,7 @@
 		collapses += s.Collapses
 	}
 	fmt.Fprintf(cfg.Out, "engines that failed all their requests because they were cold and overloaded: %d times\n", collapses)
-	fmt.Fprintf(cfg.Out, "last new work in %s: %s after it began to leave (target: a few seconds)\n", name, max(0, quiet).Round(time.Millisecond))
+	fmt.Fprintf(cfg.Out, "%s, counted from the start of the command or announcement (target: none after a few seconds)\n", quiet)
 	return ctx.Err()
 }
 
@@ -126,15 +128,29 @@
 	return err
 }
 
-// lastArrival returns the time of the last work at any server of a data centre.
-func lastArrival(c *cluster, dataCentre string) time.Time {
-	var last time.Time
+// arrivalsAt returns the number of requests that reached a data centre so far
+// and the time of the last one.
+func arrivalsAt(c *cluster, dataCentre string) (count int, last time.Time) {
 	for _, s := range c.fleet.Status() {
-		if s.DataCentre == dataCentre && s.LastArrival.After(last) {
+		if s.DataCentre != dataCentre {
+			continue
+		}
+		count += s.Arrivals
+		if s.LastArrival.After(last) {
 			last = s.LastArrival
 		}
 	}
-	return last
+	return count, last
+}
+
+// newWork describes the requests that reached a data centre after it began to
+// leave.
+func newWork(c *cluster, dataCentre string, left time.Time, before int) string {
+	count, last := arrivalsAt(c, dataCentre)
+	if count == before {
+		return fmt.Sprintf("no new work in %s", dataCentre)
+	}
+	return fmt.Sprintf("%d new requests in %s, the last after %s", count-before, dataCentre, last.Sub(left).Round(time.Millisecond))
 }
 
 func writePhases(cfg MeasureConfig, phases []*phase) error {
