--- /dev/null
+++ b/cmd/gypsumshelf/configuration_test.go
@@ -0,0 +1,247 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/configs"
+	"gypsumshelf.example/gypsumshelf/loads"
+	"gypsumshelf.example/gypsumshelf/operators"
+	"gypsumshelf.example/gypsumshelf/standins"
+)
+
+// everyLease is longer than every lease of a daemon, the longest being 3 s.
+const everyLease = 5 * time.Second
+
+// outcome sends a short request to a daemon.
+func (m *member) outcome(class, id string) loads.Outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	return loads.NewCaller().Do(ctx, loads.Order{
+		Address: m.addresses["callers"], Model: "quill", Class: class, RequestID: id, PromptTokens: 1_000, MaxTokens: 4, Seed: 1,
+	})
+}
+
+// arrivals returns the number of attempts that reached a data centre.
+func arrivals(f *standins.Fleet, centre string) (n int) {
+	for _, s := range f.Status() {
+		if s.DataCentre == centre {
+			n += s.Arrivals
+		}
+	}
+	return n
+}
+
+func (m *member) history(t testing.TB) (history []configs.Recorded) {
+	t.Helper()
+	history, err := operators.NewClient(operators.ClientConfig{Servers: []string{m.addresses["operators"]}}).History(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return history
+}
+
+func assertOnce(t testing.TB, history []configs.Recorded, id string) {
+	t.Helper()
+	n := 0
+	for _, r := range history {
+		if r.CommandID == id {
+			n++
+		}
+	}
+	if n != 1 {
+		t.Errorf("command %s stands %d times in the history", id, n)
+	}
+}
+
+// Guards against operator commands that differ from their documentation: names,
+// flags, exit codes, refusals that do not name the winner.
+func TestOperatorCommands(t *testing.T) {
+	d := startDeployment(t, 3, false)
+	d.startEngines(3)
+	all := []int{0, 1, 2}
+	t.Run("every command", func(t *testing.T) {
+		for _, line := range []string{
+			"class set interactive --first-token 500ms --finish 10s", "class remove interactive",
+			"name add data-centre wien-nord airport VIE", "data-centre take-out VIE", "data-centre bring-back wien-nord",
+		} {
+			r := d.accepted(d.operator(all, strings.Fields(line)...))
+			if !strings.Contains(r.stderr, "command-id: "+r.answer.CommandID) {
+				t.Errorf("%s does not print its command id: %s", line, r.stderr)
+			}
+		}
+	})
+	t.Run("one of two operators wins", func(t *testing.T) {
+		d.accepted(d.operator([]int{0}, "class", "set", "a", "--first-token", "1s", "--finish", "9s", "--revision", "5", "--operator", "ada"))
+		r := d.operator([]int{1}, "class", "set", "b", "--first-token", "1s", "--finish", "9s", "--revision", "5", "--operator", "bob")
+		if r.code != 1 || r.answer.Winner == nil || r.answer.Winner.Operator != "ada" || !strings.Contains(r.stderr, "class set a") {
+			t.Errorf("exit %d, answer %+v, stderr %s", r.code, r.answer, r.stderr)
+		}
+	})
+	t.Run("same id at another daemon, then with another command", func(t *testing.T) {
+		first := d.accepted(d.operator([]int{0}, "data-centre", "take-out", "graz-sued", "--command-id", "mine"))
+		again := d.accepted(d.operator([]int{2}, "data-centre", "take-out", "graz-sued", "--command-id", "mine"))
+		if first.answer.Revision != again.answer.Revision {
+			t.Errorf("revisions %d and %d", first.answer.Revision, again.answer.Revision)
+		}
+		if r := d.operator(all, "data-centre", "take-out", "wien-nord", "--command-id", "mine"); r.code != 1 || r.answer.Code != configs.CodeCommandIDReused {
+			t.Errorf("exit %d, answer %+v", r.code, r.answer)
+		}
+	})
+	t.Run("usage errors", func(t *testing.T) {
+		for _, line := range []string{"class", "class frob", "data-centre take-out", "class set a", "name add data-centre a b", "status --server localhost:1", "config history --output xml"} {
+			if r := d.operator(all, strings.Fields(line)...); r.code != 2 {
+				t.Errorf("%s: exit %d, want 2", line, r.code)
+			}
+		}
+	})
+	t.Run("classes apply to requests", func(t *testing.T) {
+		d.waitRevision(1, 6)
+		if out := d.members[1].outcome("a", ""); out.Err != nil {
+			t.Error(out.Err)
+		}
+		if out := d.members[1].outcome("missing", ""); out.Code != gypsumshelf.CodeUnknownClass {
+			t.Errorf("code %q", out.Code)
+		}
+	})
+	t.Run("a daemon explains the request of another", func(t *testing.T) {
+		if out := d.members[0].outcome("", "request-of-entry-1"); out.Err != nil {
+			t.Fatal(out.Err)
+		}
+		r := d.operator([]int{2}, "explain", "request-of-entry-1")
+		if r.code != 0 || !strings.Contains(r.stdout, "routed to") {
+			t.Errorf("exit %d: %s %s", r.code, r.stdout, r.stderr)
+		}
+		if r := d.operator(all, "explain", "no-such-request"); r.code != 1 {
+			t.Errorf("exit %d for an unknown request", r.code)
+		}
+	})
+}
+
+// Guards against a command that is lost or made twice when the leader is
+// killed before its operator has the answer.
+func TestLeaderKilledDuringCommand(t *testing.T) {
+	d := startDeployment(t, 4, false)
+	for round := range 3 {
+		id := fmt.Sprintf("killed-%d", round)
+		leader := d.leader()
+		to := d.other(leader)
+		args := []string{"data-centre", "take-out", fmt.Sprintf("dc-%d", round), "--command-id", id, "--revision", fmt.Sprint(round)}
+		var wg sync.WaitGroup
+		wg.Go(func() { d.operator([]int{leader}, args...) }) // its answer is not used
+		time.Sleep(time.Duration(round*15) * time.Millisecond)
+		d.daemons[leader].kill()
+		again := d.accepted(d.operator([]int{to}, args...))
+		if again.answer.Revision != gypsumshelf.Revision(round+1) {
+			t.Errorf("revision %d, want %d", again.answer.Revision, round+1)
+		}
+		wg.Wait()
+		d.restart(leader)
+		for i, m := range d.members {
+			d.waitRevision(i, gypsumshelf.Revision(round+1))
+			assertOnce(t, m.history(t), id)
+		}
+	}
+}
+
+// Guards against a daemon that sends new work to a data centre that was taken
+// out while the daemon was frozen (R4).
+func TestFrozenDaemonSendsNoNewWork(t *testing.T) {
+	d := startDeployment(t, 4, false)
+	fleet := d.startEngines(3)
+	frozen := d.other(d.leader())
+	m := d.members[frozen]
+	if out := m.outcome("", ""); out.Err != nil {
+		t.Fatal(out.Err)
+	}
+	d.signal(frozen, syscall.SIGSTOP)
+	var wg sync.WaitGroup
+	for range 20 { // these wait in the frozen daemon's sockets
+		wg.Go(func() { m.outcome("", "") })
+	}
+	r := d.accepted(d.operator([]int{d.other(frozen)}, "data-centre", "take-out", "wien-nord"))
+	time.Sleep(everyLease)
+	before := arrivals(fleet, "wien-nord")
+	d.signal(frozen, syscall.SIGCONT)
+	for range 200 {
+		m.outcome("", "")
+	}
+	wg.Wait()
+	d.waitRevision(frozen, r.answer.Revision)
+	d.waitFresh(frozen)
+	served := arrivals(fleet, "linz-hafen") + arrivals(fleet, "graz-sued")
+	for range 20 {
+		if out := m.outcome("", ""); out.Err != nil {
+			t.Error(out.Err)
+		}
+	}
+	if n := arrivals(fleet, "wien-nord") - before; n > 0 {
+		t.Errorf("%d attempts reached the data centre that is out", n)
+	}
+	if arrivals(fleet, "linz-hafen")+arrivals(fleet, "graz-sued") < served+20 {
+		t.Error("the daemon does not serve again")
+	}
+}
+
+// Guards against a daemon that takes new work while it is cut off, against a
+// majority that stops without it, and against a configuration that goes back.
+func TestCutOffDaemonRefuses(t *testing.T) {
+	d := startDeployment(t, 4, true)
+	fleet := d.startEngines(3)
+	for _, who := range []string{"follower", "leader"} {
+		t.Run(who, func(t *testing.T) {
+			cut := d.leader()
+			if who == "follower" {
+				cut = d.other(cut)
+			}
+			rest := d.other(cut)
+			d.cutOff(cut, true)
+			r := d.accepted(d.operator([]int{rest}, "data-centre", "take-out", "wien-nord"))
+			waitFor(t, "the daemon that is cut off refuses", func() bool {
+				return d.members[cut].readyz() == http.StatusServiceUnavailable
+			})
+			before := arrivals(fleet, "wien-nord")
+			out := d.members[cut].outcome("", "")
+			if out.Code != gypsumshelf.CodeNotReady || out.Verdict != gypsumshelf.NotRun {
+				t.Errorf("code %q, verdict %s, %v", out.Code, out.Verdict, out.Err)
+			}
+			assertServed(t, d.members[rest], 1_000)
+			d.cutOff(cut, false)
+			d.waitRevision(cut, r.answer.Revision)
+			d.waitFresh(cut)
+			assertServed(t, d.members[cut], 1_000)
+			if n := arrivals(fleet, "wien-nord") - before; n > 0 {
+				t.Errorf("%d attempts reached the data centre that is out", n)
+			}
+			d.accepted(d.operator([]int{cut}, "data-centre", "bring-back", "wien-nord"))
+		})
+	}
+}
+
+// Guards against a configuration that is lost with one disk.
+func TestWipedDataFolder(t *testing.T) {
+	d := startDeployment(t, 4, false)
+	d.accepted(d.operator([]int{0}, "class", "set", "interactive", "--first-token", "1s", "--finish", "9s", "--command-id", "kept"))
+	for _, wiped := range []int{d.leader(), d.other(d.leader(), 3)} {
+		d.daemons[wiped].kill()
+		if err := os.RemoveAll(d.members[wiped].folder); err != nil {
+			t.Fatal(err)
+		}
+		d.restart(wiped)
+		d.waitFresh(wiped)
+		d.accepted(d.operator([]int{wiped}, "data-centre", "take-out", fmt.Sprint("dc-", wiped)))
+		assertOnce(t, d.members[wiped].history(t), "kept")
+	}
+	r := d.accepted(d.operator([]int{3}, "class", "set", "interactive", "--first-token", "1s", "--finish", "9s", "--command-id", "kept"))
+	if r.answer.Revision != 1 {
+		t.Errorf("the resent command has revision %d, want the first answer", r.answer.Revision)
+	}
+}
--- a/cmd/gypsumshelf/process_test.go
+++ b/cmd/gypsumshelf/process_test.go
@@ -41,7 +41,7 @@
 	cmd *exec.Cmd
 }
 
-func startProcess(t *testing.T, args ...string) *process {
+func startProcess(t testing.TB, args ...string) *process {
 	t.Helper()
 	cmd := exec.Command(binary, args...)
 	cmd.Stderr = os.Stderr
@@ -65,9 +65,28 @@
 	name      string
 	addresses map[string]string // by listener
 	file      string
+
+	dataCentre string
+	folder     string // data folder
+}
+
+// writeSettings writes the member's settings file.
+func (m *member) writeSettings(t testing.TB, peers []map[string]string) {
+	t.Helper()
+	data, err := json.Marshal(map[string]any{
+		"deployment": "ostalpen", "daemon": m.name, "data-centre": m.dataCentre, "region": "ostalpen",
+		"data-folder": m.folder, "listen": m.addresses, "peers": peers,
+		"voters": []string{"entry-1", "entry-2", "entry-3"},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(m.file, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -78,7 +97,7 @@
 }
 
 // newDeployment writes the settings files of n daemons.
-func newDeployment(t *testing.T, n int) []*member {
+func newDeployment(t testing.TB, n int) []*member {
 	t.Helper()
 	dir := t.TempDir()
 	centres := []string{"wien-nord", "linz-hafen", "graz-sued"}
@@ -93,35 +112,34 @@
 		peers = append(peers, map[string]string{"daemon": m.name, "address": m.addresses["peers"], "data-centre": centres[i%3]})
 	}
 	for i, m := range members {
+		m.dataCentre, m.folder = centres[i%3], filepath.Join(dir, m.name)
 		m.file = filepath.Join(dir, m.name+".json")
-		data, err := json.Marshal(map[string]any{
-			"deployment": "ostalpen", "daemon": m.name, "data-centre": centres[i%3], "region": "ostalpen",
-			"data-folder": filepath.Join(dir, m.name), "listen": m.addresses, "peers": peers,
-			"voters": []string{"entry-1", "entry-2", "entry-3"},
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(m.file, data, 0o600); err != nil {
-			t.Fatal(err)
-		}
+		m.writeSettings(t, peers)
 	}
 	return members
 }
 
 // waitFor polls a condition; the bound only ends a hopeless test.
-func waitFor(t *testing.T, what string, ok func() bool) {
+func waitFor(t testing.TB, what string, ok func() bool) {
 	t.Helper()
+	if !poll(20*time.Millisecond, ok) {
+		t.Fatalf("never happened: %s", what)
+	}
+}
+
+// poll checks a condition until it holds; it reports false after a minute.
+func poll(period time.Duration, ok func() bool) bool {
 	deadline := time.Now().Add(60 * time.Second)
 	for !ok() {
 		if time.Now().After(deadline) {
-			t.Fatalf("never happened: %s", what)
+			return false
 		}
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(period)
 	}
+	return true
 }
 
-func assertServed(t *testing.T, m *member, lengths ...int) {
+func assertServed(t testing.TB, m *member, lengths ...int) {
 	t.Helper()
 	caller := loads.NewCaller()
 	for i, length := range lengths {
@@ -134,7 +152,7 @@
 	}
 }
 
-func waitReady(t *testing.T, m *member, servers int) {
+func waitReady(t testing.TB, m *member, servers int) {
 	t.Helper()
 	waitFor(t, fmt.Sprintf("%s ready with %d backend servers", m.name, servers), func() bool {
 		ready, err := http.Get("http://" + m.addresses["callers"] + "/readyz")
