--- a/daemons/storage.go
+++ b/daemons/storage.go
@@ -115,7 +115,7 @@
 }
 
 // logConfig returns the configuration of the replicated log.
-func logConfig(s settings.Settings, id replicas.NodeID, recovered replicas.Recovered) *replicas.Config {
+func logConfig(s settings.Settings, id replicas.NodeID, recovered replicas.Recovered) replicas.Config {
 	var all, founders []gypsumshelf.DaemonID
 	for _, p := range s.Peers {
 		all = append(all, p.Daemon)
@@ -123,7 +123,7 @@
 	for _, v := range s.Voters {
 		founders = append(founders, gypsumshelf.DaemonID(v))
 	}
-	return &replicas.Config{
+	return replicas.Config{
 		ID: id, DataCentre: s.DataCentre, Durable: s.DataFolder != "",
 		Peers: logPeers(s.Daemon, all), Founders: founders, Recovered: recovered,
 		Session: rand.Uint64(), Seed: rand.Uint64(),
--- a/replicas/output.go
+++ b/replicas/output.go
@@ -62,8 +62,9 @@
 // Take returns what the driver must do; nothing is returned twice.
 func (r *Replica) Take() Output {
 	if r.stopped() {
-		r.out = Output{Renew: r.outdated}
-		return r.out
+		renew := r.outdated && !r.halted
+		r.Halt()
+		return Output{Renew: renew}
 	}
 	if r.state == leading {
 		r.replicate()
--- a/replicas/random_test.go
+++ b/replicas/random_test.go
@@ -57,6 +57,12 @@
 			entries += c.highest
 			faults["terms with a leader"] += len(c.leaders)
 		}()
+		if n == 5 && members[4].Durable && rapid.Bool().Draw(t, "five voters") {
+			c.voters = 5
+			for _, h := range c.hosts {
+				c.start(h)
+			}
+		}
 		c.until("a settled cluster", c.settled)
 		c.drop = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "drop")
 		c.duplic = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "duplicate")
@@ -119,6 +125,11 @@
 	case 10:
 		c.heal()
 	case 11:
+		if h.r != nil && c.rng.IntN(2) == 0 {
+			c.faults["resignation"]++
+			h.r.Resign(c.clock(h))
+			return
+		}
 		c.faults["restart of all"]++
 		for _, o := range c.hosts {
 			c.crash(o)
--- a/replicas/replication.go
+++ b/replicas/replication.go
@@ -5,26 +5,28 @@
 	"time"
 )
 
-// maxInFlight bounds the entries sent to a member ahead of its answers.
-const maxInFlight = 4096
+// maxUnanswered bounds the requests with entries that are sent to a member ahead
+// of its answers, and with BatchBytes the memory that they take.
+const maxUnanswered = 16
 
 // progress is what the leader knows about another member.
 type progress struct {
-	session  uint64
-	match    uint64 // last entry known to be synced there
-	next     uint64 // first entry to send
-	probing  bool   // next is a guess: one request at a time
-	waiting  bool   // a probe or chunk is unanswered
-	acked    time.Time
-	contact  time.Time // last message from the member in this term
-	upSince  time.Time // start of its current run of contacts
-	goal     uint64    // commit index at the last heartbeat
-	current  bool      // had everything up to goal one heartbeat later
-	offset   int       // of the next chunk of a snapshot
-	sending  uint64    // index of the snapshot being sent, 0 when none
-	stamp    Stamp     // latest stamp that waits for a confirmation
-	stampAt  time.Time // when it arrived
-	approved Confirmation
+	session    uint64
+	match      uint64 // last entry known to be synced there
+	next       uint64 // first entry to send
+	probing    bool   // next is a guess: one request at a time
+	waiting    bool   // a probe or chunk is unanswered
+	unanswered int    // requests with entries since an answer covered all that was sent
+	acked      time.Time
+	contact    time.Time // last message from the member in this term
+	upSince    time.Time // start of its current run of contacts
+	goal       uint64    // commit index at the last heartbeat
+	current    bool      // had everything up to goal one heartbeat later
+	offset     int       // of the next chunk of a snapshot
+	sending    uint64    // index of the snapshot being sent, 0 when none
+	stamp      Stamp     // latest stamp that waits for a confirmation
+	stampAt    time.Time // when it arrived
+	approved   Confirmation
 }
 
 // syncProgress makes progress hold exactly the other members.
@@ -64,7 +66,7 @@
 // index and another term means that the command is lost.
 func (r *Replica) Propose(now time.Time, data []byte) (index, term uint64, err error) {
 	r.advance(now)
-	if r.state != leading {
+	if r.state != leading || r.handingOver() {
 		leader, _ := r.Leader()
 		return 0, 0, ErrNotLeader{Leader: leader}
 	}
@@ -92,7 +94,7 @@
 func (r *Replica) replicate() {
 	for _, id := range r.others() {
 		p := r.progress[id]
-		for p.sending == 0 && !p.waiting && p.next <= r.log.last() && p.next-p.match <= maxInFlight {
+		for p.sending == 0 && !p.waiting && p.next <= r.log.last() && p.unanswered < maxUnanswered && r.alive(id) {
 			if !r.sendEntries(id, p) {
 				break
 			}
@@ -122,6 +124,7 @@
 	}
 	request := AppendRequest{Prev: p.next - 1, PrevTerm: prevTerm, Entries: r.log.from(p.next, r.cfg.BatchBytes)}
 	p.next += uint64(len(request.Entries))
+	p.unanswered++
 	p.waiting = p.probing
 	r.sendAppend(id, p, request)
 	return true
@@ -143,12 +146,15 @@
 		p.waiting = false
 		p.current, p.goal = p.goal > 0 && p.match >= p.goal, r.commit
 		request := AppendRequest{Prev: p.next - 1}
-		if p.sending != 0 {
+		term, ok := r.log.term(request.Prev)
+		switch {
+		case p.sending != 0 && r.alive(id):
 			r.sendChunk(id, p)
-			request.Prev = 0
+		case p.sending == 0 && !ok && r.alive(id):
+			// What the member lacks was compacted since it was sent.
+			r.startSnapshot(id, p)
 		}
-		term, ok := r.log.term(request.Prev)
-		if !ok {
+		if p.sending != 0 || !ok {
 			request.Prev, term = 0, 0
 		}
 		request.PrevTerm = term
@@ -299,7 +305,7 @@
 	if !a.OK {
 		if a.Prev > p.match {
 			p.next = max(p.match, min(a.Hint, a.Prev-1)) + 1
-			p.probing, p.waiting = true, false
+			p.probing, p.waiting, p.unanswered = true, false, 0
 		}
 		return
 	}
@@ -310,8 +316,11 @@
 		p.match = a.Match
 		p.next = max(p.next, p.match+1)
 	}
-	if a.Match >= p.next-1 {
-		p.probing, p.waiting = false, false
+	switch {
+	case a.Match >= p.next-1:
+		p.probing, p.waiting, p.unanswered = false, false, 0
+	case a.Match > a.Prev && p.unanswered > 0:
+		p.unanswered--
 	}
 	r.advanceCommit()
 }
