--- a/cmd/gypsumshelf/process_test.go
+++ b/cmd/gypsumshelf/process_test.go
@@ -1,14 +1,17 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -39,16 +42,36 @@
 // process is a started program that ends with its test.
 type process struct {
 	cmd *exec.Cmd
+	log lockedBuffer
+}
+
+// lockedBuffer keeps what a process logs.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
 }
 
 func startProcess(t *testing.T, args ...string) *process {
 	t.Helper()
 	cmd := exec.Command(binary, args...)
-	cmd.Stderr = os.Stderr
+	p := &process{cmd: cmd}
+	cmd.Stderr = io.MultiWriter(os.Stderr, &p.log)
 	if err := cmd.Start(); err != nil {
 		t.Fatalf("start %v: %v", args, err)
 	}
-	p := &process{cmd: cmd}
 	t.Cleanup(p.kill)
 	return p
 }
--- /dev/null
+++ b/cmd/gypsumshelf/stop_test.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/entries"
+	"gypsumshelf.example/gypsumshelf/loads"
+	"gypsumshelf.example/gypsumshelf/standins"
+)
+
+// startDeployment runs three daemons and a fleet in front of which they serve.
+func startDeployment(t *testing.T, cfg standins.FleetConfig) ([]*member, []*process) {
+	t.Helper()
+	members := newDeployment(t, 3)
+	var daemons []*process
+	for _, m := range members {
+		daemons = append(daemons, startProcess(t, "serve", "--config", m.file))
+		cfg.Daemons = append(cfg.Daemons, m.addresses["backend-servers"])
+	}
+	cfg.Period, cfg.DataCentres = 200*time.Millisecond, []string{"wien-nord", "linz-hafen", "graz-sued"}
+	cfg.Service, cfg.Engine.Model, cfg.Engine.PrefillRate = "federkiel", "quill", 1e6
+	fleet, err := standins.NewFleet(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	for _, m := range members {
+		waitReady(t, m, cfg.Engines+cfg.Plains)
+	}
+	return members, daemons
+}
+
+// longRequest starts a request that takes about two seconds, and returns once
+// its first token has arrived.
+func longRequest(t *testing.T, m *member) <-chan loads.Outcome {
+	t.Helper()
+	ended := make(chan loads.Outcome, 1)
+	id := fmt.Sprintf("long-%s", m.name)
+	go func() {
+		ended <- loads.NewCaller().Do(context.Background(), loads.Order{
+			Address: m.addresses["callers"], Model: "quill", PromptTokens: 1000, MaxTokens: 20, Seed: 7, RequestID: id,
+		})
+	}()
+	waitFor(t, "first token of "+id, func() bool {
+		resp, err := http.Get("http://" + m.addresses["operators"] + "/explain/" + id)
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		body, _ := io.ReadAll(resp.Body)
+		return strings.Contains(string(body), "first token")
+	})
+	return ended
+}
+
+func slowFleet() standins.FleetConfig {
+	return standins.FleetConfig{Engines: 3, Engine: standins.EngineConfig{TokenInterval: 100 * time.Millisecond}}
+}
+
+func refusal(t *testing.T, resp *http.Response) (code gypsumshelf.Code, verdict string) {
+	t.Helper()
+	defer resp.Body.Close()
+	var body struct {
+		Code gypsumshelf.Code `json:"code"`
+	}
+	_ = json.NewDecoder(resp.Body).Decode(&body)
+	return body.Code, resp.Header.Get(entries.HeaderVerdict)
+}
+
+// Guards against a planned stop that interrupts a request in progress, takes
+// new ones, or does not end with status 0.
+func TestPlannedStop(t *testing.T) {
+	members, daemons := startDeployment(t, slowFleet())
+	ended := longRequest(t, members[0])
+	_ = daemons[0].cmd.Process.Signal(syscall.SIGTERM)
+	url := "http://" + members[0].addresses["callers"]
+	waitFor(t, "not ready", func() bool {
+		resp, err := http.Get(url + "/readyz")
+		if err != nil {
+			t.Fatalf("daemon is gone before its request has ended: %v", err)
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusServiceUnavailable
+	})
+	resp, err := http.Post(url+"/v1/completions", "application/json", strings.NewReader(`{"model":"quill","prompt":"p"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if code, verdict := refusal(t, resp); code != gypsumshelf.CodeStopping || verdict != "not-run" {
+		t.Errorf("new request got %s with verdict %s", code, verdict)
+	}
+	if out := <-ended; out.Err != nil {
+		t.Errorf("request in progress: %v", out.Err)
+	}
+	if err := daemons[0].cmd.Wait(); err != nil {
+		t.Errorf("daemon ended with %v", err)
+	}
+}
+
+// Guards against a second stop signal that is ignored, or that interrupts
+// requests without saying which.
+func TestSecondStopSignal(t *testing.T) {
+	members, daemons := startDeployment(t, slowFleet())
+	ended := longRequest(t, members[0])
+	_ = daemons[0].cmd.Process.Signal(syscall.SIGTERM)
+	waitFor(t, "stop to begin", func() bool { return strings.Contains(daemons[0].log.String(), "stopping") })
+	_ = daemons[0].cmd.Process.Signal(syscall.SIGTERM)
+	if err := daemons[0].cmd.Wait(); err == nil {
+		t.Error("daemon ended with status 0 although it interrupted a request")
+	}
+	if out := <-ended; out.Err == nil {
+		t.Error("request was not interrupted")
+	}
+	if log := daemons[0].log.String(); !strings.Contains(log, "long-"+members[0].name) {
+		t.Errorf("log does not name the interrupted request:\n%s", log)
+	}
+}
+
+// Guards against a keyed call that runs again when it is resent to another
+// daemon, and against a poison request that crashes more than two servers when
+// it is resent under new ids to other daemons.
+func TestResends(t *testing.T) {
+	members, _ := startDeployment(t, standins.FleetConfig{
+		Engines: 4, Plains: 1, PlainService: "book", RestartAfter: 300 * time.Millisecond,
+		Engine: standins.EngineConfig{TokenInterval: time.Millisecond, CrashMark: "poison"},
+	})
+	t.Run("keyed call", func(t *testing.T) {
+		var answers []string
+		for i, m := range members {
+			r, _ := http.NewRequest(http.MethodPost, "http://"+m.addresses["callers"]+"/services/book/orders", strings.NewReader("10"))
+			r.Header.Set(entries.HeaderKey, "k-1")
+			resp, err := http.DefaultClient.Do(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, _ := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			answers = append(answers, string(body))
+			if replayed := resp.Header.Get(entries.HeaderReplayed) != ""; replayed != (i > 0) || answers[i] != answers[0] {
+				t.Errorf("%s: status %d, replayed %v, answer %q", m.name, resp.StatusCode, replayed, body)
+			}
+		}
+	})
+	t.Run("poison request", func(t *testing.T) {
+		before := incarnations(t, members[0])
+		for i, m := range append(members, members...) {
+			resp, err := http.Post("http://"+m.addresses["callers"]+"/v1/completions", "application/json",
+				strings.NewReader(`{"model":"quill","prompt":"poison","max_tokens":4}`))
+			if err != nil {
+				t.Fatal(err)
+			}
+			code, verdict := refusal(t, resp)
+			if code != gypsumshelf.CodeQuarantined || i > 0 && verdict != "not-run" {
+				t.Errorf("send %d to %s got %s with verdict %s", i+1, m.name, code, verdict)
+			}
+		}
+		time.Sleep(time.Second) // a crashed engine has then announced its next start
+		crashed := 0
+		for server, incarnation := range incarnations(t, members[0]) {
+			if before[server] != incarnation {
+				crashed++
+			}
+		}
+		if crashed == 0 || crashed > 2 {
+			t.Errorf("%d engines crashed", crashed)
+		}
+		assertServed(t, members[0], 1000)
+	})
+}
+
+// incarnations returns the incarnation of each backend server.
+func incarnations(t *testing.T, m *member) map[string]string {
+	t.Helper()
+	resp, err := http.Get("http://" + m.addresses["operators"] + "/status")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var status struct {
+		Servers []struct {
+			Name        string `json:"backend-server"`
+			Incarnation string `json:"incarnation"`
+		} `json:"backend-servers"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&status); err != nil {
+		t.Fatal(err)
+	}
+	all := map[string]string{}
+	for _, s := range status.Servers {
+		all[s.Name] = s.Incarnation
+	}
+	return all
+}
--- a/daemons/instance.go
+++ b/daemons/instance.go
@@ -94,7 +94,7 @@
 	}
 	in.daemon = New(Config{
 		Reducer: ReducerConfig{
-			Daemon: s.Daemon, Policy: policy, Session: uuid.NewString(),
+			Daemon: s.Daemon, Policy: policy,
 			Servers:  servers.Config{Expiry: s.Limits.ServerExpiry.Std()},
 			Attempts: attempts.Config{MaxAttempts: s.Limits.MaxAttempts, Keep: keepEnded},
 			Lease:    members.Config{Duration: s.Limits.FreshnessLease.Std()},
