Start the deployments of process tests in one place; give each start a session

Tokens of an earlier start would then have answered new proposals; a reducer with a log and no session now panics. The fleet test waited for two of its four stand-ins and failed when plain-01 announced itself last.

--- a/cmd/gypsumshelf/stop_test.go
+++ b/cmd/gypsumshelf/stop_test.go
@@ -17,13 +17,11 @@
 	"gypsumshelf.example/gypsumshelf/standins"
 )
 
-// startDeployment runs three daemons and a fleet in front of which they serve.
-func startDeployment(t *testing.T, cfg standins.FleetConfig) ([]*member, []*process) {
+// startServing runs three daemons and a fleet in front of which they serve.
+func startServing(t *testing.T, cfg standins.FleetConfig) ([]*member, []*process) {
 	t.Helper()
-	members := newDeployment(t, 3)
-	var daemons []*process
-	for _, m := range members {
-		daemons = append(daemons, startProcess(t, "serve", "--config", m.file))
+	d := startDeployment(t, 3, false)
+	for _, m := range d.members {
 		cfg.Daemons = append(cfg.Daemons, m.addresses["backend-servers"])
 	}
 	cfg.Period, cfg.DataCentres = 200*time.Millisecond, []string{"wien-nord", "linz-hafen", "graz-sued"}
@@ -33,10 +31,10 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(fleet.Close)
-	for _, m := range members {
+	for _, m := range d.members {
 		waitReady(t, m, cfg.Engines+cfg.Plains)
 	}
-	return members, daemons
+	return d.members, d.daemons
 }
 
 // longRequest starts a request that takes about two seconds, and returns once
@@ -79,7 +77,7 @@
 // Guards against a planned stop that interrupts a request in progress, takes
 // new ones, or does not end with status 0.
 func TestPlannedStop(t *testing.T) {
-	members, daemons := startDeployment(t, slowFleet())
+	members, daemons := startServing(t, slowFleet())
 	ended := longRequest(t, members[0])
 	_ = daemons[0].cmd.Process.Signal(syscall.SIGTERM)
 	url := "http://" + members[0].addresses["callers"]
@@ -109,7 +107,7 @@
 // Guards against a second stop signal that is ignored, or that interrupts
 // requests without saying which.
 func TestSecondStopSignal(t *testing.T) {
-	members, daemons := startDeployment(t, slowFleet())
+	members, daemons := startServing(t, slowFleet())
 	ended := longRequest(t, members[0])
 	_ = daemons[0].cmd.Process.Signal(syscall.SIGTERM)
 	waitFor(t, "stop to begin", func() bool { return strings.Contains(daemons[0].log.String(), "stopping") })
@@ -129,7 +127,7 @@
 // daemon, and against a poison request that crashes more than two servers when
 // it is resent under new ids to other daemons.
 func TestResends(t *testing.T) {
-	members, _ := startDeployment(t, standins.FleetConfig{
+	members, _ := startServing(t, standins.FleetConfig{
 		Engines: 4, Plains: 1, PlainService: "book", RestartAfter: 300 * time.Millisecond,
 		Engine: standins.EngineConfig{TokenInterval: time.Millisecond, CrashMark: "poison"},
 	})
--- a/daemons/configuration.go
+++ b/daemons/configuration.go
@@ -48,6 +48,9 @@
 }
 
 func newConfiguration(cfg ReducerConfig, emit func(gypsumshelf.Effect)) *configuration {
+	if cfg.Log != nil && cfg.Session == "" {
+		panic("a reducer with a replicated log needs a session") // entries of an earlier start would answer new proposals
+	}
 	c := &configuration{
 		daemon: cfg.Daemon, session: cfg.Session, log: cfg.Log,
 		state: configs.New(), lease: members.New(cfg.Lease), emit: emit,
--- a/daemons/instance.go
+++ b/daemons/instance.go
@@ -93,6 +93,7 @@
 			Daemon: s.Daemon, Policy: policy,
 			Servers:  servers.Config{Expiry: s.Limits.ServerExpiry.Std()},
 			Attempts: attempts.Config{MaxAttempts: s.Limits.MaxAttempts, Keep: keepEnded},
+			Session:  uuid.NewString(),
 			Replica:  logConfig(s, node, recovered),
 			Lease:    members.Config{Duration: s.Limits.FreshnessLease.Std()},
 		},
--- a/standins/fleet_test.go
+++ b/standins/fleet_test.go
@@ -36,6 +36,12 @@
 	return b.last[id]
 }
 
+func (b *board) len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.last)
+}
+
 func startFleet(t *testing.T) (*Fleet, *board, string) {
 	t.Helper()
 	b := &board{last: map[gypsumshelf.ServerID]gypsumshelf.Announcement{}}
@@ -52,7 +58,7 @@
 	t.Cleanup(f.Close)
 	control := httptest.NewServer(NewControl(f))
 	t.Cleanup(control.Close)
-	until(t, "all announced", func() bool { return b.get("llm-02").Address != "" && b.get("plain-02").Address != "" })
+	until(t, "all announced", func() bool { return b.len() == 4 })
 	return f, b, control.URL
 }
 
