--- a/daemons/instance.go
+++ b/daemons/instance.go
@@ -90,9 +90,10 @@
 	}
 	in.daemon = New(Config{
 		Reducer: ReducerConfig{
-			Daemon: s.Daemon, Policy: policy, Session: uuid.NewString(),
+			Daemon: s.Daemon, Policy: policy,
 			Servers:  servers.Config{Expiry: s.Limits.ServerExpiry.Std()},
 			Attempts: attempts.Config{MaxAttempts: s.Limits.MaxAttempts, Keep: keepEnded},
+			Session:  uuid.NewString(),
 			Replica:  logConfig(s, node, recovered),
 			Lease:    members.Config{Duration: s.Limits.FreshnessLease.Std()},
 		},
