--- a/daemons/log_test.go
+++ b/daemons/log_test.go
@@ -7,9 +7,12 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
+
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/configs"
 	"gypsumshelf.example/gypsumshelf/replicas"
@@ -21,7 +24,6 @@
 	t         testing.TB
 	settings  []settings.Settings
 	instances []*Instance
-	tokens    int
 }
 
 func newGroup(t testing.TB, hosts int) *group {
@@ -117,20 +119,39 @@
 	}
 }
 
-// command returns a log entry that changes one of a few keys, so that the
-// state stays small.
-func (g *group) command(i int) []byte {
+// proposeAtOnce bounds the time for which proposals hold up the event loop: a
+// leader that is held up for an election timeout is replaced, and loses them.
+const proposeAtOnce = 256
+
+// commit has n more entries committed and waits until all that run have them.
+func (g *group) commit(n int) {
 	g.t.Helper()
-	g.tokens++
-	data, err := configs.Entry{
-		Origin: "test", Token: fmt.Sprint(g.tokens), Command: configs.Quarantine{
-			BodyHash: uint64(i % 100), Reason: fmt.Sprint(g.tokens), Keep: settings.Duration(time.Hour),
-		},
-	}.Encode()
-	if err != nil {
-		g.t.Fatal(err)
-	}
-	return data
+	var target uint64
+	g.until(fmt.Sprintf("commit of %d entries everywhere", n), func() bool {
+		leader := g.leader()
+		if leader < 0 {
+			return false
+		}
+		entries := make([][]byte, proposeAtOnce)
+		for i := range entries {
+			entries[i] = g.entry()
+		}
+		g.on(leader, func(r *replicas.Replica) {
+			if target == 0 {
+				target = r.CommitIndex() + uint64(n)
+			}
+			for i := 0; i < proposeAtOnce && r.LastIndex() < target; i++ {
+				// A refusal shows in the target that is not reached.
+				_, _, _ = r.Propose(time.Now(), entries[i])
+			}
+		})
+		all := true
+		for i := range g.instances {
+			g.on(i, func(r *replicas.Replica) { all = all && r.CommitIndex() >= target })
+		}
+		return all
+	})
+	g.assertSameState()
 }
 
 // assertSameState asserts that all running instances hold the same configuration.
@@ -142,10 +163,7 @@
 			continue
 		}
 		in.daemon.Query(context.Background(), func(r *Reducer) {
-			data, err := r.configuration.state.Snapshot()
-			if err != nil {
-				g.t.Error(err)
-			}
+			data := r.configuration.snapshot()
 			if first == nil {
 				first = data
 			}
@@ -156,32 +174,15 @@
 	}
 }
 
-// commit proposes commands at the leader and waits until all that run have them.
-func (g *group) commit(n int) {
-	g.t.Helper()
-	var index uint64
-	g.until("proposal", func() bool {
-		accepted := false
-		if leader := g.leader(); leader >= 0 {
-			g.on(leader, func(r *replicas.Replica) {
-				for i := range n {
-					command := g.command(i)
-					var err error
-					index, _, err = r.Propose(time.Now(), command)
-					accepted = err == nil
-				}
-			})
-		}
-		return accepted
-	})
-	g.until(fmt.Sprintf("commit of entry %d everywhere", index), func() bool {
-		all := true
-		for i := range g.instances {
-			g.on(i, func(r *replicas.Replica) { all = all && r.CommitIndex() >= index })
-		}
-		return all
-	})
-	g.assertSameState()
+// entry returns an encoded command of about 200 bytes that the configuration accepts.
+func (g *group) entry() []byte {
+	data, err := configs.Entry{Origin: "test", Token: uuid.NewString(), Command: configs.Quarantine{
+		BodyHash: 1, Reason: strings.Repeat("x", 32), Keep: settings.Duration(time.Minute),
+	}}.Encode()
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return data
 }
 
 func (g *group) member(i int) (m replicas.Member) {
--- a/loads/log.go
+++ b/loads/log.go
@@ -149,7 +149,7 @@
 		return err
 	}
 	defer os.RemoveAll(folder)
-	all, err := demoSettings(cfg.Daemons, folder)
+	all, err := clusterSettings(folder, clusterConfig{Daemons: cfg.Daemons})
 	if err != nil {
 		return err
 	}
@@ -159,9 +159,8 @@
 			in.Close()
 		}
 	}()
-	for i := range all {
-		all[i].LogLevel = "error"
-		if running[all[i].Daemon], err = daemons.Start(all[i]); err != nil {
+	for _, s := range all {
+		if running[s.Daemon], err = daemons.Start(s); err != nil {
 			return err
 		}
 	}
