--- a/cmd/gypsumshelf/process_test.go
+++ b/cmd/gypsumshelf/process_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -17,6 +16,7 @@
 	"time"
 
 	"gypsumshelf.example/gypsumshelf/loads"
+	"gypsumshelf.example/gypsumshelf/standins"
 )
 
 // binary is the path of the program under test, built once by TestMain.
@@ -111,12 +111,11 @@
 
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := standins.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 // newDeployment writes the settings files of n daemons.
--- a/daemons/reducer.go
+++ b/daemons/reducer.go
@@ -103,7 +103,6 @@
 func (r *Reducer) emit(e gypsumshelf.Effect) { r.out = append(r.out, e) }
 
 func (r *Reducer) tick(now time.Time, _ Tick) {
-	r.tickLog(now)
 	r.refuseOverdue(now)
 	r.queueRetries(now)
 	r.configuration.tick(now)
@@ -113,4 +112,5 @@
 	r.attempts.Expire(now)
 	r.servers.Expire(now)
 	r.dispatch(now)
+	r.tickLog(now)
 }
--- a/replicas/storage_test.go
+++ b/replicas/storage_test.go
@@ -182,6 +182,17 @@
 	assertSent[VoteResponse](t, again.Take(), 1, "after it has verified its storage")
 }
 
+// Guards against storage that is discarded twice.
+func TestRenewIsAskedOnce(t *testing.T) {
+	r, now, others := lone(t)
+	again := New(Config{ID: r.ID(), Durable: true, Session: 2, Recovered: Recovered{Hard: r.hard, Snapshot: r.snapshot}})
+	again.Tick(now)
+	receive(again, now, others[0], 1, VerifyResponse{Asked: 2, Mark: Mark{Term: 1, Index: 2}})
+	if first, second := again.Take().Renew, again.Take().Renew; !first || second {
+		t.Fatalf("renewal asked: first %t, then %t", first, second)
+	}
+}
+
 // Guards against a second group beside one that lost its founders' disks.
 func TestFoundingNeedsFreshDaemons(t *testing.T) {
 	for name, tc := range map[string]struct {
