Place models on engines by demand, from the leader, through the replicated log

Daemons report their demand for each model to the leader. The leader advances a fencing epoch, waits out the orders of the leader before it (freshness lease and send timeout, 5 s), records each order in the log, keeps new work for a model off the engine that is to drop it, and sends the order once the engine has no work. Loads are held under the weight store's rate by a token bucket in the replicated state; an order without effect is sent again every 5 s and replaced after 3 min.

--- a/configs/command.go
+++ b/configs/command.go
@@ -160,6 +160,8 @@
 	Quarantine{}.CommandType():     decode[Quarantine],
 	LiftQuarantine{}.CommandType(): decode[LiftQuarantine],
 	AdvanceEpoch{}.CommandType():   decode[AdvanceEpoch],
+	IssueOrder{}.CommandType():     decode[IssueOrder],
+	EndOrder{}.CommandType():       decode[EndOrder],
 }
 
 func decode[C Command](data []byte) (Command, error) {
--- a/configs/result.go
+++ b/configs/result.go
@@ -21,6 +21,7 @@
 	CodeKeyExpired       Code = "key-expired" // the record of the key has expired
 	CodeKeyTaken         Code = "key-taken"   // another run of the key began earlier
 	CodeStaleEpoch       Code = "stale-epoch"
+	CodeRateLimited      Code = "rate-limited" // the weight store bears no more loads now
 )
 
 // Recorded is an accepted operator command.
--- a/configs/state.go
+++ b/configs/state.go
@@ -51,6 +51,8 @@
 	SpentKeys  spent                                                 `json:"spent-keys"`
 	Quarantine map[uint64]Quarantined                                `json:"quarantine"`
 	Epochs     map[string]Epoch                                      `json:"epochs"`
+	Orders     map[gypsumshelf.ServerID]Issued                       `json:"orders"`
+	Loads      loadBucket                                            `json:"loads"`
 }
 
 // New returns the state before the first entry.
@@ -69,6 +71,7 @@
 	makeMap(&d.Runs)
 	makeMap(&d.Quarantine)
 	makeMap(&d.Epochs)
+	makeMap(&d.Orders)
 	d.SpentIDs.fill(maxSpentIDs)
 	d.SpentKeys.fill(maxSpentKeys)
 }
@@ -112,6 +115,10 @@
 		return s.liftQuarantine(c)
 	case AdvanceEpoch:
 		return s.advanceEpoch(c)
+	case IssueOrder:
+		return s.issueOrder(c)
+	case EndOrder:
+		return s.endOrder(c)
 	}
 	panic(fmt.Sprintf("command %s is not handled", c.CommandType()))
 }
@@ -136,6 +143,7 @@
 	s.d.Swept = s.d.Now
 	s.sweepCommands()
 	s.sweepRuns()
+	s.sweepOrders()
 	maps.DeleteFunc(s.d.Quarantine, func(_ uint64, q Quarantined) bool { return !s.d.Now.Before(q.Expires) })
 }
 
--- a/daemons/instance.go
+++ b/daemons/instance.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/announcements"
@@ -22,6 +23,7 @@
 	"gypsumshelf.example/gypsumshelf/members"
 	"gypsumshelf.example/gypsumshelf/metrics"
 	"gypsumshelf.example/gypsumshelf/peers"
+	"gypsumshelf.example/gypsumshelf/placements"
 	"gypsumshelf.example/gypsumshelf/replicas"
 	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
@@ -53,6 +55,7 @@
 	servers  []*http.Server
 	handler  *entries.Handler
 	cancels  *engines.Canceller
+	log      *logrus.Entry
 	engines  *engines.Client
 	traces   *traces.Provider
 	storage  *storage
@@ -78,6 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
+	in.log = log
 	in.traces, err = traces.New(context.Background(), traces.Config{
 		Endpoint: s.Traces.Endpoint, File: s.Traces.File, Deployment: s.Deployment, Daemon: s.Daemon,
 	})
@@ -97,6 +101,8 @@
 			Session:  uuid.NewString(),
 			Replica:  logConfig(s, node, recovered),
 			Lease:    members.Config{Duration: s.Limits.FreshnessLease.Std()},
+
+			LoadsPerMinute: s.Limits.LoadsPerMinute,
 		},
 		Timers: in.timers, TickPeriod: tickPeriod,
 		Observers: []Observer{in.metrics, logs.NewObserver(log)},
@@ -111,6 +117,7 @@
 	Carry(in.daemon, in.sendProposal)
 	Carry(in.daemon, in.sendExplanation)
 	in.carryLog()
+	in.carryPlacement()
 	in.daemon.Run()
 	in.storage.run()
 	if err := in.openHTTP(); err != nil {
@@ -202,6 +209,8 @@
 		in.daemon.Submit(servers.Announced{Announcement: payload, Forwarded: true})
 	case replicas.Message:
 		in.receiveLog(e, payload)
+	case placements.Report:
+		in.daemon.Submit(placements.Reported{From: e.From, Report: payload})
 	case configs.Proposal:
 		in.daemon.Submit(configs.Forwarded{Proposal: payload})
 	case attempts.Question:
--- /dev/null
+++ b/daemons/orders.go
@@ -0,0 +1,52 @@
+package daemons
+
+import (
+	"context"
+	"encoding/gob"
+	"fmt"
+
+	"github.com/sirupsen/logrus"
+
+	"gypsumshelf.example/gypsumshelf/engines"
+	"gypsumshelf.example/gypsumshelf/logs"
+	"gypsumshelf.example/gypsumshelf/placements"
+)
+
+func init() { gob.Register(placements.Report{}) }
+
+// carryPlacement connects the effects of placement with peers and engines.
+func (in *Instance) carryPlacement() {
+	Carry(in.daemon, func(e placements.SendReport) { in.links.Send(e.To, e.Report) })
+	Carry(in.daemon, func(e placements.SendOrder) {
+		s := &orderSending{instance: in, effect: e}
+		go s.run()
+	})
+}
+
+// orderSending is one call that gives an order to an engine.
+type orderSending struct {
+	instance *Instance
+	effect   placements.SendOrder
+}
+
+// run sends the order unless the lease under which it was decided has ended,
+// for example while this process was stopped.
+func (s *orderSending) run() {
+	now := s.instance.timers.Now()
+	if !s.effect.NotAfter.IsZero() && !now.Before(s.effect.NotAfter) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), orderSendTimeout)
+	defer cancel()
+	o := s.effect.Order
+	err := s.instance.engines.Order(ctx, s.effect.Address, engines.Order{
+		ID:   fmt.Sprintf("%d.%s.%s", s.effect.Fencing, o.Server, o.Load),
+		Kind: engines.OrderLoadModel, Target: o.Load, Replace: o.Replace, Fencing: s.effect.Fencing,
+	})
+	log := s.instance.log.WithFields(logrus.Fields{logs.KeyServer: o.Server, "model": o.Load, "replaces": o.Replace})
+	if err != nil {
+		log.WithError(err).Warn("order to load a model was not confirmed and is sent again")
+		return
+	}
+	log.Info("engine accepted the order to load a model")
+}
--- /dev/null
+++ b/daemons/placement.go
@@ -0,0 +1,213 @@
+package daemons
+
+import (
+	"slices"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/configs"
+	"gypsumshelf.example/gypsumshelf/placements"
+)
+
+const (
+	placementPeriod = time.Second
+	// orderRetry is the time after which an order without a visible effect is sent again.
+	orderRetry = 5 * time.Second
+	// orderTimeout covers the end of the requests in progress and the load itself.
+	orderTimeout = 3 * time.Minute
+	// orderSendTimeout bounds one call to an engine. An order is not sent after
+	// the end of the leader's freshness lease, so that no order is in flight
+	// longer than the lease and this time.
+	orderSendTimeout = 2 * time.Second
+	shrinkDelay      = 10 * time.Minute
+	placementWait    = 5 * time.Second // for the result of a proposal
+	demandHeadroom   = 1.25
+	// defaultEngineRate is used until first tokens have been timed, in prompt tokens per second.
+	defaultEngineRate = 50_000
+	loadBurst         = 2
+)
+
+// placement is the reducer part that, on the leader, decides which engine
+// holds which model.
+type placement struct {
+	planner   *placements.Planner
+	meter     *placements.Meter
+	lease     time.Duration
+	perMinute float64
+	due       time.Time
+	term      uint64 // in which this daemon asked for its epoch
+	epoch     uint64 // fencing epoch of this leader, 0 while it has none
+	issued    []*issuedOrder
+}
+
+// issuedOrder is an order of this leader that is recorded in the log.
+type issuedOrder struct {
+	order placements.Order
+	at    time.Time
+	sent  time.Time
+}
+
+func newPlacement(cfg ReducerConfig) *placement {
+	return &placement{
+		planner: placements.New(placements.Config{
+			MinCopies: 2, KeepCopies: 1, Headroom: demandHeadroom, ShrinkDelay: shrinkDelay,
+			OrderTimeout: orderTimeout, MaxOrderFlight: cfg.Lease.Duration + orderSendTimeout, ModelsPerEngine: 1,
+		}),
+		meter: placements.NewMeter(), lease: cfg.Lease.Duration, perMinute: cfg.LoadsPerMinute,
+	}
+}
+
+func (r *Reducer) registerPlacement() {
+	on(r, func(now time.Time, e placements.Reported) { r.placement.meter.Take(now, e.From, e.Report) })
+}
+
+// tickPlacement reports this daemon's demand and, on the leader, issues orders.
+func (r *Reducer) tickPlacement(now time.Time) {
+	p := r.placement
+	if p.perMinute <= 0 || now.Before(p.due) {
+		return
+	}
+	p.due = now.Add(placementPeriod)
+	own := p.meter.Own(now)
+	leader, ok := r.configuration.log.Leader()
+	switch {
+	case !ok || !r.configuration.fresh(now):
+		p.stepDown()
+	case leader == r.cfg.Daemon:
+		p.meter.Take(now, leader, own)
+		r.leadPlacement(now)
+	default:
+		p.stepDown()
+		r.emit(placements.SendReport{To: leader, Report: own})
+	}
+}
+
+func (p *placement) stepDown() {
+	p.planner.StepDown()
+	p.term, p.epoch, p.issued = 0, 0, nil
+}
+
+func (r *Reducer) leadPlacement(now time.Time) {
+	p := r.placement
+	if term := r.configuration.log.Term(); p.term != term {
+		p.stepDown()
+		p.term = term
+		r.advancePlacementEpoch(now, term)
+		return
+	}
+	if p.epoch == 0 {
+		return
+	}
+	v := r.placementView(now)
+	for _, order := range p.planner.Plan(now, v) {
+		r.issueOrder(now, order)
+	}
+	r.followOrders(now)
+}
+
+func (r *Reducer) advancePlacementEpoch(now time.Time, term uint64) {
+	p := r.placement
+	command := configs.AdvanceEpoch{
+		Name: configs.PlacementEpoch, From: r.configuration.state.Epoch(configs.PlacementEpoch).Number, Owner: r.cfg.Daemon,
+	}
+	r.configuration.propose(now, command, placementWait, func(now time.Time, result configs.Result, err error) {
+		switch {
+		case p.term != term:
+		case err != nil || !result.Accepted():
+			p.term = 0 // asks again
+		default:
+			p.epoch = result.Epoch
+			p.planner.Lead(now)
+		}
+	})
+}
+
+func (r *Reducer) issueOrder(now time.Time, order placements.Order) {
+	p := r.placement
+	epoch := p.epoch
+	command := configs.IssueOrder{Epoch: epoch, Order: order, PerMinute: p.perMinute, Burst: loadBurst}
+	r.configuration.propose(now, command, placementWait, func(now time.Time, result configs.Result, err error) {
+		switch {
+		case p.epoch != epoch:
+		case err != nil || !result.Accepted():
+			p.planner.Withdraw(order)
+		default:
+			p.issued = append(p.issued, &issuedOrder{order: order, at: now})
+		}
+	})
+}
+
+// followOrders sends the issued orders and ends those that took effect or
+// timed out.
+func (r *Reducer) followOrders(now time.Time) {
+	p := r.placement
+	p.issued = slices.DeleteFunc(p.issued, func(i *issuedOrder) bool {
+		if p.planner.Pending(i.order) {
+			return false
+		}
+		end := configs.EndOrder{Epoch: p.epoch, Order: i.order}
+		r.configuration.propose(now, end, placementWait, func(time.Time, configs.Result, error) {})
+		return true
+	})
+	for _, i := range p.issued {
+		s := r.servers.Server(i.order.Server)
+		if s == nil || s.Announcement().Incarnation != i.order.Incarnation || now.Sub(i.sent) < orderRetry || !r.drained(now, i) {
+			continue
+		}
+		i.sent = now
+		r.emit(placements.SendOrder{
+			Address: s.Announcement().Address, Order: i.order, Fencing: p.epoch, NotAfter: r.configuration.lease.Expires(),
+		})
+	}
+}
+
+// drained reports whether no daemon has work on an engine that is to drop a
+// model: every daemon with a valid lease has known of the order for the length
+// of the lease, and the engine reports no work.
+func (r *Reducer) drained(now time.Time, i *issuedOrder) bool {
+	if i.order.Replace == "" {
+		return true
+	}
+	load := r.servers.Server(i.order.Server).Announcement().Load
+	return now.Sub(i.at) > r.placement.lease && load.Running == 0 && load.Queued == 0
+}
+
+func (r *Reducer) placementView(now time.Time) placements.View {
+	v := placements.View{EngineRate: defaultEngineRate}
+	serviceOf := map[string]string{}
+	var rates []float64
+	for _, s := range r.servers.All() {
+		a := s.Announcement()
+		if a.Kind != gypsumshelf.KindEngine {
+			continue
+		}
+		for _, model := range a.Models {
+			serviceOf[model] = a.Service
+		}
+		if t := s.TokenTime(); t > 0 {
+			rates = append(rates, 1/t.Seconds())
+		}
+		v.Engines = append(v.Engines, placements.Engine{
+			Server: a.Server, Incarnation: a.Incarnation, DataCentre: a.DataCentre, Service: a.Service,
+			Models: a.Models, InService: r.servers.Accepts(now, s),
+		})
+	}
+	if len(rates) > 0 {
+		slices.Sort(rates)
+		v.EngineRate = rates[len(rates)/2]
+	}
+	v.Demand = r.placement.meter.Sum(now, func(model string) string { return serviceOf[model] })
+	return v
+}
+
+// retiring reports whether an engine is about to drop the request's model.
+func (r *Reducer) retiring(req gypsumshelf.Request, a gypsumshelf.Announcement) bool {
+	return r.configuration.state.Retiring(a.Server, a.Incarnation, req.Model)
+}
+
+func (r *Reducer) countDemand(_ time.Time, e attempts.Arrived) {
+	if e.Request.Model != "" {
+		r.placement.meter.Count(e.Request.Model, e.Request.PromptTokens)
+	}
+}
--- a/daemons/reducer.go
+++ b/daemons/reducer.go
@@ -25,8 +25,11 @@
 	Attempts attempts.Config
 	Lease    members.Config
 	Session  string // unique to this start of the daemon
-	Replica  replicas.Config
-	Log      replicatedLog // stands for the replica in tests
+	// LoadsPerMinute is the rate of model loads that the weight store bears;
+	// with 0 no model is placed.
+	LoadsPerMinute float64
+	Replica        replicas.Config
+	Log            replicatedLog // stands for the replica in tests
 }
 
 // Reducer makes every decision of a daemon. It has no clock, no I/O and no
@@ -43,6 +46,7 @@
 	trials   map[gypsumshelf.ServerID]gypsumshelf.AttemptID // suspects that run apart from other work
 
 	configuration *configuration
+	placement     *placement
 	runs          uint64                                   // keyed runs begun since the start
 	waiting       map[gypsumshelf.RequestID]configs.RunKey // requests that wait for a run of their key
 }
@@ -62,12 +66,14 @@
 		cfg.Log = r.log
 	}
 	r.configuration = newConfiguration(cfg, r.emit)
+	r.placement = newPlacement(cfg)
 	cfg.Servers.InService = r.inService
 	r.servers = servers.New(cfg.Servers)
 	on(r, r.tick)
 	r.registerServers()
 	r.registerRequests()
 	r.registerConfiguration()
+	r.registerPlacement()
 	return r
 }
 
@@ -113,4 +119,5 @@
 	r.servers.Expire(now)
 	r.dispatch(now)
 	r.tickLog(now)
+	r.tickPlacement(now)
 }
--- a/daemons/requests.go
+++ b/daemons/requests.go
@@ -32,6 +32,7 @@
 		r.emit(attempts.Refuse{Request: req.ID, Err: gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeBadRequest, "request id %q is in use", req.ID)})
 		return
 	}
+	r.countDemand(now, e)
 	if failure := r.notReady(now); failure != nil {
 		r.refuse(now, rec, failure)
 		return
--- a/daemons/suspects.go
+++ b/daemons/suspects.go
@@ -145,6 +145,7 @@
 	if suspects.Held(now, hash) {
 		return nil
 	}
+	ready = slices.DeleteFunc(ready, func(s *servers.Server) bool { return r.retiring(rec.Request(), s.Announcement()) })
 	if !suspects.Suspect(hash) {
 		return preferred(untried(rec, ready), func(s *servers.Server) bool { return !r.onTrial(s) })
 	}
--- /dev/null
+++ b/placements/meter.go
@@ -0,0 +1,81 @@
+package placements
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+)
+
+// reportExpiry is the time after which the demand of a silent daemon no longer counts.
+const reportExpiry = 10 * time.Second
+
+// meterWeight is the weight of the newest second in the average demand.
+const meterWeight = 0.1
+
+// Meter averages the demand of a daemon and sums up the reports of all.
+type Meter struct {
+	counted  map[string]float64
+	average  map[string]float64
+	since    time.Time
+	reports  map[gypsumshelf.DaemonID]Report
+	reported map[gypsumshelf.DaemonID]time.Time
+}
+
+// NewMeter returns a Meter without any demand.
+func NewMeter() *Meter {
+	return &Meter{
+		counted: map[string]float64{}, average: map[string]float64{},
+		reports: map[gypsumshelf.DaemonID]Report{}, reported: map[gypsumshelf.DaemonID]time.Time{},
+	}
+}
+
+// Count adds an arrived request.
+func (m *Meter) Count(model string, tokens int) { m.counted[model] += float64(tokens) }
+
+// Own returns the average demand of this daemon. It is called about once a second.
+func (m *Meter) Own(now time.Time) Report {
+	if elapsed := now.Sub(m.since).Seconds(); !m.since.IsZero() && elapsed > 0 {
+		for model := range m.counted {
+			m.average[model] += 0 // gives a new model an average
+		}
+		for model, average := range m.average {
+			m.average[model] = average + meterWeight*(m.counted[model]/elapsed-average)
+			if m.average[model] < 1 && m.counted[model] == 0 {
+				delete(m.average, model)
+			}
+		}
+	}
+	m.since = now
+	clear(m.counted)
+	return Report{Tokens: maps.Clone(m.average)}
+}
+
+// Take takes the report of a daemon.
+func (m *Meter) Take(now time.Time, from gypsumshelf.DaemonID, r Report) {
+	m.reports[from], m.reported[from] = r, now
+}
+
+// Sum returns the demand of all daemons in the order of the models' names.
+// serviceOf returns the service whose engines may hold a model.
+func (m *Meter) Sum(now time.Time, serviceOf func(model string) string) []Demand {
+	sum := map[string]float64{}
+	for from, at := range m.reported {
+		if now.Sub(at) > reportExpiry {
+			delete(m.reports, from)
+			delete(m.reported, from)
+			continue
+		}
+		for model, tokens := range m.reports[from].Tokens {
+			sum[model] += tokens
+		}
+	}
+	var demand []Demand
+	for _, model := range slices.Sorted(maps.Keys(sum)) {
+		if service := serviceOf(model); service != "" {
+			demand = append(demand, Demand{Model: model, Service: service, Tokens: sum[model]})
+		}
+	}
+	return demand
+}
--- a/placements/planner.go
+++ b/placements/planner.go
@@ -15,7 +15,7 @@
 // Config configures a Planner.
 type Config struct {
 	MinCopies       int           // engines that hold a model with any demand
-	EngineRate      float64       // prompt tokens per second that one engine serves
+	KeepCopies      int           // engines that keep a model without demand, so that it stays known
 	Headroom        float64       // factor on the demand, above 1
 	ShrinkDelay     time.Duration // time for which a surplus copy is kept
 	OrderTimeout    time.Duration // time after which an order without effect is replaced
@@ -50,8 +50,9 @@
 
 // View is what the planner decides on.
 type View struct {
-	Engines []Engine
-	Demand  []Demand
+	Engines    []Engine
+	Demand     []Demand
+	EngineRate float64 // prompt tokens per second that one engine serves
 }
 
 // Planner plans orders. It has no clock and no I/O.
@@ -122,6 +123,9 @@
 	return orders
 }
 
+// Pending reports whether an order has neither taken effect nor timed out.
+func (p *Planner) Pending(o Order) bool { return p.pending[o.Server].order == o }
+
 // Withdraw forgets an order that was not issued, for example because the
 // weight store's rate is exhausted.
 func (p *Planner) Withdraw(o Order) {
@@ -148,12 +152,13 @@
 	maps.DeleteFunc(p.failed, func(_ failure, until time.Time) bool { return !now.Before(until) })
 }
 
-// Wanted returns the number of engines that should hold a model.
-func (p *Planner) Wanted(d Demand) int {
+// Wanted returns the number of engines that should hold a model, when each
+// serves rate prompt tokens per second.
+func (p *Planner) Wanted(d Demand, rate float64) int {
 	if d.Tokens <= 0 {
 		return 0
 	}
-	return max(p.cfg.MinCopies, int(math.Ceil(d.Tokens*p.cfg.Headroom/p.cfg.EngineRate)))
+	return max(p.cfg.MinCopies, int(math.Ceil(d.Tokens*p.cfg.Headroom/rate)))
 }
 
 func (p *Planner) grow(now time.Time, v View, d Demand) (Order, bool) {
@@ -165,7 +170,7 @@
 			copies++
 		}
 	}
-	if copies >= p.Wanted(d) {
+	if copies >= p.Wanted(d, v.EngineRate) {
 		return Order{}, false
 	}
 	var best Order
@@ -205,7 +210,7 @@
 	copies := p.countCopies(v.Engines)
 	maps.DeleteFunc(p.surplus, func(model string, _ time.Time) bool { return copies[model] == 0 })
 	for model, n := range copies {
-		if n <= p.wantedOf(v.Demand, model) {
+		if n <= p.wantedOf(v, model) {
 			delete(p.surplus, model)
 		} else if _, ok := p.surplus[model]; !ok {
 			p.surplus[model] = now
@@ -226,17 +231,17 @@
 	return copies
 }
 
-func (p *Planner) wantedOf(demand []Demand, model string) int {
-	i := slices.IndexFunc(demand, func(d Demand) bool { return d.Model == model })
+func (p *Planner) wantedOf(v View, model string) int {
+	i := slices.IndexFunc(v.Demand, func(d Demand) bool { return d.Model == model })
 	if i < 0 {
-		return 0
+		return p.cfg.KeepCopies
 	}
-	return p.Wanted(demand[i])
+	return max(p.cfg.KeepCopies, p.Wanted(v.Demand[i], v.EngineRate))
 }
 
 // mayReplace reports whether a model has had a surplus copy for
 // Config.ShrinkDelay, which keeps a short dip of its demand from moving it.
 func (p *Planner) mayReplace(now time.Time, v View, model string) bool {
 	since, ok := p.surplus[model]
-	return ok && now.Sub(since) >= p.cfg.ShrinkDelay && p.countCopies(v.Engines)[model] > p.wantedOf(v.Demand, model)
+	return ok && now.Sub(since) >= p.cfg.ShrinkDelay && p.countCopies(v.Engines)[model] > p.wantedOf(v, model)
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -187,6 +187,9 @@
 			d.fault("limits."+f.key, "must be greater than zero")
 		}
 	}
+	if l.LoadsPerMinute <= 0 {
+		d.fault("limits.loads-per-minute", "must be greater than zero")
+	}
 	if l.BodyBudgetBytes < l.MaxBodyBytes {
 		d.fault("limits.body-budget-bytes", "is smaller than max-body-bytes, so that the largest body could never be kept")
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -58,7 +58,8 @@
 	FreshnessLease  Duration `json:"freshness-lease"`
 	ProgressTimeout Duration `json:"progress-timeout"` // longest silence of a running stream
 	DialTimeout     Duration `json:"dial-timeout"`
-	ServerExpiry    Duration `json:"server-expiry"` // silence after which a backend server is taken for dead
+	LoadsPerMinute  float64  `json:"loads-per-minute"` // model loads that the weight store bears
+	ServerExpiry    Duration `json:"server-expiry"`    // silence after which a backend server is taken for dead
 }
 
 // Routing selects the policy of package routes.
@@ -84,6 +85,7 @@
 			ProgressTimeout: Duration(20 * time.Second),
 			DialTimeout:     Duration(time.Second),
 			ServerExpiry:    Duration(3 * time.Second),
+			LoadsPerMinute:  2,
 		},
 		Routing:  Routing{Policy: "least-loaded"},
 		LogLevel: "info",
