--- a/daemons/log_test.go
+++ b/daemons/log_test.go
@@ -7,12 +7,9 @@
 	"net"
 	"os"
 	"path/filepath"
-	"strings"
 	"testing"
 	"time"
 
-	"github.com/google/uuid"
-
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/configs"
 	"gypsumshelf.example/gypsumshelf/replicas"
@@ -24,6 +21,7 @@
 	t         testing.TB
 	settings  []settings.Settings
 	instances []*Instance
+	tokens    int
 }
 
 func newGroup(t testing.TB, hosts int) *group {
@@ -119,39 +117,20 @@
 	}
 }
 
-// proposeAtOnce bounds the time for which proposals hold up the event loop: a
-// leader that is held up for an election timeout is replaced, and loses them.
-const proposeAtOnce = 256
-
-// commit has n more entries committed and waits until all that run have them.
-func (g *group) commit(n int) {
+// command returns a log entry that changes one of a few keys, so that the
+// state stays small.
+func (g *group) command(i int) []byte {
 	g.t.Helper()
-	var target uint64
-	g.until(fmt.Sprintf("commit of %d entries everywhere", n), func() bool {
-		leader := g.leader()
-		if leader < 0 {
-			return false
-		}
-		entries := make([][]byte, proposeAtOnce)
-		for i := range entries {
-			entries[i] = g.entry()
-		}
-		g.on(leader, func(r *replicas.Replica) {
-			if target == 0 {
-				target = r.CommitIndex() + uint64(n)
-			}
-			for i := 0; i < proposeAtOnce && r.LastIndex() < target; i++ {
-				// A refusal shows in the target that is not reached.
-				_, _, _ = r.Propose(time.Now(), entries[i])
-			}
-		})
-		all := true
-		for i := range g.instances {
-			g.on(i, func(r *replicas.Replica) { all = all && r.CommitIndex() >= target })
-		}
-		return all
-	})
-	g.assertSameState()
+	g.tokens++
+	data, err := configs.Entry{
+		Origin: "test", Token: fmt.Sprint(g.tokens), Command: configs.Quarantine{
+			BodyHash: uint64(i % 100), Reason: fmt.Sprint(g.tokens), Keep: settings.Duration(time.Hour),
+		},
+	}.Encode()
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return data
 }
 
 // assertSameState asserts that all running instances hold the same configuration.
@@ -163,7 +142,10 @@
 			continue
 		}
 		in.daemon.Query(context.Background(), func(r *Reducer) {
-			data := r.configuration.snapshot()
+			data, err := r.configuration.state.Snapshot()
+			if err != nil {
+				g.t.Error(err)
+			}
 			if first == nil {
 				first = data
 			}
@@ -174,15 +156,55 @@
 	}
 }
 
-// entry returns an encoded command of about 200 bytes that the configuration accepts.
-func (g *group) entry() []byte {
-	data, err := configs.Entry{Origin: "test", Token: uuid.NewString(), Command: configs.Quarantine{
-		BodyHash: 1, Reason: strings.Repeat("x", 32), Keep: settings.Duration(time.Minute),
-	}}.Encode()
-	if err != nil {
-		g.t.Fatal(err)
+// maxProposals is the number of proposals in one step. 8192 at once took longer
+// than the election timeout under the race detector, and were lost with their
+// leader.
+const maxProposals = 256
+
+// commit proposes commands at the leader and waits until all that run have them.
+func (g *group) commit(n int) {
+	g.t.Helper()
+	for ; n > 0; n -= maxProposals {
+		commands := make([][]byte, min(n, maxProposals))
+		for i := range commands {
+			commands[i] = g.command(i)
+		}
+		index, term := g.propose(commands)
+		g.until(fmt.Sprintf("commit of entry %d everywhere", index), func() bool {
+			all, lost := true, false
+			for i := range g.instances {
+				g.on(i, func(r *replicas.Replica) {
+					all = all && r.CommitIndex() >= index
+					lost = lost || r.Term() > term
+				})
+			}
+			if lost && !all {
+				index, term = g.propose(commands) // as the daemon that waits for the result does
+			}
+			return all
+		})
 	}
-	return data
+	g.assertSameState()
+}
+
+// propose proposes commands at the leader and returns the index and the term
+// of the last one.
+func (g *group) propose(commands [][]byte) (index, term uint64) {
+	g.t.Helper()
+	g.until("proposal", func() bool {
+		accepted := false
+		if leader := g.leader(); leader >= 0 {
+			g.on(leader, func(r *replicas.Replica) {
+				for _, c := range commands {
+					var err error
+					index, term, err = r.Propose(time.Now(), c)
+					accepted = err == nil
+				}
+			})
+		}
+		return accepted
+	})
+	return index, term
 }
 
 func (g *group) member(i int) (m replicas.Member) {
--- a/daemons/reducer.go
+++ b/daemons/reducer.go
@@ -10,6 +10,7 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/admissions"
 	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/configs"
 	"gypsumshelf.example/gypsumshelf/members"
 	"gypsumshelf.example/gypsumshelf/replicas"
 	"gypsumshelf.example/gypsumshelf/routes"
@@ -23,9 +24,9 @@
 	Servers  servers.Config
 	Attempts attempts.Config
 	Lease    members.Config
-	Session  string           // unique to this start of the daemon
-	Replica  *replicas.Config // replicated log, nil for a configuration that never changes
-	Log      replicatedLog    // used in place of Replica when not nil
+	Session  string // unique to this start of the daemon
+	Replica  replicas.Config
+	Log      replicatedLog // stands for the replica in tests
 }
 
 // Reducer makes every decision of a daemon. It has no clock, no I/O and no
@@ -35,13 +36,15 @@
 	servers  *servers.Table
 	attempts *attempts.Table
 	queue    admissions.Queue
-	log      logState
+	log      *logPart // nil without a replica
 	handlers map[reflect.Type]func(time.Time, gypsumshelf.Event)
 	out      []gypsumshelf.Effect
 	stopping bool
 	trials   map[gypsumshelf.ServerID]gypsumshelf.AttemptID // suspects that run apart from other work
 
 	configuration *configuration
+	runs          uint64                                   // keyed runs begun since the start
+	waiting       map[gypsumshelf.RequestID]configs.RunKey // requests that wait for a run of their key
 }
 
 // NewReducer returns a Reducer without any backend server or request.
@@ -51,10 +54,12 @@
 		attempts: attempts.New(cfg.Attempts),
 		handlers: map[reflect.Type]func(time.Time, gypsumshelf.Event){},
 		trials:   map[gypsumshelf.ServerID]gypsumshelf.AttemptID{},
+		waiting:  map[gypsumshelf.RequestID]configs.RunKey{},
 	}
-	if cfg.Replica != nil {
-		r.log = logState{replica: replicas.New(*cfg.Replica), cfg: *cfg.Replica}
-		cfg.Log = &r.log
+	if cfg.Log == nil && cfg.Replica.ID.Daemon != "" {
+		r.log = newLogPart(cfg.Replica)
+		r.registerLog()
+		cfg.Log = r.log
 	}
 	r.configuration = newConfiguration(cfg, r.emit)
 	cfg.Servers.InService = r.inService
@@ -63,7 +68,6 @@
 	r.registerServers()
 	r.registerRequests()
 	r.registerConfiguration()
-	r.registerLog()
 	return r
 }
 
@@ -99,12 +103,14 @@
 func (r *Reducer) emit(e gypsumshelf.Effect) { r.out = append(r.out, e) }
 
 func (r *Reducer) tick(now time.Time, _ Tick) {
+	r.tickLog(now)
 	r.refuseOverdue(now)
 	r.queueRetries(now)
 	r.configuration.tick(now)
+	r.checkKeys(now)
+	r.refuseQuarantined(now)
 	r.refuseStale(now)
 	r.attempts.Expire(now)
 	r.servers.Expire(now)
 	r.dispatch(now)
-	r.tickLog(now)
 }
--- a/loads/bench_leaving.go
+++ b/loads/bench_leaving.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
+	"gypsumshelf.example/gypsumshelf/configs"
+	"gypsumshelf.example/gypsumshelf/operators"
 	"gypsumshelf.example/gypsumshelf/standins"
 )
 
@@ -13,6 +17,13 @@
 // three have 75%.
 const leavingLoad = 0.5
 
+// Engines that return cold after a crash.
+const (
+	coldLimit   = 4  // requests at once that they bear at first
+	coldWork    = 40 // completed requests until they are warm
+	coldPenalty = 3
+)
+
 // phase is one part of a measurement; its arrivals end when the next part
 // begins, its answers may come later.
 type phase struct {
@@ -28,7 +39,12 @@
 
 // measureLeaving runs load while a data centre leaves and returns.
 func measureLeaving(ctx context.Context, cfg MeasureConfig) error {
-	c, err := cfg.cluster(ctx, first(cfg.Policies))
+	fleet := cfg.fleetConfig()
+	if cfg.By == ByCrash {
+		fleet.StartWarm = true
+		fleet.Engine.WarmupLimit, fleet.Engine.WarmupWork, fleet.Engine.ColdPenalty = coldLimit, coldWork, coldPenalty
+	}
+	c, err := newCluster(ctx, clusterConfig{Daemons: cfg.Daemons, Policy: first(cfg.Policies), Fleet: fleet})
 	if err != nil {
 		return err
 	}
@@ -36,7 +52,7 @@
 	mixture := DefaultMixture()
 	rate := cfg.rate(mixture, leavingLoad)
 	name := clusterDataCentres[0]
-	fmt.Fprintf(cfg.Out, "%.1f requests/s, capacity of all data centres %.1f/s; %s leaves by announcements of its servers\n", rate, cfg.capacity(mixture), name)
+	fmt.Fprintf(cfg.Out, "%.1f requests/s, capacity of all data centres %.1f/s; %s leaves and returns by %s\n", rate, cfg.capacity(mixture), name, cfg.By)
 	var answers sync.WaitGroup
 	var phases []*phase
 	var left time.Time
@@ -49,7 +65,7 @@
 		}
 		if part.action != "" {
 			left = time.Now()
-			if err := c.fleet.Do(part.action, "", name); err != nil {
+			if err := cfg.change(ctx, c, part.action, name); err != nil {
 				return err
 			}
 		}
@@ -63,10 +79,53 @@
 	if err := writePhases(cfg, phases); err != nil {
 		return err
 	}
+	collapses := 0
+	for _, s := range c.fleet.Status() {
+		collapses += s.Collapses
+	}
+	fmt.Fprintf(cfg.Out, "engines that failed all their requests because they were cold and overloaded: %d times\n", collapses)
 	fmt.Fprintf(cfg.Out, "last new work in %s: %s after it began to leave (target: a few seconds)\n", name, max(0, quiet).Round(time.Millisecond))
 	return ctx.Err()
 }
 
+// change makes a data centre leave or return.
+func (cfg MeasureConfig) change(ctx context.Context, c *cluster, action, dataCentre string) error {
+	switch cfg.By {
+	case ByAnnouncement:
+		return c.fleet.Do(action, "", dataCentre)
+	case ByCrash:
+		if action == standins.ActionLeaving {
+			action = standins.ActionDead
+		}
+		return c.fleet.Do(action, "", dataCentre)
+	case ByOperator:
+		return operate(ctx, cfg, c, action, dataCentre)
+	}
+	return fmt.Errorf("unknown way to leave %q", cfg.By)
+}
+
+func operate(ctx context.Context, cfg MeasureConfig, c *cluster, action, dataCentre string) error {
+	client := operators.NewClient(operators.ClientConfig{Servers: []string{c.settings[len(c.settings)-1].Listen.Operators}})
+	status, err := client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	id, err := operators.NewCommandID()
+	if err != nil {
+		return err
+	}
+	change := configs.Change{Action: configs.ActionTakeOut, Name: dataCentre}
+	if action == standins.ActionReady {
+		change.Action = configs.ActionBringBack
+	}
+	start := time.Now()
+	answer, err := client.Operate(ctx, configs.Operate{CommandID: id, Operator: "measurement", Revision: status.Revision, Change: change})
+	if err == nil {
+		fmt.Fprintf(cfg.Out, "%s: revision %d after %s\n", change, answer.Revision, time.Since(start).Round(time.Millisecond))
+	}
+	return err
+}
+
 // lastArrival returns the time of the last work at any server of a data centre.
 func lastArrival(c *cluster, dataCentre string) time.Time {
 	var last time.Time
@@ -94,8 +153,8 @@
 		return err
 	}
 	for _, p := range phases {
-		for key, n := range p.report.Failures {
-			fmt.Fprintf(cfg.Out, "  %s: %s: %d\n", p.name, key, n)
+		for _, key := range slices.Sorted(maps.Keys(p.report.Failures)) {
+			fmt.Fprintf(cfg.Out, "  %s: %s: %d\n", p.name, key, p.report.Failures[key])
 		}
 	}
 	return nil
--- a/replicas/storage_test.go
+++ b/replicas/storage_test.go
@@ -131,7 +131,8 @@
 	}
 }
 
-// Guards against a stamp that is confirmed by contact from before it arrived.
+// Guards against a stamp or a read that is confirmed by contact from before it
+// arrived.
 func TestStampWaitsForLaterContact(t *testing.T) {
 	r, now, others := leadLone(t)
 	sync(r, now)
@@ -142,7 +143,13 @@
 	if got := r.progress[others[1]].approved; got != (Confirmation{}) {
 		t.Fatalf("confirmed %+v by an answer to an earlier request", got)
 	}
+	if r.Confirmed(now) {
+		t.Fatal("a read is confirmed by an answer to an earlier request")
+	}
 	receive(r, now, others[0], 2, AppendResponse{OK: true, Match: 2, Sent: lead + testElection/2})
+	if !r.Confirmed(now) {
+		t.Fatal("a read is not confirmed by contact after it")
+	}
 	if got := r.progress[others[1]].approved; got.Asked.At != time.Hour || got.Commit != 2 {
 		t.Fatalf("confirmed %+v by contact after the stamp", got)
 	}
--- a/standins/fleet_test.go
+++ b/standins/fleet_test.go
@@ -36,13 +36,19 @@
 	return b.last[id]
 }
 
+func (b *board) len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.last)
+}
+
 func startFleet(t *testing.T) (*Fleet, *board, string) {
 	t.Helper()
 	b := &board{last: map[gypsumshelf.ServerID]gypsumshelf.Announcement{}}
 	daemon := httptest.NewServer(b)
 	t.Cleanup(daemon.Close)
 	f, err := NewFleet(FleetConfig{
-		Service: "llm", Engines: 2, Engine: EngineConfig{PrefillRate: 1e9, CrashMark: "CRASH"},
+		Service: "llm", Engines: 2, Engine: EngineConfig{PrefillRate: 1e9, CrashMark: "CRASH", WarmupLimit: 4, WarmupWork: 9}, StartWarm: true,
 		PlainService: "plain", Plains: 2, DataCentres: []string{"a", "b"},
 		Daemons: []string{daemon.Listener.Addr().String()}, Period: time.Millisecond, RestartAfter: time.Millisecond,
 	})
@@ -52,7 +58,7 @@
 	t.Cleanup(f.Close)
 	control := httptest.NewServer(NewControl(f))
 	t.Cleanup(control.Close)
-	until(t, "all announced", func() bool { return b.get("llm-02").Address != "" && b.get("plain-02").Address != "" })
+	until(t, "all announced", func() bool { return b.len() == 4 })
 	return f, b, control.URL
 }
 
@@ -90,6 +96,24 @@
 	}
 }
 
+// Guards against a server that is warm after a restart or cold at its start.
+func TestRestartIsCold(t *testing.T) {
+	f, _, control := startFleet(t)
+	for _, tc := range []struct {
+		action string
+		warm   bool
+	}{{ActionReady, true}, {ActionDead, true}, {ActionReady, false}} {
+		assertStatus(t, control, "/servers/llm-01/"+tc.action, nil, http.StatusNoContent)
+		u := f.units[0]
+		u.mu.Lock()
+		warm, _ := u.backend.(*Engine).warmth.state()
+		u.mu.Unlock()
+		if warm != tc.warm {
+			t.Errorf("%s: warm is %t, want %t", tc.action, warm, tc.warm)
+		}
+	}
+}
+
 // Guards against a crash that leaves the server reachable or dead for good.
 func TestCrashRestarts(t *testing.T) {
 	_, b, _ := startFleet(t)
