--- a/daemons/log_test.go
+++ b/daemons/log_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"testing"
@@ -14,6 +13,7 @@
 	"gypsumshelf.example/gypsumshelf/configs"
 	"gypsumshelf.example/gypsumshelf/replicas"
 	"gypsumshelf.example/gypsumshelf/settings"
+	"gypsumshelf.example/gypsumshelf/standins"
 )
 
 // group is a set of instances that share a replicated log.
@@ -26,7 +26,6 @@
 
 func newGroup(t testing.TB, hosts int) *group {
 	g := &group{t: t, instances: make([]*Instance, hosts)}
-	var listeners []net.Listener
 	var all []settings.Peer
 	for i := range hosts {
 		s := settings.Default()
@@ -36,19 +35,15 @@
 		s.LogLevel = "panic"
 		s.Voters = []string{"entry-1", "entry-2", "entry-3"}
 		for _, address := range []*string{&s.Listen.Callers, &s.Listen.BackendServers, &s.Listen.Peers, &s.Listen.Operators, &s.Listen.Metrics} {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			free, err := standins.FreeAddress()
 			if err != nil {
 				t.Fatal(err)
 			}
-			*address = l.Addr().String()
-			listeners = append(listeners, l)
+			*address = free
 		}
 		all = append(all, settings.Peer{Daemon: s.Daemon, Address: s.Listen.Peers, DataCentre: s.DataCentre})
 		g.settings = append(g.settings, s)
 	}
-	for _, l := range listeners {
-		l.Close()
-	}
 	for i := range hosts {
 		g.settings[i].Peers = all
 		g.start(i)
