--- a/daemons/linearizability_test.go
+++ b/daemons/linearizability_test.go
@@ -84,6 +84,66 @@
 	return d, append(slices.Clone(state), d)
 }
 
+// operations is the history of the operators' commands.
+type operations struct {
+	history []porcupine.Operation
+}
+
+// draw returns a new command at a revision, or an earlier one again.
+func (o *operations) draw(t *rapid.T, revision gypsumshelf.Revision) configs.Operate {
+	n := len(o.history)
+	if n > 0 && rapid.IntRange(0, 2).Draw(t, "resend") == 0 {
+		c := o.history[rapid.IntRange(0, n-1).Draw(t, "earlier")].Input.(configs.Operate)
+		if rapid.IntRange(0, 5).Draw(t, "reuse") == 0 {
+			c.Change.Name = "other"
+		}
+		return c
+	}
+	return configs.Operate{
+		CommandID: fmt.Sprint("c", n), Operator: fmt.Sprint("operator-", n%3), Revision: revision,
+		Change: configs.Change{Action: configs.ActionTakeOut, Name: fmt.Sprint("dc-", n)},
+	}
+}
+
+// begin records the start of an operation and returns its event.
+func (o *operations) begin(now time.Time, c configs.Operate) configs.Proposed {
+	n := len(o.history)
+	o.history = append(o.history, porcupine.Operation{
+		ClientId: n, Input: c, Call: now.UnixNano(), Return: math.MaxInt64, Output: observed{unknown: true},
+	})
+	return configs.Proposed{Ticket: uint64(n), Command: c, Within: 5 * time.Second}
+}
+
+// end records the answers among effects; an operation without one stays unknown.
+func (o *operations) end(now time.Time, effects []gypsumshelf.Effect) {
+	for _, d := range of[configs.Decided](effects) {
+		if d.Err != nil {
+			continue
+		}
+		op := &o.history[d.Ticket]
+		input := op.Input.(configs.Operate)
+		out := decision{id: input.CommandID, name: input.Change.Name, code: d.Result.Code, revision: d.Result.Revision}
+		if d.Result.Winner != nil {
+			out.winner = d.Result.Winner.CommandID
+		}
+		op.Output, op.Return = observed{decision: out}, now.UnixNano()
+	}
+}
+
+// check asserts that the history is linearizable and returns the number of
+// operations that were answered.
+func (o *operations) check(t *rapid.T) (answered int) {
+	for _, op := range o.history {
+		if !op.Output.(observed).unknown {
+			answered++
+		}
+	}
+	if result := porcupine.CheckOperationsTimeout(specification, o.history, time.Minute); result != porcupine.Ok {
+		t.Fatalf("history is not linearizable (%s):\n%s", result, describe(o.history))
+	}
+	return answered
+}
+
 // message is a Proposal on a fake link.
 type message struct {
 	to gypsumshelf.DaemonID
@@ -92,17 +152,16 @@
 
 // simulation runs operators against three reducers with fake links.
 type simulation struct {
+	operations
 	t       *rapid.T
 	now     time.Time
 	group   *fakeGroup
 	members []*member
 	links   []message
-	history []porcupine.Operation
-	open    map[uint64]int // operation by ticket
 }
 
 func newSimulation(t *rapid.T) *simulation {
-	s := &simulation{t: t, now: testStart, group: &fakeGroup{leader: "entry-1", term: 1}, open: map[uint64]int{}}
+	s := &simulation{t: t, now: testStart, group: &fakeGroup{leader: "entry-1", term: 1}}
 	for i := range 3 {
 		s.members = append(s.members, newMember(s.group, gypsumshelf.DaemonID(fmt.Sprintf("entry-%d", i+1))))
 	}
@@ -113,40 +172,12 @@
 	for _, f := range of[configs.Forward](effects) {
 		s.links = append(s.links, message{to: f.To, Proposal: f.Proposal})
 	}
-	for _, d := range of[configs.Decided](effects) {
-		op := &s.history[s.open[d.Ticket]]
-		input := op.Input.(configs.Operate)
-		if d.Err != nil {
-			continue // stays unknown
-		}
-		out := decision{id: input.CommandID, name: input.Change.Name, code: d.Result.Code, revision: d.Result.Revision}
-		if d.Result.Winner != nil {
-			out.winner = d.Result.Winner.CommandID
-		}
-		op.Output, op.Return = observed{decision: out}, int64(s.now.UnixNano())
-	}
+	s.end(s.now, effects)
 }
 
-// send starts a command of an operator at a daemon: a new one at the revision
-// known to that daemon, or an earlier one again.
 func (s *simulation) send() {
 	m := s.members[rapid.IntRange(0, 2).Draw(s.t, "daemon")]
-	n := len(s.history)
-	c := configs.Operate{
-		CommandID: fmt.Sprint("c", n), Operator: fmt.Sprint("operator-", n%3), Revision: m.configuration.state.Revision(),
-		Change: configs.Change{Action: configs.ActionTakeOut, Name: fmt.Sprint("dc-", n)},
-	}
-	if n > 0 && rapid.IntRange(0, 2).Draw(s.t, "resend") == 0 {
-		c = s.history[rapid.IntRange(0, n-1).Draw(s.t, "earlier")].Input.(configs.Operate)
-		if rapid.IntRange(0, 5).Draw(s.t, "reuse") == 0 {
-			c.Change.Name = "other"
-		}
-	}
-	s.history = append(s.history, porcupine.Operation{
-		ClientId: n, Input: c, Call: s.now.UnixNano(), Return: math.MaxInt64, Output: observed{unknown: true},
-	})
-	s.open[uint64(n)] = n
-	s.carry(m.Step(s.now, configs.Proposed{Ticket: uint64(n), Command: c, Within: 5 * time.Second}))
+	s.carry(m.Step(s.now, s.begin(s.now, s.draw(s.t, m.configuration.state.Revision()))))
 }
 
 // deliver takes one message from the links: it arrives, is lost, or arrives
@@ -209,14 +240,7 @@
 				s.carry(m.applyNext(s.now))
 			}
 		}
-		for _, op := range s.history {
-			if !op.Output.(observed).unknown {
-				answered++
-			}
-		}
-		if result := porcupine.CheckOperationsTimeout(specification, s.history, time.Minute); result != porcupine.Ok {
-			t.Fatalf("history is not linearizable (%s):\n%s", result, describe(s.history))
-		}
+		answered += s.check(t)
 	})
 	if answered == 0 {
 		t.Fatal("no command was answered")
