Count simultaneous crashes once; send nothing after a decision has expired

Cause: a body that many callers send, such as a health check, was quarantined when a rack failed under two of its runs. A crash now counts only if its run began after the crash before it; suspicions carry the count to other daemons.

Decisions now carry the end of the freshness lease, and no connection is used after it.

Proof: TestStrikes and TestExpiredDecision fail with their rule out of force.

--- a/attempts/record.go
+++ b/attempts/record.go
@@ -28,6 +28,9 @@
 // Address returns the IP:PORT of the attempt's backend server.
 func (a *Attempt) Address() string { return a.address }
 
+// Started returns the time at which the attempt began.
+func (a *Attempt) Started() time.Time { return a.started }
+
 // Incarnation returns the incarnation of the server that the attempt ran on.
 func (a *Attempt) Incarnation() string { return a.incarnation }
 
--- a/attempts/suspects.go
+++ b/attempts/suspects.go
@@ -35,6 +35,7 @@
 type Suspicion struct {
 	Hash    uint64
 	Crash   Crash
+	Strikes int // crashes that count against the hash, this one included
 	Cleared bool
 }
 
@@ -68,13 +69,32 @@
 // EventName implements gypsumshelf.Event.
 func (Quarantined) EventName() string { return "hash-quarantined" }
 
-// suspect is what is known against one body hash.
+// suspect is what is known against one body hash. Of crashes at the same time,
+// as when a rack fails, only one counts: a strike is a crash of a run that began
+// after the strike before it.
 type suspect struct {
-	crashes map[Crash]time.Time
-	broken  map[Crash]time.Time // connections that broke, not yet known to be crashes
+	strikes int
+	last    time.Time           // of the last strike or broken connection that counts
+	crashes map[Crash]time.Time // all known crashes
+	broken  map[Crash]breakage  // connections that broke, not yet known to be crashes
 	guilty  time.Time           // refused until then
 }
 
+type breakage struct {
+	at     time.Time
+	counts bool // it is a strike if it was a crash
+}
+
+// counts reports whether the failure of a run that began at started counts on
+// its own, and remembers that it did.
+func (e *suspect) counts(now, started time.Time) bool {
+	if started.Before(e.last) {
+		return false
+	}
+	e.last = now
+	return true
+}
+
 // Suspects holds the body hashes that were running on backend servers when
 // these crashed.
 type Suspects struct {
@@ -100,25 +120,50 @@
 
 func (s *Suspects) entry(hash uint64) *suspect {
 	if s.hashes[hash] == nil {
-		s.hashes[hash] = &suspect{crashes: map[Crash]time.Time{}, broken: map[Crash]time.Time{}}
+		s.hashes[hash] = &suspect{crashes: map[Crash]time.Time{}, broken: map[Crash]breakage{}}
 	}
 	return s.hashes[hash]
 }
 
-// Broke records a connection that broke while the hash was running. It becomes
-// a crash when the server announces a new incarnation.
-func (s *Suspects) Broke(now time.Time, hash uint64, c Crash) { s.entry(hash).broken[c] = now }
+// Broke records a connection that broke while a run of the hash that began at
+// started was on it. It becomes a crash when the server announces a new
+// incarnation.
+func (s *Suspects) Broke(now, started time.Time, hash uint64, c Crash) {
+	e := s.entry(hash)
+	if _, known := e.broken[c]; !known {
+		e.broken[c] = breakage{at: now, counts: e.counts(now, started)}
+	}
+}
 
-// Crashed records a crash and reports whether it was not yet known and whether
-// the hash has now crashed as many backend servers as allowed.
-func (s *Suspects) Crashed(now time.Time, hash uint64, c Crash) (fresh, guilty bool) {
+// Crashed records a crash under a run of the hash that began at started. It
+// returns the suspicion to share, which is nil when the crash was known.
+func (s *Suspects) Crashed(now, started time.Time, hash uint64, c Crash) *Suspicion {
 	e := s.entry(hash)
+	if _, known := e.crashes[c]; known {
+		return nil
+	}
+	e.crashes[c] = now
+	b, broke := e.broken[c]
 	delete(e.broken, c)
-	if _, known := e.crashes[c]; !known {
-		e.crashes[c] = now
-		fresh = true
+	if broke && b.counts || !broke && e.counts(now, started) {
+		e.strikes++
+	}
+	return &Suspicion{Hash: hash, Crash: c, Strikes: e.strikes}
+}
+
+// Heard records the suspicion of another daemon.
+func (s *Suspects) Heard(now time.Time, heard Suspicion) {
+	if heard.Cleared {
+		s.Clear(heard.Hash)
+		return
 	}
-	return fresh, len(e.crashes) >= maxCrashes
+	e := s.entry(heard.Hash)
+	delete(e.broken, heard.Crash)
+	if _, known := e.crashes[heard.Crash]; !known {
+		e.crashes[heard.Crash] = now
+		e.last = now
+	}
+	e.strikes = max(e.strikes, heard.Strikes)
 }
 
 // Restarted returns the hashes whose connection to an earlier incarnation of
@@ -126,8 +171,8 @@
 func (s *Suspects) Restarted(now time.Time, server gypsumshelf.ServerID, incarnation string) map[uint64]Crash {
 	confirmed := map[uint64]Crash{}
 	for hash, e := range s.hashes {
-		for c, at := range e.broken {
-			if c.Server == server && c.Incarnation != incarnation && now.Sub(at) <= s.cfg.Unresolved {
+		for c, b := range e.broken {
+			if c.Server == server && c.Incarnation != incarnation && now.Sub(b.at) <= s.cfg.Unresolved {
 				confirmed[hash] = c
 			}
 		}
@@ -142,8 +187,10 @@
 	if e == nil || len(e.crashes)+len(e.broken) == 0 {
 		return false
 	}
-	if e.guilty.IsZero() {
-		delete(s.hashes, hash)
+	guilty := e.guilty
+	delete(s.hashes, hash)
+	if !guilty.IsZero() {
+		s.entry(hash).guilty = guilty
 	}
 	return true
 }
@@ -161,9 +208,9 @@
 	if e == nil {
 		return false
 	}
-	n := len(e.crashes)
-	for _, at := range e.broken {
-		if now.Sub(at) <= s.cfg.Unresolved {
+	n := e.strikes
+	for _, b := range e.broken {
+		if b.counts && now.Sub(b.at) <= s.cfg.Unresolved {
 			n++
 		}
 	}
@@ -174,7 +221,7 @@
 // allowed.
 func (s *Suspects) Convicted(hash uint64) bool {
 	e := s.hashes[hash]
-	return e != nil && len(e.crashes) >= maxCrashes
+	return e != nil && e.strikes >= maxCrashes
 }
 
 // SetGuilty records a quarantine.
@@ -208,11 +255,14 @@
 				delete(e.crashes, c)
 			}
 		}
-		for c, at := range e.broken {
-			if now.Sub(at) > s.cfg.Unresolved {
+		for c, b := range e.broken {
+			if now.Sub(b.at) > s.cfg.Unresolved {
 				delete(e.broken, c)
 			}
 		}
+		if len(e.crashes) == 0 {
+			e.strikes = 0
+		}
 		if len(e.crashes)+len(e.broken) == 0 && !now.Before(e.guilty) {
 			delete(s.hashes, hash)
 		}
--- /dev/null
+++ b/attempts/suspects_test.go
@@ -0,0 +1,64 @@
+package attempts
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Guards against a popular body that is quarantined because a rack failed under
+// several of its runs, and against a poison body that gets a third server.
+func TestStrikes(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	type crash struct{ now, started int }
+	for _, tt := range []struct {
+		name    string
+		crashes []crash
+		cleared bool // a run finishes after the first crash
+		guilty  bool
+	}{
+		{"one crash", []crash{{10, 0}}, false, false},
+		{"rack fails under three runs", []crash{{10, 0}, {10, 1}, {11, 2}}, false, false},
+		{"crash, then its retry", []crash{{10, 0}, {12, 10}}, false, true},
+		{"rack fails, then the retry crashes", []crash{{10, 0}, {10, 1}, {12, 11}}, false, true},
+		{"cleared in between", []crash{{10, 0}, {30, 20}}, true, false},
+	} {
+		for _, quick := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, quick restart %v", tt.name, quick), func(t *testing.T) {
+				s := NewSuspects(SuspectsConfig{})
+				for i, c := range tt.crashes {
+					crash := Crash{Server: "s", Incarnation: fmt.Sprint(i)}
+					if quick {
+						s.Broke(at(c.now), at(c.started), 1, crash)
+						for hash, crash := range s.Restarted(at(c.now+1), "s", fmt.Sprint(i+1)) {
+							s.Crashed(at(c.now+1), at(c.now+1), hash, crash)
+						}
+					} else {
+						s.Crashed(at(c.now), at(c.started), 1, crash)
+					}
+					if tt.cleared && i == 0 && !s.Clear(1) {
+						t.Error("nothing was held against the body")
+					}
+				}
+				if s.Convicted(1) != tt.guilty || s.Held(at(40), 1) != tt.guilty {
+					t.Errorf("convicted %v, held %v, want %v", s.Convicted(1), s.Held(at(40), 1), tt.guilty)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a second daemon that needs its own two crashes.
+func TestHeardSuspicion(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	a, b := NewSuspects(SuspectsConfig{}), NewSuspects(SuspectsConfig{})
+	b.Heard(now, *a.Crashed(now, now.Add(-time.Second), 1, Crash{Server: "s-1"}))
+	if !b.Suspect(1) || b.Convicted(1) {
+		t.Errorf("after one crash elsewhere: suspect %v, convicted %v", b.Suspect(1), b.Convicted(1))
+	}
+	b.Crashed(now.Add(time.Minute), now.Add(time.Second), 1, Crash{Server: "s-2"})
+	if !b.Convicted(1) {
+		t.Error("not convicted by a crash elsewhere and one here")
+	}
+}
--- a/daemons/suspects.go
+++ b/daemons/suspects.go
@@ -27,23 +27,24 @@
 	current := r.servers.Server(a.Server())
 	restarted := current != nil && current.Announcement().Incarnation != a.Incarnation()
 	if e.Dead || restarted {
-		return r.crashed(now, rec.Request().BodyHash, crash)
+		return r.crashed(now, a.Started(), rec.Request().BodyHash, crash)
 	}
-	r.attempts.Suspects().Broke(now, rec.Request().BodyHash, crash)
+	r.attempts.Suspects().Broke(now, a.Started(), rec.Request().BodyHash, crash)
 	return false
 }
 
-// crashed records a crash and reports whether the hash is guilty of it.
-func (r *Reducer) crashed(now time.Time, hash uint64, crash attempts.Crash) bool {
+// crashed records a crash under a run that began at started, and reports
+// whether the hash is guilty of it.
+func (r *Reducer) crashed(now, started time.Time, hash uint64, crash attempts.Crash) bool {
 	suspects := r.attempts.Suspects()
-	fresh, guilty := suspects.Crashed(now, hash, crash)
-	if fresh {
-		r.emit(attempts.ShareSuspicion{Suspicion: attempts.Suspicion{Hash: hash, Crash: crash}})
+	if s := suspects.Crashed(now, started, hash, crash); s != nil {
+		r.emit(attempts.ShareSuspicion{Suspicion: *s})
 	}
-	if guilty {
-		r.quarantine(now, hash)
+	if !suspects.Convicted(hash) {
+		return false
 	}
-	return guilty
+	r.quarantine(now, hash)
+	return true
 }
 
 // restarted handles a new incarnation of a backend server: attempts on the
@@ -56,7 +57,7 @@
 	}
 	confirmed := r.attempts.Suspects().Restarted(now, server.Server, server.Incarnation)
 	for _, hash := range slices.Sorted(maps.Keys(confirmed)) {
-		r.crashed(now, hash, confirmed[hash])
+		r.crashed(now, now, hash, confirmed[hash])
 	}
 }
 
@@ -70,15 +71,8 @@
 }
 
 func (r *Reducer) suspected(now time.Time, e attempts.Suspected) {
-	s := e.Suspicion
-	if s.Cleared {
-		r.attempts.Suspects().Clear(s.Hash)
-		r.dispatch(now)
-		return
-	}
-	if fresh, guilty := r.attempts.Suspects().Crashed(now, s.Hash, s.Crash); fresh && guilty {
-		r.quarantine(now, s.Hash)
-	}
+	r.attempts.Suspects().Heard(now, e.Suspicion)
+	r.dispatch(now)
 }
 
 // quarantine has a guilty body hash recorded in the replicated log. Without a
--- a/engines/client.go
+++ b/engines/client.go
@@ -78,7 +78,7 @@
 }
 
 func newHTTP(cfg ClientConfig, dial dialFunc) *http.Client {
-	var transport http.RoundTripper = &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	var transport http.RoundTripper = &http.Transport{DialContext: unexpired(dial), DisableKeepAlives: true, DisableCompression: true}
 	if cfg.Wrap != nil {
 		transport = cfg.Wrap(transport)
 	}
@@ -114,7 +114,7 @@
 
 // Complete implements Completer.
 func (c *Client) Complete(parent context.Context, call Call, sink Sink) error {
-	ctx, w := c.guard(parent, call.Address, call.Answer, call.Deadline)
+	ctx, w := c.guard(withExpiry(parent, call.Expires), call.Address, call.Answer, call.Deadline)
 	defer w.stop()
 	url := "http://" + call.Address + call.Path
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(call.Body))
--- a/engines/client_test.go
+++ b/engines/client_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -228,6 +229,29 @@
 	}
 }
 
+// Guards against a frozen daemon that sends work when it goes on, after its
+// decision to send has expired (R4).
+func TestExpiredDecision(t *testing.T) {
+	var calls atomic.Int32
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+	t.Cleanup(s.Close)
+	c := newTestClient(t, ClientConfig{})
+	for _, expires := range []time.Time{time.Now().Add(-time.Second), time.Now().Add(time.Hour)} {
+		before := calls.Load()
+		call := keyed("a.1")
+		call.Address, call.Expires = s.Listener.Addr().String(), expires
+		err := c.Forward(context.Background(), call, &discard{})
+		if late := time.Now().After(expires); late {
+			assertFault(t, err, gypsumshelf.NotRun, gypsumshelf.CodeBackendFailed)
+		} else if err != nil || calls.Load() != before+1 {
+			t.Errorf("unexpired call: %v", err)
+		}
+	}
+	if calls.Load() != 1 {
+		t.Errorf("server was called %d times", calls.Load())
+	}
+}
+
 // BenchmarkCall compares a connection for each call with connections opened
 // ahead and with a pool of kept-alive ones, over a link on which a handshake
 // takes 2 ms, that of one data centre of Souffle Piste to another, and over none.
