--- a/cmd/gypsumshelf/measure.go
+++ b/cmd/gypsumshelf/measure.go
@@ -39,6 +39,7 @@
 	f.Uint64Var(&cfg.Seed, "seed", 1, "seed of the arrivals and lengths")
 	f.Float64Var(&cfg.TimeScale, "time-scale", 5, "factor by which the stand-ins are faster than the engines that they stand for")
 	f.DurationVar(&cfg.Duration, "duration", 10*time.Second, "time of each part of the run")
+	f.DurationVar(&cfg.WarmUp, "warm-up", 6*time.Second, "time of load before the measured load, until slow start is over")
 	f.IntVar(&cfg.Daemons, "daemons", 4, "number of daemons")
 	f.IntVar(&cfg.Engines, "engines", 14, "number of stand-in engines")
 	f.IntVar(&cfg.Plains, "plain-servers", 3, "number of stand-ins of a plain service")
--- a/loads/bench.go
+++ b/loads/bench.go
@@ -20,6 +20,7 @@
 	benchTokens        = 64                     // of each answer
 	benchTarget        = time.Second            // of the first token of a short prompt
 	benchLoad          = 0.7                    // of the capacity
+	warmUpSteps        = 4
 	// benchOutstanding bounds requests without an answer. At 70 KB for a mean
 	// prompt, 2,000 were too few for twice the capacity: 1,084 were not sent.
 	benchOutstanding = 6_000
@@ -39,8 +40,34 @@
 }
 
 // cluster starts the daemons and stand-ins of a measurement.
-func (cfg MeasureConfig) cluster(ctx context.Context, policy string) (*cluster, error) {
-	return newCluster(ctx, clusterConfig{Daemons: cfg.Daemons, Policy: policy, Fleet: cfg.fleetConfig()})
+func (cfg MeasureConfig) cluster(ctx context.Context, policy string, fleet standins.FleetConfig) (*cluster, error) {
+	c, err := newCluster(ctx, clusterConfig{Daemons: cfg.Daemons, Policy: policy, Fleet: fleet})
+	if err != nil {
+		return nil, err
+	}
+	if err := cfg.warmUp(ctx, c); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// warmUp sends load that is not measured, so that the daemons' slow start of
+// the new stand-ins is over: the rate grows in steps.
+func (cfg MeasureConfig) warmUp(ctx context.Context, c *cluster) error {
+	if cfg.WarmUp <= 0 {
+		return nil
+	}
+	mixture := ShortMixture()
+	full := cfg.rate(DefaultMixture(), benchLoad)
+	for i := range warmUpSteps {
+		l := cfg.load(c, mixture, full*float64(i+1)/warmUpSteps)
+		l.Seed, l.Duration = cfg.Seed+1_000+uint64(i), cfg.WarmUp/warmUpSteps
+		if _, err := Run(ctx, l); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // capacity returns the requests of a mixture that the engines can prefill in a
@@ -69,7 +96,7 @@
 
 // measureLength prints first-token times by prompt length at 70% of the capacity.
 func measureLength(ctx context.Context, cfg MeasureConfig) error {
-	c, err := cfg.cluster(ctx, first(cfg.Policies))
+	c, err := cfg.cluster(ctx, first(cfg.Policies), cfg.fleetConfig())
 	if err != nil {
 		return err
 	}
--- a/loads/bench_leaving.go
+++ b/loads/bench_leaving.go
@@ -44,7 +44,7 @@
 		fleet.StartWarm = true
 		fleet.Engine.WarmupLimit, fleet.Engine.WarmupWork, fleet.Engine.ColdPenalty = coldLimit, coldWork, coldPenalty
 	}
-	c, err := newCluster(ctx, clusterConfig{Daemons: cfg.Daemons, Policy: first(cfg.Policies), Fleet: fleet})
+	c, err := cfg.cluster(ctx, first(cfg.Policies), fleet)
 	if err != nil {
 		return err
 	}
--- a/loads/bench_slowdown.go
+++ b/loads/bench_slowdown.go
@@ -48,7 +48,7 @@
 }
 
 func (cfg MeasureConfig) runShort(ctx context.Context, policy string, m Mixture, rate float64) (Report, error) {
-	c, err := cfg.cluster(ctx, policy)
+	c, err := cfg.cluster(ctx, policy, cfg.fleetConfig())
 	if err != nil {
 		return Report{}, err
 	}
--- a/loads/measurement.go
+++ b/loads/measurement.go
@@ -14,6 +14,7 @@
 	Seed      uint64
 	TimeScale float64       // factor by which the stand-ins are faster than real engines
 	Duration  time.Duration // of each part of the run
+	WarmUp    time.Duration // before the measured load
 	Engines   int
 	Plains    int
 	Daemons   int
