--- a/replicas/membership.go
+++ b/replicas/membership.go
@@ -180,15 +180,11 @@
 	return id, spread, ok
 }
 
-// lostVoter returns a voter that is silent for too long, when the others that
-// are alive are a majority without it.
+// lostVoter returns a voter that is silent for too long. Its removal never
+// raises the majority, which the leader has, or it would have stepped down.
 func (r *Replica) lostVoter(m Members) (NodeID, bool) {
 	for _, member := range sorted(m) {
-		if member.Role != Voter || member.ID == r.cfg.ID || r.silence(member.ID) < r.cfg.ReplaceAfter {
-			continue
-		}
-		next := m.withRole(member.ID, Learner)
-		if r.living(next) >= next.Quorum() {
+		if member.Role == Voter && r.silence(member.ID) >= r.cfg.ReplaceAfter {
 			return member.ID, true
 		}
 	}
