Let a returning host verify its storage with replaced voters

A host that was away while every voter it knew got a new incarnation asked only the old incarnations and never answered the leader again, so it needed a human. It now asks the daemons: an answer from a new incarnation tells that the old one's memory is gone, as after a restart of that voter.

--- a/replicas/message.go
+++ b/replicas/message.go
@@ -9,7 +9,7 @@
 // duplicated and reordered.
 type Message struct {
 	From    NodeID
-	To      NodeID // incarnation is empty in a Join
+	To      NodeID // incarnation is empty in a Join and a VerifyRequest
 	Session uint64 // random number of the sender's process
 	Group   string
 	Term    uint64
--- a/replicas/rules_test.go
+++ b/replicas/rules_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -265,6 +266,30 @@
 	}
 }
 
+// Guards against a host that was away while all voters it knew were replaced,
+// and then waits for ever for their word on its storage.
+func TestHostReturnsToUnknownVoters(t *testing.T) {
+	c := settledCluster(t, fourHosts()...)
+	away := c.hosts[0]
+	c.crash(away)
+	repaired := func() bool {
+		l := c.leader()
+		if l == nil || len(l.r.Members().Voters()) != 3 || l.r.changing() {
+			return false
+		}
+		return !slices.ContainsFunc(l.r.Members().Voters(), func(id NodeID) bool {
+			return id.Daemon == away.member.ID.Daemon || c.host(id.Daemon).member.ID != id
+		})
+	}
+	for _, h := range c.hosts[1:] {
+		c.until("repair", repaired)
+		c.wipe(h)
+	}
+	c.until("repair", repaired)
+	c.start(away)
+	c.until("a settled cluster", c.settled)
+}
+
 // Guards against a restored backup that votes or counts under its old identity.
 func TestOlderDiskIsFound(t *testing.T) {
 	for name, leads := range map[string]bool{"leader": true, "follower": false} {
--- a/replicas/verify.go
+++ b/replicas/verify.go
@@ -1,6 +1,10 @@
 package replicas
 
-import "time"
+import (
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+)
 
 // verification is the state of a node that has restarted and does not know yet
 // whether its storage still holds everything it promised before.
@@ -8,7 +12,7 @@
 	pending bool
 	since   time.Time
 	at      time.Time // of the next VerifyRequest
-	answers map[NodeID]bool
+	answers map[gypsumshelf.DaemonID]bool
 }
 
 // mark remembers a promise of another node, so that it can be told of it.
@@ -32,7 +36,7 @@
 		switch {
 		case id == r.cfg.ID:
 			answered++
-		case v.answers[id]:
+		case v.answers[id.Daemon]:
 			answered++
 		default:
 			missing++
@@ -49,7 +53,9 @@
 	v.at = r.now.Add(r.cfg.HeartbeatInterval)
 	for _, id := range voters {
 		if id != r.cfg.ID {
-			r.send(id, VerifyRequest{})
+			// Any incarnation may answer: one that replaced the voter tells
+			// that its memory of this node's promises is gone.
+			r.send(NodeID{Daemon: id.Daemon}, VerifyRequest{})
 		}
 	}
 }
@@ -66,7 +72,7 @@
 		return
 	}
 	if v.answers == nil {
-		v.answers = map[NodeID]bool{}
+		v.answers = map[gypsumshelf.DaemonID]bool{}
 	}
-	v.answers[m.From] = true
+	v.answers[m.From.Daemon] = true
 }
