--- a/cmd/gypsumshelf/configuration_test.go
+++ b/cmd/gypsumshelf/configuration_test.go
@@ -245,3 +245,26 @@
 		t.Errorf("the resent command has revision %d, want the first answer", r.answer.Revision)
 	}
 }
+
+// Guards against a daemon without a data folder that never becomes ready, or
+// that serves after a restart without the configuration.
+func TestDaemonWithoutDataFolder(t *testing.T) {
+	d := startDeployment(t, 4, false)
+	const diskless = 3
+	m := d.members[diskless]
+	d.daemons[diskless].kill()
+	m.folder = ""
+	m.writeSettings(t, m.peers)
+	for round := range 2 {
+		d.restart(diskless)
+		d.waitFresh(diskless)
+		r := d.accepted(d.operator([]int{diskless}, "data-centre", "take-out", fmt.Sprint("dc-", round)))
+		if s, ok := m.status(); !ok || s.Revision != gypsumshelf.Revision(round+1) || r.answer.Revision != s.Revision {
+			t.Errorf("status %+v, answer %+v, want revision %d", s, r.answer, round+1)
+		}
+		if d.leader() == diskless {
+			t.Error("a daemon without a data folder leads")
+		}
+		d.daemons[diskless].kill()
+	}
+}
--- a/cmd/gypsumshelf/process_test.go
+++ b/cmd/gypsumshelf/process_test.go
@@ -90,12 +90,14 @@
 	file      string
 
 	dataCentre string
-	folder     string // data folder
+	folder     string // data folder, empty for a daemon that stores nothing
+	peers      []map[string]string
 }
 
 // writeSettings writes the member's settings file.
 func (m *member) writeSettings(t testing.TB, peers []map[string]string) {
 	t.Helper()
+	m.peers = peers
 	data, err := json.Marshal(map[string]any{
 		"deployment": "ostalpen", "daemon": m.name, "data-centre": m.dataCentre, "region": "ostalpen",
 		"data-folder": m.folder, "listen": m.addresses, "peers": peers,
