--- a/daemons/requests.go
+++ b/daemons/requests.go
@@ -32,6 +32,7 @@
 		r.emit(attempts.Refuse{Request: req.ID, Err: gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeBadRequest, "request id %q is in use", req.ID)})
 		return
 	}
+	r.countDemand(now, e)
 	if failure := r.notReady(now); failure != nil {
 		r.refuse(now, rec, failure)
 		return
@@ -86,6 +87,7 @@
 		Request: req.ID, Attempt: a.ID(), Server: a.Server(), Address: a.Address(),
 		Priority: int(req.FirstTokenDeadline().Sub(now).Milliseconds()),
 		Resume:   rec.Position(), Answer: answer, Deadline: req.Deadline(), Last: last,
+		Expires: r.configuration.lease.Expires(),
 		NotAfter: r.configuration.lease.Expires(),
 	}
 }
