Report a call that reaches its deadline as deadline

Cause: the watch of a call and the reducer's tick end an overdue request in either order; when the watch was first the caller got backend-server-failed with status 502 (TestDeadlines, seen once in the full check at load 22). Both now give the code deadline.

--- a/attempts/event.go
+++ b/attempts/event.go
@@ -75,10 +75,7 @@
 	// attempt still has time to finish.
 	Answer   time.Time
 	Deadline time.Time // time by which the request ends
-	// Expires is the end of the freshness lease under which the decision was
-	// made, zero for none. A daemon that was frozen must not send later.
-	Expires time.Time
-	Last    bool // no other attempt can follow, the body may be dropped once sent
+	Last     bool      // no other attempt can follow, the body may be dropped once sent
 }
 
 // Cancel is the effect that makes an engine drop an attempt whose answer is no
--- a/engines/fault.go
+++ b/engines/fault.go
@@ -65,6 +65,9 @@
 	if cause != nil {
 		err = cause
 	}
+	if errors.Is(cause, context.DeadlineExceeded) {
+		code = gypsumshelf.CodeDeadline
+	}
 	f := &Fault{
 		Err:    gypsumshelf.Errorf(gypsumshelf.MayHaveRun, code, "call to %s failed: %v", address, err),
 		Broken: isBroken(err),
