--- a/loads/cluster.go
+++ b/loads/cluster.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -150,7 +149,7 @@
 			s.Routing.Policy = cfg.Policy
 		}
 		for _, address := range []*string{&s.Listen.Callers, &s.Listen.BackendServers, &s.Listen.Peers, &s.Listen.Operators, &s.Listen.Metrics} {
-			free, err := freeAddress()
+			free, err := standins.FreeAddress()
 			if err != nil {
 				return nil, err
 			}
@@ -167,12 +166,3 @@
 	}
 	return all, nil
 }
-
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
--- a/loads/log.go
+++ b/loads/log.go
@@ -159,9 +159,8 @@
 			in.Close()
 		}
 	}()
-	for i := range all {
-		all[i].LogLevel = "error"
-		if running[all[i].Daemon], err = daemons.Start(all[i]); err != nil {
+	for _, s := range all {
+		if running[s.Daemon], err = daemons.Start(s); err != nil {
 			return err
 		}
 	}
--- a/replicas/storage_test.go
+++ b/replicas/storage_test.go
@@ -131,7 +131,8 @@
 	}
 }
 
-// Guards against a stamp that is confirmed by contact from before it arrived.
+// Guards against a stamp or a read that is confirmed by contact from before it
+// arrived.
 func TestStampWaitsForLaterContact(t *testing.T) {
 	r, now, others := leadLone(t)
 	sync(r, now)
@@ -142,7 +143,13 @@
 	if got := r.progress[others[1]].approved; got != (Confirmation{}) {
 		t.Fatalf("confirmed %+v by an answer to an earlier request", got)
 	}
+	if r.Confirmed(now) {
+		t.Fatal("a read is confirmed by an answer to an earlier request")
+	}
 	receive(r, now, others[0], 2, AppendResponse{OK: true, Match: 2, Sent: lead + testElection/2})
+	if !r.Confirmed(now) {
+		t.Fatal("a read is not confirmed by contact after it")
+	}
 	if got := r.progress[others[1]].approved; got.Asked.At != time.Hour || got.Commit != 2 {
 		t.Fatalf("confirmed %+v by contact after the stamp", got)
 	}
@@ -182,6 +189,17 @@
 	assertSent[VoteResponse](t, again.Take(), 1, "after it has verified its storage")
 }
 
+// Guards against storage that is discarded twice.
+func TestRenewIsAskedOnce(t *testing.T) {
+	r, now, others := lone(t)
+	again := New(Config{ID: r.ID(), Durable: true, Session: 2, Recovered: Recovered{Hard: r.hard, Snapshot: r.snapshot}})
+	again.Tick(now)
+	receive(again, now, others[0], 1, VerifyResponse{Asked: 2, Mark: Mark{Term: 1, Index: 2}})
+	if first, second := again.Take().Renew, again.Take().Renew; !first || second {
+		t.Fatalf("renewal asked: first %t, then %t", first, second)
+	}
+}
+
 // Guards against a second group beside one that lost its founders' disks.
 func TestFoundingNeedsFreshDaemons(t *testing.T) {
 	for name, tc := range map[string]struct {
