--- a/daemons/replicated_test.go
+++ b/daemons/replicated_test.go
@@ -63,7 +63,7 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case LogSend:
-			n.deliver(from, e.Message.To.Daemon, LogReceived{Message: e.Message})
+			n.deliver(from, e.Message.To.Daemon, LogReceived(e))
 		case configs.Forward:
 			n.deliver(from, e.To, configs.Forwarded{Proposal: e.Proposal})
 		case LogWrite:
