--- a/cmd/gypsumshelf/process_test.go
+++ b/cmd/gypsumshelf/process_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -17,6 +16,7 @@
 	"time"
 
 	"gypsumshelf.example/gypsumshelf/loads"
+	"gypsumshelf.example/gypsumshelf/standins"
 )
 
 // binary is the path of the program under test, built once by TestMain.
@@ -90,12 +90,14 @@
 	file      string
 
 	dataCentre string
-	folder     string // data folder
+	folder     string // data folder, empty for a daemon that stores nothing
+	peers      []map[string]string
 }
 
 // writeSettings writes the member's settings file.
 func (m *member) writeSettings(t testing.TB, peers []map[string]string) {
 	t.Helper()
+	m.peers = peers
 	data, err := json.Marshal(map[string]any{
 		"deployment": "ostalpen", "daemon": m.name, "data-centre": m.dataCentre, "region": "ostalpen",
 		"data-folder": m.folder, "listen": m.addresses, "peers": peers,
@@ -111,12 +113,11 @@
 
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := standins.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 // newDeployment writes the settings files of n daemons.
