Run requests by shares, predictions and a registered policy

Cause: a daemon chose servers by its own view alone, forwarded every announcement to every daemon and queued without a prediction. Ruled out: evidence passed by request handlers; the reducer observes attempt events before they are handled instead.

--- a/admissions/queue.go
+++ b/admissions/queue.go
@@ -3,40 +3,140 @@
 package admissions
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
 )
 
-// Queue holds the requests that wait for a backend server, the most urgent
-// first: the one whose first token is due soonest.
+// maxWaiting bounds the requests that wait in a daemon. At the target size a
+// daemon receives 50 requests a second, so this is more than a finish target
+// of one minute lets wait.
+const maxWaiting = 4096
+
+// entry is a waiting request. A retry is never pushed out: it may have run.
+type entry struct {
+	gypsumshelf.Request
+	retry bool
+}
+
+// Queue holds the requests that wait for a backend server: first those of
+// workspaces within their fair part of the recent work, then the others, each
+// the most urgent first. Nothing is held back while a server has room.
 type Queue struct {
-	waiting []gypsumshelf.Request
+	waiting []entry
+	usage   usage
+}
+
+// Push adds a request that was admitted before.
+func (q *Queue) Push(req gypsumshelf.Request) { q.insert(entry{Request: req, retry: true}) }
+
+// Offer adds an arrived request. When the queue is full, the last request of
+// the workspace furthest above its fair part is pushed out and returned, which
+// may be the arrived one.
+func (q *Queue) Offer(req gypsumshelf.Request) (out *gypsumshelf.Request) {
+	q.insert(entry{Request: req})
+	if len(q.waiting) <= maxWaiting {
+		return nil
+	}
+	i := q.last()
+	if i < 0 {
+		return nil
+	}
+	out = &q.waiting[i].Request
+	q.waiting = slices.Delete(slices.Clone(q.waiting), i, i+1)
+	return out
 }
 
-// Push adds a request.
-func (q *Queue) Push(req gypsumshelf.Request) {
-	due := req.FirstTokenDeadline()
-	i, _ := slices.BinarySearchFunc(q.waiting, due, func(r gypsumshelf.Request, t time.Time) int {
+// last returns the index of the request to push out, -1 when all are retries.
+func (q *Queue) last() int {
+	counts := map[string]int{}
+	for _, e := range q.waiting {
+		counts[e.Workspace]++
+	}
+	worst := -1
+	for i, e := range q.waiting {
+		if !e.retry && (worst < 0 || counts[e.Workspace] >= counts[q.waiting[worst].Workspace]) {
+			worst = i
+		}
+	}
+	return worst
+}
+
+func (q *Queue) insert(e entry) {
+	due := e.FirstTokenDeadline()
+	i, _ := slices.BinarySearchFunc(q.waiting, due, func(r entry, t time.Time) int {
 		if r.FirstTokenDeadline().After(t) {
 			return 1
 		}
 		return -1
 	})
-	q.waiting = slices.Insert(q.waiting, i, req)
+	q.waiting = slices.Insert(q.waiting, i, e)
 }
 
 // Remove takes a request out of the queue.
 func (q *Queue) Remove(id gypsumshelf.RequestID) {
-	q.waiting = slices.DeleteFunc(q.waiting, func(r gypsumshelf.Request) bool { return r.ID == id })
+	q.waiting = slices.DeleteFunc(q.waiting, func(r entry) bool { return r.ID == id })
+}
+
+// Served counts tokens of work that was started for a workspace.
+func (q *Queue) Served(now time.Time, workspace string, tokens int) {
+	q.usage.add(now, workspace, tokens)
 }
 
 // Each calls start for the waiting requests in order and removes those for
 // which it returns true.
 func (q *Queue) Each(start func(gypsumshelf.Request) bool) {
-	q.waiting = slices.DeleteFunc(q.waiting, start)
+	if len(q.waiting) == 0 {
+		return
+	}
+	started := map[gypsumshelf.RequestID]bool{}
+	for _, e := range q.order() {
+		if start(e.Request) {
+			started[e.ID] = true
+		}
+	}
+	if len(started) > 0 {
+		q.waiting = slices.DeleteFunc(q.waiting, func(e entry) bool { return started[e.ID] })
+	}
+}
+
+// order returns the waiting requests in the order in which they start.
+func (q *Queue) order() []entry {
+	workspaces := map[string]bool{}
+	for _, e := range q.waiting {
+		workspaces[e.Workspace] = true
+	}
+	ordered := slices.Clone(q.waiting)
+	if len(workspaces) < 2 {
+		return ordered
+	}
+	above := q.usage.above(workspaces)
+	slices.SortStableFunc(ordered, func(a, b entry) int {
+		return cmp.Compare(rank(above[a.Workspace]), rank(above[b.Workspace]))
+	})
+	return ordered
+}
+
+func rank(above bool) int {
+	if above {
+		return 1
+	}
+	return 0
 }
 
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return len(q.waiting) }
+
+// Ahead returns the prompt tokens of waiting requests due before the time.
+func (q *Queue) Ahead(due time.Time) int {
+	n := 0
+	for _, e := range q.waiting {
+		if e.FirstTokenDeadline().After(due) {
+			break
+		}
+		n += e.PromptTokens
+	}
+	return n
+}
--- a/attempts/table.go
+++ b/attempts/table.go
@@ -226,11 +226,3 @@
 
 // Attempts returns all attempts of the request in order.
 func (r *Record) Attempts() []*Attempt { return r.attempts }
-
-// ServerOf returns the backend server of an attempt in progress.
-func (t *Table) ServerOf(id gypsumshelf.AttemptID) (gypsumshelf.ServerID, bool) {
-	if r := t.byTry[id]; r != nil && r.running != nil && r.running.id == id {
-		return r.running.server, true
-	}
-	return "", false
-}
--- a/daemons/instance.go
+++ b/daemons/instance.go
@@ -22,6 +22,7 @@
 	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
 	"gypsumshelf.example/gypsumshelf/settings"
+	"gypsumshelf.example/gypsumshelf/shares"
 	"gypsumshelf.example/gypsumshelf/timers"
 	"gypsumshelf.example/gypsumshelf/traces"
 )
@@ -67,7 +68,8 @@
 	in.daemon = New(Config{
 		Reducer: ReducerConfig{
 			Daemon: s.Daemon, Policy: policy,
-			Servers:  servers.Config{Expiry: s.Limits.ServerExpiry.Std()},
+			Servers: servers.Config{Expiry: s.Limits.ServerExpiry.Std()},
+			Shares:  in.sharing(), Started: in.timers.Now(),
 			Attempts: attempts.Config{MaxAttempts: s.Limits.MaxAttempts, Keep: keepEnded},
 		},
 		Timers: in.timers, TickPeriod: tickPeriod,
@@ -87,7 +89,8 @@
 	Carry(in.daemon, in.handler.Start)
 	Carry(in.daemon, in.handler.Refuse)
 	Carry(in.daemon, in.handler.Finish)
-	Carry(in.daemon, in.forward)
+	Carry(in.daemon, func(e servers.Send) { in.links.Send(e.To, e.Payload) })
+	Carry(in.daemon, func(e shares.Send) { in.links.Send(e.To, e.Payload) })
 	in.daemon.Run()
 	if err := in.openHTTP(); err != nil {
 		in.Close()
@@ -170,12 +173,36 @@
 }
 
 func (in *Instance) receive(e peers.Envelope) {
-	if a, ok := e.Payload.(gypsumshelf.Announcement); ok {
-		in.daemon.Submit(servers.Announced{Announcement: a, Forwarded: true})
+	switch e.Payload.(type) {
+	case nil:
+		in.daemon.Submit(shares.Heard{From: e.From})
+	case servers.Notice, servers.Pulses, servers.Want:
+		in.daemon.Submit(servers.Received{From: e.From, Payload: e.Payload})
+	case shares.Claim, shares.Promise, shares.Resign, shares.Ask, shares.Grant:
+		in.daemon.Submit(shares.Received{From: e.From, Payload: e.Payload})
 	}
 }
 
-func (in *Instance) forward(e servers.Forward) { in.links.Broadcast(e.Announcement) }
+// sharing returns the division of limits between the daemons of the settings.
+func (in *Instance) sharing() shares.Config {
+	var all, voters []gypsumshelf.DaemonID
+	for _, p := range in.settings.Peers {
+		all = append(all, p.Daemon)
+	}
+	for _, v := range in.settings.Voters {
+		voters = append(voters, gypsumshelf.DaemonID(v))
+	}
+	if len(all) == 0 {
+		all = append(all, in.settings.Daemon)
+	}
+	if len(voters) == 0 {
+		voters = all
+	}
+	cfg := shares.DefaultConfig(len(all))
+	cfg.Daemon, cfg.Daemons = in.settings.Daemon, all
+	cfg.Voters = func() []gypsumshelf.DaemonID { return voters }
+	return cfg
+}
 
 func (in *Instance) ready(ctx context.Context) bool {
 	return in.daemon.Query(ctx, func(*Reducer) {})
--- a/daemons/reducer.go
+++ b/daemons/reducer.go
@@ -12,6 +12,7 @@
 	"gypsumshelf.example/gypsumshelf/attempts"
 	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
+	"gypsumshelf.example/gypsumshelf/shares"
 )
 
 // ReducerConfig configures a Reducer.
@@ -20,6 +21,8 @@
 	Policy   routes.Policy
 	Servers  servers.Config
 	Attempts attempts.Config
+	Shares   shares.Config // without a daemon, limits are not divided
+	Started  time.Time
 }
 
 // Reducer makes every decision of a daemon. It has no clock, no I/O and no
@@ -29,6 +32,9 @@
 	servers  *servers.Table
 	attempts *attempts.Table
 	queue    admissions.Queue
+	shares   *shares.Table
+	gossip   *servers.Gossip
+	awaited  map[gypsumshelf.ServerID]awaited
 	handlers map[reflect.Type]func(time.Time, gypsumshelf.Event)
 	out      []gypsumshelf.Effect
 }
@@ -39,6 +45,7 @@
 		cfg:      cfg,
 		servers:  servers.New(cfg.Servers),
 		attempts: attempts.New(cfg.Attempts),
+		awaited:  map[gypsumshelf.ServerID]awaited{},
 		handlers: map[reflect.Type]func(time.Time, gypsumshelf.Event){},
 	}
 	on(r, r.tick)
@@ -65,6 +72,7 @@
 		panic(fmt.Sprintf("event %s has no handler", ev.EventName()))
 	}
 	r.out = nil
+	r.observe(now, ev)
 	handle(now, ev)
 	return r.out
 }
--- a/daemons/requests.go
+++ b/daemons/requests.go
@@ -10,10 +10,7 @@
 func (r *Reducer) registerRequests() {
 	on(r, r.arrived)
 	on(r, func(_ time.Time, e attempts.Sent) { r.attempts.Sent(e.Attempt) })
-	on(r, func(now time.Time, e attempts.FirstToken) {
-		r.attempts.FirstToken(now, e.Attempt)
-		r.observeFirstToken(now, e.Attempt)
-	})
+	on(r, func(now time.Time, e attempts.FirstToken) { r.attempts.FirstToken(now, e.Attempt) })
 	on(r, r.ended)
 	on(r, r.failed)
 	on(r, r.callerGone)
@@ -30,8 +27,7 @@
 		r.refuse(now, rec, unknownTarget(req))
 		return
 	}
-	r.queue.Push(req)
-	r.dispatch(now)
+	r.admit(now, rec)
 }
 
 func unknownTarget(req gypsumshelf.Request) *gypsumshelf.Error {
@@ -46,7 +42,6 @@
 	if rec == nil {
 		return
 	}
-	r.observeEnd(rec, nil)
 	r.release(rec)
 	r.emit(attempts.Finish{Request: rec.Request().ID})
 	r.dispatch(now)
@@ -57,7 +52,6 @@
 	if rec == nil {
 		return
 	}
-	r.observeEnd(rec, e.Failure)
 	r.release(rec)
 	if retry {
 		r.queue.Push(rec.Request())
--- a/daemons/routing.go
+++ b/daemons/routing.go
@@ -4,81 +4,185 @@
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/admissions"
 	"gypsumshelf.example/gypsumshelf/attempts"
 	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
+	"gypsumshelf.example/gypsumshelf/shares"
 )
 
-func (r *Reducer) registerServers() { on(r, r.announced) }
+// maxMisses is the number of requests of one kind that find no room in a pass
+// over the queue before the others of that kind are skipped.
+const maxMisses = 8
 
-func (r *Reducer) announced(now time.Time, e servers.Announced) {
-	if e.Forwarded {
-		r.servers.AnnounceForwarded(now, e.Announcement, e.Age)
-	} else {
-		r.servers.Announce(now, e.Announcement)
-		r.emit(servers.Forward{Announcement: e.Announcement})
+// kind groups requests that the same servers with the same room can take.
+type kind struct {
+	service, model string
+	long           bool
+}
+
+func kindOf(req gypsumshelf.Request) kind {
+	return kind{service: req.Service, model: req.Model, long: req.PromptTokens >= routes.LongPrompt}
+}
+
+// admit queues an arrived request, or refuses it at once when it cannot meet
+// the finish time of its class or does not fit into the queue.
+func (r *Reducer) admit(now time.Time, rec *attempts.Record) {
+	req := rec.Request()
+	if err := r.predict(now, req); err != nil {
+		r.refuse(now, rec, err)
+		return
+	}
+	if out := r.queue.Offer(req); out != nil {
+		if other := r.attempts.Record(out.ID); other != nil {
+			r.refuse(now, other, gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeOverloaded,
+				"queue is full and workspace %s has the most requests in it", out.Workspace))
+		}
 	}
 	r.dispatch(now)
 }
 
+// predict returns the refusal of a request, or nil.
+func (r *Reducer) predict(now time.Time, req gypsumshelf.Request) *gypsumshelf.Error {
+	var estimates []admissions.Estimate
+	var alone time.Duration
+	largest := 0
+	ready := r.servers.Ready(now, req.Service, req.Model)
+	for _, s := range ready {
+		if memory := s.Announcement().MemoryTokens; memory > 0 && memory < tokensOf(req) {
+			largest = max(largest, memory)
+			continue
+		}
+		first, finish := s.Predict(workOf(req, s))
+		own := s.PromptTime(req.PromptTokens)
+		estimates = append(estimates, admissions.Estimate{Wait: first - own, FirstToken: first, Finish: finish})
+		alone += s.PromptTime(r.queue.Ahead(req.FirstTokenDeadline()))
+	}
+	if len(ready) > 0 && len(estimates) == 0 {
+		return gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeTooLong,
+			"prompt and answer need %d tokens, the largest backend server has %d", tokensOf(req), largest)
+	}
+	queue := time.Duration(0)
+	if n := len(estimates); n > 0 {
+		queue = alone / time.Duration(n*n) // mean time of the queue, spread over n servers
+	}
+	return admissions.Decide(now, req, estimates, queue)
+}
+
+func tokensOf(req gypsumshelf.Request) int { return req.PromptTokens + req.MaxTokens }
+
+func workOf(req gypsumshelf.Request, s *servers.Server) servers.Work {
+	return servers.Work{
+		Tokens: tokensOf(req), Prompt: req.PromptTokens, MaxTokens: req.MaxTokens,
+		Due: routes.Due(req, s.PromptTime(req.PromptTokens)),
+	}
+}
+
 // dispatch starts every waiting request for which a backend server has room.
 func (r *Reducer) dispatch(now time.Time) {
+	clear(r.awaited)
+	misses := map[kind]int{}
 	r.queue.Each(func(req gypsumshelf.Request) bool {
+		k := kindOf(req)
 		rec := r.attempts.Record(req.ID)
-		return rec != nil && r.start(now, rec)
+		if rec == nil || misses[k] >= maxMisses {
+			return false
+		}
+		if r.start(now, rec) {
+			return true
+		}
+		misses[k]++
+		return false
 	})
+	r.renewShares(now)
 }
 
 func (r *Reducer) start(now time.Time, rec *attempts.Record) bool {
 	req := rec.Request()
-	ready := r.servers.Ready(now, req.Service, req.Model)
-	candidates := make([]routes.Candidate, 0, len(ready))
-	for _, s := range ready {
-		if !rec.Tried(s.Announcement().Server) {
-			candidates = append(candidates, candidate(s))
-		}
-	}
+	candidates := r.candidates(now, rec)
 	i, ok := r.cfg.Policy.Choose(now, req, candidates)
 	if !ok {
+		r.await(now, req, candidates)
 		return false
 	}
 	server := r.servers.Server(candidates[i].Server)
+	work := workOf(req, server)
 	a := r.attempts.Begin(now, rec, candidates[i].Server)
 	rec.Note(now, "routed to %s in %s: %d of %d candidates, %d tokens in progress", a.Server(),
 		candidates[i].DataCentre, i+1, len(candidates), candidates[i].Tokens)
-	r.servers.Started(now, a.Server(), a.ID(), req.PromptTokens+req.MaxTokens)
+	r.servers.Started(now, a.Server(), a.ID(), work)
+	r.queue.Served(now, req.Workspace, tokensOf(req))
 	r.emit(attempts.Start{
 		Request: req.ID, Attempt: a.ID(), Server: a.Server(),
 		Address:  server.Announcement().Address,
-		Priority: int(req.FirstTokenDeadline().Sub(now).Milliseconds()),
+		Priority: r.priority(work),
 		Resume:   rec.Position(),
 	})
 	return true
 }
 
-func candidate(s *servers.Server) routes.Candidate {
-	a := s.Announcement()
-	n, tokens := s.Load()
-	return routes.Candidate{
-		Server: a.Server, DataCentre: a.DataCentre, Attempts: n, Tokens: tokens, Memory: a.MemoryTokens,
+// priority returns the time at which the first token is due in milliseconds
+// since 1970: daemons and arrivals are comparable on an engine.
+func (r *Reducer) priority(w servers.Work) int {
+	if !r.cfg.Policy.Prioritizes() {
+		return 0
 	}
+	return int(w.Due.UnixMilli())
 }
 
-func (r *Reducer) observeFirstToken(now time.Time, id gypsumshelf.AttemptID) {
-	if s, ok := r.attempts.ServerOf(id); ok {
-		r.servers.FirstToken(now, s, id)
+// candidates returns the servers that could take an attempt of the request.
+func (r *Reducer) candidates(now time.Time, rec *attempts.Record) []routes.Candidate {
+	req := rec.Request()
+	ready := r.servers.Ready(now, req.Service, req.Model)
+	candidates := make([]routes.Candidate, 0, len(ready))
+	for _, s := range ready {
+		a := s.Announcement()
+		if rec.Tried(a.Server) || (a.MemoryTokens > 0 && a.MemoryTokens < tokensOf(req)) {
+			continue
+		}
+		n, tokens := s.Load()
+		work := workOf(req, s)
+		candidates = append(candidates, routes.Candidate{
+			Server: a.Server, DataCentre: a.DataCentre, Attempts: n, Tokens: tokens, Memory: a.MemoryTokens,
+			Ahead: s.Ahead(work.Due), PerToken: s.PromptTime(1_000_000).Seconds() / 1e6,
+			LongTokens: s.LongTokens(routes.LongPrompt), Room: r.room(now, s, work.Tokens),
+		})
 	}
+	return candidates
 }
 
-// observeEnd passes the outcome of a request's last attempt to slow start. A
-// caller that left says nothing about the server.
-func (r *Reducer) observeEnd(rec *attempts.Record, failure *gypsumshelf.Error) {
-	all := rec.Attempts()
-	last := all[len(all)-1]
-	switch {
-	case failure == nil:
-		r.servers.Completed(last.Server(), last.ID())
-	case failure.Code != gypsumshelf.CodeCallerGone:
-		r.servers.Failed(last.Server(), last.ID())
+// room reports whether this daemon's share of a server has room for an attempt
+// of the given tokens. An attempt above the server's whole token limit may run
+// alone.
+func (r *Reducer) room(now time.Time, s *servers.Server, tokens int) bool {
+	n, used := s.InFlight()
+	limit := s.Limit()
+	share := shares.Amount(limit)
+	if r.shares != nil {
+		var whole shares.Amount
+		share, whole = r.shares.Share(now, s.Announcement().Server)
+		limit = servers.Limit(whole)
+	}
+	if n >= share.Attempts {
+		return false
+	}
+	if s.Announcement().MemoryTokens == 0 || used+tokens <= share.Tokens {
+		return true
+	}
+	return tokens > limit.Tokens && n == 0 && share == shares.Amount(limit)
+}
+
+// observe passes what attempts show about a server to its slow start. A caller
+// that left says nothing about the server.
+func (r *Reducer) observe(now time.Time, ev gypsumshelf.Event) {
+	switch e := ev.(type) {
+	case attempts.FirstToken:
+		r.servers.FirstToken(now, e.Attempt)
+	case attempts.Ended:
+		r.servers.Completed(now, e.Attempt)
+	case attempts.Failed:
+		if e.Failure.Code != gypsumshelf.CodeCallerGone {
+			r.servers.Failed(e.Attempt)
+		}
 	}
 }
--- /dev/null
+++ b/daemons/sharing.go
@@ -0,0 +1,163 @@
+package daemons
+
+import (
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/routes"
+	"gypsumshelf.example/gypsumshelf/servers"
+	"gypsumshelf.example/gypsumshelf/shares"
+)
+
+// gossipPeriod is the time between two batches of forwarded heartbeats.
+const gossipPeriod = 500 * time.Millisecond
+
+// awaited is the work that waits for one server.
+type awaited struct{ need, all shares.Amount }
+
+func (r *Reducer) registerServers() {
+	on(r, r.announced)
+	on(r, r.announcementMessage)
+	on(r, r.shareMessage)
+	on(r, func(now time.Time, e shares.Heard) {
+		if r.shares != nil {
+			r.shares.Heard(now, e.From)
+		}
+	})
+	if r.cfg.Shares.Daemon == "" {
+		return
+	}
+	cfg := r.cfg.Shares
+	cfg.Limit, cfg.Running = r.serverLimit, r.serverRunning
+	cfg.Learn, cfg.Adopt = r.servers.Learn, func(id gypsumshelf.ServerID, a shares.Amount) { r.servers.Adopt(id, servers.Limit(a)) }
+	r.shares = shares.New(r.cfg.Started, cfg)
+	r.gossip = servers.NewGossip(servers.GossipConfig{
+		Daemon: cfg.Daemon, Period: gossipPeriod,
+		Members: func(id gypsumshelf.ServerID) []gypsumshelf.DaemonID { return r.shares.Members(shares.SlotOf(id)) },
+	})
+}
+
+func (r *Reducer) serverLimit(id gypsumshelf.ServerID) (shares.Amount, uint32, bool) {
+	s := r.servers.Server(id)
+	if s == nil {
+		return shares.Amount{}, 0, false
+	}
+	return shares.Amount(s.Limit()), shares.IncarnationHash(s.Announcement().Incarnation), true
+}
+
+func (r *Reducer) serverRunning(id gypsumshelf.ServerID) (shares.Amount, servers.Evidence) {
+	s := r.servers.Server(id)
+	if s == nil {
+		return shares.Amount{}, servers.Evidence{}
+	}
+	n, tokens := s.InFlight()
+	return shares.Amount{Attempts: n, Tokens: tokens}, s.Evidence()
+}
+
+func (r *Reducer) announced(now time.Time, e servers.Announced) {
+	a := e.Announcement
+	if r.shares == nil || r.shares.Member(a.Server) {
+		if e.Forwarded {
+			r.servers.AnnounceForwarded(now, a, e.Age)
+		} else {
+			r.servers.Announce(now, a)
+		}
+	}
+	if !e.Forwarded && r.gossip != nil {
+		r.sendAnnouncements(r.gossip.Heard(now, a))
+	}
+	r.dispatch(now)
+}
+
+func (r *Reducer) announcementMessage(now time.Time, e servers.Received) {
+	if r.shares != nil {
+		r.shares.Heard(now, e.From)
+	}
+	switch m := e.Payload.(type) {
+	case servers.Notice:
+		r.announced(now, servers.Announced{
+			Announcement: m.Announcement, Forwarded: true, Age: time.Duration(m.AgeMillis) * time.Millisecond,
+		})
+	case servers.Pulses:
+		var want servers.Want
+		for _, p := range m.Items {
+			if !r.servers.Pulse(now, p) {
+				want.Servers = append(want.Servers, p.Server)
+			}
+		}
+		if len(want.Servers) > 0 {
+			r.emit(servers.Send{To: e.From, Payload: want})
+		}
+		r.dispatch(now)
+	case servers.Want:
+		if r.gossip != nil {
+			r.sendAnnouncements(r.gossip.Wanted(now, e.From, m))
+		}
+	}
+}
+
+func (r *Reducer) sendAnnouncements(all []servers.Send) {
+	for _, m := range all {
+		r.emit(m)
+	}
+}
+
+func (r *Reducer) shareMessage(now time.Time, e shares.Received) {
+	if r.shares == nil {
+		return
+	}
+	for _, m := range r.shares.Receive(now, e.From, e.Payload) {
+		r.emit(m)
+	}
+	if _, ok := e.Payload.(shares.Grant); ok {
+		r.dispatch(now)
+	}
+}
+
+// await adds a request without room to the work that waits for the server
+// that it would go to if there were room everywhere.
+func (r *Reducer) await(now time.Time, req gypsumshelf.Request, candidates []routes.Candidate) {
+	if r.shares == nil {
+		return
+	}
+	for i := range candidates {
+		candidates[i].Room = true
+		if w, ok := r.awaited[candidates[i].Server]; ok {
+			candidates[i].Tokens += w.all.Tokens
+			candidates[i].Ahead += w.all.Tokens
+		}
+	}
+	i, ok := r.cfg.Policy.Choose(now, req, candidates)
+	if !ok {
+		return
+	}
+	id := candidates[i].Server
+	need := shares.Amount{Attempts: 1, Tokens: tokensOf(req)}
+	if s := r.servers.Server(id); need.Tokens > s.Limit().Tokens && s.Announcement().MemoryTokens > 0 {
+		need.Attempts = s.Limit().Attempts // runs alone
+	}
+	w := r.awaited[id]
+	if w.need == (shares.Amount{}) {
+		w.need = need
+	}
+	w.all = shares.Amount{Attempts: w.all.Attempts + need.Attempts, Tokens: w.all.Tokens + need.Tokens}
+	r.awaited[id] = w
+}
+
+// renewShares sends the share messages that are due.
+func (r *Reducer) renewShares(now time.Time) {
+	if r.shares == nil {
+		return
+	}
+	all := r.servers.All()
+	ids := make([]gypsumshelf.ServerID, len(all))
+	for i, s := range all {
+		ids[i] = s.Announcement().Server
+		w := r.awaited[ids[i]]
+		r.shares.Await(ids[i], w.need, w.all)
+	}
+	for _, m := range r.shares.Tick(now, ids) {
+		r.emit(m)
+	}
+	r.sendAnnouncements(r.gossip.Tick(now, r.cfg.Servers.Expiry))
+}
--- a/peers/links.go
+++ b/peers/links.go
@@ -28,7 +28,7 @@
 	Deployment string
 	Daemon     gypsumshelf.DaemonID
 	Peers      map[gypsumshelf.DaemonID]string // address of each other daemon
-	Receive    func(Envelope)                  // called for each received envelope
+	Receive    func(Envelope)                  // called for each received envelope, without payload for a heartbeat
 }
 
 // Links holds the connections to all peers.
--- a/peers/session.go
+++ b/peers/session.go
@@ -64,6 +64,9 @@
 	if hello == nil {
 		return errNoHello
 	}
+	if len(batch) == 0 {
+		s.owner.cfg.Receive(Envelope{From: hello.Daemon})
+	}
 	for _, e := range batch {
 		e.From = hello.Daemon // a peer speaks only for itself
 		s.owner.cfg.Receive(e)
--- a/routes/leastloaded.go
+++ b/routes/leastloaded.go
@@ -14,13 +14,20 @@
 
 type leastLoaded struct{}
 
+// Choose implements Policy.
 func (leastLoaded) Choose(_ time.Time, _ gypsumshelf.Request, candidates []Candidate) (int, bool) {
+	return fewestTokens(candidates, func(Candidate) bool { return true })
+}
+
+// Prioritizes implements Policy.
+func (leastLoaded) Prioritizes() bool { return false }
+
+// fewestTokens returns the candidate with room and the fewest tokens of those
+// for which allowed returns true.
+func fewestTokens(candidates []Candidate, allowed func(Candidate) bool) (int, bool) {
 	best := -1
 	for i, c := range candidates {
-		if c.Limit > 0 && c.Attempts >= c.Limit {
-			continue
-		}
-		if best < 0 || c.Tokens < candidates[best].Tokens {
+		if c.Room && allowed(c) && (best < 0 || c.Tokens < candidates[best].Tokens) {
 			best = i
 		}
 	}
--- a/routes/policy.go
+++ b/routes/policy.go
@@ -11,16 +11,23 @@
 	"gypsumshelf.example/gypsumshelf"
 )
 
+// LongPrompt is the number of prompt tokens from which a prompt counts as
+// long. The stand-ins prefill about 100,000 tokens a second, so such a prompt
+// alone takes a third of a first-token target of one second.
+const LongPrompt = 32_000
+
 // Candidate is a backend server that may take an attempt.
 type Candidate struct {
 	Server     gypsumshelf.ServerID
 	DataCentre string
-	Attempts   int // attempts in progress, reported and sent since
-	Tokens     int // tokens in progress, reported and sent since
-	Limit      int // attempts that the server can bear now
-	Memory     int // engine memory in tokens, 0 when unlimited
-	LongTokens int // tokens of long prompts in progress
-	CachedFor  int // prompt tokens believed cached for the request
+	Attempts   int     // attempts in progress for all daemons, reported and sent since
+	Tokens     int     // tokens in progress for all daemons, reported and sent since
+	Ahead      int     // prompt tokens that the server processes before this request
+	PerToken   float64 // seconds for each prompt token, 0 when unknown
+	Memory     int     // engine memory in tokens, 0 when unlimited
+	LongTokens int     // tokens of long prompts in progress
+	CachedFor  int     // prompt tokens believed cached for the request
+	Room       bool    // this daemon's share has room for the request
 }
 
 // Policy chooses one of the candidates.
@@ -28,6 +35,21 @@
 	// Choose returns the index of the chosen candidate, or false when none
 	// may take the request now. Candidates are sorted by server id.
 	Choose(now time.Time, req gypsumshelf.Request, candidates []Candidate) (int, bool)
+	// Prioritizes reports whether engines must process prompts in the order of
+	// Due instead of arrival.
+	Prioritizes() bool
+}
+
+// Due returns the time at which the first token of a request is due, which
+// orders its prompt on an engine. The time that the prompt takes by itself is
+// added: without it a long prompt, which can never meet the target of a short
+// one, would go before every short one.
+func Due(req gypsumshelf.Request, promptTime time.Duration) time.Time {
+	due := req.FirstTokenDeadline().Add(promptTime)
+	if due.After(req.Deadline()) {
+		return req.Deadline()
+	}
+	return due
 }
 
 var registry = map[string]func() Policy{}
--- a/routes/roundrobin.go
+++ b/routes/roundrobin.go
@@ -13,13 +13,17 @@
 
 type roundRobin struct{ next int }
 
+// Choose implements Policy.
 func (p *roundRobin) Choose(_ time.Time, _ gypsumshelf.Request, candidates []Candidate) (int, bool) {
 	for range candidates {
 		i := p.next % len(candidates)
 		p.next++
-		if c := candidates[i]; c.Limit == 0 || c.Attempts < c.Limit {
+		if candidates[i].Room {
 			return i, true
 		}
 	}
 	return 0, false
 }
+
+// Prioritizes implements Policy.
+func (*roundRobin) Prioritizes() bool { return false }
--- a/servers/event.go
+++ b/servers/event.go
@@ -13,11 +13,5 @@
 	Age          time.Duration // age of a forwarded announcement when it was sent
 }
 
-// Forward is the effect that passes an announcement on to the other daemons.
-type Forward struct{ Announcement gypsumshelf.Announcement }
-
 // EventName implements gypsumshelf.Event.
 func (Announced) EventName() string { return "server-announced" }
-
-// EffectName implements gypsumshelf.Effect.
-func (Forward) EffectName() string { return "forward-announcement" }
--- /dev/null
+++ b/servers/gossip.go
@@ -0,0 +1,177 @@
+package servers
+
+import (
+	"cmp"
+	"encoding/gob"
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+)
+
+// Pulse is the compact form of an announcement that differs from the one
+// before only in its load.
+type Pulse struct {
+	Server    gypsumshelf.ServerID
+	Digest    uint32 // of the announcement without load and sequence
+	Sequence  uint64
+	Load      gypsumshelf.Load
+	AgeMillis int
+}
+
+// Pulses carries the pulses of several servers.
+type Pulses struct{ Items []Pulse }
+
+// Notice carries a whole announcement.
+type Notice struct {
+	Announcement gypsumshelf.Announcement
+	AgeMillis    int
+}
+
+// Want asks for the whole announcements of servers.
+type Want struct{ Servers []gypsumshelf.ServerID }
+
+func init() {
+	gob.Register(Pulses{})
+	gob.Register(Notice{})
+	gob.Register(Want{})
+}
+
+// Send is the effect that sends a payload to another daemon.
+type Send struct {
+	To      gypsumshelf.DaemonID
+	Payload any
+}
+
+// EffectName implements gypsumshelf.Effect.
+func (Send) EffectName() string { return "send-announcement" }
+
+// Received is the event of a forwarded announcement message.
+type Received struct {
+	From    gypsumshelf.DaemonID
+	Payload any
+}
+
+// EventName implements gypsumshelf.Event.
+func (Received) EventName() string { return "announcement-message-received" }
+
+// GossipConfig configures a Gossip.
+type GossipConfig struct {
+	Daemon  gypsumshelf.DaemonID
+	Members func(gypsumshelf.ServerID) []gypsumshelf.DaemonID // daemons that work with a server
+	Period  time.Duration                                     // between two batches of pulses
+}
+
+// direct is the last announcement heard directly from a server.
+type direct struct {
+	announcement gypsumshelf.Announcement
+	digest       uint32
+	heard        time.Time
+	dirty        bool
+}
+
+// Gossip forwards announcements to the daemons that work with the server: the
+// whole announcement when it has changed, otherwise pulses in batches. A lost
+// notice is made good by the digest of the next pulse.
+type Gossip struct {
+	cfg    GossipConfig
+	direct map[gypsumshelf.ServerID]*direct
+	last   time.Time
+}
+
+// NewGossip returns a Gossip that has heard of no server.
+func NewGossip(cfg GossipConfig) *Gossip {
+	return &Gossip{cfg: cfg, direct: map[gypsumshelf.ServerID]*direct{}}
+}
+
+// Digest identifies an announcement without its load and sequence.
+func Digest(a gypsumshelf.Announcement) uint32 {
+	a.Load, a.Sequence = gypsumshelf.Load{}, 0
+	h := fnv.New32a()
+	fmt.Fprintf(h, "%+v", a)
+	return h.Sum32()
+}
+
+// Heard takes an announcement heard directly and returns what to send at once.
+func (g *Gossip) Heard(now time.Time, a gypsumshelf.Announcement) []Send {
+	d := g.direct[a.Server]
+	digest := Digest(a)
+	changed := d == nil || d.digest != digest
+	g.direct[a.Server] = &direct{announcement: a, digest: digest, heard: now, dirty: !changed}
+	if !changed {
+		return nil
+	}
+	var out []Send
+	for _, m := range g.cfg.Members(a.Server) {
+		if m != g.cfg.Daemon {
+			out = append(out, Send{To: m, Payload: Notice{Announcement: a}})
+		}
+	}
+	return out
+}
+
+// Tick returns the batches of pulses that are due and forgets servers that
+// have not announced themselves here for longer than keep.
+func (g *Gossip) Tick(now time.Time, keep time.Duration) []Send {
+	if now.Sub(g.last) < g.cfg.Period {
+		return nil
+	}
+	g.last = now
+	batches := map[gypsumshelf.DaemonID][]Pulse{}
+	for id, d := range g.direct {
+		if now.Sub(d.heard) > keep {
+			delete(g.direct, id)
+		}
+		if !d.dirty {
+			continue
+		}
+		d.dirty = false
+		p := Pulse{
+			Server: id, Digest: d.digest, Sequence: d.announcement.Sequence,
+			Load: d.announcement.Load, AgeMillis: int(now.Sub(d.heard).Milliseconds()),
+		}
+		for _, m := range g.cfg.Members(id) {
+			if m != g.cfg.Daemon {
+				batches[m] = append(batches[m], p)
+			}
+		}
+	}
+	return sends(batches)
+}
+
+func sends(batches map[gypsumshelf.DaemonID][]Pulse) []Send {
+	var out []Send
+	for m, items := range batches {
+		slices.SortFunc(items, func(a, b Pulse) int { return cmp.Compare(a.Server, b.Server) })
+		out = append(out, Send{To: m, Payload: Pulses{Items: items}})
+	}
+	slices.SortFunc(out, func(a, b Send) int { return cmp.Compare(a.To, b.To) })
+	return out
+}
+
+// Wanted answers a Want with whole announcements.
+func (g *Gossip) Wanted(now time.Time, from gypsumshelf.DaemonID, w Want) []Send {
+	var out []Send
+	for _, id := range w.Servers {
+		if d := g.direct[id]; d != nil {
+			out = append(out, Send{To: from, Payload: Notice{
+				Announcement: d.announcement, AgeMillis: int(now.Sub(d.heard).Milliseconds()),
+			}})
+		}
+	}
+	return out
+}
+
+// Pulse applies a pulse. It reports false when the whole announcement is wanted.
+func (t *Table) Pulse(now time.Time, p Pulse) bool {
+	s := t.servers[p.Server]
+	if s == nil || s.digest != p.Digest {
+		return false
+	}
+	a := s.announcement
+	a.Load, a.Sequence = p.Load, p.Sequence
+	t.AnnounceForwarded(now, a, time.Duration(p.AgeMillis)*time.Millisecond)
+	return true
+}
--- a/servers/order_test.go
+++ b/servers/order_test.go
@@ -90,7 +90,7 @@
 	if !table.Server("fk-01").Warm() {
 		t.Fatal("server is not warm after 64 completed attempts")
 	}
-	table.Started(at(0), "fk-01", "running", 5000)
+	table.Started(at(0), "fk-01", "running", tokens(5000))
 	in = false
 	assertReady(t, table, at(time.Second), false)
 	if n, _ := table.Server("fk-01").InFlight(); n != 1 {
@@ -101,11 +101,13 @@
 	assertLimit(t, table, Limit{Attempts: 1, Tokens: 10_000})
 }
 
+func tokens(n int) Work { return Work{Tokens: n, Prompt: n} }
+
 func warmUp(table *Table) {
 	for i := range 64 {
 		id := gypsumshelf.AttemptID(fmt.Sprintf("w%d", i))
-		table.Started(at(0), "fk-01", id, 5000)
-		table.Completed("fk-01", id)
+		table.Started(at(0), "fk-01", id, tokens(5000))
+		table.Completed(at(0), id)
 		table.Ended("fk-01", id)
 	}
 }
@@ -123,13 +125,13 @@
 	table.Announce(at(0), announcement("i1", gypsumshelf.ServerReady, 0))
 	assertLimit(t, table, Limit{Attempts: 1, Tokens: 10_000})
 	for i, id := range []gypsumshelf.AttemptID{"a", "b", "c"} {
-		table.Started(at(0), "fk-01", id, 5000)
+		table.Started(at(0), "fk-01", id, tokens(5000))
 		assertLimit(t, table, Limit{Attempts: 1 + i, Tokens: 10_000 + 5000*i})
-		table.Completed("fk-01", id)
+		table.Completed(at(0), id)
 		table.Ended("fk-01", id)
 	}
-	table.Started(at(0), "fk-01", "d", 5000)
-	table.Failed("fk-01", "d")
+	table.Started(at(0), "fk-01", "d", tokens(5000))
+	table.Failed("d")
 	assertLimit(t, table, Limit{Attempts: 2, Tokens: 12_500})
 	table.Announce(at(time.Second), announcement("i2", gypsumshelf.ServerReady, 0))
 	assertLimit(t, table, Limit{Attempts: 1, Tokens: 10_000})
@@ -143,12 +145,11 @@
 	warmUp(table)
 	observe := func(i int, wait time.Duration, ahead int) {
 		id := gypsumshelf.AttemptID(fmt.Sprintf("f%d", i))
-		a := announcement("i1", gypsumshelf.ServerReady, 0)
-		a.Load.UsedTokens = ahead
-		table.Announce(at(0), a)
-		table.Started(at(0), "fk-01", id, 10_000)
-		table.FirstToken(at(wait), "fk-01", id)
+		table.Started(at(0), "fk-01", "ahead", tokens(ahead))
+		table.Started(at(0), "fk-01", id, tokens(10_000))
+		table.FirstToken(at(wait), id)
 		table.Ended("fk-01", id)
+		table.Ended("fk-01", "ahead")
 	}
 	for i := range 20 {
 		observe(i, time.Second, 0)
--- a/servers/server.go
+++ b/servers/server.go
@@ -9,11 +9,19 @@
 
 // work is one attempt of this daemon in progress on a server.
 type work struct {
-	tokens     int
-	ahead      int // tokens in progress on the server when it was sent
+	Work
+	ahead      int // tokens to be processed before it when it was sent
 	started    time.Time
 	report     int // number of load reports before it was sent
-	firstToken bool
+	firstToken time.Time
+}
+
+// Work describes an attempt for the estimate of its time.
+type Work struct {
+	Tokens    int       // prompt tokens and upper bound of generated tokens
+	Prompt    int       // prompt tokens
+	MaxTokens int       // upper bound of generated tokens
+	Due       time.Time // engines process the prompt that is due first
 }
 
 // Server is one backend server as this daemon sees it.
@@ -24,10 +32,12 @@
 	ramp         *ramp
 	cold         coldDetector
 	evidence     Evidence
+	perMaxToken  float64 // seconds of generation for each token of MaxTokens
 	inFlight     map[gypsumshelf.AttemptID]work
 	tokens       int
-	reports      int // number of load reports
-	sinceReport  int // attempts sent since that report and still in progress
+	digest       uint32 // of the announcement
+	reports      int    // number of load reports
+	sinceReport  int    // attempts sent since that report and still in progress
 	sinceTokens  int
 }
 
@@ -83,12 +93,50 @@
 // Evidence returns the counts of this daemon for the server's incarnation.
 func (s *Server) Evidence() Evidence { return s.evidence }
 
-// TokenTime returns the present time to the first token for each token of
-// work ahead, 0 when nothing is known.
-func (s *Server) TokenTime() time.Duration {
-	return time.Duration(s.cold.perToken() * float64(time.Second))
+// Ahead estimates the prompt tokens that the server processes before a prompt
+// due at the given time, for all daemons: this daemon's prompts without a
+// first token, scaled by its part of the tokens in progress.
+func (s *Server) Ahead(due time.Time) int {
+	mine := 0
+	for _, w := range s.inFlight {
+		if w.firstToken.IsZero() && !w.Due.After(due) {
+			mine += w.Prompt
+		}
+	}
+	_, all := s.Load()
+	if s.tokens == 0 || mine == 0 {
+		return mine
+	}
+	return max(mine, min(all, mine*all/s.tokens))
+}
+
+// Predict estimates the time to the first token and to the end of a piece of
+// work that is sent now; both are 0 while nothing is known of the server.
+func (s *Server) Predict(w Work) (firstToken, finish time.Duration) {
+	first := s.cold.perToken() * float64(w.Prompt+s.Ahead(w.Due))
+	end := first + s.perMaxToken*float64(w.MaxTokens)
+	return seconds(first), seconds(end)
 }
 
+// PromptTime estimates the time that the server alone takes for a prompt.
+func (s *Server) PromptTime(tokens int) time.Duration {
+	return seconds(s.cold.perToken() * float64(tokens))
+}
+
+// LongTokens returns the prompt tokens that this daemon has in progress in
+// prompts of at least the given length.
+func (s *Server) LongTokens(length int) int {
+	n := 0
+	for _, w := range s.inFlight {
+		if w.Prompt >= length {
+			n += w.Prompt
+		}
+	}
+	return n
+}
+
+func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
+
 func (s *Server) serves(service, model string) bool {
 	if model != "" {
 		return slices.Contains(s.announcement.Models, model)
--- a/servers/table.go
+++ b/servers/table.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -25,6 +26,7 @@
 type Table struct {
 	cfg     Config
 	servers map[gypsumshelf.ServerID]*Server
+	placed  map[gypsumshelf.AttemptID]*Server
 	past    map[gypsumshelf.ServerID]*history
 }
 
@@ -36,41 +38,47 @@
 	if cfg.InService == nil {
 		cfg.InService = func(string) bool { return true }
 	}
-	return &Table{cfg: cfg, servers: map[gypsumshelf.ServerID]*Server{}, past: map[gypsumshelf.ServerID]*history{}}
+	return &Table{cfg: cfg, servers: map[gypsumshelf.ServerID]*Server{},
+		placed: map[gypsumshelf.AttemptID]*Server{}, past: map[gypsumshelf.ServerID]*history{}}
 }
 
-// Announce takes an announcement heard directly from the server.
-func (t *Table) Announce(now time.Time, a gypsumshelf.Announcement) (changed bool) {
+// Announce takes an announcement heard directly from the server. It returns
+// the attempts of an earlier incarnation, which can no longer be in progress.
+func (t *Table) Announce(now time.Time, a gypsumshelf.Announcement) (lost []gypsumshelf.AttemptID) {
 	return t.take(now, a, false, now)
 }
 
 // AnnounceForwarded takes an announcement that another daemon heard age ago.
-func (t *Table) AnnounceForwarded(now time.Time, a gypsumshelf.Announcement, age time.Duration) (changed bool) {
+func (t *Table) AnnounceForwarded(now time.Time, a gypsumshelf.Announcement, age time.Duration) (lost []gypsumshelf.AttemptID) {
 	return t.take(now, a, true, now.Add(-age))
 }
 
-// take applies an announcement unless it is outdated. It reports whether
-// anything but the load and the sequence differs from what was known.
-func (t *Table) take(now time.Time, a gypsumshelf.Announcement, forwarded bool, heard time.Time) (changed bool) {
+// take applies an announcement unless it is outdated.
+func (t *Table) take(now time.Time, a gypsumshelf.Announcement, forwarded bool, heard time.Time) (lost []gypsumshelf.AttemptID) {
 	if t.outdated(now, a, forwarded) {
-		return false
+		return nil
 	}
 	s := t.servers[a.Server]
 	if s == nil || s.announcement.Incarnation != a.Incarnation {
 		if s != nil {
+			lost = slices.Sorted(maps.Keys(s.inFlight))
+			for _, id := range lost {
+				delete(t.placed, id)
+			}
 			t.forget(now, a.Server, s.announcement.Incarnation)
 		}
 		s = newServer(now, t.cfg.Ramp, a)
 		s.out = !t.cfg.InService(a.DataCentre)
 		t.servers[a.Server] = s
-		changed = true
+		s.digest = Digest(a)
+	} else if !sameButLoad(s.announcement, a) {
+		s.digest = Digest(a)
 	}
-	changed = changed || !sameButLoad(s.announcement, a)
 	s.report(a)
 	if heard.After(s.heard) {
 		s.heard = heard
 	}
-	return changed
+	return lost
 }
 
 func sameButLoad(a, b gypsumshelf.Announcement) bool {
--- a/servers/work.go
+++ b/servers/work.go
@@ -7,32 +7,32 @@
 )
 
 // Started records an attempt that is sent to a server.
-func (t *Table) Started(now time.Time, id gypsumshelf.ServerID, attempt gypsumshelf.AttemptID, tokens int) {
+func (t *Table) Started(now time.Time, id gypsumshelf.ServerID, attempt gypsumshelf.AttemptID, w Work) {
 	s := t.servers[id]
 	if s == nil {
 		return
 	}
-	_, ahead := s.Load()
-	s.inFlight[attempt] = work{tokens: tokens, ahead: ahead, started: now, report: s.reports}
-	s.tokens += tokens
+	t.placed[attempt] = s
+	s.inFlight[attempt] = work{Work: w, ahead: s.Ahead(w.Due), started: now, report: s.reports}
+	s.tokens += w.Tokens
 	s.sinceReport++
-	s.sinceTokens += tokens
+	s.sinceTokens += w.Tokens
 }
 
 // FirstToken records the first token of an attempt; a latency far above the
 // server's own past starts slow start again.
-func (t *Table) FirstToken(now time.Time, id gypsumshelf.ServerID, attempt gypsumshelf.AttemptID) {
-	s := t.servers[id]
+func (t *Table) FirstToken(now time.Time, attempt gypsumshelf.AttemptID) {
+	s := t.placed[attempt]
 	if s == nil {
 		return
 	}
 	w, ok := s.inFlight[attempt]
-	if !ok || w.firstToken {
+	if !ok || !w.firstToken.IsZero() {
 		return
 	}
-	w.firstToken = true
+	w.firstToken = now
 	s.inFlight[attempt] = w
-	if s.cold.observe(now.Sub(w.started), w.tokens+w.ahead) {
+	if s.cold.observe(now.Sub(w.started), w.Prompt+w.ahead) {
 		s.turnCold(now)
 	}
 }
@@ -52,22 +52,23 @@
 
 // Completed records that an attempt delivered its whole answer. It must be
 // called before Ended.
-func (t *Table) Completed(id gypsumshelf.ServerID, attempt gypsumshelf.AttemptID) {
-	s := t.servers[id]
+func (t *Table) Completed(now time.Time, attempt gypsumshelf.AttemptID) {
+	s := t.placed[attempt]
 	if s == nil {
 		return
 	}
 	if w, ok := s.inFlight[attempt]; ok {
 		s.evidence.Completed++
-		s.evidence.Tokens += w.tokens
-		s.ramp.completed(w.tokens)
+		s.evidence.Tokens += w.Tokens
+		s.ramp.completed(w.Tokens)
+		s.observeGeneration(now, w)
 	}
 }
 
 // Failed records that an attempt failed on the server. It must be called
 // before Ended.
-func (t *Table) Failed(id gypsumshelf.ServerID, attempt gypsumshelf.AttemptID) {
-	s := t.servers[id]
+func (t *Table) Failed(attempt gypsumshelf.AttemptID) {
+	s := t.placed[attempt]
 	if s == nil {
 		return
 	}
@@ -112,10 +113,25 @@
 	if !ok {
 		return
 	}
-	s.tokens -= w.tokens
+	s.tokens -= w.Tokens
 	delete(s.inFlight, attempt)
+	delete(t.placed, attempt)
 	if w.report == s.reports {
 		s.sinceReport--
-		s.sinceTokens -= w.tokens
+		s.sinceTokens -= w.Tokens
+	}
+}
+
+// generationWeight is the weight of a new sample in the time for each token.
+const generationWeight = 0.1
+
+func (s *Server) observeGeneration(now time.Time, w work) {
+	if w.firstToken.IsZero() || w.MaxTokens == 0 {
+		return
+	}
+	x := now.Sub(w.firstToken).Seconds() / float64(w.MaxTokens)
+	if s.perMaxToken == 0 {
+		s.perMaxToken = x
 	}
+	s.perMaxToken += generationWeight * (x - s.perMaxToken)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -85,7 +85,7 @@
 			DialTimeout:     Duration(time.Second),
 			ServerExpiry:    Duration(3 * time.Second),
 		},
-		Routing:  Routing{Policy: "least-loaded"},
+		Routing:  Routing{Policy: "earliest-deadline"},
 		LogLevel: "info",
 	}
 }
--- a/standins/announcer.go
+++ b/standins/announcer.go
@@ -81,6 +81,7 @@
 	defer a.sending.Unlock()
 	body := a.cfg.Announcement
 	body.State = a.State()
+	body.Sequence = uint64(time.Now().UnixMilli())
 	if a.cfg.Load != nil {
 		body.Load = a.cfg.Load()
 	}
