Introduce servers to daemons that do not know them

Cause: with many daemons only the owner gets pulses, and a member asks for shares only of servers that it knows, so it never heard of a new server; pushing out of a full queue scanned and copied the queue. Ruled out: notices to all members at each first sight, 24 KB/s for a daemon. Conclusion: owners send a notice to live members without a share every 2 s.

--- a/admissions/queue.go
+++ b/admissions/queue.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -28,11 +29,14 @@
 type Queue struct {
 	due     func(gypsumshelf.Request) time.Time
 	waiting []entry
+	counts  map[string]int // waiting requests by workspace
 	usage   usage
 }
 
 // New returns an empty Queue that orders requests by due.
-func New(due func(gypsumshelf.Request) time.Time) *Queue { return &Queue{due: due} }
+func New(due func(gypsumshelf.Request) time.Time) *Queue {
+	return &Queue{due: due, counts: map[string]int{}}
+}
 
 // Push adds a request that was admitted before.
 func (q *Queue) Push(req gypsumshelf.Request) { q.insert(entry{Request: req, retry: true}) }
@@ -49,21 +53,18 @@
 	if i < 0 {
 		return nil
 	}
-	out = &q.waiting[i].Request
-	q.waiting = slices.Delete(slices.Clone(q.waiting), i, i+1)
-	return out
+	pushed := q.waiting[i].Request
+	q.waiting = slices.Delete(q.waiting, i, i+1)
+	q.counts[pushed.Workspace]--
+	return &pushed
 }
 
 // last returns the index of the request to push out, -1 when all are retries.
 func (q *Queue) last() int {
-	counts := map[string]int{}
-	for _, e := range q.waiting {
-		counts[e.Workspace]++
-	}
-	worst := -1
-	for i, e := range q.waiting {
-		if !e.retry && (worst < 0 || counts[e.Workspace] >= counts[q.waiting[worst].Workspace]) {
-			worst = i
+	worst, most := -1, 0
+	for i := len(q.waiting) - 1; i >= 0; i-- {
+		if e := &q.waiting[i]; !e.retry && q.counts[e.Workspace] > most {
+			worst, most = i, q.counts[e.Workspace]
 		}
 	}
 	return worst
@@ -71,6 +72,7 @@
 
 func (q *Queue) insert(e entry) {
 	e.due = q.due(e.Request)
+	q.counts[e.Workspace]++
 	i, _ := slices.BinarySearchFunc(q.waiting, e.due, func(r entry, t time.Time) int {
 		if r.due.After(t) {
 			return 1
@@ -82,7 +84,19 @@
 
 // Remove takes a request out of the queue.
 func (q *Queue) Remove(id gypsumshelf.RequestID) {
-	q.waiting = slices.DeleteFunc(q.waiting, func(r entry) bool { return r.ID == id })
+	q.drop(func(e entry) bool { return e.ID == id })
+}
+
+func (q *Queue) drop(gone func(entry) bool) {
+	q.waiting = slices.DeleteFunc(q.waiting, func(e entry) bool {
+		if !gone(e) {
+			return false
+		}
+		if q.counts[e.Workspace]--; q.counts[e.Workspace] == 0 {
+			delete(q.counts, e.Workspace)
+		}
+		return true
+	})
 }
 
 // Served counts tokens of work that was started for a workspace.
@@ -103,21 +117,17 @@
 		}
 	}
 	if len(started) > 0 {
-		q.waiting = slices.DeleteFunc(q.waiting, func(e entry) bool { return started[e.ID] })
+		q.drop(func(e entry) bool { return started[e.ID] })
 	}
 }
 
 // order returns the waiting requests in the order in which they start.
 func (q *Queue) order() []entry {
-	workspaces := map[string]bool{}
-	for _, e := range q.waiting {
-		workspaces[e.Workspace] = true
-	}
 	ordered := slices.Clone(q.waiting)
-	if len(workspaces) < 2 {
+	if len(q.counts) < 2 {
 		return ordered
 	}
-	above := q.usage.above(workspaces)
+	above := q.usage.above(q.counts)
 	slices.SortStableFunc(ordered, func(a, b entry) int {
 		return cmp.Compare(rank(above[a.Workspace]), rank(above[b.Workspace]))
 	})
@@ -138,10 +148,8 @@
 // arrived one.
 func (q *Queue) Ahead(req gypsumshelf.Request) int {
 	due := q.due(req)
-	workspaces := map[string]bool{req.Workspace: true}
-	for _, e := range q.waiting {
-		workspaces[e.Workspace] = true
-	}
+	workspaces := maps.Clone(q.counts)
+	workspaces[req.Workspace]++
 	above := q.usage.above(workspaces)
 	own := rank(above[req.Workspace])
 	n := 0
--- /dev/null
+++ b/admissions/queue_test.go
@@ -0,0 +1,97 @@
+package admissions
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func request(id, workspace string, arrived time.Duration) gypsumshelf.Request {
+	return gypsumshelf.Request{
+		ID: gypsumshelf.RequestID(id), Workspace: workspace, PromptTokens: 1000, Arrived: epoch.Add(arrived),
+		Class: gypsumshelf.Class{Name: "default", Target: gypsumshelf.Target{FirstToken: time.Second, Finish: time.Minute}},
+	}
+}
+
+func newQueue() *Queue { return New(gypsumshelf.Request.FirstTokenDeadline) }
+
+func assertOrder(t *testing.T, q *Queue, want ...gypsumshelf.RequestID) {
+	t.Helper()
+	var got []gypsumshelf.RequestID
+	q.Each(func(r gypsumshelf.Request) bool {
+		got = append(got, r.ID)
+		return false
+	})
+	if !slices.Equal(got, want) {
+		t.Fatalf("order is %v, want %v", got, want)
+	}
+}
+
+// Guards against a workspace's weight that changes the order while nobody has
+// had more than a fair part, and against a large workspace that goes first.
+func TestOrder(t *testing.T) {
+	q := newQueue()
+	q.Push(request("a", "large", 0))
+	q.Push(request("c", "large", 2*time.Second))
+	q.Push(request("b", "small", time.Second))
+	assertOrder(t, q, "a", "b", "c")
+	q.Served(epoch, "large", 9000)
+	q.Served(epoch, "small", 1000)
+	assertOrder(t, q, "b", "a", "c")
+	q.Remove("b")
+	assertOrder(t, q, "a", "c")
+}
+
+// Guards against a queue without a bound and against a small workspace or a
+// retry that is pushed out by a large one.
+func TestQueueIsBounded(t *testing.T) {
+	q := newQueue()
+	q.Push(request("retry", "large", time.Hour))
+	if out := q.Offer(request("small", "small", time.Hour)); out != nil {
+		t.Fatalf("%s was pushed out of a queue with room", out.ID)
+	}
+	for i := range 2 * maxWaiting {
+		out := q.Offer(request(fmt.Sprint(i), "large", 0))
+		if out != nil && (out.ID == "retry" || out.ID == "small") {
+			t.Fatalf("%s was pushed out", out.ID)
+		}
+	}
+	if q.Len() > maxWaiting {
+		t.Fatalf("%d requests wait, want at most %d", q.Len(), maxWaiting)
+	}
+}
+
+// Guards against predictions that admit a hopeless request or refuse one that
+// a server can finish in time.
+func TestDecide(t *testing.T) {
+	quick := Estimate{FirstToken: 100 * time.Millisecond, Finish: 2 * time.Second}
+	for _, c := range []struct {
+		name    string
+		servers []Estimate
+		queue   time.Duration
+		code    gypsumshelf.Code
+	}{
+		{"no server", nil, 0, gypsumshelf.CodeNoBackendServer},
+		{"unknown speed", []Estimate{{}}, 0, ""},
+		{"one of two in time", []Estimate{{Finish: 2 * time.Minute}, quick}, 0, ""},
+		{"none in time", []Estimate{{Finish: 2 * time.Minute}}, 0, gypsumshelf.CodeDeadline},
+		{"queue too long for the finish time", []Estimate{quick}, time.Minute, gypsumshelf.CodeDeadline},
+		{"queue too long for the first token", []Estimate{quick}, 10 * time.Second, gypsumshelf.CodeOverloaded},
+		{"long prompt may wait longer", []Estimate{{FirstToken: 5 * time.Second, Finish: 6 * time.Second}}, 10 * time.Second, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			err := Decide(epoch, request("a", "w", 0), c.servers, c.queue)
+			switch {
+			case err == nil && c.code != "":
+				t.Fatalf("admitted, want %s", c.code)
+			case err != nil && (err.Code != c.code || err.Verdict != gypsumshelf.NotRun):
+				t.Fatalf("refused with %v, want code %q and not-run", err, c.code)
+			}
+		})
+	}
+}
--- a/admissions/usage.go
+++ b/admissions/usage.go
@@ -43,7 +43,7 @@
 
 // above returns the workspaces that have had more than their fair part among
 // those that wait.
-func (u *usage) above(waiting map[string]bool) map[string]bool {
+func (u *usage) above(waiting map[string]int) map[string]bool {
 	sum := 0.0
 	for w := range waiting {
 		sum += u.tokens[w]
--- a/daemons/reducer.go
+++ b/daemons/reducer.go
@@ -28,16 +28,17 @@
 // Reducer makes every decision of a daemon. It has no clock, no I/O and no
 // goroutine; time arrives with each event.
 type Reducer struct {
-	cfg      ReducerConfig
-	servers  *servers.Table
-	attempts *attempts.Table
-	queue    *admissions.Queue
-	perToken map[string]time.Duration // time of a million prompt tokens by model
-	shares   *shares.Table
-	gossip   *servers.Gossip
-	awaited  map[gypsumshelf.ServerID]awaited
-	handlers map[reflect.Type]func(time.Time, gypsumshelf.Event)
-	out      []gypsumshelf.Effect
+	cfg        ReducerConfig
+	servers    *servers.Table
+	attempts   *attempts.Table
+	queue      *admissions.Queue
+	perToken   map[string]time.Duration // time of a million prompt tokens by model
+	shares     *shares.Table
+	gossip     *servers.Gossip
+	introduced time.Time
+	awaited    map[gypsumshelf.ServerID]awaited
+	handlers   map[reflect.Type]func(time.Time, gypsumshelf.Event)
+	out        []gypsumshelf.Effect
 }
 
 // NewReducer returns a Reducer without any backend server or request.
--- a/daemons/routing_test.go
+++ b/daemons/routing_test.go
@@ -233,3 +233,27 @@
 	}
 	return float64(tokens) / d.Seconds() / (s.cfg.rate * float64(s.cfg.engines))
 }
+
+// Guards against daemons that lose sight of a server when there are too many
+// of them to hear of it directly: the owner passes reports on with shares.
+func TestManyDaemons(t *testing.T) {
+	s := newSim(simConfig{seed: seed(), policy: routes.EarliestDeadline, daemons: 20, engines: 6, rate: 100_000, memory: 1_500_000})
+	s.run(30 * time.Second)
+	s.load(20, false, func() string { return "w" })
+	s.run(20 * time.Second)
+	e := s.engines[0]
+	n := s.countStarts(func(o *fakeEngine) bool { return o == e })
+	s.run(10 * time.Second)
+	assertStarts(t, "ready", *n, true)
+	e.state = gypsumshelf.ServerLeaving
+	e.announce()
+	s.run(3 * time.Second)
+	*n = 0
+	s.run(10 * time.Second)
+	assertStarts(t, "leaving", *n, false)
+	for id, r := range s.results {
+		if r.refused != nil {
+			t.Fatalf("request %s refused: %v", id, r.refused)
+		}
+	}
+}
--- a/daemons/sharing.go
+++ b/daemons/sharing.go
@@ -12,6 +12,10 @@
 // gossipPeriod is the time between two batches of forwarded heartbeats.
 const gossipPeriod = 500 * time.Millisecond
 
+// introducePeriod is the time between two notices to members of a server that
+// do not know it, where pulses go only to the owner.
+const introducePeriod = 2 * time.Second
+
 // awaited is the work that waits for one server.
 type awaited struct{ need, all shares.Amount }
 
@@ -105,11 +109,7 @@
 		r.dispatch(now)
 	case servers.Want:
 		for _, id := range m.Servers {
-			if s := r.servers.Server(id); s != nil {
-				r.emit(servers.Send{To: e.From, Payload: servers.Notice{
-					Announcement: s.Announcement(), AgeMillis: int(now.Sub(s.Heard()).Milliseconds()),
-				}})
-			} else if r.gossip != nil {
+			if !r.notify(now, e.From, id) && r.gossip != nil {
 				r.sendAnnouncements(r.gossip.Wanted(now, e.From, servers.Want{Servers: []gypsumshelf.ServerID{id}}))
 			}
 		}
@@ -197,4 +197,22 @@
 		r.emit(m)
 	}
 	r.sendAnnouncements(r.gossip.Tick(now, r.cfg.Servers.Expiry))
+	if r.cfg.Shares.Members > 0 && now.Sub(r.introduced) >= introducePeriod {
+		r.introduced = now
+		for _, x := range r.shares.Strangers(now, ids) {
+			r.notify(now, x.Daemon, x.Server)
+		}
+	}
+}
+
+// notify sends a daemon the whole announcement of a known server.
+func (r *Reducer) notify(now time.Time, to gypsumshelf.DaemonID, id gypsumshelf.ServerID) bool {
+	s := r.servers.Server(id)
+	if s == nil {
+		return false
+	}
+	r.emit(servers.Send{To: to, Payload: servers.Notice{
+		Announcement: s.Announcement(), AgeMillis: int(now.Sub(s.Heard()).Milliseconds()),
+	}})
+	return true
 }
--- a/shares/ask.go
+++ b/shares/ask.go
@@ -138,3 +138,29 @@
 		}
 	}
 }
+
+// Stranger is a live member of a server's slot that has asked for no share.
+type Stranger struct {
+	Daemon gypsumshelf.DaemonID
+	Server gypsumshelf.ServerID
+}
+
+// Strangers returns the strangers to the servers that this daemon owns; they
+// have not heard of the server.
+func (t *Table) Strangers(now time.Time, known []gypsumshelf.ServerID) []Stranger {
+	var all []Stranger
+	for _, id := range known {
+		slot := SlotOf(id)
+		o := t.owners[slot]
+		if o == nil {
+			continue
+		}
+		l := o.ledgers[id]
+		for _, d := range t.Members(slot) {
+			if d != t.cfg.Daemon && t.Live(now, d) && (l == nil || l.holdings[d] == nil) {
+				all = append(all, Stranger{Daemon: d, Server: id})
+			}
+		}
+	}
+	return all
+}
