--- /dev/null
+++ b/daemons/entries.go
@@ -0,0 +1,72 @@
+package daemons
+
+import (
+	"encoding/gob"
+	"net/http"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/engines"
+	"gypsumshelf.example/gypsumshelf/entries"
+)
+
+func init() {
+	gob.Register(attempts.Suspicion{})
+	gob.Register(attempts.Quarantine{})
+}
+
+// openEntries creates the interface for callers and the drivers of the effects
+// that concern requests.
+func (in *Instance) openEntries(adjust func(*entries.Config)) {
+	limits := in.settings.Limits
+	client := engines.NewClient(engines.ClientConfig{
+		DialTimeout: limits.DialTimeout.Std(), ProgressTimeout: limits.ProgressTimeout.Std(),
+		Wrap: func(t http.RoundTripper) http.RoundTripper { return in.traces.Transport("backend-server", t) },
+	})
+	in.engines = client
+	idempotent := map[string][]string{}
+	for _, s := range in.settings.Services {
+		idempotent[s.Name] = s.Idempotent
+	}
+	in.cancels = engines.NewCanceller(client)
+	cfg := entries.Config{
+		Engine: client, Services: client, Idempotent: idempotent,
+		Submit: in.daemon.Submit, Ready: in.ready, Class: in.class,
+		Workspaces: in.settings.Workspaces, MaxBodyBytes: limits.MaxBodyBytes,
+		BodyBudget: limits.BodyBudgetBytes, WriteTimeout: limits.ProgressTimeout.Std(), Now: in.timers.Now,
+	}
+	adjust(&cfg)
+	in.handler = entries.New(cfg)
+	in.metrics.Gauge("gypsumshelf_held_body_bytes", "Bytes of long request bodies kept for a retry.", func() float64 {
+		return float64(in.handler.HeldBodyBytes())
+	})
+	Carry(in.daemon, in.handler.Start)
+	Carry(in.daemon, in.handler.Refuse)
+	Carry(in.daemon, in.handler.Finish)
+	Carry(in.daemon, in.handler.Replay)
+	Carry(in.daemon, in.handler.Abort)
+	Carry(in.daemon, func(e attempts.Cancel) { in.cancels.Cancel(e.Address, e.Attempt) })
+	Carry(in.daemon, func(e attempts.ShareSuspicion) { in.links.Broadcast(e.Suspicion) })
+	Carry(in.daemon, in.quarantine)
+}
+
+// quarantine tells all daemons of a guilty body hash. The reducer asks for it
+// only where there is no replicated log to record it.
+func (in *Instance) quarantine(e attempts.Quarantine) {
+	in.links.Broadcast(e)
+	in.submitLater(attempts.Quarantined(e))
+}
+
+// submitLater submits an event from an effect's driver, which runs on the event
+// loop and must not wait for it.
+func (in *Instance) submitLater(ev gypsumshelf.Event) {
+	s := &submission{daemon: in.daemon, event: ev}
+	go s.run()
+}
+
+type submission struct {
+	daemon *Daemon
+	event  gypsumshelf.Event
+}
+
+func (s *submission) run() { s.daemon.Submit(s.event) }
--- a/daemons/instance.go
+++ b/daemons/instance.go
@@ -10,15 +10,19 @@
 	"os"
 	"time"
 
+	"github.com/google/uuid"
+
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/announcements"
 	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/configs"
 	"gypsumshelf.example/gypsumshelf/engines"
 	"gypsumshelf.example/gypsumshelf/entries"
 	"gypsumshelf.example/gypsumshelf/logs"
+	"gypsumshelf.example/gypsumshelf/members"
 	"gypsumshelf.example/gypsumshelf/metrics"
-	"gypsumshelf.example/gypsumshelf/operators"
 	"gypsumshelf.example/gypsumshelf/peers"
+	"gypsumshelf.example/gypsumshelf/replicas"
 	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
 	"gypsumshelf.example/gypsumshelf/settings"
@@ -34,7 +38,12 @@
 	flushTime      = 2 * time.Second // time to export the last spans at a stop
 )
 
-func init() { gob.Register(gypsumshelf.Announcement{}) }
+func init() {
+	gob.Register(gypsumshelf.Announcement{})
+	gob.Register(configs.Proposal{})
+	gob.Register(attempts.Question{})
+	gob.Register(attempts.Explanation{})
+}
 
 // Instance is one running daemon with all its listeners.
 type Instance struct {
@@ -44,12 +53,23 @@
 	links    *peers.Links
 	servers  []*http.Server
 	handler  *entries.Handler
+	cancels  *engines.Canceller
+	engines  *engines.Client
 	traces   *traces.Provider
+	storage  *storage
+	renewals []*renewal
 	metrics  *metrics.Recorder
+	tickets  tickets
+
+	questions questions
 }
 
 // Start opens the listeners of a daemon and runs it.
 func Start(s settings.Settings) (*Instance, error) {
+	return start(s, func(*entries.Config) {})
+}
+
+func start(s settings.Settings, adjust func(*entries.Config)) (*Instance, error) {
 	policy, err := routes.New(s.Routing.Policy)
 	if err != nil {
 		return nil, err
@@ -65,33 +85,37 @@
 	if err != nil {
 		return nil, err
 	}
+	in.storage = &storage{settings: s, log: log, submit: func(ev gypsumshelf.Event) { in.daemon.Submit(ev) }}
+	node, recovered, err := in.storage.open()
+	if err != nil {
+		return nil, err
+	}
 	in.daemon = New(Config{
 		Reducer: ReducerConfig{
 			Daemon: s.Daemon, Policy: policy,
 			Servers: servers.Config{Expiry: s.Limits.ServerExpiry.Std()},
 			Shares:  in.sharing(), Started: in.timers.Now(),
 			Attempts: attempts.Config{MaxAttempts: s.Limits.MaxAttempts, Keep: keepEnded},
+			Session:  uuid.NewString(),
+			Replica:  logConfig(s, node, recovered),
+			Lease:    members.Config{Duration: s.Limits.FreshnessLease.Std()},
 		},
 		Timers: in.timers, TickPeriod: tickPeriod,
 		Observers: []Observer{in.metrics, logs.NewObserver(log)},
 	})
 	if err := in.openPeers(); err != nil {
+		in.closeStorage()
 		return nil, err
 	}
-	in.handler = entries.New(entries.Config{
-		Engine: engines.NewClient(engines.ClientConfig{
-			DialTimeout: s.Limits.DialTimeout.Std(),
-			Wrap:        func(t http.RoundTripper) http.RoundTripper { return in.traces.Transport("engine", t) },
-		}),
-		Submit: in.daemon.Submit, Ready: in.ready, Class: in.class,
-		Workspaces: s.Workspaces, MaxBodyBytes: s.Limits.MaxBodyBytes, Now: in.timers.Now,
-	})
-	Carry(in.daemon, in.handler.Start)
-	Carry(in.daemon, in.handler.Refuse)
-	Carry(in.daemon, in.handler.Finish)
+	in.openEntries(adjust)
 	Carry(in.daemon, func(e servers.Send) { in.links.Send(e.To, e.Payload) })
 	Carry(in.daemon, func(e shares.Send) { in.links.Send(e.To, e.Payload) })
+	Carry(in.daemon, in.tickets.decided)
+	Carry(in.daemon, in.sendProposal)
+	Carry(in.daemon, in.sendExplanation)
+	in.carryLog()
 	in.daemon.Run()
+	in.storage.run()
 	if err := in.openHTTP(); err != nil {
 		in.Close()
 		return nil, err
@@ -134,7 +158,7 @@
 		{"backend-servers", in.settings.Listen.BackendServers, announcements.New(announcements.Config{
 			Submit: in.daemon.Submit, AllowedNetworks: in.settings.AllowedNetworks,
 		})},
-		{"operators", in.settings.Listen.Operators, in.traces.Handler("operator", operators.New(operators.Config{Status: in.status, Explain: in.explain}))},
+		{"operators", in.settings.Listen.Operators, in.traces.Handler("operator", in.operatorHandler())},
 		{"metrics", in.settings.Listen.Metrics, in.metrics.Handler()},
 	} {
 		listener, err := net.Listen("tcp", l.address)
@@ -166,24 +190,40 @@
 	}
 	in.links.Close()
 	in.daemon.Close()
+	in.cancels.Close()
+	in.engines.Close()
 	in.timers.Close()
+	in.closeStorage()
 	ctx, cancel := context.WithTimeout(context.Background(), flushTime)
 	defer cancel()
 	_ = in.traces.Close(ctx)
 }
 
 func (in *Instance) receive(e peers.Envelope) {
-	switch e.Payload.(type) {
+	switch payload := e.Payload.(type) {
 	case nil:
 		in.daemon.Submit(shares.Heard{From: e.From})
 	case servers.Notice, servers.Pulses, servers.Want:
-		in.daemon.Submit(servers.Received{From: e.From, Payload: e.Payload})
+		in.daemon.Submit(servers.Received{From: e.From, Payload: payload})
 	case shares.Claim, shares.Promise, shares.Resign, shares.Ask, shares.Grant:
-		in.daemon.Submit(shares.Received{From: e.From, Payload: e.Payload})
+		in.daemon.Submit(shares.Received{From: e.From, Payload: payload})
+	case replicas.Message:
+		in.receiveLog(e, payload)
+	case configs.Proposal:
+		in.daemon.Submit(configs.Forwarded{Proposal: payload})
+	case attempts.Question:
+		in.daemon.Submit(attempts.Asked{From: e.From, Question: payload})
+	case attempts.Explanation:
+		in.questions.explained(payload)
+	case attempts.Suspicion:
+		in.daemon.Submit(attempts.Suspected{Suspicion: payload})
+	case attempts.Quarantine:
+		in.daemon.Submit(attempts.Quarantined(payload))
 	}
 }
 
-// sharing returns the division of limits between the daemons of the settings.
+// sharing returns the division of limits between the daemons of the settings,
+// none for a daemon alone.
 func (in *Instance) sharing() shares.Config {
 	var all, voters []gypsumshelf.DaemonID
 	for _, p := range in.settings.Peers {
@@ -192,8 +232,8 @@
 	for _, v := range in.settings.Voters {
 		voters = append(voters, gypsumshelf.DaemonID(v))
 	}
-	if len(all) == 0 {
-		all = append(all, in.settings.Daemon)
+	if len(all) < 2 {
+		return shares.Config{}
 	}
 	if len(voters) == 0 {
 		voters = all
@@ -203,31 +243,3 @@
 	cfg.Voters = func() []gypsumshelf.DaemonID { return voters }
 	return cfg
 }
-
-func (in *Instance) ready(ctx context.Context) bool {
-	return in.daemon.Query(ctx, func(*Reducer) {})
-}
-
-func (in *Instance) class(_ context.Context, name string) (gypsumshelf.Class, bool) {
-	class := gypsumshelf.Class{Name: name, Target: gypsumshelf.Target{FirstToken: time.Second, Finish: time.Minute}}
-	return class, name == gypsumshelf.DefaultClassName
-}
-
-func (in *Instance) status(ctx context.Context) (status operators.Status, ok bool) {
-	status.Daemon = in.settings.Daemon
-	ok = in.daemon.Query(ctx, func(r *Reducer) {
-		status.Ready = true
-		for _, s := range r.servers.All() {
-			n, _ := s.InFlight()
-			status.BackendServers = append(status.BackendServers, operators.ServerStatus{Announcement: s.Announcement(), Attempts: n})
-		}
-	})
-	return status, ok
-}
-
-func (in *Instance) explain(ctx context.Context, id gypsumshelf.RequestID) (notes []attempts.Note, ok bool) {
-	in.daemon.Query(ctx, func(r *Reducer) {
-		notes = append(notes, r.attempts.Explain(id)...)
-	})
-	return notes, len(notes) > 0
-}
--- /dev/null
+++ b/daemons/log.go
@@ -0,0 +1,187 @@
+package daemons
+
+import (
+	"fmt"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/replicas"
+)
+
+const (
+	// compactEntries is the number of applied entries after which the log is
+	// replaced by a snapshot.
+	compactEntries = 4096
+	// compactBytes is the size of their data that has the same effect, since
+	// outcomes of runs can be large.
+	compactBytes = 8 << 20
+)
+
+// logPart is the replicated log in the reducer. It outlives its replica, which
+// is replaced together with its storage.
+type logPart struct {
+	replica *replicas.Replica
+	cfg     replicas.Config
+	applied uint64 // last entry of any kind
+	entries int    // applied since the last snapshot
+	bytes   int
+}
+
+func newLogPart(cfg replicas.Config) *logPart {
+	return &logPart{replica: replicas.New(cfg), cfg: cfg}
+}
+
+// Propose implements replicatedLog.
+func (l *logPart) Propose(now time.Time, data []byte) (index, term uint64, err error) {
+	return l.replica.Propose(now, data)
+}
+
+// Leader implements replicatedLog.
+func (l *logPart) Leader() (gypsumshelf.DaemonID, bool) { return l.replica.Leader() }
+
+// Term implements replicatedLog.
+func (l *logPart) Term() uint64 { return l.replica.Term() }
+
+// Confirmation implements replicatedLog.
+func (l *logPart) Confirmation() (asked time.Time, commit uint64) { return l.replica.Confirmation() }
+
+// LogReceived is the event of a log message from another daemon.
+type LogReceived struct{ Message replicas.Message }
+
+// LogSynced is the event of a completed sync.
+type LogSynced struct{ Sequence uint64 }
+
+// LogFailed is the event of storage that accepts no more writes.
+type LogFailed struct{}
+
+// LogRenewed is the event of storage that was replaced by an empty one.
+type LogRenewed struct {
+	ID        replicas.NodeID
+	Recovered replicas.Recovered
+	Session   uint64
+}
+
+// LogSend is the effect that sends a log message.
+type LogSend struct{ Message replicas.Message }
+
+// LogWrite is the effect that writes and syncs.
+type LogWrite struct{ Persist *replicas.Persist }
+
+// LogRenew is the effect that discards storage which is older than what other
+// daemons know this one to have promised.
+type LogRenew struct{}
+
+// EventName implements gypsumshelf.Event.
+func (LogReceived) EventName() string { return "log-received" }
+
+// EventName implements gypsumshelf.Event.
+func (LogSynced) EventName() string { return "log-synced" }
+
+// EventName implements gypsumshelf.Event.
+func (LogFailed) EventName() string { return "log-failed" }
+
+// EventName implements gypsumshelf.Event.
+func (LogRenewed) EventName() string { return "log-renewed" }
+
+// EffectName implements gypsumshelf.Effect.
+func (LogSend) EffectName() string { return "log-send" }
+
+// EffectName implements gypsumshelf.Effect.
+func (LogWrite) EffectName() string { return "log-write" }
+
+// EffectName implements gypsumshelf.Effect.
+func (LogRenew) EffectName() string { return "log-renew" }
+
+func (r *Reducer) registerLog() {
+	on(r, func(now time.Time, e LogReceived) { r.log.replica.Receive(now, e.Message) })
+	on(r, func(now time.Time, e LogSynced) { r.log.replica.Synced(now, e.Sequence) })
+	on(r, func(time.Time, LogFailed) { r.log.replica.Halt() })
+	on(r, r.renewLog)
+}
+
+func (r *Reducer) tickLog(now time.Time) {
+	if r.log != nil {
+		r.log.replica.Tick(now)
+		if r.stopping {
+			r.log.replica.Resign(now)
+		}
+	}
+}
+
+// renewLog starts again without any entry; the leader sends a snapshot. The
+// configuration stays in force, since nothing in it reverts.
+func (r *Reducer) renewLog(now time.Time, e LogRenewed) {
+	cfg := r.log.cfg
+	cfg.ID, cfg.Recovered, cfg.Session = e.ID, e.Recovered, e.Session
+	*r.log = *newLogPart(cfg)
+	r.tickLog(now)
+}
+
+// flushLog carries out what the replica asks for and renews the freshness
+// lease. It runs after every event, since any event can propose a command.
+func (r *Reducer) flushLog(now time.Time) {
+	for r.log != nil {
+		out := r.log.replica.Take()
+		if out.Renew {
+			r.emit(LogRenew{})
+			r.log.replica.Halt()
+			return
+		}
+		for _, m := range out.Messages {
+			r.emit(LogSend{Message: m})
+		}
+		r.applyLog(now, out)
+		switch {
+		case out.Persist == nil:
+			r.configuration.renew(r.log.applied)
+			return
+		case r.log.cfg.Durable:
+			r.emit(LogWrite{Persist: out.Persist})
+		default:
+			// Without a data folder nothing that this daemon stores counts.
+			r.log.replica.Synced(now, out.Persist.Sequence)
+		}
+	}
+}
+
+// applyLog passes snapshots and commands on to the configuration. After its
+// storage was renewed a daemon sees entries again that it has applied.
+func (r *Reducer) applyLog(now time.Time, out replicas.Output) {
+	l, c := r.log, r.configuration
+	if s := out.Install; s != nil {
+		l.applied, l.entries, l.bytes = s.Index, 0, 0
+		if len(s.Data) > 0 && s.Index > c.state.Index() {
+			if err := c.install(s.Index, s.Data); err != nil {
+				panic(fmt.Sprintf("snapshot at entry %d cannot be installed: %v", s.Index, err))
+			}
+		}
+	}
+	for _, e := range out.Committed {
+		l.applied = e.Index
+		l.entries++
+		l.bytes += len(e.Data)
+		if e.Kind == replicas.Command && e.Index > c.state.Index() {
+			c.apply(now, e.Index, e.At, e.Data)
+		}
+	}
+	if l.entries < compactEntries && l.bytes < compactBytes || c.state.Index() > l.applied {
+		return
+	}
+	data, err := c.state.Snapshot()
+	if err != nil {
+		panic(fmt.Sprintf("configuration cannot be encoded: %v", err))
+	}
+	l.entries, l.bytes = 0, 0
+	l.replica.Compact(l.applied, data)
+}
+
+// logPeers returns the other daemons.
+func logPeers(self gypsumshelf.DaemonID, all []gypsumshelf.DaemonID) []gypsumshelf.DaemonID {
+	var peers []gypsumshelf.DaemonID
+	for _, id := range all {
+		if id != self {
+			peers = append(peers, id)
+		}
+	}
+	return peers
+}
--- a/daemons/reducer.go
+++ b/daemons/reducer.go
@@ -10,6 +10,9 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/admissions"
 	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/configs"
+	"gypsumshelf.example/gypsumshelf/members"
+	"gypsumshelf.example/gypsumshelf/replicas"
 	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
 	"gypsumshelf.example/gypsumshelf/shares"
@@ -23,6 +26,10 @@
 	Attempts attempts.Config
 	Shares   shares.Config // without a daemon, limits are not divided
 	Started  time.Time
+	Lease    members.Config
+	Session  string // unique to this start of the daemon
+	Replica  replicas.Config
+	Log      replicatedLog // stands for the replica in tests
 }
 
 // Reducer makes every decision of a daemon. It has no clock, no I/O and no
@@ -32,6 +39,7 @@
 	servers    *servers.Table
 	attempts   *attempts.Table
 	queue      *admissions.Queue
+	log        *logPart                 // nil without a replica
 	perToken   map[string]time.Duration // time of a million prompt tokens by model
 	shares     *shares.Table
 	gossip     *servers.Gossip
@@ -39,25 +47,50 @@
 	awaited    map[gypsumshelf.ServerID]awaited
 	handlers   map[reflect.Type]func(time.Time, gypsumshelf.Event)
 	out        []gypsumshelf.Effect
+	stopping   bool
+	trials     map[gypsumshelf.ServerID]gypsumshelf.AttemptID // suspects that run apart from other work
+
+	configuration *configuration
+	runs          uint64                                   // keyed runs begun since the start
+	waiting       map[gypsumshelf.RequestID]configs.RunKey // requests that wait for a run of their key
 }
 
 // NewReducer returns a Reducer without any backend server or request.
 func NewReducer(cfg ReducerConfig) *Reducer {
 	r := &Reducer{
 		cfg:      cfg,
-		servers:  servers.New(cfg.Servers),
 		attempts: attempts.New(cfg.Attempts),
 		perToken: map[string]time.Duration{},
 		awaited:  map[gypsumshelf.ServerID]awaited{},
 		handlers: map[reflect.Type]func(time.Time, gypsumshelf.Event){},
+		trials:   map[gypsumshelf.ServerID]gypsumshelf.AttemptID{},
+		waiting:  map[gypsumshelf.RequestID]configs.RunKey{},
+	}
+	if cfg.Log == nil && cfg.Replica.ID.Daemon != "" {
+		r.log = newLogPart(cfg.Replica)
+		r.registerLog()
+		cfg.Log = r.log
 	}
+	r.configuration = newConfiguration(cfg, r.emit)
 	r.queue = admissions.New(r.due)
+	allowed := cfg.Servers.InService
+	cfg.Servers.InService = func(dataCentre string) bool {
+		return r.inService(dataCentre) && (allowed == nil || allowed(dataCentre))
+	}
+	r.servers = servers.New(cfg.Servers)
 	on(r, r.tick)
 	r.registerServers()
 	r.registerRequests()
+	r.registerConfiguration()
 	return r
 }
 
+// inService reports whether a data centre may receive new work. It reads the
+// present state, which a snapshot may replace.
+func (r *Reducer) inService(dataCentre string) bool {
+	return r.configuration.state.InService(dataCentre)
+}
+
 // on makes handle the handler of all events of type E.
 func on[E gypsumshelf.Event](r *Reducer, handle func(time.Time, E)) {
 	r.handlers[reflect.TypeFor[E]()] = func(now time.Time, ev gypsumshelf.Event) { handle(now, ev.(E)) }
@@ -81,17 +114,21 @@
 	if _, ok := ev.(attempts.FirstToken); ok {
 		r.dispatch(now) // the server has room for another prompt
 	}
+	r.flushLog(now)
 	return r.out
 }
 
 func (r *Reducer) emit(e gypsumshelf.Effect) { r.out = append(r.out, e) }
 
 func (r *Reducer) tick(now time.Time, _ Tick) {
-	for _, rec := range r.attempts.Overdue(now) {
-		r.refuse(now, rec, gypsumshelf.Errorf(rec.Verdict(), gypsumshelf.CodeDeadline,
-			"not finished within %s of class %s", rec.Request().Class.Target.Finish, rec.Request().Class.Name))
-	}
+	r.refuseOverdue(now)
+	r.queueRetries(now)
+	r.configuration.tick(now)
+	r.checkKeys(now)
+	r.refuseQuarantined(now)
+	r.refuseStale(now)
 	r.attempts.Expire(now)
 	r.servers.Expire(now)
 	r.dispatch(now)
+	r.tickLog(now)
 }
--- a/daemons/routing.go
+++ b/daemons/routing.go
@@ -30,15 +30,9 @@
 	return kind{service: req.Service, model: req.Model, long: req.PromptTokens >= routes.LongPrompt}
 }
 
-// admit queues an arrived request, or refuses it at once when it cannot meet
-// the finish time of its class or does not fit into the queue.
-func (r *Reducer) admit(now time.Time, rec *attempts.Record) {
-	req := rec.Request()
-	if err := r.predict(now, req); err != nil {
-		r.refuse(now, rec, err)
-		return
-	}
-	if out := r.queue.Offer(req); out != nil {
+// enqueue queues an admitted request; a full queue pushes one request out.
+func (r *Reducer) enqueue(now time.Time, rec *attempts.Record) {
+	if out := r.queue.Offer(rec.Request()); out != nil {
 		if other := r.attempts.Record(out.ID); other != nil {
 			r.refuse(now, other, gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeOverloaded,
 				"queue is full and workspace %s has the most requests in it", out.Workspace))
@@ -47,7 +41,8 @@
 	r.dispatch(now)
 }
 
-// predict returns the refusal of a request, or nil.
+// predict returns the refusal of an arrived request that cannot meet the finish
+// time of its class, or nil.
 func (r *Reducer) predict(now time.Time, req gypsumshelf.Request) *gypsumshelf.Error {
 	var estimates []admissions.Estimate
 	var million time.Duration
@@ -114,6 +109,9 @@
 }
 
 func (r *Reducer) start(now time.Time, rec *attempts.Record) bool {
+	if r.notReady(now) != nil {
+		return false
+	}
 	req := rec.Request()
 	candidates := r.candidates(now, rec)
 	i, ok := r.cfg.Policy.Choose(now, req, candidates)
@@ -123,17 +121,14 @@
 	}
 	server := r.servers.Server(candidates[i].Server)
 	work := workOf(req, server)
-	a := r.attempts.Begin(now, rec, candidates[i].Server)
+	a := r.begin(now, rec, server.Announcement())
 	rec.Note(now, "routed to %s in %s: %d of %d candidates, %d tokens in progress", a.Server(),
 		candidates[i].DataCentre, i+1, len(candidates), candidates[i].Tokens)
 	r.servers.Started(now, a.Server(), a.ID(), work)
 	r.queue.Served(now, req.Workspace, tokensOf(req))
-	r.emit(attempts.Start{
-		Request: req.ID, Attempt: a.ID(), Server: a.Server(),
-		Address:  server.Announcement().Address,
-		Priority: r.priority(work),
-		Resume:   rec.Position(),
-	})
+	start := r.startEffect(now, rec, a)
+	start.Priority = r.priority(work)
+	r.emit(start)
 	return true
 }
 
@@ -149,11 +144,11 @@
 // candidates returns the servers that could take an attempt of the request.
 func (r *Reducer) candidates(now time.Time, rec *attempts.Record) []routes.Candidate {
 	req := rec.Request()
-	ready := r.servers.Ready(now, req.Service, req.Model)
+	ready := r.eligible(now, rec, r.servers.Ready(now, req.Service, req.Model))
 	candidates := make([]routes.Candidate, 0, len(ready))
 	for _, s := range ready {
 		a := s.Announcement()
-		if rec.Tried(a.Server) || (a.MemoryTokens > 0 && a.MemoryTokens < tokensOf(req)) {
+		if a.MemoryTokens > 0 && a.MemoryTokens < tokensOf(req) {
 			continue
 		}
 		n, tokens := s.Load()
--- a/daemons/routing_test.go
+++ b/daemons/routing_test.go
@@ -19,9 +19,9 @@
 }
 
 // countStarts counts attempts on the engines for which pick returns true.
-func (s *sim) countStarts(pick func(*fakeEngine) bool) *int {
+func (s *sim) countStarts(pick func(*queueEngine) bool) *int {
 	n := 0
-	s.started = func(e *fakeEngine, _ *fakeJob) {
+	s.started = func(e *queueEngine, _ *queueJob) {
 		if pick(e) {
 			n++
 		}
@@ -40,7 +40,7 @@
 // against requests in progress there that are lost (R4).
 func TestDataCentreTakenOut(t *testing.T) {
 	s := loadedSim(0)
-	inside := func(e *fakeEngine) bool { return e.dataCentre == "dc-0" }
+	inside := func(e *queueEngine) bool { return e.dataCentre == "dc-0" }
 	n := s.countStarts(inside)
 	s.run(2 * time.Second)
 	assertStarts(t, "before", *n, true)
@@ -62,7 +62,7 @@
 }
 
 // fail ends all attempts on an engine with an error.
-func (s *sim) fail(e *fakeEngine) {
+func (s *sim) fail(e *queueEngine) {
 	lost := e.jobs
 	e.jobs = nil
 	for _, j := range lost {
@@ -79,7 +79,7 @@
 }
 
 // restart begins a new incarnation; the attempts of the old one fail.
-func (e *fakeEngine) restart(incarnation string) {
+func (e *queueEngine) restart(incarnation string) {
 	lost := e.jobs
 	e.jobs, e.incarnation, e.busy = nil, incarnation, false
 	e.running, e.stale, e.used, e.completed, e.peak = 0, 0, 0, 0, 0
@@ -106,7 +106,7 @@
 	for _, loss := range []float64{0, 0.2} {
 		s := loadedSim(loss)
 		e := s.engines[0]
-		n := s.countStarts(func(o *fakeEngine) bool { return o == e })
+		n := s.countStarts(func(o *queueEngine) bool { return o == e })
 		e.state = gypsumshelf.ServerLeaving
 		e.announce()
 		s.run(3 * time.Second)
@@ -127,7 +127,7 @@
 		e := s.engines[0]
 		e.restart("i2")
 		restart, stale := s.now, 0
-		s.started = func(o *fakeEngine, j *fakeJob) {
+		s.started = func(o *queueEngine, j *queueJob) {
 			if o != e {
 				return
 			}
@@ -153,7 +153,7 @@
 	s := loadedSim(0)
 	e := s.engines[0]
 	s.run(20 * time.Second)
-	n := s.countStarts(func(o *fakeEngine) bool { return o == e })
+	n := s.countStarts(func(o *queueEngine) bool { return o == e })
 	s.run(30 * time.Second)
 	before := *n
 	e.slow = 20
@@ -171,16 +171,16 @@
 	s := loadedSim(0)
 	class := gypsumshelf.Class{Name: "quick", Target: gypsumshelf.Target{FirstToken: time.Second, Finish: 2 * time.Second}}
 	s.send(0, gypsumshelf.Request{Workspace: "w", PromptTokens: 900_000, MaxTokens: 64, Class: class})
-	assertRefused(t, s, gypsumshelf.CodeDeadline)
+	assertRefusedAtOnce(t, s, gypsumshelf.CodeDeadline)
 	s.send(0, gypsumshelf.Request{Workspace: "w", PromptTokens: 1_600_000, MaxTokens: 64})
-	assertRefused(t, s, gypsumshelf.CodeTooLong)
+	assertRefusedAtOnce(t, s, gypsumshelf.CodeTooLong)
 	s.out["dc-0"], s.out["dc-1"], s.out["dc-2"] = true, true, true
 	s.send(0, gypsumshelf.Request{Workspace: "w", PromptTokens: 1000, MaxTokens: 64})
-	assertRefused(t, s, gypsumshelf.CodeNoBackendServer)
+	assertRefusedAtOnce(t, s, gypsumshelf.CodeNoBackendServer)
 }
 
-// assertRefused asserts that the last request was refused at once.
-func assertRefused(t *testing.T, s *sim, code gypsumshelf.Code) {
+// assertRefusedAtOnce asserts that the last request was refused at once.
+func assertRefusedAtOnce(t *testing.T, s *sim, code gypsumshelf.Code) {
 	t.Helper()
 	for _, r := range s.results {
 		if r.req.Arrived.Equal(s.now) && r.refused != nil && r.refused.Code == code && r.refused.Verdict == gypsumshelf.NotRun {
@@ -242,7 +242,7 @@
 	s.load(20, false, func() string { return "w" })
 	s.run(20 * time.Second)
 	e := s.engines[0]
-	n := s.countStarts(func(o *fakeEngine) bool { return o == e })
+	n := s.countStarts(func(o *queueEngine) bool { return o == e })
 	s.run(10 * time.Second)
 	assertStarts(t, "ready", *n, true)
 	e.state = gypsumshelf.ServerLeaving
--- a/daemons/sharing.go
+++ b/daemons/sharing.go
@@ -75,10 +75,14 @@
 func (r *Reducer) announced(now time.Time, e servers.Announced) {
 	a := e.Announcement
 	if r.shares == nil || r.shares.Member(a.Server) {
+		var update servers.Update
 		if e.Forwarded {
-			r.servers.AnnounceForwarded(now, a, e.Age)
+			update = r.servers.AnnounceForwarded(now, a, e.Age)
 		} else {
-			r.servers.Announce(now, a)
+			update = r.servers.Announce(now, a)
+		}
+		if update.Changed {
+			r.restarted(now, a, update.Lost)
 		}
 	}
 	if !e.Forwarded && r.gossip != nil {
--- a/daemons/sim_test.go
+++ b/daemons/sim_test.go
@@ -64,10 +64,10 @@
 	heap    futures
 	n       int
 	daemons []*Reducer
-	engines []*fakeEngine
+	engines []*queueEngine
 	out     map[string]bool // data centres taken out
 	results map[gypsumshelf.RequestID]*result
-	started func(*fakeEngine, *fakeJob) // hook of tests
+	started func(*queueEngine, *queueJob) // hook of tests
 }
 
 type result struct {
@@ -109,7 +109,7 @@
 		})
 	}
 	for i := range cfg.engines {
-		e := &fakeEngine{sim: s, id: gypsumshelf.ServerID(fmt.Sprintf("fk-%02d", i)), incarnation: "i1", dataCentre: fmt.Sprintf("dc-%d", i%3), state: gypsumshelf.ServerReady}
+		e := &queueEngine{sim: s, id: gypsumshelf.ServerID(fmt.Sprintf("fk-%02d", i)), incarnation: "i1", dataCentre: fmt.Sprintf("dc-%d", i%3), state: gypsumshelf.ServerReady}
 		s.engines = append(s.engines, e)
 		s.every(500*time.Millisecond, time.Duration(i)*7*time.Millisecond, e.announce)
 	}
@@ -170,10 +170,10 @@
 }
 
 func (s *sim) start(i int, e attempts.Start) {
-	n := slices.IndexFunc(s.engines, func(f *fakeEngine) bool { return f.id == e.Server })
+	n := slices.IndexFunc(s.engines, func(f *queueEngine) bool { return f.id == e.Server })
 	engine := s.engines[n]
 	res := s.results[e.Request]
-	j := &fakeJob{
+	j := &queueJob{
 		request: res, attempt: e.Attempt, daemon: i, priority: e.Priority, left: res.req.PromptTokens,
 		memory: res.req.PromptTokens + res.req.MaxTokens,
 		stale:  s.daemons[i].servers.Server(e.Server).Announcement().Incarnation != engine.incarnation,
@@ -195,8 +195,8 @@
 	s.step(i, attempts.Arrived{Request: req})
 }
 
-// fakeJob is an attempt on a fake engine.
-type fakeJob struct {
+// queueJob is an attempt on a fake engine.
+type queueJob struct {
 	request  *result
 	attempt  gypsumshelf.AttemptID
 	daemon   int
@@ -206,16 +206,16 @@
 	stale    bool // sent by a daemon that had not heard of the engine's restart
 }
 
-// fakeEngine has one prefill rate that all prompts share: the most urgent one
+// queueEngine has one prefill rate that all prompts share: the most urgent one
 // goes first, in slices. Tokens are generated at a fixed interval.
-type fakeEngine struct {
+type queueEngine struct {
 	sim         *sim
 	id          gypsumshelf.ServerID
 	incarnation string
 	dataCentre  string
 	state       gypsumshelf.ServerState
 	slow        float64 // factor on the cost of a prompt, 1 when 0
-	jobs        []*fakeJob
+	jobs        []*queueJob
 	running     int
 	stale       int
 	used        int
@@ -230,7 +230,7 @@
 	fakeInterval = 20 * time.Millisecond
 )
 
-func (e *fakeEngine) announce() {
+func (e *queueEngine) announce() {
 	s := e.sim
 	a := gypsumshelf.Announcement{
 		Server: e.id, Incarnation: e.incarnation, Address: "127.0.0.1:1", DataCentre: e.dataCentre, Service: "federkiel",
@@ -241,7 +241,7 @@
 	s.step(s.rand.IntN(len(s.daemons)), servers.Announced{Announcement: a})
 }
 
-func (e *fakeEngine) add(j *fakeJob) {
+func (e *queueEngine) add(j *queueJob) {
 	e.count(j, 1)
 	e.peak = max(e.peak, e.running)
 	e.jobs = append(e.jobs, j)
@@ -250,7 +250,7 @@
 	}
 }
 
-func (e *fakeEngine) count(j *fakeJob, n int) {
+func (e *queueEngine) count(j *queueJob, n int) {
 	e.running += n
 	e.used += n * j.memory
 	if j.stale {
@@ -258,13 +258,13 @@
 	}
 }
 
-func (e *fakeEngine) next() {
+func (e *queueEngine) next() {
 	if len(e.jobs) == 0 {
 		e.busy = false
 		return
 	}
 	e.busy = true
-	j := slices.MinFunc(e.jobs, func(a, b *fakeJob) int { return a.priority - b.priority })
+	j := slices.MinFunc(e.jobs, func(a, b *queueJob) int { return a.priority - b.priority })
 	n, life := min(j.left, fakeSlice), e.incarnation
 	cost := float64(n) / e.sim.cfg.rate * max(1, e.slow)
 	e.sim.after(time.Duration(cost*float64(time.Second)), func() {
@@ -274,14 +274,14 @@
 		j.left -= n
 		e.processed += n
 		if j.left == 0 {
-			e.jobs = slices.DeleteFunc(e.jobs, func(o *fakeJob) bool { return o == j })
+			e.jobs = slices.DeleteFunc(e.jobs, func(o *queueJob) bool { return o == j })
 			e.generate(j)
 		}
 		e.next()
 	})
 }
 
-func (e *fakeEngine) generate(j *fakeJob) {
+func (e *queueEngine) generate(j *queueJob) {
 	s, life := e.sim, e.incarnation
 	j.request.firstToken = s.now.Sub(j.request.req.Arrived)
 	s.step(j.daemon, attempts.FirstToken{Attempt: j.attempt})
--- a/loads/measurement.go
+++ b/loads/measurement.go
@@ -19,9 +19,17 @@
 	Daemons   int
 	Rate      float64 // requests per second, 0 for the measurement's own
 	Policies  []string
+	By        string // way in which a data centre leaves: ByAnnouncement, ByOperator or ByCrash
 	Out       io.Writer
 }
 
+// Ways in which a data centre leaves and returns.
+const (
+	ByAnnouncement = "announcement" // its servers announce that they leave
+	ByOperator     = "operator"     // operator commands
+	ByCrash        = "crash"        // its servers die and return cold
+)
+
 // Measurement is a named run that prints a table.
 type Measurement struct {
 	name, short string
@@ -44,7 +52,13 @@
 // Measurements lists all measurements.
 func Measurements() []Measurement {
 	return []Measurement{
+		{"first-token", "first-token time by prompt length at 70% of the capacity", measureLength},
+		{"slowdown", "short requests with long ones present against without, for each routing policy", measureSlowdown},
+		{"overhead", "first token through a daemon against a direct call to the engine", measureOverhead},
+		{"leaving", "service while a data centre leaves and returns", measureLeaving},
+		{"overload", "whole answers at up to twice the capacity", measureOverload},
 		{"slopes", "bytes, processor time and heap for each unit of load, and their product at the target size", measureSlopes},
+		{"log", "commits, restart and leader changes of the replicated log", measureLog},
 	}
 }
 
--- a/metrics/recorder.go
+++ b/metrics/recorder.go
@@ -101,6 +101,8 @@
 			r.end(e.Request, string(e.Err.Code), e.Err.Verdict)
 		case attempts.Finish:
 			r.end(e.Request, "ok", gypsumshelf.Ran)
+		case attempts.Replay:
+			r.end(e.Request, "replayed", gypsumshelf.Ran)
 		}
 	}
 	r.inProgress.Set(float64(len(r.open)))
--- a/servers/table.go
+++ b/servers/table.go
@@ -42,43 +42,48 @@
 		placed: map[gypsumshelf.AttemptID]*Server{}, past: map[gypsumshelf.ServerID]*history{}}
 }
 
-// Announce takes an announcement heard directly from the server. It returns
-// the attempts of an earlier incarnation, which can no longer be in progress.
-func (t *Table) Announce(now time.Time, a gypsumshelf.Announcement) (lost []gypsumshelf.AttemptID) {
+// Update says what an announcement changed.
+type Update struct {
+	Changed bool                    // anything but the load and the sequence differs from what was known
+	Lost    []gypsumshelf.AttemptID // attempts on an earlier incarnation, which cannot go on
+}
+
+// Announce takes an announcement heard directly from the server.
+func (t *Table) Announce(now time.Time, a gypsumshelf.Announcement) Update {
 	return t.take(now, a, false, now)
 }
 
 // AnnounceForwarded takes an announcement that another daemon heard age ago.
-func (t *Table) AnnounceForwarded(now time.Time, a gypsumshelf.Announcement, age time.Duration) (lost []gypsumshelf.AttemptID) {
+func (t *Table) AnnounceForwarded(now time.Time, a gypsumshelf.Announcement, age time.Duration) Update {
 	return t.take(now, a, true, now.Add(-age))
 }
 
 // take applies an announcement unless it is outdated.
-func (t *Table) take(now time.Time, a gypsumshelf.Announcement, forwarded bool, heard time.Time) (lost []gypsumshelf.AttemptID) {
+func (t *Table) take(now time.Time, a gypsumshelf.Announcement, forwarded bool, heard time.Time) (u Update) {
 	if t.outdated(now, a, forwarded) {
-		return nil
+		return Update{}
 	}
 	s := t.servers[a.Server]
 	if s == nil || s.announcement.Incarnation != a.Incarnation {
 		if s != nil {
-			lost = slices.Sorted(maps.Keys(s.inFlight))
-			for _, id := range lost {
+			t.forget(now, a.Server, s.announcement.Incarnation)
+			u.Lost = slices.Sorted(maps.Keys(s.inFlight))
+			for _, id := range u.Lost {
 				delete(t.placed, id)
 			}
-			t.forget(now, a.Server, s.announcement.Incarnation)
 		}
 		s = newServer(now, t.cfg.Ramp, a)
 		s.out = !t.cfg.InService(a.DataCentre)
 		t.servers[a.Server] = s
-		s.digest = Digest(a)
+		s.digest, u.Changed = Digest(a), true
 	} else if !sameButLoad(s.announcement, a) {
-		s.digest = Digest(a)
+		s.digest, u.Changed = Digest(a), true
 	}
 	s.report(a)
 	if heard.After(s.heard) {
 		s.heard = heard
 	}
-	return lost
+	return u
 }
 
 func sameButLoad(a, b gypsumshelf.Announcement) bool {
