--- a/daemons/reducer.go
+++ b/daemons/reducer.go
@@ -15,6 +15,7 @@
 	"gypsumshelf.example/gypsumshelf/replicas"
 	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
+	"gypsumshelf.example/gypsumshelf/shares"
 )
 
 // ReducerConfig configures a Reducer.
@@ -23,6 +24,8 @@
 	Policy   routes.Policy
 	Servers  servers.Config
 	Attempts attempts.Config
+	Shares   shares.Config // without a daemon, limits are not divided
+	Started  time.Time
 	Lease    members.Config
 	Session  string // unique to this start of the daemon
 	// LoadsPerMinute is the rate of model loads that the weight store bears;
@@ -35,15 +38,20 @@
 // Reducer makes every decision of a daemon. It has no clock, no I/O and no
 // goroutine; time arrives with each event.
 type Reducer struct {
-	cfg      ReducerConfig
-	servers  *servers.Table
-	attempts *attempts.Table
-	queue    admissions.Queue
-	log      *logPart // nil without a replica
-	handlers map[reflect.Type]func(time.Time, gypsumshelf.Event)
-	out      []gypsumshelf.Effect
-	stopping bool
-	trials   map[gypsumshelf.ServerID]gypsumshelf.AttemptID // suspects that run apart from other work
+	cfg        ReducerConfig
+	servers    *servers.Table
+	attempts   *attempts.Table
+	queue      *admissions.Queue
+	log        *logPart                 // nil without a replica
+	perToken   map[string]time.Duration // time of a million prompt tokens by model
+	shares     *shares.Table
+	gossip     *servers.Gossip
+	introduced time.Time
+	awaited    map[gypsumshelf.ServerID]awaited
+	handlers   map[reflect.Type]func(time.Time, gypsumshelf.Event)
+	out        []gypsumshelf.Effect
+	stopping   bool
+	trials     map[gypsumshelf.ServerID]gypsumshelf.AttemptID // suspects that run apart from other work
 
 	configuration *configuration
 	placement     *placement
@@ -56,6 +64,8 @@
 	r := &Reducer{
 		cfg:      cfg,
 		attempts: attempts.New(cfg.Attempts),
+		perToken: map[string]time.Duration{},
+		awaited:  map[gypsumshelf.ServerID]awaited{},
 		handlers: map[reflect.Type]func(time.Time, gypsumshelf.Event){},
 		trials:   map[gypsumshelf.ServerID]gypsumshelf.AttemptID{},
 		waiting:  map[gypsumshelf.RequestID]configs.RunKey{},
@@ -67,7 +77,11 @@
 	}
 	r.configuration = newConfiguration(cfg, r.emit)
 	r.placement = newPlacement(cfg)
-	cfg.Servers.InService = r.inService
+	r.queue = admissions.New(r.due)
+	allowed := cfg.Servers.InService
+	cfg.Servers.InService = func(dataCentre string) bool {
+		return r.inService(dataCentre) && (allowed == nil || allowed(dataCentre))
+	}
 	r.servers = servers.New(cfg.Servers)
 	on(r, r.tick)
 	r.registerServers()
@@ -101,7 +115,11 @@
 		panic(fmt.Sprintf("event %s has no handler", ev.EventName()))
 	}
 	r.out = nil
+	r.observe(now, ev)
 	handle(now, ev)
+	if _, ok := ev.(attempts.FirstToken); ok {
+		r.dispatch(now) // the server has room for another prompt
+	}
 	r.flushLog(now)
 	return r.out
 }
--- a/daemons/requests.go
+++ b/daemons/requests.go
@@ -10,10 +10,7 @@
 func (r *Reducer) registerRequests() {
 	on(r, r.arrived)
 	on(r, func(_ time.Time, e attempts.Sent) { r.attempts.Sent(e.Attempt) })
-	on(r, func(now time.Time, e attempts.FirstToken) {
-		r.attempts.FirstToken(now, e.Attempt)
-		r.observeFirstToken(now, e.Attempt)
-	})
+	on(r, func(now time.Time, e attempts.FirstToken) { r.attempts.FirstToken(now, e.Attempt) })
 	on(r, r.ended)
 	on(r, r.failed)
 	on(r, r.callerGone)
@@ -44,6 +41,10 @@
 		r.refuse(now, rec, unknownTarget(req))
 		return
 	}
+	if err := r.predict(now, req); err != nil {
+		r.refuse(now, rec, err)
+		return
+	}
 	if attempts.Keyed(req) {
 		r.beginKey(now, rec)
 		return
@@ -58,11 +59,6 @@
 	return gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeUnknownService, "no backend server serves service %q", req.Service)
 }
 
-func (r *Reducer) enqueue(now time.Time, rec *attempts.Record) {
-	r.queue.Push(rec.Request())
-	r.dispatch(now)
-}
-
 // begin records an attempt of the request on a backend server.
 func (r *Reducer) begin(now time.Time, rec *attempts.Record, server gypsumshelf.Announcement) *attempts.Attempt {
 	a := r.attempts.Begin(now, rec, attempts.Target{
@@ -85,8 +81,7 @@
 	}
 	return attempts.Start{
 		Request: req.ID, Attempt: a.ID(), Server: a.Server(), Address: a.Address(),
-		Priority: int(req.FirstTokenDeadline().Sub(now).Milliseconds()),
-		Resume:   rec.Position(), Answer: answer, Deadline: req.Deadline(), Last: last,
+		Resume: rec.Position(), Answer: answer, Deadline: req.Deadline(), Last: last,
 		NotAfter: r.configuration.lease.Expires(),
 	}
 }
@@ -96,7 +91,6 @@
 	if rec == nil {
 		return
 	}
-	r.observeEnd(rec, nil)
 	r.release(rec)
 	r.clear(now, rec)
 	outcome := attempts.Outcome{Verdict: gypsumshelf.Ran, Truncated: true}
@@ -114,7 +108,6 @@
 	if rec == nil {
 		return
 	}
-	r.observeEnd(rec, e.Failure)
 	r.release(rec)
 	if e.Failure.Verdict != gypsumshelf.NotRun {
 		r.cancel(rec, a)
--- a/servers/server.go
+++ b/servers/server.go
@@ -9,11 +9,20 @@
 
 // work is one attempt of this daemon in progress on a server.
 type work struct {
-	tokens     int
-	ahead      int // tokens in progress on the server when it was sent
+	Work
+	pending    int // value of Server.pending when it was sent
+	offered    int // value of Server.offered when it was sent
 	started    time.Time
 	report     int // number of load reports before it was sent
-	firstToken bool
+	firstToken time.Time
+}
+
+// Work describes an attempt for the estimate of its time.
+type Work struct {
+	Tokens    int       // prompt tokens and upper bound of generated tokens
+	Prompt    int       // prompt tokens
+	MaxTokens int       // upper bound of generated tokens
+	Due       time.Time // engines process the prompt that is due first
 }
 
 // Server is one backend server as this daemon sees it.
@@ -24,10 +33,15 @@
 	ramp         *ramp
 	cold         coldDetector
 	evidence     Evidence
+	perMaxToken  float64 // seconds of generation for each token of MaxTokens
 	inFlight     map[gypsumshelf.AttemptID]work
+	pending      int // prompt tokens of attempts without a first token
+	meanPrompt   float64
+	offered      int // prompt tokens sent, without those of attempts that ended before their first token
 	tokens       int
-	reports      int // number of load reports
-	sinceReport  int // attempts sent since that report and still in progress
+	digest       uint32 // of the announcement
+	reports      int    // number of load reports
+	sinceReport  int    // attempts sent since that report and still in progress
 	sinceTokens  int
 }
 
@@ -59,6 +73,9 @@
 // Announcement returns the last announcement.
 func (s *Server) Announcement() gypsumshelf.Announcement { return s.announcement }
 
+// Heard returns when the server last announced itself.
+func (s *Server) Heard() time.Time { return s.heard }
+
 // InFlight returns the number of attempts and tokens that this daemon has in
 // progress on the server.
 func (s *Server) InFlight() (attempts, tokens int) { return len(s.inFlight), s.tokens }
@@ -83,12 +100,52 @@
 // Evidence returns the counts of this daemon for the server's incarnation.
 func (s *Server) Evidence() Evidence { return s.evidence }
 
-// TokenTime returns the present time to the first token for each token of
-// work ahead, 0 when nothing is known.
-func (s *Server) TokenTime() time.Duration {
-	return time.Duration(s.cold.perToken() * float64(time.Second))
+// Ahead returns the prompt tokens of this daemon that the server processes
+// before a prompt due at the given time. Those of other daemons show in the
+// measured time for each token.
+func (s *Server) Ahead(due time.Time) int {
+	n := 0
+	for _, w := range s.inFlight {
+		if w.firstToken.IsZero() && !w.Due.After(due) {
+			n += w.Prompt
+		}
+	}
+	return n
+}
+
+// Predict estimates the time to the first token and to the end of a piece of
+// work that is sent now; both are 0 while nothing is known of the server.
+func (s *Server) Predict(now time.Time, w Work) (firstToken, finish time.Duration) {
+	first := s.TokenTime(now) * float64(w.Prompt+s.Ahead(w.Due))
+	end := first + s.perMaxToken*float64(w.MaxTokens)
+	return seconds(first), seconds(end)
+}
+
+// TokenTime returns the present seconds for each prompt token ahead of the
+// first token, including the delay by other work; 0 when unknown.
+func (s *Server) TokenTime(now time.Time) float64 {
+	return s.cold.perToken() * s.cold.contention(now)
+}
+
+// PromptTime estimates the time that the server alone takes for a prompt.
+func (s *Server) PromptTime(tokens int) time.Duration {
+	return seconds(s.cold.perToken() * float64(tokens))
 }
 
+// LongTokens returns the prompt tokens that this daemon has in progress in
+// prompts of at least the given length.
+func (s *Server) LongTokens(length int) int {
+	n := 0
+	for _, w := range s.inFlight {
+		if w.Prompt >= length {
+			n += w.Prompt
+		}
+	}
+	return n
+}
+
+func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
+
 func (s *Server) serves(service, model string) bool {
 	if model != "" {
 		return slices.Contains(s.announcement.Models, model)
--- a/shares/ask.go
+++ b/shares/ask.go
@@ -36,15 +36,15 @@
 }
 
 func (t *Table) askOwner(now time.Time, d gypsumshelf.DaemonID, ids []gypsumshelf.ServerID) {
-	since := now.Sub(t.asked[d])
-	if p := t.pending[d]; p != nil && p.open && since < t.cfg.AnswerWait {
+	p := t.pending[d]
+	if p != nil && (now.Sub(p.at) < askGap || (p.open && now.Sub(p.at) < t.cfg.AnswerWait)) {
 		return
 	}
-	due := since >= t.cfg.AskPeriod
+	due := now.Sub(t.asked[d]) >= t.cfg.AskPeriod
 	ask := Ask{}
 	for _, id := range ids {
 		h := t.hold(id)
-		if due || (h.need != (Amount{}) && since >= askGap && !t.covered(now, id, h)) {
+		if due || (h.need != (Amount{}) && !t.covered(now, id, h)) {
 			ask.Items = append(ask.Items, t.askItem(now, id, h))
 		}
 	}
@@ -101,16 +101,20 @@
 			limit, _, _ = t.cfg.Limit(item.Server)
 		}
 		share := l.ask(now, h, m.Sent, item, limit, t.cfg)
-		g.Items = append(g.Items, GrantItem{
+		granted := GrantItem{
 			Server: item.Server, Incarnation: incarnation, Epoch: o.epoch, Share: share, Limit: limit,
-		})
+		}
+		if t.cfg.Report != nil {
+			granted.Pulse = t.cfg.Report(now, item.Server)
+		}
+		g.Items = append(g.Items, granted)
 	}
 	t.send(from, g)
 }
 
 // granted takes the answer to the last Ask; older answers are ignored, since
 // the owner no longer counts what they state.
-func (t *Table) granted(from gypsumshelf.DaemonID, m Grant) {
+func (t *Table) granted(now time.Time, from gypsumshelf.DaemonID, m Grant) {
 	p := t.pending[from]
 	if t.stopped || p == nil || !p.open || p.sent != m.Sent {
 		return
@@ -123,8 +127,40 @@
 		}
 		h.share, h.limit, h.epoch = item.Share, item.Limit, item.Epoch
 		h.until = p.at.Add(t.cfg.Share - t.cfg.Share/clockMargin)
-		if from != t.cfg.Daemon {
-			t.cfg.Adopt(item.Server, item.Limit)
+		if from == t.cfg.Daemon {
+			continue
+		}
+		t.cfg.Adopt(item.Server, item.Limit)
+		if t.cfg.Reported != nil && item.Pulse != nil {
+			p := *item.Pulse
+			p.Server = item.Server
+			t.cfg.Reported(now, from, p)
+		}
+	}
+}
+
+// Stranger is a live member of a server's slot that has asked for no share.
+type Stranger struct {
+	Daemon gypsumshelf.DaemonID
+	Server gypsumshelf.ServerID
+}
+
+// Strangers returns the strangers to the servers that this daemon owns; they
+// have not heard of the server.
+func (t *Table) Strangers(now time.Time, known []gypsumshelf.ServerID) []Stranger {
+	var all []Stranger
+	for _, id := range known {
+		slot := SlotOf(id)
+		o := t.owners[slot]
+		if o == nil {
+			continue
+		}
+		l := o.ledgers[id]
+		for _, d := range t.Members(slot) {
+			if d != t.cfg.Daemon && t.Live(now, d) && (l == nil || l.holdings[d] == nil) {
+				all = append(all, Stranger{Daemon: d, Server: id})
+			}
 		}
 	}
+	return all
 }
