Let the tests of surviving answers name the order of their servers

They assumed that the first server is tried first; since the routing policy by deadline became the default they could pass on the sound server alone, and two of them failed. They use round robin now and check that the faulty server was called.

--- a/daemons/entries_test.go
+++ b/daemons/entries_test.go
@@ -18,6 +18,7 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/engines"
 	"gypsumshelf.example/gypsumshelf/entries"
+	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
 	"gypsumshelf.example/gypsumshelf/settings"
 )
@@ -108,6 +109,7 @@
 	s.Deployment, s.Daemon, s.LogLevel = "test", "d-1", "error"
 	s.DataFolder, s.Voters = filepath.Join(t.TempDir(), "data"), []string{"d-1"}
 	s.Peers = []settings.Peer{{Daemon: "d-1", Address: "127.0.0.1:1"}}
+	s.Routing.Policy = routes.RoundRobin // takes the backends in the order given
 	s.Limits.ServerExpiry = settings.Duration(time.Hour)
 	s.Limits.ProgressTimeout = settings.Duration(cfg.progress)
 	s.Limits.DialTimeout = settings.Duration(300 * time.Millisecond)
@@ -203,11 +205,15 @@
 	} {
 		for _, stream := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s, stream %v", tt.name, stream), func(t *testing.T) {
-				url, _ := startDaemon(t, usual(), tt.first(), tt.second())
+				first := tt.first()
+				url, _ := startDaemon(t, usual(), first, tt.second())
 				resp, body := complete(t, url, stream)
 				text, done := streamText(body)
 				whole := text == "012345" && done == stream && resp.StatusCode == http.StatusOK
 				failed := !done && strings.Contains(body, string(tt.code)) && (stream || resp.StatusCode == http.StatusBadGateway)
+				if first.calls.Load() == 0 && !first.frozen {
+					t.Error("the faulty server was not called")
+				}
 				if tt.code == "" && !whole || tt.code != "" && !failed {
 					t.Errorf("status %d, answer %s", resp.StatusCode, body)
 				}
