--- a/attempts/event.go
+++ b/attempts/event.go
@@ -68,8 +68,9 @@
 	Address  string
 	Priority int // smaller is more urgent
 	Resume   int // position of the first token wanted
-	// NotAfter is the end of the freshness lease under which the start was
-	// decided; zero when there is none. A later attempt must not be sent.
+	// NotAfter is the end of the freshness lease and of the server's share under
+	// which the start was decided; zero when there is none. A later attempt must
+	// not be sent.
 	NotAfter time.Time
 	// Answer is the time by which the answer must have begun; past it another
 	// attempt still has time to finish.
--- a/daemons/entries_test.go
+++ b/daemons/entries_test.go
@@ -18,6 +18,7 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/engines"
 	"gypsumshelf.example/gypsumshelf/entries"
+	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
 	"gypsumshelf.example/gypsumshelf/settings"
 )
@@ -108,6 +109,7 @@
 	s.Deployment, s.Daemon, s.LogLevel = "test", "d-1", "error"
 	s.DataFolder, s.Voters = filepath.Join(t.TempDir(), "data"), []string{"d-1"}
 	s.Peers = []settings.Peer{{Daemon: "d-1", Address: "127.0.0.1:1"}}
+	s.Routing.Policy = routes.LeastLoaded // tries the engines in the order in which the test states them
 	s.Limits.ServerExpiry = settings.Duration(time.Hour)
 	s.Limits.ProgressTimeout = settings.Duration(cfg.progress)
 	s.Limits.DialTimeout = settings.Duration(300 * time.Millisecond)
--- a/daemons/routing.go
+++ b/daemons/routing.go
@@ -128,6 +128,11 @@
 	r.queue.Served(now, req.Workspace, tokensOf(req))
 	start := r.startEffect(now, rec, a)
 	start.Priority = r.priority(work)
+	if r.shares != nil {
+		if until := r.shares.Until(a.Server()); start.NotAfter.IsZero() || until.Before(start.NotAfter) {
+			start.NotAfter = until
+		}
+	}
 	r.emit(start)
 	return true
 }
@@ -187,7 +192,7 @@
 }
 
 // observe passes what attempts show about a server to its slow start. A caller
-// that left says nothing about the server.
+// that left or an attempt that was not sent says nothing about the server.
 func (r *Reducer) observe(now time.Time, ev gypsumshelf.Event) {
 	switch e := ev.(type) {
 	case attempts.FirstToken:
@@ -195,7 +200,7 @@
 	case attempts.Ended:
 		r.servers.Completed(now, e.Attempt)
 	case attempts.Failed:
-		if e.Failure.Code != gypsumshelf.CodeCallerGone {
+		if e.Failure.Code != gypsumshelf.CodeCallerGone && e.Failure.Code != gypsumshelf.CodeNotReady {
 			r.servers.Failed(e.Attempt)
 		}
 	}
--- a/daemons/sim_test.go
+++ b/daemons/sim_test.go
@@ -154,6 +154,9 @@
 		case shares.Send:
 			s.link(func() { s.step(s.index(e.To), shares.Received{From: s.daemons[i].cfg.Daemon, Payload: e.Payload}) })
 		case attempts.Start:
+			if !e.NotAfter.After(s.now) || e.NotAfter.Sub(s.now) > shares.DefaultConfig(len(s.daemons)).Share {
+				panic(fmt.Sprintf("attempt at %s may be sent until %s, beyond the share", s.now, e.NotAfter))
+			}
 			s.start(i, e)
 		case attempts.Refuse:
 			s.results[e.Request].refused = e.Err
--- a/shares/table.go
+++ b/shares/table.go
@@ -162,6 +162,9 @@
 	return h.share, h.limit
 }
 
+// Until returns the end of this daemon's share of a server.
+func (t *Table) Until(id gypsumshelf.ServerID) time.Time { return t.hold(id).until }
+
 // Await states the requests that wait for a server: need is what the most
 // urgent one takes, all is what all of them take.
 func (t *Table) Await(id gypsumshelf.ServerID, need, all Amount) {
