--- a/daemons/requests.go
+++ b/daemons/requests.go
@@ -87,7 +87,7 @@
 		Request: req.ID, Attempt: a.ID(), Server: a.Server(), Address: a.Address(),
 		Priority: int(req.FirstTokenDeadline().Sub(now).Milliseconds()),
 		Resume:   rec.Position(), Answer: answer, Deadline: req.Deadline(), Last: last,
-		Expires: r.configuration.lease.Expires(),
+		Expires:  r.configuration.lease.Expires(),
 		NotAfter: r.configuration.lease.Expires(),
 	}
 }
