--- a/admissions/queue.go
+++ b/admissions/queue.go
@@ -3,40 +3,161 @@
 package admissions
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
 )
 
-// Queue holds the requests that wait for a backend server, the most urgent
-// first: the one whose first token is due soonest.
+// maxWaiting bounds the requests that wait in a daemon. At the target size a
+// daemon receives 50 requests a second, so this is more than a finish target
+// of one minute lets wait.
+const maxWaiting = 4096
+
+// entry is a waiting request. A retry is never pushed out: it may have run.
+type entry struct {
+	gypsumshelf.Request
+	retry bool
+	due   time.Time
+}
+
+// Queue holds the requests that wait for a backend server: first those of
+// workspaces within their fair part of the recent work, then the others, each
+// the most urgent first. Nothing is held back while a server has room.
 type Queue struct {
-	waiting []gypsumshelf.Request
+	due     func(gypsumshelf.Request) time.Time
+	waiting []entry
+	counts  map[string]int // waiting requests by workspace
+	usage   usage
+}
+
+// New returns an empty Queue that orders requests by due.
+func New(due func(gypsumshelf.Request) time.Time) *Queue {
+	return &Queue{due: due, counts: map[string]int{}}
+}
+
+// Push adds a request that was admitted before.
+func (q *Queue) Push(req gypsumshelf.Request) { q.insert(entry{Request: req, retry: true}) }
+
+// Offer adds an arrived request. When the queue is full, the last request of
+// the workspace furthest above its fair part is pushed out and returned, which
+// may be the arrived one.
+func (q *Queue) Offer(req gypsumshelf.Request) (out *gypsumshelf.Request) {
+	q.insert(entry{Request: req})
+	if len(q.waiting) <= maxWaiting {
+		return nil
+	}
+	i := q.last()
+	if i < 0 {
+		return nil
+	}
+	pushed := q.waiting[i].Request
+	q.waiting = slices.Delete(q.waiting, i, i+1)
+	q.counts[pushed.Workspace]--
+	return &pushed
+}
+
+// last returns the index of the request to push out, -1 when all are retries.
+func (q *Queue) last() int {
+	worst, most := -1, 0
+	for i := len(q.waiting) - 1; i >= 0; i-- {
+		if e := &q.waiting[i]; !e.retry && q.counts[e.Workspace] > most {
+			worst, most = i, q.counts[e.Workspace]
+		}
+	}
+	return worst
 }
 
-// Push adds a request.
-func (q *Queue) Push(req gypsumshelf.Request) {
-	due := req.FirstTokenDeadline()
-	i, _ := slices.BinarySearchFunc(q.waiting, due, func(r gypsumshelf.Request, t time.Time) int {
-		if r.FirstTokenDeadline().After(t) {
+func (q *Queue) insert(e entry) {
+	e.due = q.due(e.Request)
+	q.counts[e.Workspace]++
+	i, _ := slices.BinarySearchFunc(q.waiting, e.due, func(r entry, t time.Time) int {
+		if r.due.After(t) {
 			return 1
 		}
 		return -1
 	})
-	q.waiting = slices.Insert(q.waiting, i, req)
+	q.waiting = slices.Insert(q.waiting, i, e)
 }
 
 // Remove takes a request out of the queue.
 func (q *Queue) Remove(id gypsumshelf.RequestID) {
-	q.waiting = slices.DeleteFunc(q.waiting, func(r gypsumshelf.Request) bool { return r.ID == id })
+	q.drop(func(e entry) bool { return e.ID == id })
+}
+
+func (q *Queue) drop(gone func(entry) bool) {
+	q.waiting = slices.DeleteFunc(q.waiting, func(e entry) bool {
+		if !gone(e) {
+			return false
+		}
+		if q.counts[e.Workspace]--; q.counts[e.Workspace] == 0 {
+			delete(q.counts, e.Workspace)
+		}
+		return true
+	})
+}
+
+// Served counts tokens of work that was started for a workspace.
+func (q *Queue) Served(now time.Time, workspace string, tokens int) {
+	q.usage.add(now, workspace, tokens)
 }
 
 // Each calls start for the waiting requests in order and removes those for
 // which it returns true.
 func (q *Queue) Each(start func(gypsumshelf.Request) bool) {
-	q.waiting = slices.DeleteFunc(q.waiting, start)
+	if len(q.waiting) == 0 {
+		return
+	}
+	started := map[gypsumshelf.RequestID]bool{}
+	for _, e := range q.order() {
+		if start(e.Request) {
+			started[e.ID] = true
+		}
+	}
+	if len(started) > 0 {
+		q.drop(func(e entry) bool { return started[e.ID] })
+	}
+}
+
+// order returns the waiting requests in the order in which they start.
+func (q *Queue) order() []entry {
+	ordered := slices.Clone(q.waiting)
+	if len(q.counts) < 2 {
+		return ordered
+	}
+	above := q.usage.above(q.counts)
+	slices.SortStableFunc(ordered, func(a, b entry) int {
+		return cmp.Compare(rank(above[a.Workspace]), rank(above[b.Workspace]))
+	})
+	return ordered
+}
+
+func rank(above bool) int {
+	if above {
+		return 1
+	}
+	return 0
 }
 
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return len(q.waiting) }
+
+// Ahead returns the prompt tokens of the waiting requests that start before an
+// arrived one.
+func (q *Queue) Ahead(req gypsumshelf.Request) int {
+	due := q.due(req)
+	workspaces := maps.Clone(q.counts)
+	workspaces[req.Workspace]++
+	above := q.usage.above(workspaces)
+	own := rank(above[req.Workspace])
+	n := 0
+	for _, e := range q.waiting {
+		other := rank(above[e.Workspace])
+		if other < own || other == own && !e.due.After(due) {
+			n += e.PromptTokens
+		}
+	}
+	return n
+}
--- a/daemons/instance.go
+++ b/daemons/instance.go
@@ -28,6 +28,7 @@
 	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
 	"gypsumshelf.example/gypsumshelf/settings"
+	"gypsumshelf.example/gypsumshelf/shares"
 	"gypsumshelf.example/gypsumshelf/timers"
 	"gypsumshelf.example/gypsumshelf/traces"
 )
@@ -96,7 +97,8 @@
 	in.daemon = New(Config{
 		Reducer: ReducerConfig{
 			Daemon: s.Daemon, Policy: policy,
-			Servers:  servers.Config{Expiry: s.Limits.ServerExpiry.Std()},
+			Servers: servers.Config{Expiry: s.Limits.ServerExpiry.Std()},
+			Shares:  in.sharing(), Started: in.timers.Now(),
 			Attempts: attempts.Config{MaxAttempts: s.Limits.MaxAttempts, Keep: keepEnded},
 			Session:  uuid.NewString(),
 			Replica:  logConfig(s, node, recovered),
@@ -112,7 +114,8 @@
 		return nil, err
 	}
 	in.openEntries(adjust)
-	Carry(in.daemon, in.forward)
+	Carry(in.daemon, func(e servers.Send) { in.links.Send(e.To, e.Payload) })
+	Carry(in.daemon, func(e shares.Send) { in.links.Send(e.To, e.Payload) })
 	Carry(in.daemon, in.tickets.decided)
 	Carry(in.daemon, in.sendProposal)
 	Carry(in.daemon, in.sendExplanation)
@@ -205,8 +208,12 @@
 
 func (in *Instance) receive(e peers.Envelope) {
 	switch payload := e.Payload.(type) {
-	case gypsumshelf.Announcement:
-		in.daemon.Submit(servers.Announced{Announcement: payload, Forwarded: true})
+	case nil:
+		in.daemon.Submit(shares.Heard{From: e.From})
+	case servers.Notice, servers.Pulses, servers.Want:
+		in.daemon.Submit(servers.Received{From: e.From, Payload: payload})
+	case shares.Claim, shares.Promise, shares.Resign, shares.Ask, shares.Grant:
+		in.daemon.Submit(shares.Received{From: e.From, Payload: payload})
 	case replicas.Message:
 		in.receiveLog(e, payload)
 	case placements.Report:
@@ -224,4 +231,24 @@
 	}
 }
 
-func (in *Instance) forward(e servers.Forward) { in.links.Broadcast(e.Announcement) }
+// sharing returns the division of limits between the daemons of the settings,
+// none for a daemon alone.
+func (in *Instance) sharing() shares.Config {
+	var all, voters []gypsumshelf.DaemonID
+	for _, p := range in.settings.Peers {
+		all = append(all, p.Daemon)
+	}
+	for _, v := range in.settings.Voters {
+		voters = append(voters, gypsumshelf.DaemonID(v))
+	}
+	if len(all) < 2 {
+		return shares.Config{}
+	}
+	if len(voters) == 0 {
+		voters = all
+	}
+	cfg := shares.DefaultConfig(len(all))
+	cfg.Daemon, cfg.Daemons = in.settings.Daemon, all
+	cfg.Voters = func() []gypsumshelf.DaemonID { return voters }
+	return cfg
+}
--- a/daemons/placement.go
+++ b/daemons/placement.go
@@ -185,8 +185,8 @@
 		for _, model := range a.Models {
 			serviceOf[model] = a.Service
 		}
-		if t := s.TokenTime(); t > 0 {
-			rates = append(rates, 1/t.Seconds())
+		if t := s.TokenTime(now); t > 0 {
+			rates = append(rates, 1/t)
 		}
 		v.Engines = append(v.Engines, placements.Engine{
 			Server: a.Server, Incarnation: a.Incarnation, DataCentre: a.DataCentre, Service: a.Service,
--- a/daemons/routing.go
+++ b/daemons/routing.go
@@ -4,33 +4,108 @@
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/admissions"
 	"gypsumshelf.example/gypsumshelf/attempts"
 	"gypsumshelf.example/gypsumshelf/routes"
 	"gypsumshelf.example/gypsumshelf/servers"
+	"gypsumshelf.example/gypsumshelf/shares"
 )
 
-func (r *Reducer) registerServers() { on(r, r.announced) }
+// maxMisses is the number of requests of one kind that find no room in a pass
+// over the queue before the others of that kind are skipped.
+const maxMisses = 8
 
-func (r *Reducer) announced(now time.Time, e servers.Announced) {
-	var update servers.Update
-	if e.Forwarded {
-		update = r.servers.AnnounceForwarded(now, e.Announcement, e.Age)
-	} else {
-		update = r.servers.Announce(now, e.Announcement)
-		r.emit(servers.Forward{Announcement: e.Announcement})
-	}
-	if update.Changed {
-		r.restarted(now, e.Announcement, update.Lost)
+// maxBacklog is the work ahead of a prompt on a server above which it waits in
+// the daemon instead, where the order by deadline and workspace still applies.
+// It is ten ticks, so that a server does not run dry between two.
+const maxBacklog = 500 * time.Millisecond
+
+// kind groups requests that the same servers with the same room can take.
+type kind struct {
+	service, model string
+	long           bool
+}
+
+func kindOf(req gypsumshelf.Request) kind {
+	return kind{service: req.Service, model: req.Model, long: req.PromptTokens >= routes.LongPrompt}
+}
+
+// enqueue queues an admitted request; a full queue pushes one request out.
+func (r *Reducer) enqueue(now time.Time, rec *attempts.Record) {
+	if out := r.queue.Offer(rec.Request()); out != nil {
+		if other := r.attempts.Record(out.ID); other != nil {
+			r.refuse(now, other, gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeOverloaded,
+				"queue is full and workspace %s has the most requests in it", out.Workspace))
+		}
 	}
 	r.dispatch(now)
 }
 
+// predict returns the refusal of an arrived request that cannot meet the finish
+// time of its class, or nil.
+func (r *Reducer) predict(now time.Time, req gypsumshelf.Request) *gypsumshelf.Error {
+	var estimates []admissions.Estimate
+	var million time.Duration
+	largest := 0
+	ready := r.servers.Ready(now, req.Service, req.Model)
+	for _, s := range ready {
+		if memory := s.Announcement().MemoryTokens; memory > 0 && memory < tokensOf(req) {
+			largest = max(largest, memory)
+			continue
+		}
+		first, finish := s.Predict(now, workOf(req, s))
+		own := s.PromptTime(req.PromptTokens)
+		estimates = append(estimates, admissions.Estimate{Wait: first - own, FirstToken: first, Finish: finish})
+		million += s.PromptTime(1_000_000)
+	}
+	if len(ready) > 0 && len(estimates) == 0 {
+		return gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeTooLong,
+			"prompt and answer need %d tokens, the largest backend server has %d", tokensOf(req), largest)
+	}
+	queue := time.Duration(0)
+	if n := time.Duration(len(estimates)); n > 0 {
+		r.perToken[req.Model] = million / n
+		queue = r.promptTime(req.Model, r.queue.Ahead(req)) * r.liveDaemons(now) / n
+	}
+	return admissions.Decide(now, req, estimates, queue)
+}
+
+// promptTime estimates the time that a server takes for a prompt by itself.
+func (r *Reducer) promptTime(model string, tokens int) time.Duration {
+	return time.Duration(float64(r.perToken[model]) * float64(tokens) / 1e6)
+}
+
+// due returns the time that orders waiting requests.
+func (r *Reducer) due(req gypsumshelf.Request) time.Time {
+	return routes.Due(req, r.promptTime(req.Model, req.PromptTokens))
+}
+
+func tokensOf(req gypsumshelf.Request) int { return req.PromptTokens + req.MaxTokens }
+
+func workOf(req gypsumshelf.Request, s *servers.Server) servers.Work {
+	return servers.Work{
+		Tokens: tokensOf(req), Prompt: req.PromptTokens, MaxTokens: req.MaxTokens,
+		Due: routes.Due(req, s.PromptTime(req.PromptTokens)),
+	}
+}
+
 // dispatch starts every waiting request for which a backend server has room.
 func (r *Reducer) dispatch(now time.Time) {
+	clear(r.awaited)
+	misses := map[kind]int{}
 	r.queue.Each(func(req gypsumshelf.Request) bool {
+		k := kindOf(req)
 		rec := r.attempts.Record(req.ID)
-		return rec != nil && r.start(now, rec)
+		if rec == nil || misses[k] >= maxMisses {
+			return false
+		}
+		if r.start(now, rec) {
+			return true
+		}
+		misses[k]++
+		return false
 	})
+	r.renewShares(now)
 }
 
 func (r *Reducer) start(now time.Time, rec *attempts.Record) bool {
@@ -38,46 +113,95 @@
 		return false
 	}
 	req := rec.Request()
-	ready := r.eligible(now, rec, r.servers.Ready(now, req.Service, req.Model))
-	candidates := make([]routes.Candidate, 0, len(ready))
-	for _, s := range ready {
-		candidates = append(candidates, candidate(s))
-	}
+	candidates := r.candidates(now, rec)
 	i, ok := r.cfg.Policy.Choose(now, req, candidates)
 	if !ok {
+		r.await(now, req, candidates)
 		return false
 	}
-	a := r.begin(now, rec, r.servers.Server(candidates[i].Server).Announcement())
+	server := r.servers.Server(candidates[i].Server)
+	work := workOf(req, server)
+	a := r.begin(now, rec, server.Announcement())
 	rec.Note(now, "routed to %s in %s: %d of %d candidates, %d tokens in progress", a.Server(),
 		candidates[i].DataCentre, i+1, len(candidates), candidates[i].Tokens)
-	r.servers.Started(now, a.Server(), a.ID(), req.PromptTokens+req.MaxTokens)
-	r.emit(r.startEffect(now, rec, a))
+	r.servers.Started(now, a.Server(), a.ID(), work)
+	r.queue.Served(now, req.Workspace, tokensOf(req))
+	start := r.startEffect(now, rec, a)
+	start.Priority = r.priority(work)
+	if r.shares != nil {
+		if until := r.shares.Until(a.Server()); start.NotAfter.IsZero() || until.Before(start.NotAfter) {
+			start.NotAfter = until
+		}
+	}
+	r.emit(start)
 	return true
 }
 
-func candidate(s *servers.Server) routes.Candidate {
-	a := s.Announcement()
-	n, tokens := s.Load()
-	return routes.Candidate{
-		Server: a.Server, DataCentre: a.DataCentre, Attempts: n, Tokens: tokens, Memory: a.MemoryTokens,
+// priority returns the time at which the first token is due in milliseconds
+// since 1970: daemons and arrivals are comparable on an engine.
+func (r *Reducer) priority(w servers.Work) int {
+	if !r.cfg.Policy.Prioritizes() {
+		return 0
+	}
+	return int(w.Due.UnixMilli())
+}
+
+// candidates returns the servers that could take an attempt of the request.
+func (r *Reducer) candidates(now time.Time, rec *attempts.Record) []routes.Candidate {
+	req := rec.Request()
+	ready := r.eligible(now, rec, r.servers.Ready(now, req.Service, req.Model))
+	candidates := make([]routes.Candidate, 0, len(ready))
+	for _, s := range ready {
+		a := s.Announcement()
+		if a.MemoryTokens > 0 && a.MemoryTokens < tokensOf(req) {
+			continue
+		}
+		n, tokens := s.Load()
+		work := workOf(req, s)
+		candidates = append(candidates, routes.Candidate{
+			Server: a.Server, DataCentre: a.DataCentre, Attempts: n, Tokens: tokens, Memory: a.MemoryTokens,
+			Ahead: s.Ahead(work.Due), PerToken: s.TokenTime(now),
+			LongTokens: s.LongTokens(routes.LongPrompt),
+		})
+		c := &candidates[len(candidates)-1]
+		c.Busy = c.Ahead > 0 && c.PerToken*float64(c.Ahead) > maxBacklog.Seconds()
+		c.Room = !c.Busy && r.room(now, s, work.Tokens)
 	}
+	return candidates
 }
 
-func (r *Reducer) observeFirstToken(now time.Time, id gypsumshelf.AttemptID) {
-	if _, a := r.attempts.Attempt(id); a != nil {
-		r.servers.FirstToken(now, a.Server(), id)
+// room reports whether this daemon's share of a server has room for an attempt
+// of the given tokens. An attempt above the server's whole token limit may run
+// alone.
+func (r *Reducer) room(now time.Time, s *servers.Server, tokens int) bool {
+	n, used := s.InFlight()
+	limit := s.Limit()
+	share := shares.Amount(limit)
+	if r.shares != nil {
+		var whole shares.Amount
+		share, whole = r.shares.Share(now, s.Announcement().Server)
+		limit = servers.Limit(whole)
+	}
+	if n >= share.Attempts {
+		return false
+	}
+	if s.Announcement().MemoryTokens == 0 || used+tokens <= share.Tokens {
+		return true
 	}
+	return tokens > limit.Tokens && n == 0 && share == shares.Amount(limit)
 }
 
-// observeEnd passes the outcome of a request's last attempt to slow start. A
-// caller that left says nothing about the server.
-func (r *Reducer) observeEnd(rec *attempts.Record, failure *gypsumshelf.Error) {
-	all := rec.Attempts()
-	last := all[len(all)-1]
-	switch {
-	case failure == nil:
-		r.servers.Completed(last.Server(), last.ID())
-	case failure.Code != gypsumshelf.CodeCallerGone:
-		r.servers.Failed(last.Server(), last.ID())
+// observe passes what attempts show about a server to its slow start. A caller
+// that left or an attempt that was not sent says nothing about the server.
+func (r *Reducer) observe(now time.Time, ev gypsumshelf.Event) {
+	switch e := ev.(type) {
+	case attempts.FirstToken:
+		r.servers.FirstToken(now, e.Attempt)
+	case attempts.Ended:
+		r.servers.Completed(now, e.Attempt)
+	case attempts.Failed:
+		if e.Failure.Code != gypsumshelf.CodeCallerGone && e.Failure.Code != gypsumshelf.CodeNotReady {
+			r.servers.Failed(e.Attempt)
+		}
 	}
 }
--- a/servers/table.go
+++ b/servers/table.go
@@ -26,6 +26,7 @@
 type Table struct {
 	cfg     Config
 	servers map[gypsumshelf.ServerID]*Server
+	placed  map[gypsumshelf.AttemptID]*Server
 	past    map[gypsumshelf.ServerID]*history
 }
 
@@ -37,7 +38,8 @@
 	if cfg.InService == nil {
 		cfg.InService = func(string) bool { return true }
 	}
-	return &Table{cfg: cfg, servers: map[gypsumshelf.ServerID]*Server{}, past: map[gypsumshelf.ServerID]*history{}}
+	return &Table{cfg: cfg, servers: map[gypsumshelf.ServerID]*Server{},
+		placed: map[gypsumshelf.AttemptID]*Server{}, past: map[gypsumshelf.ServerID]*history{}}
 }
 
 // Update says what an announcement changed.
@@ -66,13 +68,17 @@
 		if s != nil {
 			t.forget(now, a.Server, s.announcement.Incarnation)
 			u.Lost = slices.Sorted(maps.Keys(s.inFlight))
+			for _, id := range u.Lost {
+				delete(t.placed, id)
+			}
 		}
 		s = newServer(now, t.cfg.Ramp, a)
 		s.out = !t.cfg.InService(a.DataCentre)
 		t.servers[a.Server] = s
-		u.Changed = true
+		s.digest, u.Changed = Digest(a), true
+	} else if !sameButLoad(s.announcement, a) {
+		s.digest, u.Changed = Digest(a), true
 	}
-	u.Changed = u.Changed || !sameButLoad(s.announcement, a)
 	s.report(a)
 	if heard.After(s.heard) {
 		s.heard = heard
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -87,7 +87,7 @@
 			ServerExpiry:    Duration(3 * time.Second),
 			LoadsPerMinute:  2,
 		},
-		Routing:  Routing{Policy: "least-loaded"},
+		Routing:  Routing{Policy: "earliest-deadline"},
 		LogLevel: "info",
 	}
 }
--- a/standins/address.go
+++ b/standins/address.go
@@ -1,7 +1,6 @@
 package standins
 
 import (
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -13,32 +12,42 @@
 // process, before the daemon under test listened on it.
 var loopback = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(256), 1+rand.IntN(250))
 
-// maxDraws bounds the search for an address that was not given out before.
-const maxDraws = 1000
+// freeAddressTries bounds the addresses that are tried for one that is new.
+const freeAddressTries = 100
 
-// given holds the addresses that FreeAddress has returned. A port that is
-// closed again may be chosen again: 251 of 2,000 choices were.
-var given = struct {
-	sync.Mutex
-	addresses map[string]bool
-}{addresses: map[string]bool{}}
+// addressBook holds the addresses that were given out. The system may choose a
+// port again as soon as it is closed: one deployment then had an address twice.
+type addressBook struct {
+	mu    sync.Mutex
+	given map[string]bool
+}
+
+var addresses = addressBook{given: map[string]bool{}}
 
-// FreeAddress returns an IP:PORT on loopback that was free when it was chosen.
-// It never returns the same one twice.
+// FreeAddress returns an IP:PORT on loopback that was free when it was chosen
+// and that this process has not given out before.
 func FreeAddress() (string, error) {
-	given.Lock()
-	defer given.Unlock()
-	for range maxDraws {
+	for range freeAddressTries {
 		l, err := net.Listen("tcp", loopback+":0")
 		if err != nil {
 			return "", err
 		}
 		address := l.Addr().String()
 		l.Close()
-		if !given.addresses[address] {
-			given.addresses[address] = true
+		if addresses.add(address) {
 			return address, nil
 		}
 	}
-	return "", errors.New("no address is left that was not given out before")
+	return "", fmt.Errorf("no new port on %s in %d tries", loopback, freeAddressTries)
+}
+
+// add reports whether the address is new.
+func (b *addressBook) add(address string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.given[address] {
+		return false
+	}
+	b.given[address] = true
+	return true
 }
