Take the voters of shares from the replicated log

Cause: owners counted promises of the voters in the settings; after a voter is replaced and a second host is lost, these have no majority although the log has one, and two sets of voters need not meet. Ruled out: the settings as a fallback before the log has voters, for the same reason. Before: TestNoOwnerWithoutVotersOfTheLog failed with a share granted; after: passes. Not run: loss of a second host after a replacement with processes. Conclusion: shares are granted exactly where the log can have a majority.

--- a/daemons/routing_test.go
+++ b/daemons/routing_test.go
@@ -6,7 +6,9 @@
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/replicas"
 	"gypsumshelf.example/gypsumshelf/routes"
+	"gypsumshelf.example/gypsumshelf/servers"
 	"gypsumshelf.example/gypsumshelf/shares"
 )
 
@@ -257,3 +259,29 @@
 		}
 	}
 }
+
+// Guards against owners that count promises of the voters in the settings,
+// which may have been replaced, while the log has not named its voters.
+func TestNoOwnerWithoutVotersOfTheLog(t *testing.T) {
+	policy, err := routes.New(routes.EarliestDeadline)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ids := []gypsumshelf.DaemonID{"d1", "d2"}
+	sharing := shares.DefaultConfig(len(ids))
+	sharing.Daemon, sharing.Daemons = "d1", ids
+	sharing.Voters = func() []gypsumshelf.DaemonID { return ids[:1] }
+	r := NewReducer(ReducerConfig{
+		Daemon: "d1", Policy: policy, Session: "s", Shares: sharing, Started: simStart,
+		Servers: servers.Config{Expiry: time.Hour},
+		Replica: replicas.Config{ID: replicas.NodeID{Daemon: "d1", Incarnation: "i"}, ElectionTimeout: time.Second, HeartbeatInterval: 100 * time.Millisecond},
+	})
+	a := gypsumshelf.Announcement{Server: "fk-01", Incarnation: "i1", State: gypsumshelf.ServerReady, Kind: gypsumshelf.KindEngine, Models: []string{"m"}}
+	r.Step(simStart, servers.Announced{Announcement: a})
+	for i := range 200 {
+		r.Step(simStart.Add(time.Duration(i)*tickPeriod), Tick{})
+	}
+	if share, _ := r.shares.Share(simStart.Add(200*tickPeriod), "fk-01"); share != (shares.Amount{}) {
+		t.Fatalf("share is %+v without voters of the log", share)
+	}
+}
--- a/daemons/sharing.go
+++ b/daemons/sharing.go
@@ -34,6 +34,9 @@
 	cfg := r.cfg.Shares
 	cfg.Limit, cfg.Running = r.serverLimit, r.serverRunning
 	cfg.Learn, cfg.Adopt = r.servers.Learn, func(id gypsumshelf.ServerID, a shares.Amount) { r.servers.Adopt(id, servers.Limit(a)) }
+	if r.log != nil {
+		cfg.Voters = r.voters
+	}
 	members := func(id gypsumshelf.ServerID) []gypsumshelf.DaemonID { return r.shares.Members(shares.SlotOf(id)) }
 	gossip := servers.GossipConfig{
 		Daemon: cfg.Daemon, Period: gossipPeriod, Members: members,
@@ -48,6 +51,18 @@
 	r.gossip = servers.NewGossip(gossip)
 }
 
+// voters returns the voters of the replicated log, none before the log has
+// any: the voters of the settings may have been replaced, and a majority of
+// them need not meet a majority of the present ones.
+func (r *Reducer) voters() []gypsumshelf.DaemonID {
+	ids := r.log.replica.Members().Voters()
+	voters := make([]gypsumshelf.DaemonID, len(ids))
+	for i, id := range ids {
+		voters[i] = id.Daemon
+	}
+	return voters
+}
+
 // reported takes a report that an owner sent with a share.
 func (r *Reducer) reported(now time.Time, owner gypsumshelf.DaemonID, p servers.Pulse) {
 	if !r.servers.Pulse(now, p) {
