Hand ownership over at a planned stop and repeat lost cancellations

A daemon that stopped kept its ownership of backend servers until the voters' promises ran out, and the others took it for live until its heartbeats were missed. It now resigns and says that it leaves once its last attempt has ended.

A cancellation that failed twice was dropped, and an engine could keep the request's memory until its own end. It is now repeated for 2 minutes, unless the engine refuses connections.

The demo ends the slow start of its engines before it measures.

The waits for decisions and explanations share one generic type.

--- a/daemons/entries.go
+++ b/daemons/entries.go
@@ -28,7 +28,9 @@
 	for _, s := range in.settings.Services {
 		idempotent[s.Name] = s.Idempotent
 	}
-	in.cancels = engines.NewCanceller(client)
+	in.cancels = engines.NewCanceller(engines.CancellerConfig{
+		Completer: client, Pause: engines.DefaultCancelPause, Keep: engines.DefaultCancelKeep,
+	})
 	cfg := entries.Config{
 		Engine: client, Services: client, Idempotent: idempotent,
 		Submit: in.daemon.Submit, Ready: in.ready, Class: in.class,
--- a/daemons/explain.go
+++ b/daemons/explain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
@@ -20,41 +19,6 @@
 	}
 }
 
-// questions holds the drivers that wait for an explanation by a peer.
-type questions struct {
-	mu      sync.Mutex
-	last    uint64
-	waiting map[uint64]chan []attempts.Note
-}
-
-func (q *questions) open() (uint64, chan []attempts.Note) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.waiting == nil {
-		q.waiting = map[uint64]chan []attempts.Note{}
-	}
-	q.last++
-	c := make(chan []attempts.Note, 1)
-	q.waiting[q.last] = c
-	return q.last, c
-}
-
-func (q *questions) close(ticket uint64) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	delete(q.waiting, ticket)
-}
-
-// explained passes on the first explanation by a peer.
-func (q *questions) explained(e attempts.Explanation) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if c := q.waiting[e.Ticket]; c != nil {
-		c <- e.Notes
-		delete(q.waiting, e.Ticket)
-	}
-}
-
 func (in *Instance) sendExplanation(e attempts.Explain) { in.links.Send(e.To, e.Explanation) }
 
 // explain returns the notes of a request of this daemon, or else of a peer.
--- a/daemons/instance.go
+++ b/daemons/instance.go
@@ -49,22 +49,22 @@
 
 // Instance is one running daemon with all its listeners.
 type Instance struct {
-	settings settings.Settings
-	daemon   *Daemon
-	timers   *timers.Service
-	links    *peers.Links
-	servers  []*http.Server
-	handler  *entries.Handler
-	cancels  *engines.Canceller
-	log      *logrus.Entry
-	engines  *engines.Client
-	traces   *traces.Provider
-	storage  *storage
-	renewals []*renewal
-	metrics  *metrics.Recorder
-	tickets  tickets
-
-	questions questions
+	settings  settings.Settings
+	daemon    *Daemon
+	timers    *timers.Service
+	links     *peers.Links
+	servers   []*http.Server
+	handler   *entries.Handler
+	cancels   *engines.Canceller
+	log       *logrus.Entry
+	engines   *engines.Client
+	traces    *traces.Provider
+	storage   *storage
+	renewals  []*renewal
+	metrics   *metrics.Recorder
+	decisions waiters[configs.Decided]
+
+	questions waiters[[]attempts.Note]
 }
 
 // Start opens the listeners of a daemon and runs it.
@@ -116,7 +116,7 @@
 	in.openEntries(adjust)
 	Carry(in.daemon, func(e servers.Send) { in.links.Send(e.To, e.Payload) })
 	Carry(in.daemon, func(e shares.Send) { in.links.Send(e.To, e.Payload) })
-	Carry(in.daemon, in.tickets.decided)
+	Carry(in.daemon, func(e configs.Decided) { in.decisions.answer(e.Ticket, e) })
 	Carry(in.daemon, in.sendProposal)
 	Carry(in.daemon, in.sendExplanation)
 	in.carryLog()
@@ -212,7 +212,7 @@
 		in.daemon.Submit(shares.Heard{From: e.From})
 	case servers.Notice, servers.Pulses, servers.Want:
 		in.daemon.Submit(servers.Received{From: e.From, Payload: payload})
-	case shares.Claim, shares.Promise, shares.Resign, shares.Ask, shares.Grant:
+	case shares.Claim, shares.Promise, shares.Resign, shares.Leave, shares.Ask, shares.Grant:
 		in.daemon.Submit(shares.Received{From: e.From, Payload: payload})
 	case replicas.Message:
 		in.receiveLog(e, payload)
@@ -223,7 +223,7 @@
 	case attempts.Question:
 		in.daemon.Submit(attempts.Asked{From: e.From, Question: payload})
 	case attempts.Explanation:
-		in.questions.explained(payload)
+		in.questions.answer(payload.Ticket, payload.Notes)
 	case attempts.Suspicion:
 		in.daemon.Submit(attempts.Suspected{Suspicion: payload})
 	case attempts.Quarantine:
--- a/daemons/operators.go
+++ b/daemons/operators.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/configs"
@@ -10,44 +9,9 @@
 	"gypsumshelf.example/gypsumshelf/settings"
 )
 
-// tickets holds the drivers that wait for the result of a command.
-type tickets struct {
-	mu      sync.Mutex
-	last    uint64
-	waiting map[uint64]chan configs.Decided
-}
-
-func (t *tickets) open() (uint64, chan configs.Decided) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.waiting == nil {
-		t.waiting = map[uint64]chan configs.Decided{}
-	}
-	t.last++
-	c := make(chan configs.Decided, 1)
-	t.waiting[t.last] = c
-	return t.last, c
-}
-
-func (t *tickets) close(ticket uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.waiting, ticket)
-}
-
-// decided carries out configs.Decided.
-func (t *tickets) decided(e configs.Decided) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if c := t.waiting[e.Ticket]; c != nil {
-		c <- e // holds one result, and each ticket is decided once
-		delete(t.waiting, e.Ticket)
-	}
-}
-
 func (in *Instance) operate(ctx context.Context, command configs.Operate) (configs.Result, error) {
-	ticket, decided := in.tickets.open()
-	defer in.tickets.close(ticket)
+	ticket, decided := in.decisions.open()
+	defer in.decisions.close(ticket)
 	in.daemon.Submit(configs.Proposed{Ticket: ticket, Command: command, Within: operators.CommandWait})
 	select {
 	case d := <-decided:
--- a/daemons/reducer.go
+++ b/daemons/reducer.go
@@ -51,6 +51,7 @@
 	handlers   map[reflect.Type]func(time.Time, gypsumshelf.Event)
 	out        []gypsumshelf.Effect
 	stopping   bool
+	handedOver bool
 	trials     map[gypsumshelf.ServerID]gypsumshelf.AttemptID // suspects that run apart from other work
 
 	configuration *configuration
--- a/daemons/sharing.go
+++ b/daemons/sharing.go
@@ -23,6 +23,7 @@
 	on(r, r.announced)
 	on(r, r.announcementMessage)
 	on(r, r.shareMessage)
+	on(r, r.handOver)
 	on(r, func(now time.Time, e shares.Heard) {
 		if r.shares != nil {
 			r.shares.Heard(now, e.From)
@@ -51,6 +52,18 @@
 	r.gossip = servers.NewGossip(gossip)
 }
 
+// handOver gives up all shares and ownership, so that other daemons need not
+// wait until a voter's promise to this one has run out.
+func (r *Reducer) handOver(now time.Time, _ shares.HandOver) {
+	r.handedOver = true
+	if r.shares == nil {
+		return
+	}
+	for _, m := range r.shares.Stop(now) {
+		r.emit(m)
+	}
+}
+
 // voters returns the voters of the replicated log, none before the log has
 // any: the voters of the settings may have been replaced, and a majority of
 // them need not meet a majority of the present ones.
--- a/daemons/stop.go
+++ b/daemons/stop.go
@@ -7,15 +7,20 @@
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/shares"
 )
 
 // stopPoll is the time between two looks at the requests in progress.
 const stopPoll = 20 * time.Millisecond
 
+// handOverTime bounds the time in which the other daemons are told of the stop.
+const handOverTime = time.Second
+
 // Shutdown stops the daemon gracefully: it takes no new requests and returns
 // nil once all requests in progress have ended, which they do by their
-// deadlines, their outcomes are recorded and their attempts cancelled. When ctx ends first it returns an error; Interrupted then lists
-// the requests that Close will interrupt.
+// deadlines, their outcomes are recorded and their attempts cancelled. When ctx
+// ends first it returns an error; Interrupted then lists the requests that
+// Close will interrupt.
 func (in *Instance) Shutdown(ctx context.Context) error {
 	in.daemon.Submit(attempts.Stop{})
 	ticker := time.NewTicker(stopPoll)
@@ -36,6 +41,19 @@
 			return err
 		}
 	}
+	return in.handOver(ctx)
+}
+
+// handOver gives up shares and ownership and waits until the peers that answer
+// have been told.
+func (in *Instance) handOver(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, handOverTime)
+	defer cancel()
+	in.daemon.Submit(shares.HandOver{})
+	for done := false; !done && ctx.Err() == nil; {
+		in.daemon.Query(ctx, func(r *Reducer) { done = r.handedOver })
+	}
+	in.links.Drain(ctx)
 	return nil
 }
 
--- a/engines/canceller.go
+++ b/engines/canceller.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
@@ -14,27 +16,41 @@
 	cancelBacklog = 4096
 	cancelTries   = 2
 	cancelTimeout = time.Second
+	// DefaultCancelPause and DefaultCancelKeep spread the further tries of a
+	// cancellation that failed, past the time for which a network fault is likely.
+	DefaultCancelPause = 5 * time.Second
+	DefaultCancelKeep  = 2 * time.Minute
 )
 
+// CancellerConfig configures a Canceller.
+type CancellerConfig struct {
+	Completer Completer
+	Pause     time.Duration // between the further tries of a cancellation that failed
+	Keep      time.Duration // time for which it is tried
+}
+
 // Canceller cancels attempts on engines in the background. A cancellation that
-// is lost is made good by the sweep of reservations.
+// fails is tried again until the engine answers or refuses connections: a
+// process that is gone holds no memory.
 type Canceller struct {
-	completer Completer
-	backlog   chan cancellation
-	ctx       context.Context
-	stop      context.CancelFunc
-	wg        sync.WaitGroup
-	pending   atomic.Int64
+	cfg     CancellerConfig
+	backlog chan cancellation
+	ctx     context.Context
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
+	pending atomic.Int64
 }
 
 type cancellation struct {
 	address string
 	attempt gypsumshelf.AttemptID
+	since   time.Time
+	again   bool // not the first try, and so not counted as pending
 }
 
 // NewCanceller returns a running Canceller.
-func NewCanceller(c Completer) *Canceller {
-	k := &Canceller{completer: c, backlog: make(chan cancellation, cancelBacklog)}
+func NewCanceller(cfg CancellerConfig) *Canceller {
+	k := &Canceller{cfg: cfg, backlog: make(chan cancellation, cancelBacklog)}
 	k.ctx, k.stop = context.WithCancel(context.Background())
 	for range cancelWorkers {
 		k.wg.Add(1)
@@ -47,7 +63,7 @@
 func (k *Canceller) Cancel(address string, attempt gypsumshelf.AttemptID) bool {
 	k.pending.Add(1)
 	select {
-	case k.backlog <- cancellation{address: address, attempt: attempt}:
+	case k.backlog <- cancellation{address: address, attempt: attempt, since: time.Now()}:
 		return true
 	default:
 		k.pending.Add(-1)
@@ -55,7 +71,7 @@
 	}
 }
 
-// Pending returns the number of cancellations that have not ended.
+// Pending returns the number of cancellations whose first try has not ended.
 func (k *Canceller) Pending() int { return int(k.pending.Load()) }
 
 // Close stops the workers and drops the backlog.
@@ -77,13 +93,26 @@
 }
 
 func (k *Canceller) cancel(c cancellation) {
-	defer k.pending.Add(-1)
+	if !c.again {
+		defer k.pending.Add(-1)
+	}
 	for range cancelTries {
 		ctx, stop := context.WithTimeout(k.ctx, cancelTimeout)
-		err := k.completer.Cancel(ctx, c.address, c.attempt)
+		err := k.cfg.Completer.Cancel(ctx, c.address, c.attempt)
 		stop()
-		if err == nil {
+		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
 			return
 		}
 	}
+	if time.Since(c.since) < k.cfg.Keep {
+		c.again = true
+		time.AfterFunc(k.cfg.Pause, func() { k.requeue(c) })
+	}
+}
+
+func (k *Canceller) requeue(c cancellation) {
+	select {
+	case k.backlog <- c:
+	case <-k.ctx.Done():
+	}
 }
--- a/engines/client.go
+++ b/engines/client.go
@@ -114,7 +114,7 @@
 
 // Complete implements Completer.
 func (c *Client) Complete(parent context.Context, call Call, sink Sink) error {
-	ctx, w := c.guard(withExpiry(parent, call.Expires), call.Address, call.Answer, call.Deadline)
+	ctx, w := c.guard(withExpiry(parent, call.NotAfter), call.Address, call.Answer, call.Deadline)
 	defer w.stop()
 	url := "http://" + call.Address + call.Path
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(call.Body))
--- a/engines/engine.go
+++ b/engines/engine.go
@@ -21,7 +21,7 @@
 	// of the stream is missing.
 	Finished bool
 	Answer   time.Time // time by which the first chunk must have arrived
-	Expires  time.Time // time after which nothing may be sent, zero for none
+	NotAfter time.Time // time after which nothing may be sent, zero for none
 	Deadline time.Time
 }
 
--- a/engines/service.go
+++ b/engines/service.go
@@ -20,7 +20,7 @@
 	Header   http.Header
 	Body     []byte
 	Answer   time.Time // time by which the answer must have begun
-	Expires  time.Time // time after which nothing may be sent, zero for none
+	NotAfter time.Time // time after which nothing may be sent, zero for none
 	Deadline time.Time
 }
 
@@ -45,7 +45,7 @@
 // Forward implements Forwarder. An answer of any status is the service's own
 // and is passed on, except an error that says that the call did not run.
 func (c *Client) Forward(parent context.Context, call ServiceCall, sink AnswerSink) error {
-	ctx, w := c.guard(withExpiry(parent, call.Expires), call.Address, call.Answer, call.Deadline)
+	ctx, w := c.guard(withExpiry(parent, call.NotAfter), call.Address, call.Answer, call.Deadline)
 	defer w.stop()
 	r, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.URI, bytes.NewReader(call.Body))
 	if err != nil {
--- a/entries/completion.go
+++ b/entries/completion.go
@@ -34,7 +34,7 @@
 	call := engines.Call{
 		Attempt: start.Attempt, Address: start.Address, Path: c.path, Body: c.body.data,
 		Priority: start.Priority, Resume: start.Resume, Finished: c.finished,
-		Answer: start.Answer, Deadline: start.Deadline, Expires: start.NotAfter,
+		Answer: start.Answer, Deadline: start.Deadline, NotAfter: start.NotAfter,
 	}
 	err := c.handler.cfg.Engine.Complete(ctx, call, &sink{completion: c, start: start})
 	return attempts.Ended{Attempt: start.Attempt, Position: c.position}, err
--- a/entries/service.go
+++ b/entries/service.go
@@ -112,7 +112,7 @@
 func (s *serviceCall) attempt(ctx context.Context, start attempts.Start) (attempts.Ended, error) {
 	call := s.call
 	call.Attempt, call.Address = start.Attempt, start.Address
-	call.Answer, call.Deadline, call.Expires = start.Answer, start.Deadline, start.NotAfter
+	call.Answer, call.Deadline, call.NotAfter = start.Answer, start.Deadline, start.NotAfter
 	err := s.handler.cfg.Services.Forward(ctx, call, &answerSink{call: s, start: start})
 	return attempts.Ended{Attempt: start.Attempt, Position: s.delivered(), Outcome: s.outcome}, err
 }
--- a/loads/demo.go
+++ b/loads/demo.go
@@ -29,6 +29,12 @@
 
 var demoLengths = []int{1_000, 30_000, 1_000_000}
 
+// demoWarmUp ends the slow start of the engines: their limits grow with the
+// tokens of completed requests.
+var demoWarmUp = []struct{ length, rounds int }{
+	{1_000, 4}, {100_000, 8}, {300_000, 8}, {300_000, 8}, {300_000, 8},
+}
+
 // Demo runs daemons and stand-in engines in this process, sends requests of
 // several lengths through each daemon and writes a table of first-token times.
 func Demo(ctx context.Context, w io.Writer, cfg DemoConfig) error {
@@ -45,6 +51,14 @@
 		return err
 	}
 	defer c.Close()
+	start := time.Now()
+	for _, step := range demoWarmUp {
+		if _, bad := sendLength(ctx, c.callers(), step.length, step.rounds); bad > 0 {
+			return fmt.Errorf("%d warm-up requests have no whole answer", bad)
+		}
+	}
+	fmt.Fprintf(w, "The engines have just started and got little work at first; warm-up took %s.\n\n",
+		time.Since(start).Round(100*time.Millisecond))
 	return sendDemo(ctx, w, c.callers(), cfg.Rounds)
 }
 
--- a/peers/link.go
+++ b/peers/link.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,7 +15,8 @@
 	dialTimeout   = time.Second
 	helloDeadline = 2 * time.Second
 	heartbeatGap  = 500 * time.Millisecond // idle time after which a heartbeat is sent
-	silenceLimit  = 2 * time.Second        // time without an answer after which a connection is dropped
+	drainPoll     = 5 * time.Millisecond
+	silenceLimit  = 2 * time.Second // time without an answer after which a connection is dropped
 )
 
 // link is the outgoing connection to one peer.
@@ -22,6 +24,7 @@
 	owner   *Links
 	address string
 	queue   chan Envelope
+	waiting atomic.Int64 // envelopes that are queued or being delivered
 }
 
 func (k *link) loop() {
@@ -61,7 +64,9 @@
 		if batch == nil {
 			return
 		}
-		if err := call(client, "Peer.Deliver", batch, silenceLimit); err != nil {
+		err := call(client, "Peer.Deliver", batch, silenceLimit)
+		k.waiting.Add(-int64(len(batch)))
+		if err != nil {
 			return
 		}
 	}
--- a/peers/links.go
+++ b/peers/links.go
@@ -3,9 +3,11 @@
 package peers
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"gypsumshelf.example/gypsumshelf"
 )
@@ -63,9 +65,11 @@
 	if k == nil {
 		return
 	}
+	k.waiting.Add(1)
 	select {
 	case k.queue <- Envelope{From: l.cfg.Daemon, Payload: payload}:
 	default:
+		k.waiting.Add(-1)
 	}
 }
 
@@ -76,6 +80,19 @@
 	}
 }
 
+// Drain waits until every queued envelope was delivered or lost with its
+// connection, or until ctx ends.
+func (l *Links) Drain(ctx context.Context) {
+	for _, k := range l.links {
+		for k.waiting.Load() > 0 && ctx.Err() == nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(drainPoll):
+			}
+		}
+	}
+}
+
 // Bytes returns the bytes sent to and received from all peers so far.
 func (l *Links) Bytes() (sent, received uint64) { return l.bytes.sent.Load(), l.bytes.received.Load() }
 
--- a/shares/message.go
+++ b/shares/message.go
@@ -33,6 +33,10 @@
 // Resign ends the sender's ownership of slots.
 type Resign struct{ Slots []SlotEpoch }
 
+// Leave tells the other daemons that the sender stops. Its heartbeats may go on
+// until its process ends.
+type Leave struct{}
+
 // Amount is an amount of work on a server.
 type Amount struct {
 	Attempts int
@@ -81,6 +85,7 @@
 	gob.RegisterName("shares.C", Claim{})
 	gob.RegisterName("shares.P", Promise{})
 	gob.RegisterName("shares.R", Resign{})
+	gob.RegisterName("shares.L", Leave{})
 	gob.RegisterName("shares.A", Ask{})
 	gob.RegisterName("shares.G", Grant{})
 }
@@ -106,5 +111,12 @@
 // Heard is the event of any other sign of life of a daemon.
 type Heard struct{ From gypsumshelf.DaemonID }
 
+// HandOver is the event of a planned stop after the last attempt has ended: the
+// daemon gives up its shares and its ownership.
+type HandOver struct{}
+
+// EventName implements gypsumshelf.Event.
+func (HandOver) EventName() string { return "hand-over" }
+
 // EventName implements gypsumshelf.Event.
 func (Heard) EventName() string { return "daemon-heard" }
--- a/shares/table.go
+++ b/shares/table.go
@@ -78,6 +78,7 @@
 	pending map[gypsumshelf.DaemonID]*pending
 	asked   map[gypsumshelf.DaemonID]time.Time
 	heard   map[gypsumshelf.DaemonID]time.Time
+	left    map[gypsumshelf.DaemonID]time.Time // when a daemon said that it stops
 	ranks   map[Slot][]gypsumshelf.DaemonID
 	claims  map[int64]time.Time // claims that may still be answered
 	claimed time.Time
@@ -98,10 +99,16 @@
 		holds:   map[gypsumshelf.ServerID]*hold{},
 		pending: map[gypsumshelf.DaemonID]*pending{}, asked: map[gypsumshelf.DaemonID]time.Time{},
 		claims: map[int64]time.Time{},
+		left:   map[gypsumshelf.DaemonID]time.Time{},
 		heard:  map[gypsumshelf.DaemonID]time.Time{}, ranks: map[Slot][]gypsumshelf.DaemonID{},
 	}
 }
 
+// leaveMemory is the time for which a daemon that said it stops is not taken
+// for live. It covers the end of its process; a restart within it waits so long
+// before it owns servers again.
+const leaveMemory = 3 * time.Second
+
 // Heard records a sign of life of a daemon.
 func (t *Table) Heard(now time.Time, from gypsumshelf.DaemonID) { t.heard[from] = now }
 
@@ -110,6 +117,9 @@
 	if d == t.cfg.Daemon {
 		return !t.stopped
 	}
+	if left, ok := t.left[d]; ok && now.Sub(left) <= leaveMemory {
+		return false
+	}
 	heard, ok := t.heard[d]
 	return ok && now.Sub(heard) <= t.cfg.Silence
 }
@@ -196,6 +206,11 @@
 	t.stopped = true
 	t.resign(func(Slot) bool { return true })
 	clear(t.holds)
+	for _, d := range t.cfg.Daemons {
+		if d != t.cfg.Daemon {
+			t.send(d, Leave{})
+		}
+	}
 	return t.flush(now)
 }
 
@@ -212,6 +227,8 @@
 		t.send(from, t.voter.claim(now, from, m))
 	case Resign:
 		t.voter.resign(now, from, m)
+	case Leave:
+		t.left[from] = now
 	case Promise:
 		t.promised(now, from, m)
 	case Ask:
