Serve models and services under the names of every scheme

Operator commands resolved names of any scheme, but requests and announcements did not: a caller that used another scheme's name for a model got unknown-model. Requests now carry canonical names in the reducer, announced names are compared in canonical form, and the engine is asked for the model by the name it announced itself. An ambiguous name is refused with both candidates.

TestNamesOfAllSchemes fails when announced names are not resolved (no start for 3 of 3 names), when requested names are not resolved (1 of 3), and when the engine is asked by the caller's name (3 of 3).

--- a/attempts/event.go
+++ b/attempts/event.go
@@ -66,8 +66,9 @@
 	Attempt  gypsumshelf.AttemptID
 	Server   gypsumshelf.ServerID
 	Address  string
-	Priority int // smaller is more urgent
-	Resume   int // position of the first token wanted
+	Model    string // name by which the server knows the model, empty for a plain service
+	Priority int    // smaller is more urgent
+	Resume   int    // position of the first token wanted
 	// NotAfter is the end of the freshness lease and of the server's share under
 	// which the start was decided; zero when there is none. A later attempt must
 	// not be sent.
--- a/configs/names.go
+++ b/configs/names.go
@@ -23,6 +23,19 @@
 	return "", fmt.Errorf("%s name %q is ambiguous: it stands for %s", kind, name, strings.Join(candidates, " and "))
 }
 
+// Canonical returns the canonical name that a name stands for, and the name
+// itself when it is ambiguous.
+func (s *State) Canonical(kind gypsumshelf.NameKind, name string) string {
+	if len(s.d.Names[kind]) == 0 {
+		return name
+	}
+	canonical, err := s.Resolve(kind, name)
+	if err != nil {
+		return name
+	}
+	return canonical
+}
+
 // candidates returns the canonical names that a name may stand for, sorted.
 func (s *State) candidates(kind gypsumshelf.NameKind, name string) []string {
 	found := map[string]bool{}
--- a/daemons/configuration_test.go
+++ b/daemons/configuration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -192,3 +193,43 @@
 		}
 	})
 }
+
+// Guards against callers and backend servers of different naming schemes that
+// do not find each other, and against a guess at an ambiguous name.
+func TestNamesOfAllSchemes(t *testing.T) {
+	m := single(t)
+	add := func(id, canonical, scheme, alias string) {
+		m.change(t, id, configs.Change{
+			Action: configs.ActionNameAdd, Kind: gypsumshelf.NameModel, Canonical: canonical, Scheme: scheme, Alias: alias,
+		})
+	}
+	add("a", "large-1", "catalogue", "quill")   // the servers of single announce quill
+	add("b", "large-1", "billing", "model-7")   // callers of another scheme
+	add("c", "large-2", "catalogue", "model-x") // means two things
+	add("d", "large-1", "billing", "model-x")
+	arrive := func(id, model string) []gypsumshelf.Effect {
+		return m.Step(testStart, attempts.Arrived{Request: gypsumshelf.Request{
+			ID: gypsumshelf.RequestID(id), Model: model, PromptTokens: 1, Idempotent: true, Arrived: testStart,
+			Class: gypsumshelf.Class{Target: gypsumshelf.Target{FirstToken: time.Second, Finish: time.Minute}},
+		}})
+	}
+	for i, model := range []string{"large-1", "quill", "model-7"} {
+		t.Run(model, func(t *testing.T) {
+			s := of[attempts.Start](arrive(model, model))
+			if len(s) != 1 || s[0].Model != "quill" {
+				t.Fatalf("request %d: starts are %+v, want one with the server's own name quill", i, s)
+			}
+			m.Step(testStart, attempts.Ended{Attempt: s[0].Attempt})
+		})
+	}
+	t.Run("ambiguous", func(t *testing.T) {
+		effects := arrive("r", "model-x")
+		assertRefused(t, effects, gypsumshelf.CodeBadRequest)
+		if text := of[attempts.Refuse](effects)[0].Err.Text; !strings.Contains(text, "large-1 and large-2") {
+			t.Errorf("refusal %q does not name both candidates", text)
+		}
+	})
+	t.Run("unknown", func(t *testing.T) {
+		assertRefused(t, arrive("u", "model-y"), gypsumshelf.CodeUnknownModel)
+	})
+}
--- a/daemons/instance.go
+++ b/daemons/instance.go
@@ -107,8 +107,9 @@
 			LoadsPerMinute: s.Limits.LoadsPerMinute,
 		},
 		Timers: in.timers, TickPeriod: tickPeriod,
-		Observers: []Observer{in.metrics, logs.NewObserver(log)},
+		Observers: []Observer{in.metrics, logs.NewObserver(logs.ObserverConfig{Log: log, Revision: in.revision})},
 	})
+	in.registerGauges()
 	if err := in.openPeers(); err != nil {
 		in.closeStorage()
 		return nil, err
--- a/daemons/placement.go
+++ b/daemons/placement.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
-	"gypsumshelf.example/gypsumshelf/attempts"
 	"gypsumshelf.example/gypsumshelf/configs"
 	"gypsumshelf.example/gypsumshelf/placements"
 )
@@ -182,15 +181,17 @@
 		if a.Kind != gypsumshelf.KindEngine {
 			continue
 		}
-		for _, model := range a.Models {
-			serviceOf[model] = a.Service
+		models := make([]string, len(a.Models))
+		for i, model := range a.Models {
+			models[i] = r.canonical(gypsumshelf.NameModel, model)
+			serviceOf[models[i]] = a.Service
 		}
 		if t := s.TokenTime(now); t > 0 {
 			rates = append(rates, 1/t)
 		}
 		v.Engines = append(v.Engines, placements.Engine{
 			Server: a.Server, Incarnation: a.Incarnation, DataCentre: a.DataCentre, Service: a.Service,
-			Models: a.Models, InService: r.servers.Accepts(now, s),
+			Models: models, InService: r.servers.Accepts(now, s),
 		})
 	}
 	if len(rates) > 0 {
@@ -206,8 +207,8 @@
 	return r.configuration.state.Retiring(a.Server, a.Incarnation, req.Model)
 }
 
-func (r *Reducer) countDemand(_ time.Time, e attempts.Arrived) {
-	if e.Request.Model != "" {
-		r.placement.meter.Count(e.Request.Model, e.Request.PromptTokens)
+func (r *Reducer) countDemand(req gypsumshelf.Request) {
+	if req.Model != "" {
+		r.placement.meter.Count(req.Model, req.PromptTokens)
 	}
 }
--- a/daemons/reducer.go
+++ b/daemons/reducer.go
@@ -83,6 +83,7 @@
 	cfg.Servers.InService = func(dataCentre string) bool {
 		return r.inService(dataCentre) && (allowed == nil || allowed(dataCentre))
 	}
+	cfg.Servers.Canonical = r.canonical
 	r.servers = servers.New(cfg.Servers)
 	on(r, r.tick)
 	r.registerServers()
@@ -98,6 +99,11 @@
 	return r.configuration.state.InService(dataCentre)
 }
 
+// canonical returns the canonical name of a service or model in the present state.
+func (r *Reducer) canonical(kind gypsumshelf.NameKind, name string) string {
+	return r.configuration.state.Canonical(kind, name)
+}
+
 // on makes handle the handler of all events of type E.
 func on[E gypsumshelf.Event](r *Reducer, handle func(time.Time, E)) {
 	r.handlers[reflect.TypeFor[E]()] = func(now time.Time, ev gypsumshelf.Event) { handle(now, ev.(E)) }
--- a/daemons/requests.go
+++ b/daemons/requests.go
@@ -24,12 +24,16 @@
 		r.emit(attempts.Refuse{Request: req.ID, Err: gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeStopping, "daemon %s is stopping", r.cfg.Daemon)})
 		return
 	}
+	if failure := r.resolveNames(&req); failure != nil {
+		r.emit(attempts.Refuse{Request: req.ID, Err: failure})
+		return
+	}
 	rec := r.attempts.Open(now, req)
 	if rec == nil {
 		r.emit(attempts.Refuse{Request: req.ID, Err: gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeBadRequest, "request id %q is in use", req.ID)})
 		return
 	}
-	r.countDemand(now, e)
+	r.countDemand(req)
 	if failure := r.notReady(now); failure != nil {
 		r.refuse(now, rec, failure)
 		return
@@ -52,6 +56,33 @@
 	r.enqueue(now, rec)
 }
 
+// modelName returns the name by which a backend server knows a request's model.
+func (r *Reducer) modelName(req gypsumshelf.Request, a *attempts.Attempt) string {
+	s := r.servers.Server(a.Server())
+	if s == nil || req.Model == "" {
+		return ""
+	}
+	return r.servers.ModelName(s, req.Model)
+}
+
+// resolveNames replaces the names of a request by the canonical ones.
+func (r *Reducer) resolveNames(req *gypsumshelf.Request) *gypsumshelf.Error {
+	for _, n := range []struct {
+		kind gypsumshelf.NameKind
+		name *string
+	}{{gypsumshelf.NameModel, &req.Model}, {gypsumshelf.NameService, &req.Service}} {
+		if *n.name == "" {
+			continue
+		}
+		canonical, err := r.configuration.state.Resolve(n.kind, *n.name)
+		if err != nil {
+			return gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeBadRequest, "%v", err)
+		}
+		*n.name = canonical
+	}
+	return nil
+}
+
 func unknownTarget(req gypsumshelf.Request) *gypsumshelf.Error {
 	if req.Model != "" {
 		return gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeUnknownModel, "no backend server serves model %q", req.Model)
@@ -81,7 +112,7 @@
 	}
 	return attempts.Start{
 		Request: req.ID, Attempt: a.ID(), Server: a.Server(), Address: a.Address(),
-		Resume: rec.Position(), Answer: answer, Deadline: req.Deadline(), Last: last,
+		Model: r.modelName(req, a), Resume: rec.Position(), Answer: answer, Deadline: req.Deadline(), Last: last,
 		NotAfter: r.configuration.lease.Expires(),
 	}
 }
--- a/entries/completion.go
+++ b/entries/completion.go
@@ -32,7 +32,7 @@
 
 func (c *completion) attempt(ctx context.Context, start attempts.Start) (attempts.Ended, error) {
 	call := engines.Call{
-		Attempt: start.Attempt, Address: start.Address, Path: c.path, Body: c.body.data,
+		Attempt: start.Attempt, Address: start.Address, Path: c.path, Body: c.body.as(start.Model),
 		Priority: start.Priority, Resume: start.Resume, Finished: c.finished,
 		Answer: start.Answer, Deadline: start.Deadline, NotAfter: start.NotAfter,
 	}
--- /dev/null
+++ b/entries/error_test.go
@@ -0,0 +1,20 @@
+package entries
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+// Guards against an error code that operators cannot look up.
+func TestEveryCodeIsDocumented(t *testing.T) {
+	page, err := os.ReadFile("../docs/operations.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for code := range statusOf {
+		if !strings.Contains(string(page), "`"+string(code)+"`") {
+			t.Errorf("code %q is not on the page of operations", code)
+		}
+	}
+}
--- a/entries/request.go
+++ b/entries/request.go
@@ -30,7 +30,8 @@
 // body is a caller's request body as it is sent to an engine.
 type body struct {
 	data   []byte
-	stream bool // the caller asked for a stream
+	model  string // name of the model in data
+	stream bool   // the caller asked for a stream
 	lease  *lease
 }
 
@@ -81,7 +82,7 @@
 	}
 	req.BodyHash = hashOf(data)
 	req.PrefixHash = hashOf(prompt[:min(len(prompt), prefixBytes)])
-	return req, body{data: withStream(data, f.Stream), stream: f.Stream, lease: lease}, nil
+	return req, body{data: withStream(data, f.Stream), model: f.Model, stream: f.Stream, lease: lease}, nil
 }
 
 // requestID returns the id that the caller states, or a new one. It reports
@@ -160,11 +161,27 @@
 	if stream {
 		return data
 	}
+	return withField(data, "stream", json.RawMessage("true"))
+}
+
+// as returns the body with the name by which an engine knows the model.
+func (b *body) as(model string) []byte {
+	if model != "" && model != b.model {
+		name, err := json.Marshal(model)
+		if err != nil {
+			return b.data
+		}
+		b.data, b.model = withField(b.data, "model", name), model
+	}
+	return b.data
+}
+
+func withField(data []byte, key string, value json.RawMessage) []byte {
 	var whole map[string]json.RawMessage
 	if err := json.Unmarshal(data, &whole); err != nil {
 		return data
 	}
-	whole["stream"] = json.RawMessage("true")
+	whole[key] = value
 	out, err := json.Marshal(whole)
 	if err != nil {
 		return data
--- a/entries/request_test.go
+++ b/entries/request_test.go
@@ -85,3 +85,19 @@
 		}
 	})
 }
+
+// Guards against an engine that is asked for a model by a name of another
+// naming scheme, and against a body that loses its other fields.
+func TestBodyNamesTheModelAsTheEngineDoes(t *testing.T) {
+	original := `{"model":"model-7","prompt":"p","max_tokens":3}`
+	for _, tt := range []struct{ name, want string }{
+		{"", original},
+		{"model-7", original},
+		{"quill", `{"max_tokens":3,"model":"quill","prompt":"p"}`},
+	} {
+		b := &body{data: []byte(original), model: "model-7"}
+		if got := string(b.as(tt.name)); got != tt.want {
+			t.Errorf("as %q: got %s, want %s", tt.name, got, tt.want)
+		}
+	}
+}
--- a/logs/observer.go
+++ b/logs/observer.go
@@ -9,29 +9,47 @@
 	"gypsumshelf.example/gypsumshelf/attempts"
 )
 
+// ObserverConfig configures an Observer.
+type ObserverConfig struct {
+	Log      *logrus.Entry
+	Revision func() gypsumshelf.Revision // of the configuration in force; called on the event loop
+}
+
 // Observer logs what the reducer was told and what it decided.
 type Observer struct {
-	log *logrus.Entry
+	cfg     ObserverConfig
+	servers map[gypsumshelf.AttemptID]gypsumshelf.ServerID // of attempts in progress
 }
 
-// NewObserver returns an Observer that writes to log.
-func NewObserver(log *logrus.Entry) *Observer { return &Observer{log: log} }
+// NewObserver returns an Observer.
+func NewObserver(cfg ObserverConfig) *Observer {
+	return &Observer{cfg: cfg, servers: map[gypsumshelf.AttemptID]gypsumshelf.ServerID{}}
+}
 
 // Observe logs one step of the reducer.
 func (o *Observer) Observe(_ time.Time, ev gypsumshelf.Event, effects []gypsumshelf.Effect) {
-	if e, ok := ev.(attempts.Failed); ok {
-		o.log.WithFields(logrus.Fields{
-			KeyAttempt: e.Attempt, KeyCode: e.Failure.Code, KeyVerdict: e.Failure.Verdict.String(),
+	switch e := ev.(type) {
+	case attempts.Ended:
+		delete(o.servers, e.Attempt)
+	case attempts.Failed:
+		o.log().WithFields(logrus.Fields{
+			KeyAttempt: e.Attempt, KeyServer: o.servers[e.Attempt], KeyCode: e.Failure.Code, KeyVerdict: e.Failure.Verdict.String(),
 		}).Warn(e.Failure.Text)
+		delete(o.servers, e.Attempt)
 	}
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case attempts.Start:
-			o.log.WithFields(logrus.Fields{KeyRequest: e.Request, KeyAttempt: e.Attempt, KeyServer: e.Server}).Debug("attempt started")
+			o.servers[e.Attempt] = e.Server
+			o.log().WithFields(logrus.Fields{KeyRequest: e.Request, KeyAttempt: e.Attempt, KeyServer: e.Server}).Debug("attempt started")
+		case attempts.Cancel:
+			delete(o.servers, e.Attempt)
 		case attempts.Refuse:
-			o.log.WithFields(logrus.Fields{KeyRequest: e.Request, KeyCode: e.Err.Code, KeyVerdict: e.Err.Verdict.String()}).Info(e.Err.Text)
+			o.log().WithFields(logrus.Fields{KeyRequest: e.Request, KeyCode: e.Err.Code, KeyVerdict: e.Err.Verdict.String()}).Info(e.Err.Text)
 		case attempts.Finish:
-			o.log.WithField(KeyRequest, e.Request).Debug("request answered in full")
+			o.log().WithField(KeyRequest, e.Request).Debug("request answered in full")
 		}
 	}
 }
+
+func (o *Observer) log() *logrus.Entry { return o.cfg.Log.WithField(KeyRevision, o.cfg.Revision()) }
--- a/logs/observer_test.go
+++ b/logs/observer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -19,16 +20,28 @@
 		t.Fatal(err)
 	}
 	refusal := attempts.Refuse{Request: "r1", Err: gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeDeadline, "no time left")}
-	NewObserver(log).Observe(time.Time{}, attempts.Arrived{}, []gypsumshelf.Effect{refusal})
+	o := NewObserver(ObserverConfig{Log: log, Revision: func() gypsumshelf.Revision { return 7 }})
+	o.Observe(time.Time{}, attempts.Arrived{}, []gypsumshelf.Effect{refusal})
 	var line map[string]any
 	if err := json.Unmarshal(buffer.Bytes(), &line); err != nil {
 		t.Fatalf("log line %q: %v", buffer.String(), err)
 	}
 	for key, want := range map[string]string{
-		KeyDaemon: "wien-1", KeyRequest: "r1", KeyCode: "deadline", KeyVerdict: "not-run", "msg": "no time left",
+		KeyDaemon: "wien-1", KeyRequest: "r1", KeyCode: "deadline", KeyVerdict: "not-run", "msg": "no time left", KeyRevision: "7",
 	} {
-		if line[key] != want {
+		if fmt.Sprint(line[key]) != want {
 			t.Errorf("field %s is %v, want %s", key, line[key], want)
 		}
 	}
+	t.Run("a failed attempt names its backend server once", func(t *testing.T) {
+		buffer.Reset()
+		o.Observe(time.Time{}, attempts.Arrived{}, []gypsumshelf.Effect{attempts.Start{Request: "r2", Attempt: "r2.1", Server: "fk-01"}})
+		o.Observe(time.Time{}, attempts.Failed{Attempt: "r2.1", Failure: refusal.Err}, nil)
+		if err := json.Unmarshal(buffer.Bytes(), &line); err != nil || line[KeyServer] != "fk-01" {
+			t.Errorf("log line %q: %v", buffer.String(), err)
+		}
+		if len(o.servers) != 0 {
+			t.Errorf("%d ended attempts are kept", len(o.servers))
+		}
+	})
 }
--- a/servers/server.go
+++ b/servers/server.go
@@ -1,7 +1,6 @@
 package servers
 
 import (
-	"slices"
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
@@ -145,10 +144,3 @@
 }
 
 func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
-
-func (s *Server) serves(service, model string) bool {
-	if model != "" {
-		return slices.Contains(s.announcement.Models, model)
-	}
-	return s.announcement.Service == service && s.announcement.Kind == gypsumshelf.KindPlain
-}
--- a/servers/table.go
+++ b/servers/table.go
@@ -20,6 +20,9 @@
 	// all may. It must answer from the reducer's own state.
 	InService func(dataCentre string) bool
 	Ramp      RampConfig // DefaultRamp when zero
+	// Canonical returns the canonical name of a service or model, which servers
+	// announce in any naming scheme; nil when there is one scheme.
+	Canonical func(kind gypsumshelf.NameKind, name string) string
 }
 
 // Table holds all known backend servers.
@@ -38,6 +41,9 @@
 	if cfg.InService == nil {
 		cfg.InService = func(string) bool { return true }
 	}
+	if cfg.Canonical == nil {
+		cfg.Canonical = func(_ gypsumshelf.NameKind, name string) string { return name }
+	}
 	return &Table{cfg: cfg, servers: map[gypsumshelf.ServerID]*Server{},
 		placed: map[gypsumshelf.AttemptID]*Server{}, past: map[gypsumshelf.ServerID]*history{}}
 }
@@ -145,7 +151,7 @@
 func (t *Table) Ready(now time.Time, service, model string) []*Server {
 	var ready []*Server
 	for _, s := range t.servers {
-		if s.serves(service, model) && t.Accepts(now, s) {
+		if t.serves(s, service, model) && t.Accepts(now, s) {
 			ready = append(ready, s)
 		}
 	}
@@ -156,7 +162,7 @@
 // Knows reports whether any server, ready or not, serves the service or model.
 func (t *Table) Knows(service, model string) bool {
 	for _, s := range t.servers {
-		if s.serves(service, model) {
+		if t.serves(s, service, model) {
 			return true
 		}
 	}
