Use one order type, one readiness check and one pass over a model's demand

The stand-ins had their own copy of engines.Order, which lacked the replaced model; the readiness of a daemon stood in two places; the meter made new models known by adding zero. Behaviour is unchanged.

--- a/daemons/freshness.go
+++ b/daemons/freshness.go
@@ -18,6 +18,9 @@
 	on(r, func(now time.Time, e configs.Forwarded) { r.configuration.forwarded(now, e) })
 }
 
+// ready reports whether the daemon takes new work.
+func (r *Reducer) ready(now time.Time) bool { return !r.stopping && r.configuration.fresh(now) }
+
 // notReady returns the refusal of new work while the freshness lease does not
 // hold, or nil.
 func (r *Reducer) notReady(now time.Time) *gypsumshelf.Error {
--- a/daemons/gauges.go
+++ b/daemons/gauges.go
@@ -24,7 +24,7 @@
 		{"gypsumshelf_configuration_revision", "Revision of the configuration in force.",
 			func(r *Reducer) float64 { return float64(r.configuration.state.Revision()) }},
 		{"gypsumshelf_ready", "1 while the daemon takes new work, else 0.",
-			func(r *Reducer) float64 { return oneIf(!r.stopping && r.configuration.fresh(in.timers.Now())) }},
+			func(r *Reducer) float64 { return oneIf(r.ready(in.timers.Now())) }},
 		{"gypsumshelf_leader", "1 while the daemon leads the replicated log, else 0.",
 			func(r *Reducer) float64 { return oneIf(r.log != nil && r.log.replica.IsLeader()) }},
 		{"gypsumshelf_backend_servers", "Backend servers known to the daemon.",
--- a/daemons/operators.go
+++ b/daemons/operators.go
@@ -32,7 +32,7 @@
 }
 
 func (in *Instance) ready(ctx context.Context) (ready bool) {
-	in.daemon.Query(ctx, func(r *Reducer) { ready = !r.stopping && r.configuration.fresh(in.timers.Now()) })
+	in.daemon.Query(ctx, func(r *Reducer) { ready = r.ready(in.timers.Now()) })
 	return ready
 }
 
--- a/placements/meter.go
+++ b/placements/meter.go
@@ -37,15 +37,15 @@
 // Own returns the average demand of this daemon. It is called about once a second.
 func (m *Meter) Own(now time.Time) Report {
 	if elapsed := now.Sub(m.since).Seconds(); !m.since.IsZero() && elapsed > 0 {
-		for model := range m.counted {
-			m.average[model] += 0 // gives a new model an average
-		}
 		for model, average := range m.average {
-			m.average[model] = average + meterWeight*(m.counted[model]/elapsed-average)
+			m.average[model] = (1 - meterWeight) * average
 			if m.average[model] < 1 && m.counted[model] == 0 {
 				delete(m.average, model)
 			}
 		}
+		for model, tokens := range m.counted {
+			m.average[model] += meterWeight * tokens / elapsed
+		}
 	}
 	m.since = now
 	clear(m.counted)
--- a/standins/engine.go
+++ b/standins/engine.go
@@ -147,7 +147,7 @@
 }
 
 // Orders returns the accepted orders.
-func (e *Engine) Orders() []Order { return e.orders.list() }
+func (e *Engine) Orders() []engines.Order { return e.orders.list() }
 
 func (e *Engine) prefillTime(tokens int) time.Duration {
 	seconds := float64(tokens) / e.cfg.PrefillRate * e.warmth.factor() / e.cfg.TimeScale
--- a/standins/engine_test.go
+++ b/standins/engine_test.go
@@ -164,8 +164,8 @@
 		want   int
 	}{{true, http.StatusConflict}, {false, http.StatusNoContent}} {
 		_, url := startEngine(t, EngineConfig{ChecksFencing: tc.checks})
-		assertStatus(t, url, "/v1/orders", Order{ID: "2", Fencing: 2}, http.StatusNoContent)
-		assertStatus(t, url, "/v1/orders", Order{ID: "1", Fencing: 1}, tc.want)
+		assertStatus(t, url, "/v1/orders", engines.Order{ID: "2", Fencing: 2}, http.StatusNoContent)
+		assertStatus(t, url, "/v1/orders", engines.Order{ID: "1", Fencing: 1}, tc.want)
 	}
 }
 
--- a/standins/order.go
+++ b/standins/order.go
@@ -8,14 +8,6 @@
 	"gypsumshelf.example/gypsumshelf/engines"
 )
 
-// Order is the body of POST /v1/orders.
-type Order struct {
-	ID      string `json:"order"`
-	Kind    string `json:"kind"` // such as load-model, load-adapter, set-role
-	Target  string `json:"target"`
-	Fencing uint64 `json:"fencing"`
-}
-
 // orders takes orders. One variant rejects an order whose fencing number is
 // lower than the highest seen; the other ignores the number.
 type orders struct {
@@ -23,10 +15,10 @@
 
 	mu       sync.Mutex
 	highest  uint64
-	accepted []Order
+	accepted []engines.Order
 }
 
-func (o *orders) accept(order Order) bool {
+func (o *orders) accept(order engines.Order) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.checks && order.Fencing < o.highest {
@@ -37,15 +29,15 @@
 	return true
 }
 
-func (o *orders) list() []Order {
+func (o *orders) list() []engines.Order {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return append([]Order{}, o.accepted...)
+	return append([]engines.Order{}, o.accepted...)
 }
 
 // ServeHTTP implements http.Handler.
 func (o *orders) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var order Order
+	var order engines.Order
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		w.Header().Set(engines.HeaderNotRun, "true")
 		http.Error(w, err.Error(), http.StatusBadRequest)
