--- /dev/null
+++ b/catalogs/catalog.go
@@ -0,0 +1,201 @@
+// Package catalogs holds the whole configuration of a deployment as one
+// versioned catalog: routes, services, workspaces and limits on callers, and
+// the replicated state that keeps the newest one.
+package catalogs
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf/costs"
+)
+
+// Kind says how often a request of a route may run.
+type Kind uint8
+
+// Kinds of routes.
+const (
+	Safe   Kind = iota // may run more than once
+	Unsafe             // runs at most once
+	Stream             // an event stream, runs at most once unless it can be resumed
+)
+
+// Share is the part of a route's requests that goes to one service.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route says what happens to the requests of one host name and path prefix.
+type Route struct {
+	Name        string
+	Host        string // host name without a port, lower case
+	Prefix      string // path prefix, begins and ends with a slash
+	Kind        Kind
+	Timeout     time.Duration // longest time that a caller is kept waiting
+	Target      time.Duration // time to the answer, or to the first event of a stream
+	GapTarget   time.Duration // longest pause between events that is still on time
+	Priority    int           // 0 is the most urgent
+	Split       []Share
+	MaxAttempts int  // backend servers that one request may be sent to
+	Anonymous   bool // requests need no key
+	Resumable   bool // a stream may go on at another backend server
+}
+
+// Idempotent reports whether a request of the route may run more than once.
+func (r *Route) Idempotent() bool { return r.Kind == Safe || r.Kind == Stream && r.Resumable }
+
+// Service returns the service for a request; n is a number drawn for the
+// request, uniform over all values.
+func (r *Route) Service(n uint64) string {
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	rest := int(n % uint64(total))
+	for _, s := range r.Split {
+		if rest < s.Weight {
+			return s.Service
+		}
+		rest -= s.Weight
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
+// Service is a group of backend servers that do the same work.
+type Service struct {
+	Name           string
+	HealthPath     string
+	MaxConnections int           // connections that one backend server accepts from all callers
+	Cold           time.Duration // time for which a backend server is cold after its start
+	ColdRate       float64       // requests a second that a cold backend server bears, 0 when unlimited
+	Engine         *costs.Engine // figures of a model engine, nil for a plain service
+}
+
+// Workspace is a customer with its keys.
+type Workspace struct {
+	Name     string
+	Keys     []string
+	Priority *int // goes before the priority of a route when set
+}
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration // time for which callers keep an idle connection
+}
+
+// Spec is the content of a catalog before it is checked.
+type Spec struct {
+	Version    uint64
+	Routes     []Route
+	Services   []Service
+	Workspaces []Workspace
+	Limits     Limits
+}
+
+// Catalog is a checked configuration; it does not change.
+type Catalog struct {
+	spec     Spec
+	hosts    map[string][]*Route // by host name, longest prefix first
+	services map[string]*Service
+	keys     map[string]*Workspace
+}
+
+// New checks a configuration and prepares it for look-ups.
+func New(spec Spec) (*Catalog, error) {
+	c := &Catalog{spec: spec, hosts: map[string][]*Route{}, services: map[string]*Service{}, keys: map[string]*Workspace{}}
+	for i := range spec.Services {
+		s := &spec.Services[i]
+		if s.Name == "" || c.services[s.Name] != nil {
+			return nil, fmt.Errorf("service %q has no name or is listed twice", s.Name)
+		}
+		c.services[s.Name] = s
+	}
+	for i := range spec.Routes {
+		if err := c.addRoute(&spec.Routes[i]); err != nil {
+			return nil, err
+		}
+	}
+	for _, routes := range c.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range spec.Workspaces {
+		w := &spec.Workspaces[i]
+		for _, key := range w.Keys {
+			if other := c.keys[key]; other != nil && other.Name != w.Name {
+				return nil, fmt.Errorf("workspaces %q and %q share a key", other.Name, w.Name)
+			}
+			c.keys[key] = w
+		}
+	}
+	return c, nil
+}
+
+func (c *Catalog) addRoute(r *Route) error {
+	switch {
+	case r.Host == "":
+		return fmt.Errorf("route %q has no host name", r.Name)
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return fmt.Errorf("prefix %q of route %q does not begin and end with a slash", r.Prefix, r.Name)
+	case r.Timeout <= 0:
+		return fmt.Errorf("route %q has no timeout", r.Name)
+	}
+	total := 0
+	for _, s := range r.Split {
+		if c.services[s.Service] == nil {
+			return fmt.Errorf("route %q names the unknown service %q", r.Name, s.Service)
+		}
+		if s.Weight < 0 {
+			return fmt.Errorf("route %q has a negative weight", r.Name)
+		}
+		total += s.Weight
+	}
+	if total == 0 {
+		return fmt.Errorf("weights of route %q add up to 0", r.Name)
+	}
+	for _, other := range c.hosts[r.Host] {
+		if other.Prefix == r.Prefix {
+			return fmt.Errorf("routes %q and %q have the same host name and prefix", other.Name, r.Name)
+		}
+	}
+	c.hosts[r.Host] = append(c.hosts[r.Host], r)
+	return nil
+}
+
+// Version returns the version of the catalog.
+func (c *Catalog) Version() uint64 { return c.spec.Version }
+
+// Limits returns the limits on callers.
+func (c *Catalog) Limits() Limits { return c.spec.Limits }
+
+// Services returns all services.
+func (c *Catalog) Services() []Service { return c.spec.Services }
+
+// Service returns the service with a name, nil when there is none.
+func (c *Catalog) Service(name string) *Service { return c.services[name] }
+
+// Protected reports whether requests need the key of a workspace.
+func (c *Catalog) Protected() bool { return len(c.spec.Workspaces) > 0 }
+
+// Workspace returns the workspace that holds a key, nil when there is none.
+func (c *Catalog) Workspace(key string) *Workspace { return c.keys[key] }
+
+// Route returns the route with the longest prefix that begins the path, nil
+// when there is none. The host may carry a port.
+func (c *Catalog) Route(host, path string) *Route {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	for _, r := range c.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/catalogs/catalog_test.go
@@ -0,0 +1,100 @@
+package catalogs
+
+import (
+	"testing"
+	"time"
+)
+
+func spec() Spec {
+	return Spec{
+		Version:  3,
+		Services: []Service{{Name: "a"}, {Name: "b"}},
+		Routes: []Route{
+			{Name: "r1", Host: "x.example", Prefix: "/", Timeout: time.Second, Split: []Share{{"a", 1}}},
+			{Name: "r2", Host: "x.example", Prefix: "/deep/", Timeout: time.Second, Split: []Share{{"a", 9}, {"b", 1}}},
+		},
+		Workspaces: []Workspace{{Name: "w1", Keys: []string{"k1"}}, {Name: "w2", Keys: []string{"k2"}}},
+	}
+}
+
+// Guards against a catalog that names what does not exist, or that leaves open
+// where a request goes, being accepted.
+func TestInvalidCatalogsAreRefused(t *testing.T) {
+	if _, err := New(spec()); err != nil {
+		t.Fatalf("valid catalog: %v", err)
+	}
+	for name, change := range map[string]func(*Spec){
+		"unknown service":      func(s *Spec) { s.Routes[0].Split[0].Service = "c" },
+		"same host and prefix": func(s *Spec) { s.Routes[1].Prefix = "/" },
+		"no weight":            func(s *Spec) { s.Routes[0].Split[0].Weight = 0 },
+		"no timeout":           func(s *Spec) { s.Routes[0].Timeout = 0 },
+		"shared key":           func(s *Spec) { s.Workspaces[1].Keys = []string{"k1"} },
+		"prefix without slash": func(s *Spec) { s.Routes[1].Prefix = "/deep" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := spec()
+			change(&s)
+			if _, err := New(s); err == nil {
+				t.Error("catalog is accepted")
+			}
+		})
+	}
+}
+
+// Guards against a request that follows a shorter prefix, or none because its
+// host has a port or capitals.
+func TestRouteTakesTheLongestPrefix(t *testing.T) {
+	c, err := New(spec())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, test := range []struct{ host, path, want string }{
+		{"x.example", "/deep/a", "r2"},
+		{"X.example:80", "/deep/", "r2"},
+		{"x.example", "/deep", "r1"},
+		{"y.example", "/deep/", ""},
+	} {
+		got := ""
+		if r := c.Route(test.host, test.path); r != nil {
+			got = r.Name
+		}
+		if got != test.want {
+			t.Errorf("%s%s goes to %q, want %q", test.host, test.path, got, test.want)
+		}
+	}
+}
+
+// Guards against a state that an older catalog or a repeated command changes.
+func TestStateOnlyMovesForward(t *testing.T) {
+	var s State
+	apply := func(c Command) bool {
+		t.Helper()
+		changed, err := s.Apply(s.Index+1, c.Encode())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return changed
+	}
+	if !apply(Command{Action: Put, Version: 7, Document: []byte("seven")}) {
+		t.Error("the first catalog is ignored")
+	}
+	for _, version := range []uint64{6, 7} {
+		if apply(Command{Action: Put, Version: version, Document: []byte("other")}) || string(s.Document) != "seven" {
+			t.Errorf("version %d replaced version 7: %q", version, s.Document)
+		}
+	}
+	if !apply(Command{Action: TakeOut, DataCentre: "z"}) || apply(Command{Action: TakeOut, DataCentre: "z"}) {
+		t.Error("taking out is not idempotent")
+	}
+	data, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var restored State
+	if err := restored.Restore(data); err != nil || restored.Version != 7 || len(restored.Out) != 1 {
+		t.Errorf("restored %+v: %v", restored, err)
+	}
+	if !apply(Command{Action: BringBack, DataCentre: "z"}) || len(s.Out) != 0 {
+		t.Error("bringing back does not undo taking out")
+	}
+}
--- /dev/null
+++ b/cmd/gypsumshelf/host.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"gypsumshelf.example/gypsumshelf/logs"
+	"gypsumshelf.example/gypsumshelf/platform"
+	"gypsumshelf.example/gypsumshelf/settings"
+)
+
+// settingsVariable names the settings file when no flag does.
+const settingsVariable = "GYPSUMSHELF_SETTINGS"
+
+func newHost() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   "host [--config FILE]",
+		Short: "Run the daemon of a host on the users' platform, in the role of its settings",
+		Args:  cobra.NoArgs,
+		RunE:  run(func(*cobra.Command, []string) error { return runHost(path) }),
+	}
+	cmd.Flags().StringVar(&path, "config", os.Getenv(settingsVariable), "settings file; the default is in "+settingsVariable)
+	return cmd
+}
+
+// runHost runs a daemon until the process is told to stop.
+func runHost(path string) error {
+	s, err := settings.LoadHost(path)
+	if err != nil {
+		return err
+	}
+	queue := logs.NewQueue(os.Stdout)
+	defer queue.Close()
+	log, err := logs.New(logs.Config{Writer: queue, Level: s.LogLevel, Daemon: s.Daemon})
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	h, err := platform.Start(s, log, queue.Dropped)
+	if err != nil {
+		log.WithError(err).Error("the daemon could not start")
+		return err
+	}
+	watch := settings.NewWatch(path)
+	for {
+		select {
+		case sig := <-signals:
+			if sig != syscall.SIGHUP {
+				log.WithField("signal", sig.String()).Info("stopping")
+				h.Stop()
+				log.Info("stopped")
+				return nil
+			}
+		case <-watch.Ticks():
+			if !watch.Changed() {
+				continue
+			}
+		}
+		next, err := settings.LoadHost(path)
+		if err != nil {
+			log.WithError(err).Error("changed settings are not taken over")
+			continue
+		}
+		h.Reload(next)
+		log.WithField("seeds", next.Seeds).Info("settings reloaded")
+	}
+}
--- /dev/null
+++ b/controls/storage.go
@@ -0,0 +1,131 @@
+package controls
+
+import (
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+
+	"gypsumshelf.example/gypsumshelf/disks"
+	"gypsumshelf.example/gypsumshelf/replicas"
+)
+
+const (
+	// electionTimeout is ten ticks, so that a late tick is not taken for a dead leader.
+	electionTimeout   = 500 * time.Millisecond
+	heartbeatInterval = 100 * time.Millisecond
+	// replaceAfter is the silence after which a voter makes room for another
+	// member. Members beyond the wanted voters exist only after a replacement,
+	// and a replaced host no longer counts as lost 4 s after its successor started.
+	replaceAfter = 1500 * time.Millisecond
+)
+
+// storage holds the data folder of a control daemon.
+type storage struct {
+	folder string
+	log    *logrus.Entry
+	submit func(any)
+
+	mu     sync.Mutex
+	store  *disks.Store
+	closed bool
+	wg     sync.WaitGroup
+}
+
+// open opens the data folder and completes the configuration of the replicated
+// log. A damaged folder is given a new incarnation: the daemon then joins as a
+// new member and is repaired from the others.
+func (s *storage) open(cfg replicas.Config) (replicas.Config, error) {
+	diskConfig := disks.Config{Folder: s.folder, Synced: s.synced, Failed: s.failed}
+	store, err := disks.Open(diskConfig)
+	var damaged *disks.DamagedError
+	if errors.As(err, &damaged) {
+		s.log.WithError(err).Error("the data folder is damaged; the daemon joins with a new incarnation and is repaired from the others")
+		if err := disks.Renew(s.folder); err != nil {
+			return cfg, merry.Prepend(err, "damaged data folder")
+		}
+		store, err = disks.Open(diskConfig)
+	}
+	if err != nil {
+		return cfg, merry.Prepend(err, "data folder")
+	}
+	if store.Torn() {
+		s.log.Warn("an incomplete write was removed from the end of the log")
+	}
+	s.store = store
+	cfg.ID.Incarnation = store.Incarnation()
+	cfg.Recovered = store.Recovered()
+	cfg.Session, cfg.Seed = rand.Uint64(), rand.Uint64()
+	return cfg, nil
+}
+
+func (s *storage) synced(sequence uint64) { s.submit(Synced{Sequence: sequence}) }
+
+func (s *storage) failed(err error) {
+	s.log.WithError(err).Error("the data folder accepts no writes; the daemon no longer takes part in the replicated log")
+	s.submit(StorageFailed{})
+}
+
+func (s *storage) run() { s.store.Run() }
+
+func (s *storage) write(p *replicas.Persist) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.store != nil {
+		s.store.Write(p)
+	}
+}
+
+// renew replaces the data folder by an empty one while the event loop goes on.
+func (s *storage) renew(cfg replicas.Config) {
+	s.wg.Add(1)
+	n := &renewal{storage: s, cfg: cfg}
+	go n.run()
+}
+
+// renewal is the replacement of a data folder.
+type renewal struct {
+	storage *storage
+	cfg     replicas.Config
+}
+
+func (n *renewal) run() {
+	s := n.storage
+	defer s.wg.Done()
+	s.log.Error("the data folder is older than what peers saw of this daemon; it joins with a new incarnation")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	err := s.store.Close()
+	s.store = nil
+	if err == nil {
+		err = disks.Renew(s.folder)
+	}
+	var cfg replicas.Config
+	if err == nil {
+		cfg, err = s.open(n.cfg)
+	}
+	if err != nil {
+		s.failed(err)
+		return
+	}
+	s.run()
+	s.submit(StorageRenewed{Config: cfg})
+}
+
+func (s *storage) close() {
+	s.mu.Lock()
+	s.closed = true
+	if s.store != nil {
+		if err := s.store.Close(); err != nil {
+			s.log.WithError(err).Warn("the data folder was not closed cleanly")
+		}
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
--- /dev/null
+++ b/desks/desk.go
@@ -0,0 +1,246 @@
+// Package desks runs the scheduler of engine work. The leading control daemon
+// runs the desk that all entry daemons ask; each entry daemon has one of its
+// own for the time in which no leader answers.
+package desks
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/costs"
+	"gypsumshelf.example/gypsumshelf/schedules"
+	"gypsumshelf.example/gypsumshelf/timers"
+)
+
+const (
+	// tickPeriod is the period at which waiting jobs are looked at again: a
+	// tenth of the shortest target.
+	tickPeriod = 25 * time.Millisecond
+	// reportPeriod is the period at which engines are asked for their pace;
+	// a slow one is noticed within two periods.
+	reportPeriod = time.Second
+	// reportTimeout is the time after which an engine that does not answer is
+	// taken for dead.
+	reportTimeout = 600 * time.Millisecond
+)
+
+// ErrInactive is returned by a desk that does not schedule.
+var ErrInactive = errors.New("this daemon does not lead")
+
+// Report is what an engine says of itself.
+type Report struct {
+	Pace float64 // how many times slower than its figures the engine works
+}
+
+// Reporter asks engines for their reports.
+type Reporter interface {
+	Report(ctx context.Context, address string) (Report, error)
+}
+
+// Engine is an engine with its address.
+type Engine struct {
+	State   schedules.EngineState
+	Address string
+}
+
+// Config configures a Desk.
+type Config struct {
+	Log      *logrus.Entry
+	Reporter Reporter // nil when the desk does not ask engines
+	Timers   *timers.Service
+}
+
+// Desk runs a scheduler.
+type Desk struct {
+	cfg Config
+
+	mu        sync.Mutex
+	active    bool
+	scheduler *schedules.Scheduler
+	figures   map[string]*costs.Engine
+	engines   []Engine
+	decided   map[schedules.JobID]chan schedules.Decision // of waiting jobs
+	asking    map[gypsumshelf.ServerID]bool               // engines with a report in flight
+}
+
+// New returns a Desk that is not active.
+func New(cfg Config) *Desk {
+	d := &Desk{cfg: cfg, scheduler: schedules.New(), decided: map[schedules.JobID]chan schedules.Decision{}, asking: map[gypsumshelf.ServerID]bool{}}
+	cfg.Timers.Subscribe(tickPeriod, d.tick)
+	if cfg.Reporter != nil {
+		cfg.Timers.Subscribe(reportPeriod, func(time.Time) { d.askAll() })
+	}
+	return d
+}
+
+// SetActive starts or stops scheduling. A desk that starts knows of no jobs
+// until their daemons tell it.
+func (d *Desk) SetActive(active bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.active == active {
+		return
+	}
+	d.active = active
+	d.scheduler = schedules.New()
+	for id, c := range d.decided {
+		close(c)
+		delete(d.decided, id)
+	}
+	d.scheduler.Update(d.cfg.Timers.Now(), d.figures, d.states())
+	d.cfg.Log.WithField("active", active).Info("the scheduler of engine work changed its state")
+}
+
+// Update replaces the engines that may get work.
+func (d *Desk) Update(figures map[string]*costs.Engine, engines []Engine) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.figures, d.engines = figures, engines
+	d.scheduler.Update(d.cfg.Timers.Now(), figures, d.states())
+}
+
+func (d *Desk) states() []schedules.EngineState {
+	states := make([]schedules.EngineState, 0, len(d.engines))
+	for _, e := range d.engines {
+		states = append(states, e.State)
+	}
+	return states
+}
+
+// Place submits a job. It returns nil without an error when the job waits; the
+// decision is then returned by Await.
+func (d *Desk) Place(job schedules.Job) (*schedules.Decision, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.active {
+		return nil, ErrInactive
+	}
+	d.decided[job.ID] = make(chan schedules.Decision, 1)
+	d.publish(d.scheduler.Submit(d.cfg.Timers.Now(), job))
+	select {
+	case decision := <-d.decided[job.ID]:
+		delete(d.decided, job.ID)
+		return &decision, nil
+	default:
+		return nil, nil
+	}
+}
+
+// Await waits for the decision about a job that waits; it returns nil without
+// an error when ctx ends first.
+func (d *Desk) Await(ctx context.Context, id schedules.JobID) (*schedules.Decision, error) {
+	d.mu.Lock()
+	c := d.decided[id]
+	d.mu.Unlock()
+	if c == nil {
+		return nil, ErrInactive
+	}
+	select {
+	case decision, ok := <-c:
+		if !ok {
+			return nil, ErrInactive
+		}
+		d.mu.Lock()
+		delete(d.decided, id)
+		d.mu.Unlock()
+		return &decision, nil
+	case <-ctx.Done():
+		return nil, nil
+	}
+}
+
+// Started notes the first event of a job.
+func (d *Desk) Started(id schedules.JobID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.active {
+		d.publish(d.scheduler.Started(d.cfg.Timers.Now(), id))
+	}
+}
+
+// End notes the end of a job, placed or waiting.
+func (d *Desk) End(id schedules.JobID, outcome schedules.Outcome, blamed gypsumshelf.ServerID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.decided, id)
+	if d.active {
+		d.publish(d.scheduler.End(d.cfg.Timers.Now(), id, outcome, blamed))
+	}
+}
+
+// Adopt takes over a job that another desk placed.
+func (d *Desk) Adopt(job schedules.Job, placement schedules.Placement, started bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.active {
+		d.scheduler.Adopt(d.cfg.Timers.Now(), job, placement, started)
+	}
+}
+
+func (d *Desk) tick(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.active {
+		d.publish(d.scheduler.Tick(now))
+	}
+}
+
+// publish hands decisions to those who wait for them; mu is held. A placement
+// that nobody waits for any more is undone.
+func (d *Desk) publish(decisions []schedules.Decision) {
+	for len(decisions) > 0 {
+		var next []schedules.Decision
+		for _, decision := range decisions {
+			if c := d.decided[decision.Job]; c != nil {
+				c <- decision
+			} else if decision.Placement != nil {
+				next = append(next, d.scheduler.End(d.cfg.Timers.Now(), decision.Job, schedules.Cancelled, "")...)
+			}
+		}
+		decisions = next
+	}
+}
+
+// askAll asks every engine for its pace.
+func (d *Desk) askAll() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.active {
+		return
+	}
+	for _, e := range d.engines {
+		if !d.asking[e.State.ID] {
+			d.asking[e.State.ID] = true
+			q := &question{desk: d, engine: e}
+			go q.run()
+		}
+	}
+}
+
+// question is a report that an engine is asked for.
+type question struct {
+	desk   *Desk
+	engine Engine
+}
+
+func (q *question) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	report, err := q.desk.cfg.Reporter.Report(ctx, q.engine.Address)
+	d := q.desk
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.asking, q.engine.State.ID)
+	now := d.cfg.Timers.Now()
+	if err != nil {
+		d.cfg.Log.WithField("backend-server", q.engine.State.ID).WithError(err).Warn("an engine did not report; it gets no new work for a while")
+		d.scheduler.Suspect(now, q.engine.State.ID)
+		return
+	}
+	d.scheduler.Report(now, q.engine.State.ID, report.Pace)
+}
--- /dev/null
+++ b/directories/publisher.go
@@ -0,0 +1,186 @@
+package directories
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/catalogs"
+	"gypsumshelf.example/gypsumshelf/rosters"
+)
+
+const (
+	// pollHold is the longest time that a poll waits for news. It is also the
+	// heartbeat by which a subscriber knows that the connection is alive.
+	pollHold = 400 * time.Millisecond
+	// watcherLife is the time after its last poll for which a daemon is counted.
+	watcherLife = 4 * pollHold
+)
+
+// change is a record with the cursor at which it was published.
+type change struct {
+	cursor uint64
+	record rosters.Record
+}
+
+// watcher is a daemon that polls.
+type watcher struct {
+	entry bool
+	seen  uint64 // cursor of its last poll
+	at    time.Time
+}
+
+// Publisher is the net/rpc service that answers polls.
+type Publisher struct {
+	epoch uint64
+
+	mu       sync.Mutex
+	cursor   uint64
+	state    catalogs.State
+	leader   string
+	term     uint64
+	controls []string
+	changes  map[gypsumshelf.ServerID]change
+	watchers map[gypsumshelf.DaemonID]watcher
+	news     chan struct{} // closed at the next change
+}
+
+// NewPublisher returns a Publisher without content.
+func NewPublisher() *Publisher {
+	return &Publisher{
+		epoch: rand.Uint64() | 1, changes: map[gypsumshelf.ServerID]change{},
+		watchers: map[gypsumshelf.DaemonID]watcher{}, news: make(chan struct{}),
+	}
+}
+
+// wake announces a change; mu is held.
+func (p *Publisher) wake() {
+	p.cursor++
+	close(p.news)
+	p.news = make(chan struct{})
+}
+
+// SetState publishes a replicated state that is newer than the last one.
+func (p *Publisher) SetState(s catalogs.State) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state = s
+	p.wake()
+}
+
+// SetLeader publishes who leads, and which control daemons there are.
+func (p *Publisher) SetLeader(leader string, term uint64, controls []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leader, p.term, p.controls = leader, term, controls
+	p.wake()
+}
+
+// Publish publishes a record.
+func (p *Publisher) Publish(r rosters.Record) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wake()
+	p.changes[r.ID] = change{cursor: p.cursor, record: r}
+}
+
+// entries returns the number of daemons that take requests and poll here.
+func (p *Publisher) entries(now time.Time) int {
+	n := 0
+	for id, w := range p.watchers {
+		switch {
+		case now.Sub(w.at) > watcherLife:
+			delete(p.watchers, id)
+		case w.entry:
+			n++
+		}
+	}
+	return n
+}
+
+// Poll answers with what changed after the caller's cursor, at once or when
+// something changes within pollHold.
+func (p *Publisher) Poll(q Poll, v *View) error {
+	deadline := time.NewTimer(pollHold)
+	defer deadline.Stop()
+	if q.Epoch != p.epoch {
+		q.Cursor = 0
+	}
+	for {
+		p.mu.Lock()
+		p.watchers[q.Daemon] = watcher{entry: q.Entry, seen: q.Cursor, at: time.Now()}
+		cursor, news := p.cursor, p.news
+		p.mu.Unlock()
+		if cursor > q.Cursor {
+			break
+		}
+		select {
+		case <-news:
+			continue
+		case <-deadline.C:
+		}
+		break
+	}
+	p.fill(q, v)
+	return nil
+}
+
+// Fetch returns the replicated state. It is apart from Poll so that a daemon
+// which polls several control daemons receives each state once.
+func (p *Publisher) Fetch(_ struct{}, s *catalogs.State) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	*s = p.state
+	return nil
+}
+
+func (p *Publisher) fill(q Poll, v *View) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	*v = View{
+		Epoch: p.epoch, Cursor: p.cursor, Leader: p.leader, Term: p.term,
+		Controls: p.controls, Entries: p.entries(time.Now()), Index: p.state.Index,
+	}
+	for _, c := range p.changes {
+		if c.cursor > q.Cursor {
+			v.Records = append(v.Records, c.record)
+		}
+	}
+}
+
+// AwaitSeen waits until every daemon that polls has received everything that is
+// published now, or until ctx ends. It reports whether all have.
+func (p *Publisher) AwaitSeen(ctx context.Context) bool {
+	p.mu.Lock()
+	cursor := p.cursor
+	p.mu.Unlock()
+	ticker := time.NewTicker(seenPoll)
+	defer ticker.Stop()
+	for {
+		if p.seen(cursor) {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+}
+
+// seenPoll is the period at which AwaitSeen looks again; leaves are rare.
+const seenPoll = 10 * time.Millisecond
+
+func (p *Publisher) seen(cursor uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for _, w := range p.watchers {
+		if now.Sub(w.at) <= watcherLife && w.seen < cursor {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/forwards/engine.go
@@ -0,0 +1,340 @@
+package forwards
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/catalogs"
+	"gypsumshelf.example/gypsumshelf/rosters"
+	"gypsumshelf.example/gypsumshelf/schedules"
+)
+
+const (
+	// firstSlack is added to twice the predicted time to the first event before
+	// an engine counts as silent: engines stall for 1.5 s on a dead helper, and
+	// callers of short prompts leave after 2 s.
+	firstSlack = 900 * time.Millisecond
+	// gapFactor is the multiple of the longest pause that is on time after which
+	// an engine counts as silent in the middle of an answer.
+	gapFactor = 5
+	// minGap is the least such time, the pause of an engine that read a long
+	// prompt between two events.
+	minGap = time.Second
+	// Callers leave a stream after a pause of the longest of these three.
+	patienceFloor   = 2 * time.Second
+	patienceTargets = 4 // times the target
+	patienceGaps    = 8 // times the longest pause on time
+	// defaultExpected is the part of the longest answer that is expected when
+	// nothing better is known.
+	defaultExpected = 0.5
+)
+
+// patience returns the pause after which the caller leaves a stream.
+func (d *delivery) patience() time.Duration {
+	return max(patienceFloor, patienceTargets*d.route.Target, patienceGaps*d.route.GapTarget)
+}
+
+// job returns the request as the scheduler sees it.
+func (d *delivery) job() schedules.Job {
+	now := d.now()
+	engine := d.service.Engine
+	prompt, answer, expected := d.meta.Prompt, d.meta.Answer, d.meta.Expected
+	if prompt == 0 {
+		prompt = engine.UsualPrompt
+	}
+	if answer == 0 {
+		answer = 2 * engine.UsualAnswer
+	}
+	if expected == 0 {
+		expected = int(defaultExpected * float64(answer))
+	}
+	job := schedules.Job{
+		ID:      schedules.JobID(string(d.meta.ID) + "." + strconv.Itoa(len(d.tried))),
+		Service: d.service.Name, DataCentre: d.forwarder.cfg.DataCentre,
+		Prompt: prompt, Answer: answer, Expected: min(expected, answer), Priority: d.route.Priority,
+		Target: d.arrived.Add(d.route.Target).Sub(now), Patience: d.arrived.Add(d.patience()).Sub(now),
+		Deadline: d.left(), Gap: d.route.GapTarget,
+		Avoid: append(d.forwarder.cfg.Fleet.Avoided(d.service.Name), d.tried...),
+	}
+	if d.headSent {
+		job.Patience = d.patience() / 2 // the caller has waited for the next event already
+	}
+	if d.workspace != nil {
+		job.Workspace = d.workspace.Name
+		if d.workspace.Priority != nil {
+			job.Priority = *d.workspace.Priority
+		}
+	}
+	return job
+}
+
+// runOnEngines serves a request of a service of engines.
+func (d *delivery) runOnEngines(ctx context.Context) {
+	for {
+		job := d.job()
+		decision, err := d.forwarder.cfg.Placer.Place(ctx, job)
+		if err != nil {
+			d.forwarder.cfg.Placer.End(job.ID, schedules.Cancelled, "")
+			d.finish("no decision about a place: " + err.Error())
+			return
+		}
+		if decision.Placement == nil {
+			d.refused(decision)
+			return
+		}
+		run := &engineRun{delivery: d, job: job, placement: *decision.Placement}
+		err = run.run(ctx)
+		d.forwarder.cfg.Placer.End(job.ID, run.outcome, run.blamed)
+		if err == nil {
+			return
+		}
+		d.verdict = d.verdict.Worse(run.verdict)
+		d.attemptFailed(decision.Placement.Server, run.outcome, err)
+		if again, why := d.mayTryAgain(run.verdict); !again {
+			d.finish(fmt.Sprintf("%v; %s", err, why))
+			return
+		}
+	}
+}
+
+// refused answers a request that the scheduler turned away.
+func (d *delivery) refused(decision schedules.Decision) {
+	cause := fmt.Sprintf("%s; waited %d ms among %d", decision.Reason, decision.Waited.Milliseconds(), decision.Waiting)
+	if d.headSent || d.verdict != gypsumshelf.NotRun || d.failed != nil {
+		d.finish(cause)
+		return
+	}
+	d.refuse(http.StatusServiceUnavailable, decision.RetryAfter, cause)
+}
+
+// engineRun is one attempt on a placement.
+type engineRun struct {
+	delivery  *delivery
+	job       schedules.Job
+	placement schedules.Placement
+	server    rosters.Known
+	holds     []*hold
+	attempt   *attempt
+	verdict   gypsumshelf.Verdict
+	outcome   schedules.Outcome
+	blamed    gypsumshelf.ServerID
+}
+
+// run carries the answer to the caller. Without an error the request is answered.
+func (e *engineRun) run(ctx context.Context) error {
+	err := e.deliver(ctx)
+	for _, h := range e.holds {
+		h.end()
+	}
+	e.outcome = schedules.Completed
+	if err != nil {
+		e.outcome = outcomeOf(ctx, err)
+	}
+	if e.attempt != nil {
+		e.attempt.close()
+		e.delivery.forwarder.cfg.Fleet.End(e.server, e.outcome, e.attempt.reply)
+		e.verdict = e.attempt.verdict
+		e.blamed = e.attempt.reply.Blamed
+	}
+	return err
+}
+
+func (e *engineRun) deliver(ctx context.Context) error {
+	d := e.delivery
+	fleet := d.forwarder.cfg.Fleet
+	server, usable := fleet.Usable(e.placement.Server)
+	if !usable {
+		d.tried = append(d.tried, e.placement.Server)
+		return fmt.Errorf("%w: it takes no new work", errWrong)
+	}
+	e.server = server
+	call := d.call(server.ID)
+	call.Urgency = urgency(e.job)
+	helpers, err := e.helpers(ctx)
+	if err != nil {
+		d.tried = append(d.tried, e.blamed)
+		return err
+	}
+	call.Helpers = helpers
+	limit := d.left()
+	if d.route.Idempotent() && d.sent+1 < d.route.MaxAttempts {
+		limit = 2*e.placement.First + firstSlack
+	}
+	fleet.Begin(server)
+	e.attempt, err = d.try(ctx, server, call, limit)
+	if err != nil {
+		return err
+	}
+	if e.attempt.answer.StatusCode != http.StatusOK || d.route.Kind != catalogs.Stream {
+		return e.deliverWhole(limit)
+	}
+	return e.deliverStream(ctx, limit)
+}
+
+// urgency returns the priority that engines are told: short prompts are
+// admitted before long ones of the same rank.
+func urgency(job schedules.Job) int {
+	return min(maxUrgency, max(0, 2*job.Priority+longUrgency(job)))
+}
+
+// maxUrgency is the last rank that engines know.
+const maxUrgency = 9
+
+func longUrgency(job schedules.Job) int {
+	if job.Prompt > 20_000 {
+		return 1
+	}
+	return 0
+}
+
+// helpers reserves memory and returns the engines that read parts of the prompt.
+func (e *engineRun) helpers(ctx context.Context) ([]Helper, error) {
+	d := e.delivery
+	held := map[gypsumshelf.ServerID]schedules.Hold{}
+	for _, h := range e.placement.Holds {
+		held[h.Server] = h
+	}
+	var helpers []Helper
+	for _, id := range e.placement.Helpers {
+		k, usable := d.forwarder.cfg.Fleet.Usable(id)
+		want, mustHold := held[id]
+		if !usable {
+			if mustHold {
+				e.blamed = id
+				return nil, fmt.Errorf("%w: %s takes no new work", errWrong, id)
+			}
+			continue
+		}
+		helper := Helper{Address: k.Address}
+		if mustHold {
+			h, err := reserve(ctx, d, k, want.Tokens, len(e.holds))
+			if err != nil {
+				e.blamed = id
+				return nil, err
+			}
+			e.holds = append(e.holds, h)
+			helper.Hold = h.id
+		}
+		helpers = append(helpers, helper)
+	}
+	return helpers, nil
+}
+
+// deliverWhole passes on an answer that is no stream.
+func (e *engineRun) deliverWhole(limit time.Duration) error {
+	d := e.delivery
+	answer, err := e.attempt.whole(limit)
+	if err != nil {
+		return err
+	}
+	if answer.status >= http.StatusInternalServerError {
+		if !d.headSent {
+			d.failed = answer
+		}
+		return fmt.Errorf("the engine answered with status %d", answer.status)
+	}
+	if d.headSent {
+		return fmt.Errorf("%w: status %d in the middle of a stream", errForeign, answer.status)
+	}
+	d.deliver(answer)
+	return nil
+}
+
+// deliverStream passes events on as they arrive. The head of the answer follows
+// with the first event, so that another engine can still take over before.
+func (e *engineRun) deliverStream(ctx context.Context, limit time.Duration) error {
+	d := e.delivery
+	stream := newEvents(e.attempt.exchange)
+	gap := d.left()
+	if d.route.Idempotent() && d.sent < d.route.MaxAttempts {
+		gap = max(minGap, gapFactor*d.route.GapTarget)
+	}
+	first := true
+	for {
+		event, err := stream.next(min(limit, max(minAttempt, d.left())))
+		if errors.Is(err, io.EOF) {
+			return e.endStream()
+		}
+		if err != nil {
+			return err
+		}
+		if first {
+			first, limit = false, gap
+			d.forwarder.cfg.Placer.Started(e.job.ID)
+			d.forwarder.cfg.Recorder.FirstEvent(d.service.Name, d.now().Sub(d.arrived))
+		}
+		fresh, err := e.follows(event)
+		if err != nil {
+			return err
+		}
+		if !fresh {
+			continue
+		}
+		if err := e.pass(event); err != nil {
+			return err
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
+// follows reports whether an event is the one after the last that was passed
+// on, and an error when one is missing.
+func (e *engineRun) follows(event []byte) (bool, error) {
+	d := e.delivery
+	id, ok := d.forwarder.cfg.Protocol.EventID(event)
+	if !ok {
+		return true, nil
+	}
+	if id <= d.lastEvent {
+		return false, nil
+	}
+	if d.lastEvent > 0 && id != d.lastEvent+1 {
+		return false, fmt.Errorf("%w: event %d follows event %d", errForeign, id, d.lastEvent)
+	}
+	d.lastEvent = id
+	return true, nil
+}
+
+// pass writes an event to the caller.
+func (e *engineRun) pass(event []byte) error {
+	d := e.delivery
+	if !d.headSent {
+		h := d.w.Header()
+		for name, values := range endToEnd(e.attempt.answer.Header) {
+			h[name] = values
+		}
+		if d.forwarder.ending.Load() {
+			h.Set("Connection", "close")
+		}
+		d.status = e.attempt.answer.StatusCode
+		d.w.WriteHeader(d.status)
+		d.headSent = true
+	}
+	if _, err := d.w.Write(event); err != nil {
+		return fmt.Errorf("the caller does not read: %w", err)
+	}
+	return http.NewResponseController(d.w).Flush()
+}
+
+// endStream handles the proper end of a stream.
+func (e *engineRun) endStream() error {
+	d := e.delivery
+	if !d.headSent {
+		if d.lastEvent == 0 || d.meta.LastEvent == 0 {
+			return fmt.Errorf("%w: the stream has no event", errForeign)
+		}
+		// The caller had all events already.
+		d.deliver(&wholeAnswer{status: e.attempt.answer.StatusCode, header: endToEnd(e.attempt.answer.Header)})
+		return nil
+	}
+	d.outcome = outcomeAnswered
+	return nil
+}
--- /dev/null
+++ b/gateways/gateway.go
@@ -0,0 +1,185 @@
+// Package gateways is the entry daemon: it takes callers' requests and carries
+// them to backend servers. It keeps no durable state.
+package gateways
+
+import (
+	"context"
+	"errors"
+	stdlog "log"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/catalogs"
+	"gypsumshelf.example/gypsumshelf/controls"
+	"gypsumshelf.example/gypsumshelf/desks"
+	"gypsumshelf.example/gypsumshelf/directories"
+	"gypsumshelf.example/gypsumshelf/forwards"
+	"gypsumshelf.example/gypsumshelf/timers"
+)
+
+const (
+	// takingTime is the time after a stop signal for which requests are still
+	// taken: the load balancer needs two misses, a second apart, to notice.
+	takingTime = 2500 * time.Millisecond
+	// stopMargin is left of the grace period when the last requests are cut off.
+	stopMargin = 400 * time.Millisecond
+	// stopPoll is the period at which a stopping daemon looks for requests in progress.
+	stopPoll = 20 * time.Millisecond
+	// Limits on callers before the first catalog is known.
+	defaultHeaderBytes   = 16 << 10
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
+	// headerSlack is what net/http adds to its limit by itself, which is taken
+	// off so that the limit of the catalog holds.
+	headerSlack = 4096
+)
+
+// Config configures a Gateway.
+type Config struct {
+	Daemon     gypsumshelf.DaemonID
+	DataCentre string
+	Callers    net.Listener
+	Seeds      []string // addresses of directories
+	Decode     catalogs.Decoder
+	Protocol   forwards.Protocol
+	Retries    attempts.BudgetConfig
+	Recorder   forwards.Recorder
+	Log        *logrus.Entry
+	Timers     *timers.Service
+}
+
+// Gateway is a running entry daemon.
+type Gateway struct {
+	cfg       Config
+	fleet     *forwards.Fleet
+	forwarder *forwards.Forwarder
+	local     *desks.Desk
+	desk      *desks.Client
+	feeds     *directories.Subscriber
+	server    *http.Server
+	stopping  atomic.Bool
+	wg        sync.WaitGroup
+
+	mu    sync.Mutex
+	state catalogs.State
+}
+
+// Start starts an entry daemon.
+func Start(cfg Config) *Gateway {
+	g := &Gateway{cfg: cfg, fleet: forwards.NewFleet(cfg.DataCentre, cfg.Timers.Now)}
+	g.local = desks.New(desks.Config{Log: cfg.Log, Timers: cfg.Timers})
+	g.feeds = directories.NewSubscriber(directories.SubscriberConfig{
+		Daemon: cfg.Daemon, Entry: true, Seeds: cfg.Seeds, Log: cfg.Log,
+		Index: g.index, Install: g.install, Receive: g.hear,
+	})
+	g.desk = desks.NewClient(desks.ClientConfig{Feeds: g.feeds, Local: g.local, Log: cfg.Log})
+	g.forwarder = forwards.New(forwards.Config{
+		DataCentre: cfg.DataCentre, Protocol: cfg.Protocol, Fleet: g.fleet, Placer: g.desk,
+		Budget: attempts.NewBudget(cfg.Retries), Log: cfg.Log, Recorder: cfg.Recorder,
+	})
+	g.server = &http.Server{
+		Handler: g.forwarder, MaxHeaderBytes: defaultHeaderBytes - headerSlack,
+		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+		ErrorLog: stdlog.New(cfg.Log.WriterLevel(logrus.DebugLevel), "", 0),
+	}
+	g.feeds.Run()
+	g.wg.Add(1)
+	go g.run()
+	return g
+}
+
+func (g *Gateway) run() {
+	defer g.wg.Done()
+	if err := g.server.Serve(g.cfg.Callers); !errors.Is(err, http.ErrServerClosed) {
+		g.cfg.Log.WithError(err).Error("requests are no longer accepted")
+	}
+}
+
+// Reseed replaces the addresses that are always asked for other daemons.
+func (g *Gateway) Reseed(seeds []string) { g.feeds.Reseed(seeds) }
+
+func (g *Gateway) index() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state.Index
+}
+
+// install puts a newer state in force. A state never goes back within the life
+// of the process.
+func (g *Gateway) install(s catalogs.State) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s.Index <= g.state.Index {
+		return
+	}
+	changed := s.Version != g.state.Version || g.state.Document == nil
+	g.state = s
+	if changed && s.Document != nil {
+		c, err := g.cfg.Decode(s.Document)
+		if err != nil {
+			g.cfg.Log.WithError(err).WithField("version", s.Version).Error("the catalog in force cannot be read")
+			return
+		}
+		g.forwarder.SetCatalog(c)
+	}
+	g.fleet.SetOut(s.Out)
+	g.updateLocal()
+	g.cfg.Log.WithFields(logrus.Fields{"index": s.Index, "version": s.Version, "out": s.Out}).Info("state in force")
+}
+
+// hear takes a view of a control daemon.
+func (g *Gateway) hear(_ string, v directories.View) {
+	g.desk.SetLeader(v.Leader, v.Term)
+	if len(v.Records) == 0 || !g.fleet.Merge(v.Records) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.updateLocal()
+}
+
+// updateLocal tells the own desk which engines may get work; mu is held.
+func (g *Gateway) updateLocal() {
+	c := g.forwarder.Catalog()
+	if c == nil {
+		return
+	}
+	records, out := g.fleet.Records()
+	g.local.Update(controls.Engines(c, records, out))
+}
+
+// Ready reports whether the daemon wants new connections. A daemon that no
+// control daemon reaches goes on serving with the newest state that it has:
+// callers lose nothing by it, and the bounds on changes hold for daemons in
+// touch with the control daemons.
+func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.forwarder.Catalog() != nil }
+
+// Stop ends the daemon within a grace period without cutting off requests that
+// can end in it.
+func (g *Gateway) Stop(grace time.Duration) {
+	start := time.Now()
+	g.stopping.Store(true)
+	g.forwarder.CloseConnections()
+	time.Sleep(min(takingTime, grace/2))
+	g.forwarder.StopTaking()
+	for time.Since(start) < grace-stopMargin && g.forwarder.Active() > 0 {
+		time.Sleep(stopPoll)
+	}
+	g.cfg.Log.WithField("in-progress", g.forwarder.Active()).Info("stopped taking requests; connections are closed")
+	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
+	defer cancel()
+	if err := g.server.Shutdown(ctx); err != nil {
+		g.cfg.Log.WithError(err).Warn("requests are cut off by the end of the grace period")
+		g.server.Close()
+	}
+	g.feeds.Close()
+	g.desk.Close()
+	g.wg.Wait()
+}
--- /dev/null
+++ b/metrics/forwards.go
@@ -0,0 +1,52 @@
+package metrics
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Forwards counts requests that are forwarded; it implements forwards.Recorder.
+type Forwards struct {
+	requests *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	took     *prometheus.HistogramVec
+	first    *prometheus.HistogramVec
+}
+
+// NewForwards returns counters registered with a Recorder.
+func NewForwards(r *Recorder) *Forwards {
+	f := &Forwards{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gypsumshelf_forwarded_requests_total", Help: "Ended requests by service, outcome and status.",
+		}, []string{"service", "outcome", "status"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gypsumshelf_forwarded_failed_attempts_total", Help: "Attempts at backend servers that brought no answer, by service and outcome.",
+		}, []string{"service", "outcome"}),
+		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "gypsumshelf_forwarded_request_seconds", Help: "Time from a request's arrival to its end.", Buckets: firstTokenBuckets,
+		}, []string{"service", "outcome"}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "gypsumshelf_forwarded_first_event_seconds", Help: "Time from a request's arrival to its first event.", Buckets: firstTokenBuckets,
+		}, []string{"service"}),
+	}
+	r.registry.MustRegister(f.requests, f.attempts, f.took, f.first)
+	return f
+}
+
+// Request counts an ended request.
+func (f *Forwards) Request(service, outcome string, status int, took time.Duration) {
+	f.requests.WithLabelValues(service, outcome, strconv.Itoa(status)).Inc()
+	f.took.WithLabelValues(service, outcome).Observe(took.Seconds())
+}
+
+// Attempt counts a failed attempt.
+func (f *Forwards) Attempt(service, outcome string) {
+	f.attempts.WithLabelValues(service, outcome).Inc()
+}
+
+// FirstEvent counts the first event of a stream.
+func (f *Forwards) FirstEvent(service string, took time.Duration) {
+	f.first.WithLabelValues(service).Observe(took.Seconds())
+}
--- a/peers/link.go
+++ b/peers/link.go
@@ -6,6 +6,8 @@
 	"net/rpc"
 	"sync/atomic"
 	"time"
+
+	"gypsumshelf.example/gypsumshelf"
 )
 
 const (
@@ -16,12 +18,15 @@
 	helloDeadline = 2 * time.Second
 	heartbeatGap  = 500 * time.Millisecond // idle time after which a heartbeat is sent
 	drainPoll     = 5 * time.Millisecond
-	silenceLimit  = 2 * time.Second // time without an answer after which a connection is dropped
+	silenceLimit  = 2 * time.Second  // time without an answer after which a connection is dropped
+	retireAfter   = 10 * time.Second // time without a message after which an open link ends
 )
 
 // link is the outgoing connection to one peer.
 type link struct {
 	owner   *Links
+	id      gypsumshelf.DaemonID
+	used    time.Time // of the last message taken from the queue
 	address string
 	queue   chan Envelope
 	waiting atomic.Int64 // envelopes that are queued or being delivered
@@ -29,11 +34,17 @@
 
 func (k *link) loop() {
 	defer k.owner.wg.Done()
+	k.used = time.Now()
 	for {
+		if time.Since(k.used) > retireAfter && k.owner.retire(k) {
+			return
+		}
 		client, err := k.dial()
 		if err == nil {
 			k.pump(client)
 			client.Close()
+		} else if k.owner.cfg.Open {
+			k.discard()
 		}
 		select {
 		case <-k.owner.stop:
@@ -43,6 +54,19 @@
 	}
 }
 
+// discard drops what waits for a peer that cannot be reached: after a long cut
+// the peer would have to work through messages that no longer matter.
+func (k *link) discard() {
+	for {
+		select {
+		case <-k.queue:
+			k.waiting.Add(-1)
+		default:
+			return
+		}
+	}
+}
+
 func (k *link) dial() (*rpc.Client, error) {
 	conn, err := net.DialTimeout("tcp", k.address, dialTimeout)
 	if err != nil {
@@ -73,15 +97,19 @@
 }
 
 // take waits for envelopes; it returns an empty batch when a heartbeat is due
-// and nil when the links are closed.
+// and nil when the links are closed or the link is to be retired.
 func (k *link) take() []Envelope {
 	batch := make([]Envelope, 0, 1)
 	select {
 	case <-k.owner.stop:
 		return nil
 	case <-time.After(heartbeatGap):
+		if k.owner.cfg.Open && time.Since(k.used) > retireAfter {
+			return nil
+		}
 		return batch
 	case e := <-k.queue:
+		k.used = time.Now()
 		batch = append(batch, e)
 	}
 	for len(batch) < maxBatch {
--- a/peers/links.go
+++ b/peers/links.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -31,17 +32,21 @@
 	Daemon     gypsumshelf.DaemonID
 	Peers      map[gypsumshelf.DaemonID]string // address of each other daemon
 	Receive    func(Envelope)                  // called for each received envelope, without payload for a heartbeat
+	// Open admits daemons that are not listed. The id of each daemon is then the
+	// address at which it listens, and a link is made by the first message to it.
+	Open bool
 }
 
 // Links holds the connections to all peers.
 type Links struct {
 	cfg      Config
 	listener net.Listener
-	links    map[gypsumshelf.DaemonID]*link
+	links    map[gypsumshelf.DaemonID]*link // guarded by mu
 	stop     chan struct{}
 	wg       sync.WaitGroup
 	mu       sync.Mutex
 	accepted map[net.Conn]bool
+	closed   bool // no link is added any more; guarded by mu
 	bytes    counters
 }
 
@@ -49,19 +54,65 @@
 func New(cfg Config, listener net.Listener) *Links {
 	l := &Links{cfg: cfg, listener: listener, links: map[gypsumshelf.DaemonID]*link{}, stop: make(chan struct{}), accepted: map[net.Conn]bool{}}
 	for id, address := range cfg.Peers {
-		k := &link{owner: l, address: address, queue: make(chan Envelope, queueLength)}
-		l.links[id] = k
-		l.wg.Add(1)
-		go k.loop()
+		l.add(id, address)
 	}
 	l.wg.Add(1)
 	go l.loop()
 	return l
 }
 
+// add starts a link; mu is held or l is not shared yet.
+func (l *Links) add(id gypsumshelf.DaemonID, address string) *link {
+	k := &link{owner: l, id: id, address: address, queue: make(chan Envelope, queueLength)}
+	l.links[id] = k
+	l.wg.Add(1)
+	go k.loop()
+	return k
+}
+
+// link returns the link to a peer, nil when the peer is not admitted.
+func (l *Links) link(to gypsumshelf.DaemonID) *link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := l.links[to]
+	if k != nil || !l.cfg.Open || l.closed {
+		return k
+	}
+	return l.add(to, string(to))
+}
+
+// retire removes a link from the table, so that links to daemons that were
+// replaced do not add up. It reports whether the link is removed.
+func (l *Links) retire(k *link) bool {
+	if !l.cfg.Open {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.links, k.id)
+	return true
+}
+
+// all returns the present links.
+func (l *Links) all() map[gypsumshelf.DaemonID]*link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.links)
+}
+
+// admitted reports whether a daemon may open a connection.
+func (l *Links) admitted(id gypsumshelf.DaemonID) bool {
+	if l.cfg.Open {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.links[id] != nil
+}
+
 // Send queues a message for a peer; it is dropped when the queue is full.
 func (l *Links) Send(to gypsumshelf.DaemonID, payload any) {
-	k := l.links[to]
+	k := l.link(to)
 	if k == nil {
 		return
 	}
@@ -75,7 +126,7 @@
 
 // Broadcast queues a message for all peers.
 func (l *Links) Broadcast(payload any) {
-	for id := range l.links {
+	for id := range l.all() {
 		l.Send(id, payload)
 	}
 }
@@ -83,7 +134,7 @@
 // Drain waits until every queued envelope was delivered or lost with its
 // connection, or until ctx ends.
 func (l *Links) Drain(ctx context.Context) {
-	for _, k := range l.links {
+	for _, k := range l.all() {
 		for k.waiting.Load() > 0 && ctx.Err() == nil {
 			select {
 			case <-ctx.Done():
@@ -101,6 +152,7 @@
 	close(l.stop)
 	l.listener.Close()
 	l.mu.Lock()
+	l.closed = true
 	for c := range l.accepted {
 		c.Close()
 	}
--- a/peers/links_test.go
+++ b/peers/links_test.go
@@ -192,3 +192,22 @@
 		}
 	}
 }
+
+// Guards against daemons that join at an address no settings file lists and
+// that cannot talk to the others.
+func TestOpenLinksReachUnlistedDaemons(t *testing.T) {
+	la, lb := newListener(t), newListener(t)
+	var a, b inbox
+	open := func(l net.Listener, b *inbox) *Links {
+		links := New(Config{Deployment: "d", Daemon: gypsumshelf.DaemonID(l.Addr().String()), Open: true, Receive: b.receive}, l)
+		t.Cleanup(links.Close)
+		return links
+	}
+	from := open(la, &a)
+	open(lb, &b)
+	from.Send(gypsumshelf.DaemonID(lb.Addr().String()), 1)
+	waitFor(t, "the message arrives", func() bool { return b.len() == 1 })
+	if got := string(b.from[0]); got != la.Addr().String() {
+		t.Errorf("message is attributed to %q", got)
+	}
+}
--- a/peers/session.go
+++ b/peers/session.go
@@ -47,7 +47,7 @@
 	if h.Deployment != s.owner.cfg.Deployment {
 		return fmt.Errorf("deployment %q is not %q", h.Deployment, s.owner.cfg.Deployment)
 	}
-	if _, ok := s.owner.links[h.Daemon]; !ok {
+	if !s.owner.admitted(h.Daemon) {
 		return fmt.Errorf("daemon %q is not a peer in the settings of %q", h.Daemon, s.owner.cfg.Daemon)
 	}
 	s.mu.Lock()
--- a/replicas/membership.go
+++ b/replicas/membership.go
@@ -44,6 +44,11 @@
 	r.add(Membership, m.encode())
 }
 
+// SetPeers replaces the daemons that a node without membership asks to join.
+func (r *Replica) SetPeers(ids []gypsumshelf.DaemonID) {
+	r.cfg.Peers = slices.DeleteFunc(slices.Clone(ids), func(id gypsumshelf.DaemonID) bool { return id == r.cfg.ID.Daemon })
+}
+
 // fresh reports whether the node has never belonged to a group.
 func (r *Replica) fresh() bool {
 	return r.hard.Group == "" && !r.cfg.Recovered.Former && r.cfg.Recovered.Snapshot == nil
--- /dev/null
+++ b/rosters/roster_test.go
@@ -0,0 +1,54 @@
+package rosters
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against late statements that revive an ended start, undo a leave or
+// give an address back to the start that had it before.
+func TestOnlyNewsAboutAStartCounts(t *testing.T) {
+	now := time.Unix(100, 0)
+	ready := Record{ID: "s1", Born: 10, Sequence: 5, Address: "a:1", Service: "x"}
+	with := func(change func(*Record)) Record {
+		r := ready
+		change(&r)
+		return r
+	}
+	for _, test := range []struct {
+		name string
+		late Record
+		news bool
+	}{
+		{"the same statement", ready, false},
+		{"an older sequence", with(func(r *Record) { r.Sequence = 4; r.Leaving = true }), false},
+		{"a later leave", with(func(r *Record) { r.Sequence = 6; r.Leaving = true }), true},
+		{"an earlier start", with(func(r *Record) { r.Born = 9; r.Sequence = 50 }), false},
+		{"a later start", with(func(r *Record) { r.Born = 11; r.Sequence = 1 }), true},
+		{"an earlier start at the address", with(func(r *Record) { r.ID = "s0"; r.Born = 9 }), false},
+		{"a later start at the address", with(func(r *Record) { r.ID = "s2"; r.Born = 12 }), true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			o := New()
+			o.Merge(now, ready)
+			if got := o.Merge(now, test.late); got != test.news {
+				t.Errorf("taken as news: %v, want %v", got, test.news)
+			}
+		})
+	}
+	t.Run("an ended start stays ended", func(t *testing.T) {
+		o := New()
+		o.Merge(now, with(func(r *Record) { r.Gone = true }))
+		if o.Merge(now, with(func(r *Record) { r.Sequence = 99 })) {
+			t.Error("a late statement revives the backend server")
+		}
+	})
+	t.Run("a new start at an address ends the old one", func(t *testing.T) {
+		o := New()
+		o.Merge(now, ready)
+		o.Merge(now, Record{ID: "s2", Born: 12, Address: "a:1", Service: "y"})
+		if k, _ := o.Get("s1"); k.Usable() {
+			t.Error("the old start still gets work")
+		}
+	})
+}
--- /dev/null
+++ b/schedules/scheduler.go
@@ -0,0 +1,388 @@
+package schedules
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/costs"
+)
+
+const (
+	// demandMemory is the time after which demand counts 1/e: it follows a
+	// burst of long prompts within seconds and outlasts the gaps between them.
+	demandMemory = 3 * time.Second
+	// laneUse is the share of the long lane's time that long prompts may fill;
+	// at half, a prompt rarely waits for another one.
+	laneUse = 0.5
+	// laneSpare engines are added to the long lane, so that one long prompt is
+	// read by several engines even when there are few of them.
+	laneSpare = 2
+	// writersPerEngine is the part of an engine's slots that short answers are
+	// planned to fill; the rest absorbs bursts.
+	writersPerEngine = 0.75
+	// maxRetryAfter bounds the time after which a refused caller is asked to
+	// come back.
+	maxRetryAfter = 3 * time.Second
+	// lostAfter is the time after its deadline at which a job is taken for ended.
+	lostAfter = time.Second
+	// minRetryAfter is the shortest such time: an earlier return finds the same queue.
+	minRetryAfter = 100 * time.Millisecond
+)
+
+// run is a job with what the scheduler did about it.
+type run struct {
+	job       Job
+	arrived   time.Time
+	alone     time.Duration // time that one engine takes to read the prompt
+	long      bool
+	placement *Placement
+	started   bool // the first event has been seen
+}
+
+func (r *run) due(t time.Duration) time.Time { return r.arrived.Add(t) }
+
+// pool is the scheduler's state for one service.
+type pool struct {
+	figures  *costs.Engine
+	engines  map[gypsumshelf.ServerID]*engine
+	order    []*engine // by ID
+	queue    []*run
+	demand   float64 // engine seconds of long reading asked for, decaying
+	demandAt time.Time
+}
+
+// Scheduler places jobs on engines.
+type Scheduler struct {
+	pools map[string]*pool
+	runs  map[JobID]*run
+}
+
+// New returns a Scheduler without engines.
+func New() *Scheduler {
+	return &Scheduler{pools: map[string]*pool{}, runs: map[JobID]*run{}}
+}
+
+// Update replaces what is known of the engines of all services. Engines that
+// are not listed any more get no new work.
+func (s *Scheduler) Update(now time.Time, figures map[string]*costs.Engine, states []EngineState) {
+	for name, f := range figures {
+		if s.pools[name] == nil {
+			s.pools[name] = &pool{engines: map[gypsumshelf.ServerID]*engine{}}
+		}
+		s.pools[name].figures = f
+	}
+	listed := map[gypsumshelf.ServerID]bool{}
+	for _, state := range states {
+		p := s.pools[state.Service]
+		if p == nil {
+			continue
+		}
+		listed[state.ID] = true
+		if p.engines[state.ID] == nil {
+			p.engines[state.ID] = newEngine(state, p.figures)
+		}
+		p.engines[state.ID].update(now, state, p.figures)
+	}
+	for _, p := range s.pools {
+		for id := range p.engines {
+			if !listed[id] {
+				delete(p.engines, id)
+			}
+		}
+		p.order = p.order[:0]
+		for _, e := range p.engines {
+			p.order = append(p.order, e)
+		}
+		slices.SortFunc(p.order, func(a, b *engine) int { return cmp.Compare(a.id(), b.id()) })
+	}
+}
+
+// Submit takes a new job. Without a decision about it in the result, the job waits.
+func (s *Scheduler) Submit(now time.Time, job Job) []Decision {
+	p := s.pools[job.Service]
+	if p == nil || len(p.engines) == 0 {
+		return []Decision{{Job: job.ID, RetryAfter: minRetryAfter, Reason: "no engine of the service is known"}}
+	}
+	r := s.admit(now, p, job)
+	if wait := p.predictWait(r); wait > min(job.Patience, job.Deadline-p.minimum(r)) {
+		delete(s.runs, job.ID)
+		return []Decision{p.refuse(now, r, wait, "the queue is longer than the caller waits")}
+	}
+	p.queue = append(p.queue, r)
+	return s.drain(now, p)
+}
+
+// admit creates the run of a job and counts its demand.
+func (s *Scheduler) admit(now time.Time, p *pool, job Job) *run {
+	r := &run{job: job, arrived: now, alone: p.figures.Read(job.Prompt)}
+	r.long = r.alone > shortRead
+	if r.long {
+		p.decay(now)
+		p.demand += r.alone.Seconds()
+	}
+	s.runs[job.ID] = r
+	return r
+}
+
+// Adopt takes over a job that another scheduler or a daemon placed.
+func (s *Scheduler) Adopt(now time.Time, job Job, placement Placement, started bool) {
+	p := s.pools[job.Service]
+	if p == nil || s.runs[job.ID] != nil {
+		return
+	}
+	r := s.admit(now, p, job)
+	p.assign(now, r, &placement)
+	r.started = started
+	p.settle(now, r)
+}
+
+// Started notes the first event of a job.
+func (s *Scheduler) Started(now time.Time, id JobID) []Decision {
+	r := s.runs[id]
+	if r == nil || r.started {
+		return nil
+	}
+	r.started = true
+	p := s.pools[r.job.Service]
+	p.settle(now, r)
+	return s.drain(now, p)
+}
+
+// End notes the end of a job, placed or waiting. The blamed engine, when there
+// is one, gets no new work for a while if the outcome is a failure.
+func (s *Scheduler) End(now time.Time, id JobID, outcome Outcome, blamed gypsumshelf.ServerID) []Decision {
+	r := s.runs[id]
+	if r == nil {
+		return nil
+	}
+	delete(s.runs, id)
+	p := s.pools[r.job.Service]
+	if r.placement == nil {
+		p.queue = slices.DeleteFunc(p.queue, func(o *run) bool { return o == r })
+		return nil
+	}
+	for _, e := range p.order {
+		delete(e.parts, id)
+	}
+	p.settle(now, r)
+	if e := p.engines[cmp.Or(blamed, r.placement.Server)]; e != nil {
+		switch {
+		case outcome.Failure():
+			e.fail(now)
+		case outcome == Completed:
+			e.succeed()
+		}
+	}
+	return s.drain(now, p)
+}
+
+// Report takes the pace that an engine reports.
+func (s *Scheduler) Report(now time.Time, id gypsumshelf.ServerID, pace float64) {
+	for _, p := range s.pools {
+		if e := p.engines[id]; e != nil {
+			e.pace, e.paceAt = pace, now
+		}
+	}
+}
+
+// Suspect keeps new work off an engine that does not answer.
+func (s *Scheduler) Suspect(now time.Time, id gypsumshelf.ServerID) {
+	for _, p := range s.pools {
+		if e := p.engines[id]; e != nil && !now.Before(e.avoid) {
+			e.fail(now)
+		}
+	}
+}
+
+// Tick decides about waiting jobs.
+func (s *Scheduler) Tick(now time.Time) []Decision {
+	var decisions []Decision
+	for id, r := range s.runs {
+		// The daemon that held the job has died, or its note was lost.
+		if r.placement != nil && now.After(r.due(r.job.Deadline+lostAfter)) {
+			decisions = append(decisions, s.End(now, id, Cancelled, "")...)
+		}
+	}
+	for _, p := range s.pools {
+		decisions = append(decisions, s.drain(now, p)...)
+	}
+	return decisions
+}
+
+// Waiting returns the number of jobs in the queues.
+func (s *Scheduler) Waiting() int {
+	n := 0
+	for _, p := range s.pools {
+		n += len(p.queue)
+	}
+	return n
+}
+
+// drain places and refuses waiting jobs, the most urgent first.
+func (s *Scheduler) drain(now time.Time, p *pool) []Decision {
+	var decisions []Decision
+	slices.SortStableFunc(p.queue, func(a, b *run) int { return p.compare(now, a, b) })
+	waiting := len(p.queue)
+	kept := p.queue[:0]
+	for _, r := range p.queue {
+		d := Decision{Job: r.job.ID, Waited: now.Sub(r.arrived), Waiting: waiting}
+		switch placement := p.choose(now, r); {
+		case placement != nil:
+			p.assign(now, r, placement)
+			d.Placement = placement
+		case p.hopeless(now, r):
+			delete(s.runs, r.job.ID)
+			d = p.refuse(now, r, p.predictWait(r), "no engine was free in time")
+		default:
+			kept = append(kept, r)
+			continue
+		}
+		decisions = append(decisions, d)
+	}
+	clear(p.queue[len(kept):])
+	p.queue = kept
+	return decisions
+}
+
+// compare orders waiting jobs: those that can still meet their target by its
+// due time, then the late ones by arrival. A late job earns little more by
+// being first, while one in time would become late behind it.
+func (p *pool) compare(now time.Time, a, b *run) int {
+	lateA, lateB := p.late(now, a), p.late(now, b)
+	switch {
+	case lateA != lateB && lateB:
+		return -1
+	case lateA != lateB:
+		return 1
+	case lateA:
+		return a.arrived.Compare(b.arrived)
+	}
+	if c := cmp.Compare(a.job.Priority, b.job.Priority); c != 0 {
+		return c
+	}
+	return a.due(a.job.Target).Compare(b.due(b.job.Target))
+}
+
+func (p *pool) late(now time.Time, r *run) bool {
+	return now.Add(p.figures.ReadShared(r.job.Prompt, len(p.order))).After(r.due(r.job.Target))
+}
+
+// minimum returns the least time that a job takes once it is placed.
+func (p *pool) minimum(r *run) time.Duration {
+	return p.figures.ReadShared(r.job.Prompt, min(maxHelpers, len(p.order))) + p.figures.Write(r.job.Expected, 1, r.job.Prompt)
+}
+
+// hopeless reports whether a waiting job cannot be served any more.
+func (p *pool) hopeless(now time.Time, r *run) bool {
+	return !now.Before(r.due(r.job.Patience)) || now.Add(p.minimum(r)).After(r.due(r.job.Deadline))
+}
+
+// predictWait returns the time until the waiting jobs ahead of a job are placed.
+func (p *pool) predictWait(r *run) time.Duration {
+	var work time.Duration
+	short := 0
+	for _, o := range p.queue {
+		if o == r {
+			continue
+		}
+		if o.long {
+			work += o.alone
+		} else {
+			short++
+		}
+	}
+	if r.long {
+		return work / time.Duration(max(1, p.laneSize()))
+	}
+	// A slot is free after each answer; all slots end an answer in about the
+	// time of a usual one.
+	slots := max(1, len(p.order)*p.figures.Slots)
+	return time.Duration(short) * p.figures.Write(p.figures.UsualAnswer, p.figures.Slots/2, 0) / time.Duration(slots)
+}
+
+// refuse returns the decision that turns a job away. The caller is asked to
+// come back when the queue ahead of it will have been worked off.
+func (p *pool) refuse(now time.Time, r *run, wait time.Duration, reason string) Decision {
+	return Decision{
+		Job: r.job.ID, Reason: reason, RetryAfter: min(maxRetryAfter, max(minRetryAfter, wait/2)),
+		Waited: now.Sub(r.arrived), Waiting: len(p.queue),
+	}
+}
+
+func (p *pool) decay(now time.Time) {
+	if !p.demandAt.IsZero() {
+		p.demand *= math.Exp(-now.Sub(p.demandAt).Seconds() / demandMemory.Seconds())
+	}
+	p.demandAt = now
+}
+
+// laneSize returns the number of engines that are kept for long prompts. Short
+// answers get the engines that they need first.
+func (p *pool) laneSize() int {
+	perSecond := p.demand / demandMemory.Seconds()
+	if perSecond < 0.01 {
+		return 0
+	}
+	short := 0
+	for _, e := range p.order {
+		for _, part := range e.parts {
+			if part.writes && !part.job.long {
+				short++
+			}
+		}
+	}
+	for _, r := range p.queue {
+		if !r.long {
+			short++
+		}
+	}
+	perEngine := max(1, int(writersPerEngine*float64(p.figures.Slots)))
+	need := (short + perEngine - 1) / perEngine
+	wanted := int(math.Ceil(perSecond/laneUse)) + laneSpare
+	return max(1, min(wanted, len(p.order)-max(1, need)))
+}
+
+// settle corrects the predictions of the engines after a job read its prompt or ended.
+func (p *pool) settle(now time.Time, r *run) {
+	if r.placement == nil {
+		return
+	}
+	for _, id := range append([]gypsumshelf.ServerID{r.placement.Server}, r.placement.Helpers...) {
+		if e := p.engines[id]; e != nil {
+			if part := e.parts[r.job.ID]; part != nil && !part.writes && r.started && part.context == 0 {
+				delete(e.parts, r.job.ID) // a helper is done once the prompt is read
+			}
+			e.settle(now)
+		}
+	}
+}
+
+// assign notes where a job runs.
+func (p *pool) assign(now time.Time, r *run, placement *Placement) {
+	r.placement = placement
+	held := map[gypsumshelf.ServerID]int{}
+	rest := r.job.Prompt + r.job.Answer
+	for _, h := range placement.Holds {
+		held[h.Server] = h.Tokens
+		rest -= h.Tokens
+	}
+	read := r.alone / time.Duration(1+len(placement.Helpers))
+	for i, id := range append([]gypsumshelf.ServerID{placement.Server}, placement.Helpers...) {
+		e := p.engines[id]
+		if e == nil {
+			continue
+		}
+		part := &part{job: r, read: read, writes: i == 0, context: held[id]}
+		if i == 0 {
+			part.context = max(0, rest)
+		}
+		e.parts[r.job.ID] = part
+		e.readUntil = now.Add(e.backlog(now) + time.Duration(float64(read)*e.currentPace(now)))
+		if i == 0 && e.isCold(now) {
+			e.cold.AllowN(now, 1)
+		}
+	}
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -5,11 +5,9 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"reflect"
 	"slices"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/tailscale/hujson"
 
 	"gypsumshelf.example/gypsumshelf/routes"
 )
@@ -18,6 +16,8 @@
 // every entry, and five already survive two losses.
 const maxVoters = 5
 
+var logLevels = []string{"debug", "info", "warn", "error"}
+
 // Load reads and checks a settings file. An error that is Faults lists every
 // fault of the file.
 func Load(path string) (Settings, error) {
@@ -30,16 +30,8 @@
 
 // Parse decodes and checks settings.
 func Parse(data []byte) (Settings, error) {
-	value, err := hujson.Parse(data)
-	if err != nil {
-		return Settings{}, merry.Prepend(err, "settings are not valid JSON with comments")
-	}
-	d := &document{data: data, lines: map[string]int{}}
-	d.walk(value, reflect.TypeFor[Settings](), "")
-	if len(d.faults) > 0 {
-		return Settings{}, d.sorted()
-	}
-	s, err := decode(value)
+	s := Default()
+	d, err := parseInto(data, &s)
 	if err != nil {
 		return Settings{}, err
 	}
@@ -68,8 +60,8 @@
 	if !slices.Contains(routes.Names(), s.Routing.Policy) {
 		d.fault("routing.policy", "unknown policy %q, known: %v", s.Routing.Policy, routes.Names())
 	}
-	if !slices.Contains([]string{"debug", "info", "warn", "error"}, s.LogLevel) {
-		d.fault("log-level", "is %q, want debug, info, warn or error", s.LogLevel)
+	if !slices.Contains(logLevels, s.LogLevel) {
+		d.fault("log-level", "is %q, want one of %v", s.LogLevel, logLevels)
 	}
 	if s.Traces.Endpoint != "" && s.Traces.File != "" {
 		d.fault("traces", "endpoint and file are both given, want at most one")
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -1,26 +1,12 @@
 package settings
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
 	"strings"
-
-	"github.com/ansel1/merry/v2"
-	"github.com/tailscale/hujson"
 )
 
-func decode(value hujson.Value) (Settings, error) {
-	value = value.Clone()
-	value.Standardize()
-	s := Default()
-	if err := json.Unmarshal(value.Pack(), &s); err != nil {
-		return Settings{}, merry.Prepend(err, "settings")
-	}
-	return s, nil
-}
-
 var methods = []string{http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
 
 func (d *document) checkServices(services []Service) {
