Keep heavy prompts in a lane of engines and wait for the first catalog

Cause: prompts of 210,000 tokens were read on engines that wrote short answers, whose events then paused for longer than their target; and after a loss of power entry daemons refused requests for the second in which they had no catalog.

--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -88,7 +88,8 @@
 			d.refused(decision)
 			return
 		}
-		run := &engineRun{delivery: d, job: job, placement: *decision.Placement}
+		d.pace.place(decision)
+		run := &engineRun{delivery: d, job: job, placement: *decision.Placement, begun: d.now()}
 		err = run.run(ctx)
 		d.forwarder.cfg.Placer.End(job.ID, run.outcome, run.blamed)
 		if err == nil {
@@ -118,6 +119,7 @@
 	delivery  *delivery
 	job       schedules.Job
 	placement schedules.Placement
+	begun     time.Time
 	server    rosters.Known
 	holds     []*hold
 	attempt   *attempt
@@ -266,6 +268,7 @@
 		}
 		if first {
 			first, limit = false, gap
+			d.pace.seen = d.now().Sub(e.begun)
 			d.forwarder.cfg.Placer.Started(e.job.ID)
 			d.forwarder.cfg.Recorder.FirstEvent(d.service.Name, d.now().Sub(d.arrived))
 		}
@@ -318,6 +321,7 @@
 		d.w.WriteHeader(d.status)
 		d.headSent = true
 	}
+	d.pace.event(d.now(), d.arrived, d.lastEvent)
 	if _, err := d.w.Write(event); err != nil {
 		return fmt.Errorf("the caller does not read: %w", err)
 	}
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -50,18 +50,42 @@
 type Forwarder struct {
 	cfg     Config
 	catalog atomic.Pointer[catalogs.Catalog]
-	ending  atomic.Bool // connections end with their next answer
-	closing atomic.Bool // no new requests are taken
+	ready   chan struct{} // closed with the first catalog
+	ending  atomic.Bool   // connections end with their next answer
+	closing atomic.Bool   // no new requests are taken
 	active  atomic.Int64
 
 	budgetMu sync.Mutex
 }
 
 // New returns a Forwarder that refuses all requests until it has a catalog.
-func New(cfg Config) *Forwarder { return &Forwarder{cfg: cfg} }
+func New(cfg Config) *Forwarder { return &Forwarder{cfg: cfg, ready: make(chan struct{})} }
 
 // SetCatalog puts a catalog in force for requests that arrive from now on.
-func (f *Forwarder) SetCatalog(c *catalogs.Catalog) { f.catalog.Store(c) }
+func (f *Forwarder) SetCatalog(c *catalogs.Catalog) {
+	if f.catalog.Swap(c) == nil {
+		close(f.ready)
+	}
+}
+
+// awaitCatalog returns the catalog in force. A daemon that has just started
+// gets one within a second or so, for which requests wait.
+func (f *Forwarder) awaitCatalog(ctx context.Context) *catalogs.Catalog {
+	if c := f.catalog.Load(); c != nil {
+		return c
+	}
+	timer := time.NewTimer(catalogWait)
+	defer timer.Stop()
+	select {
+	case <-f.ready:
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return f.catalog.Load()
+}
+
+// catalogWait is below the time after which callers of short requests give up.
+const catalogWait = 900 * time.Millisecond
 
 // Catalog returns the catalog in force, nil before the first.
 func (f *Forwarder) Catalog() *catalogs.Catalog { return f.catalog.Load() }
@@ -92,7 +116,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
-	d := &delivery{forwarder: f, w: w, r: r, arrived: f.cfg.Fleet.now(), catalog: f.catalog.Load(), meta: f.cfg.Protocol.Meta(r)}
+	d := &delivery{forwarder: f, w: w, r: r, arrived: f.cfg.Fleet.now(), meta: f.cfg.Protocol.Meta(r)}
 	d.serve()
 	if d.abort {
 		panic(http.ErrAbortHandler) // the connection must not look as if the answer were whole
@@ -120,6 +144,7 @@
 	headSent  bool
 	failed    *wholeAnswer // the backend server's own failure, delivered when nothing better comes
 	abort     bool
+	pace      pace
 	status    int
 	outcome   string
 	cause     string
@@ -164,6 +189,7 @@
 
 // admit finds the route and checks the key. It reports false after an answer.
 func (d *delivery) admit() bool {
+	d.catalog = d.forwarder.awaitCatalog(d.r.Context())
 	switch {
 	case d.forwarder.closing.Load():
 		return d.refuse(http.StatusServiceUnavailable, stopRetryAfter, "the daemon is stopping")
@@ -337,6 +363,9 @@
 		"cause": d.cause, "attempts": d.sent, "tried": d.tried, logs.KeyVerdict: d.verdict.String(), "took-ms": took.Milliseconds(),
 		"catalog-version": version, "prompt-tokens": d.meta.Prompt, "last-event": d.lastEvent,
 	})
+	if d.pace.placed > 0 {
+		entry = entry.WithFields(d.pace.fields(d.route))
+	}
 	if d.outcome == outcomeAnswered {
 		entry.Info("request ended")
 	} else {
--- a/forwards/plain.go
+++ b/forwards/plain.go
@@ -15,10 +15,32 @@
 // again is taken to another plain backend server.
 const silenceShare = 2.5
 
+const (
+	// announceWait is the time for which a request waits when no backend server
+	// of its service is known; they announce themselves every second or so.
+	announceWait = 600 * time.Millisecond
+	announcePoll = 30 * time.Millisecond
+)
+
+// pause waits; it reports false when ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // runOnPlain serves a request of a service without engines.
 func (d *delivery) runOnPlain(ctx context.Context) {
 	for {
 		k, found := d.forwarder.cfg.Fleet.Choose(d.service.Name, d.tried)
+		if !found && len(d.tried) == 0 && d.now().Sub(d.arrived) < announceWait && pause(ctx, announcePoll) {
+			continue
+		}
 		if !found {
 			d.finish("no backend server of the service is left")
 			return
--- a/peers/link.go
+++ b/peers/link.go
@@ -13,7 +13,7 @@
 const (
 	queueLength   = 1024 // envelopes that wait for one peer
 	maxBatch      = 256  // envelopes in one call
-	redialPause   = 200 * time.Millisecond
+	redialPause   = 100 * time.Millisecond
 	dialTimeout   = time.Second
 	helloDeadline = 2 * time.Second
 	heartbeatGap  = 500 * time.Millisecond // idle time after which a heartbeat is sent
--- a/replicas/verify.go
+++ b/replicas/verify.go
@@ -6,6 +6,10 @@
 	"gypsumshelf.example/gypsumshelf"
 )
 
+// earlyElection divides the election timeout of a node that has just verified
+// its storage and hears no leader.
+const earlyElection = 3
+
 // verification is the state of a node that has restarted and does not know yet
 // whether its storage still holds everything it promised before.
 type verification struct {
@@ -45,6 +49,11 @@
 	if missing == 0 || answered >= r.Members().Quorum() && r.now.Sub(v.since) > r.cfg.ElectionTimeout {
 		v.pending = false
 		r.resetElection()
+		if r.leader == (NodeID{}) {
+			// After a start of all nodes nobody leads. A candidate that is
+			// wrong about it gets no vote from nodes that hear a leader.
+			r.electionAt = r.now.Add(time.Duration(r.rand.Int64N(int64(r.cfg.ElectionTimeout)/earlyElection + 1)))
+		}
 		return
 	}
 	if r.now.Before(v.at) {
--- a/schedules/choice.go
+++ b/schedules/choice.go
@@ -9,34 +9,44 @@
 )
 
 const (
-	// shortRead is the longest reading time of a prompt that may share an engine
-	// with answers in progress: it fits between two events of a short answer.
-	shortRead = 130 * time.Millisecond
-	// shortPart is the part of a short prompt that one engine reads; more is
-	// shared with helpers, so that two prompts fit into one pause.
-	shortPart = 45 * time.Millisecond
+	// lightPart is the part of a light prompt that one engine reads: two of them
+	// fit between two events of a short answer.
+	lightPart = 90 * time.Millisecond
+	// lightHelpers bounds the engines that share a light prompt.
+	lightHelpers = 10
 	// maxHelpers is the number of helpers that an engine accepts in one request.
 	maxHelpers = 16
 	// maxAhead is the reading that is given to an engine in advance. More would
-	// fix the order of long prompts too early, less would leave engines idle
+	// fix the order of heavy prompts too early, less would leave engines idle
 	// between two decisions.
-	maxAhead = 250 * time.Millisecond
-	// comfortShare is the part of the time left to the target within which more
-	// helpers bring the caller nothing.
-	comfortShare = 0.2
-	// urgentShare is the part of its target that a long prompt waits for engines
-	// without short answers, before it disturbs those.
-	urgentShare = 0.3
-	// otherLane is added to the predicted time of a short prompt on an engine
-	// that is kept for long ones.
-	otherLane = 150 * time.Millisecond
+	maxAhead = 440 * time.Millisecond
+	// maxPart is the longest part of a heavy prompt that one engine reads while
+	// others of the lane could share it: a longer one keeps the engine from
+	// everything else for too long. Where the lane is so small that equal parts
+	// are longer, parts may be partSpread times as long as those.
+	maxPart    = 500 * time.Millisecond
+	partSpread = 1.5
+	// urgentShare is the part of its target that a heavy prompt waits for
+	// engines whose answers it does not disturb.
+	urgentShare = 0.1
+	// wrongLane is added to the predicted time of a light prompt on an engine
+	// that is kept for heavy ones.
+	wrongLane = 370 * time.Millisecond
+	// disturbance is added when an engine's answers would pause for too long.
+	disturbance = 160 * time.Millisecond
 	// otherDataCentre is added for an engine in another data centre: a round
 	// trip each way, and bytes that are paid for.
 	otherDataCentre = 2 * time.Millisecond
 	// perWriter spreads answers over engines that are otherwise alike.
-	perWriter = 2 * time.Millisecond
+	perWriter = 4600 * time.Microsecond
 )
 
+// lightRead is the longest reading time of a prompt that can be shared in parts
+// of lightPart; longer ones are heavy.
+func (p *pool) lightRead() time.Duration {
+	return lightPart * time.Duration(1+min(lightHelpers, max(1, len(p.order)/2)))
+}
+
 // choose returns where a job runs now, nil when it should wait.
 func (p *pool) choose(now time.Time, r *run) *Placement {
 	engines := p.candidates(now, r)
@@ -46,10 +56,10 @@
 	if r.job.Prompt+r.job.Answer > int(memoryShare*float64(p.figures.MemoryTokens)) {
 		return p.chooseHuge(now, r, engines)
 	}
-	if r.long {
-		return p.chooseLong(now, r, engines)
+	if r.heavy {
+		return p.chooseHeavy(now, r, engines)
 	}
-	return p.chooseShort(now, r, engines)
+	return p.chooseLight(now, r, engines)
 }
 
 // candidates returns the engines that a job may use, in the order of IDs. When
@@ -76,27 +86,32 @@
 	return usable
 }
 
-// lanes divides engines into those kept for long prompts and the others.
-func (p *pool) lanes(engines []*engine) (long, short []*engine) {
-	n := min(p.laneSize(), len(engines)-1)
+// lanes divides engines into those kept for heavy prompts and the others.
+func (p *pool) lanes(engines []*engine) (heavy, light []*engine) {
+	n := max(0, min(p.laneSize(), len(engines)-1))
 	return engines[:n], engines[n:]
 }
 
-// chooseShort takes the engine that is predicted to deliver the first event
-// earliest.
-func (p *pool) chooseShort(now time.Time, r *run, engines []*engine) *Placement {
-	long, _ := p.lanes(engines)
+// chooseLight takes the engine that is predicted to deliver the first event
+// earliest, with helpers for all but the shortest prompts.
+func (p *pool) chooseLight(now time.Time, r *run, engines []*engine) *Placement {
+	heavy, _ := p.lanes(engines)
+	parts := 1 + min(lightHelpers, int(r.alone/lightPart))
 	var best *engine
 	var bestScore, first time.Duration
 	for i, e := range engines {
-		n, context, _ := e.writers()
+		n, _, _ := e.writers()
 		if n >= p.figures.Slots || e.free() < r.job.Prompt+r.job.Answer {
 			continue
 		}
-		predicted := time.Duration(float64(e.backlog(now)+r.alone+p.figures.Pass(n+1, context+r.job.Prompt)) * e.currentPace(now))
+		part := r.alone / time.Duration(parts)
+		predicted := e.firstEvent(now, part, r.job.Prompt)
 		score := predicted + time.Duration(n)*perWriter
-		if i < len(long) {
-			score += otherLane
+		if i < len(heavy) {
+			score += wrongLane
+		}
+		if e.allowance(now, true) < part {
+			score += disturbance
 		}
 		if e.state.DataCentre != r.job.DataCentre {
 			score += otherDataCentre
@@ -105,27 +120,31 @@
 			best, bestScore, first = e, score, predicted
 		}
 	}
-	if best == nil {
+	if best == nil || now.Add(first).After(r.due(r.job.Patience)) {
 		return nil
 	}
 	placement := &Placement{Server: best.id(), First: first}
-	if k := int(r.alone / shortPart); k > 0 {
-		placement.Helpers = helpersFor(now, engines, best, k, r.alone/time.Duration(k+1))
+	for k := parts - 1; k > 0; k-- {
+		able := readers(now, engines, best, r.alone/time.Duration(k+1))
+		if len(able) >= k {
+			placement.Helpers = ids(able[:k])
+			break
+		}
 	}
 	return placement
 }
 
-// helpersFor returns up to k engines that can read a part without disturbing
-// what they write, the least busy first.
-func helpersFor(now time.Time, engines []*engine, writer *engine, k int, part time.Duration) []gypsumshelf.ServerID {
+// readers returns the engines that can read a part without disturbing what
+// they write, the least busy first.
+func readers(now time.Time, engines []*engine, writer *engine, part time.Duration) []*engine {
 	var able []*engine
 	for _, e := range engines {
-		if e != writer && e.allowance(now) >= part && e.currentPace(now) < slowPace && !e.isCold(now) {
+		if e != writer && e.allowance(now, true) >= part && e.backlog(now) < maxAhead && e.currentPace(now) < slowPace && !e.isCold(now) {
 			able = append(able, e)
 		}
 	}
 	slices.SortStableFunc(able, func(a, b *engine) int { return cmp.Compare(a.backlog(now), b.backlog(now)) })
-	return ids(able[:min(k, len(able))])
+	return able
 }
 
 func ids(engines []*engine) []gypsumshelf.ServerID {
@@ -136,77 +155,82 @@
 	return out
 }
 
-// chooseLong shares the reading over as many engines as the target asks for.
-func (p *pool) chooseLong(now time.Time, r *run, engines []*engine) *Placement {
-	group, finish := p.group(now, r, engines)
-	if group == nil {
-		return nil
-	}
-	writer := p.writer(group, r.job.Prompt+r.job.Answer)
-	if writer == nil {
-		// Readers need no memory for a prompt that another engine writes for.
-		writer = p.writer(engines, r.job.Prompt+r.job.Answer)
-		if writer == nil {
-			return nil
+// chooseHeavy shares the reading over as many engines as bring the first event
+// earlier, without disturbing answers on them.
+func (p *pool) chooseHeavy(now time.Time, r *run, engines []*engine) *Placement {
+	heavy, _ := p.lanes(engines)
+	urgent := now.Sub(r.arrived) > time.Duration(urgentShare*float64(r.job.Target))
+	var best []*engine
+	var finish time.Duration
+	longest := max(maxPart, time.Duration(partSpread*float64(r.alone)/float64(max(1, len(heavy)))))
+	for k := 1; k <= min(len(engines), maxHelpers+1); k++ {
+		part := r.alone / time.Duration(k)
+		if part > longest {
+			continue
+		}
+		if part < lightPart && best != nil {
+			break
+		}
+		group, end := p.group(now, r, engines, heavy, k, part, urgent)
+		if group != nil && (best == nil || end < finish) {
+			best, finish = group, end
 		}
-		group = append(group[:len(group)-1:len(group)-1], writer)
 	}
-	others := slices.DeleteFunc(slices.Clone(group), func(e *engine) bool { return e == writer })
-	return &Placement{Server: writer.id(), Helpers: ids(others), First: finish + p.figures.Pass(1, r.job.Prompt)}
+	if best == nil {
+		return nil
+	}
+	return &Placement{Server: best[0].id(), Helpers: ids(best[1:]), First: finish + p.figures.Pass(1, r.job.Prompt)}
 }
 
-// group returns the engines that read a long prompt and the time until they
-// have read it, nil when it should wait.
-func (p *pool) group(now time.Time, r *run, engines []*engine) (best []*engine, finish time.Duration) {
-	long, _ := p.lanes(engines)
-	urgent := now.Sub(r.arrived) > time.Duration(urgentShare*float64(r.job.Target))
-	left := r.due(r.job.Target).Sub(now)
-	comfort := time.Duration(comfortShare * float64(left))
-	order := make([]*engine, 0, len(engines))
-	for _, e := range engines {
-		if e.backlog(now) <= maxAhead {
-			order = append(order, e)
-		}
+// group returns k engines of the heavy lane that can read a part each, the
+// writer first, and the time until they have read it. When the job is urgent
+// they are used even if that disturbs their answers.
+func (p *pool) group(now time.Time, r *run, engines, heavy []*engine, k int, part time.Duration, urgent bool) ([]*engine, time.Duration) {
+	lane := heavy
+	if len(lane) == 0 {
+		lane = engines
 	}
-	slices.SortStableFunc(order, func(a, b *engine) int {
-		return cmp.Compare(b.allowance(now)-b.backlog(now), a.allowance(now)-a.backlog(now))
-	})
-	for k := 1; k <= min(len(order), maxHelpers+1); k++ {
-		part := r.alone / time.Duration(k)
-		var group []*engine
-		var end time.Duration
-		for _, e := range order {
-			if len(group) == k {
-				break
-			}
-			need := time.Duration(float64(part) * e.currentPace(now))
-			if e.allowance(now) < need && !(urgent && slices.Contains(long, e)) {
-				continue
-			}
-			group = append(group, e)
-			end = max(end, e.backlog(now)+need)
-		}
-		if len(group) < k || best != nil && end >= finish {
-			continue
+	var able []*engine
+	for _, e := range lane {
+		need := time.Duration(float64(part) * e.currentPace(now))
+		if e.backlog(now) <= maxAhead && e.allowance(now, urgent) >= need {
+			able = append(able, e)
 		}
-		best, finish = group, end
-		if finish <= comfort {
+	}
+	slices.SortStableFunc(able, func(a, b *engine) int { return cmp.Compare(a.backlog(now), b.backlog(now)) })
+	writer := p.writer(able, r.job.Prompt+r.job.Answer)
+	if writer == nil || len(able) < k {
+		return nil, 0
+	}
+	group := []*engine{writer}
+	end := writer.backlog(now)
+	for _, e := range able {
+		if len(group) == k {
 			break
 		}
+		if e != writer {
+			group = append(group, e)
+			end = max(end, e.backlog(now))
+		}
 	}
-	if best != nil && !urgent && finish > left/2 && finish > shortRead && len(best) < len(long) {
-		return nil, 0 // engines that are busy now would make it faster soon
+	slowest := 1.0
+	for _, e := range group {
+		slowest = max(slowest, e.currentPace(now))
 	}
-	return best, finish
+	return group, end + time.Duration(float64(part)*slowest)
 }
 
-// writer returns the engine with the fewest answers that has a slot and memory.
+// writer returns an engine that has a slot and memory for an answer. Answers to
+// heavy prompts are gathered on few engines, so that the others can read without
+// disturbing any.
 func (p *pool) writer(engines []*engine, tokens int) *engine {
 	var best *engine
-	fewest := p.figures.Slots
 	for _, e := range engines {
-		if n, _, _ := e.writers(); n < fewest && e.free() >= tokens {
-			best, fewest = e, n
+		if n, _, _ := e.writers(); n >= p.figures.Slots || e.free() < tokens {
+			continue
+		}
+		if best == nil || e.free() < best.free() {
+			best = e
 		}
 	}
 	return best
@@ -239,8 +263,8 @@
 	if rest > 0 {
 		return nil
 	}
-	long, _ := p.lanes(engines)
-	for _, e := range long {
+	heavy, _ := p.lanes(engines)
+	for _, e := range heavy {
 		if len(chosen) <= maxHelpers && !slices.Contains(chosen, e) && e.backlog(now) <= maxAhead && !e.isCold(now) {
 			chosen = append(chosen, e)
 		}
--- a/schedules/engine.go
+++ b/schedules/engine.go
@@ -1,6 +1,7 @@
 package schedules
 
 import (
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -36,12 +37,19 @@
 	context int           // tokens in the engine's memory
 }
 
+// reading is a part of a prompt that the engine was given to read.
+type reading struct {
+	until time.Time // predicted end
+	took  time.Duration
+}
+
 // engine is the scheduler's picture of one engine.
 type engine struct {
 	state     EngineState
 	figures   *costs.Engine
 	parts     map[JobID]*part
 	readUntil time.Time // predicted end of all reading
+	reads     []reading // in the order of their ends
 	avoid     time.Time // no work before this time
 	failures  int       // consecutive
 	pace      float64
@@ -109,15 +117,54 @@
 func (e *engine) backlog(now time.Time) time.Duration { return max(0, e.readUntil.Sub(now)) }
 
 // allowance returns how long the engine may read for a new job without a pause
-// that is too long for the answers that it is writing.
-func (e *engine) allowance(now time.Time) time.Duration {
+// that is too long for the answers that it is writing. All that is read within
+// one pass adds to the pause, also what has been read already. Unless the job is
+// urgent, pauses stay below calmPause even if callers would accept more: an
+// answer that advances slowly keeps its memory and its slot for longer.
+func (e *engine) allowance(now time.Time, urgent bool) time.Duration {
 	n, context, gap := e.writers()
 	if n == 0 {
 		return time.Hour
 	}
-	return max(0, gap-e.figures.Pass(n, context)-e.backlog(now)-gapMargin)
+	if !urgent {
+		gap = min(gap, calmPause)
+	}
+	pass := e.figures.Pass(n, context)
+	e.reads = slices.DeleteFunc(e.reads, func(r reading) bool { return now.Sub(r.until) > pass })
+	left := gap - pass - gapMargin
+	for _, r := range e.reads {
+		left -= r.took
+	}
+	return max(0, left)
+}
+
+// firstEvent predicts the time to the first event of a new answer whose prompt
+// the engine reads in part: the pass in progress, then one with the reading.
+func (e *engine) firstEvent(now time.Time, part time.Duration, prompt int) time.Duration {
+	n, context, _ := e.writers()
+	t := e.backlog(now) + part + e.figures.Pass(n+1, context+prompt)
+	if n > 0 {
+		t += e.figures.Pass(n, context) / 2
+	}
+	return time.Duration(float64(t) * e.currentPace(now))
 }
 
+// read notes that the engine is given a part of a prompt to read.
+func (e *engine) read(now time.Time, part time.Duration) {
+	took := time.Duration(float64(part) * e.currentPace(now))
+	e.readUntil = now.Add(e.backlog(now) + took)
+	e.reads = append(e.reads, reading{until: e.readUntil, took: took})
+	if len(e.reads) > maxReads {
+		e.reads = e.reads[1:]
+	}
+}
+
+// calmPause is the longest pause that is planned for while no job is urgent.
+const calmPause = 680 * time.Millisecond
+
+// maxReads bounds the readings that are remembered.
+const maxReads = 64
+
 // gapMargin is kept free of reading in each pause between events: delivery and
 // wake-ups take some of it.
 const gapMargin = 30 * time.Millisecond
@@ -144,6 +191,11 @@
 	if e.readUntil.After(now) {
 		e.readUntil = now
 	}
+	for i := range e.reads {
+		if e.reads[i].until.After(now) {
+			e.reads[i].until = now
+		}
+	}
 }
 
 // id returns the engine's identity.
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -13,21 +13,31 @@
 const (
 	// demandMemory is the time after which demand counts 1/e: it follows a
 	// burst of long prompts within seconds and outlasts the gaps between them.
-	demandMemory = 3 * time.Second
-	// laneUse is the share of the long lane's time that long prompts may fill;
-	// at half, a prompt rarely waits for another one.
-	laneUse = 0.5
-	// laneSpare engines are added to the long lane, so that one long prompt is
+	demandMemory = 3500 * time.Millisecond
+	// laneUse is the share of the heavy lane's time that heavy prompts may fill
+	// before a prompt often waits for another one.
+	laneUse = 0.36
+	// laneSpare engines are added to the heavy lane, so that one heavy prompt is
 	// read by several engines even when there are few of them.
 	laneSpare = 2
 	// writersPerEngine is the part of an engine's slots that short answers are
 	// planned to fill; the rest absorbs bursts.
-	writersPerEngine = 0.75
+	writersPerEngine = 1.0
+	// laneHeadroom is the part of an engine by which the light lane exceeds that.
+	laneHeadroom = 0.15
+	// lightMemory is the time after which the highest number of light answers
+	// counts 1/e, a little longer than such an answer takes.
+	lightMemory = 900 * time.Millisecond
+	// leastDemand is the reading, in engines, below which no lane is kept.
+	leastDemand = 0.02
 	// maxRetryAfter bounds the time after which a refused caller is asked to
 	// come back.
 	maxRetryAfter = 3 * time.Second
 	// lostAfter is the time after its deadline at which a job is taken for ended.
 	lostAfter = time.Second
+	// startTime is the time for which a new scheduler lets jobs wait for engines
+	// that have not announced themselves yet.
+	startTime = 3 * time.Second
 	// minRetryAfter is the shortest such time: an earlier return finds the same queue.
 	minRetryAfter = 100 * time.Millisecond
 )
@@ -37,7 +47,7 @@
 	job       Job
 	arrived   time.Time
 	alone     time.Duration // time that one engine takes to read the prompt
-	long      bool
+	heavy     bool          // kept apart from answers with short pauses
 	placement *Placement
 	started   bool // the first event has been seen
 }
@@ -50,12 +60,15 @@
 	engines  map[gypsumshelf.ServerID]*engine
 	order    []*engine // by ID
 	queue    []*run
-	demand   float64 // engine seconds of long reading asked for, decaying
+	demand   float64 // engine seconds of heavy reading asked for, decaying
 	demandAt time.Time
+	light    float64 // highest number of light answers at once, decaying
+	lightAt  time.Time
 }
 
 // Scheduler places jobs on engines.
 type Scheduler struct {
+	since time.Time // of the first job
 	pools map[string]*pool
 	runs  map[JobID]*run
 }
@@ -103,7 +116,10 @@
 // Submit takes a new job. Without a decision about it in the result, the job waits.
 func (s *Scheduler) Submit(now time.Time, job Job) []Decision {
 	p := s.pools[job.Service]
-	if p == nil || len(p.engines) == 0 {
+	if s.since.IsZero() {
+		s.since = now
+	}
+	if p == nil || len(p.engines) == 0 && now.Sub(s.since) > startTime {
 		return []Decision{{Job: job.ID, RetryAfter: minRetryAfter, Reason: "no engine of the service is known"}}
 	}
 	r := s.admit(now, p, job)
@@ -118,8 +134,8 @@
 // admit creates the run of a job and counts its demand.
 func (s *Scheduler) admit(now time.Time, p *pool, job Job) *run {
 	r := &run{job: job, arrived: now, alone: p.figures.Read(job.Prompt)}
-	r.long = r.alone > shortRead
-	if r.long {
+	r.heavy = r.alone > p.lightRead()
+	if r.heavy {
 		p.decay(now)
 		p.demand += r.alone.Seconds()
 	}
@@ -223,6 +239,8 @@
 
 // drain places and refuses waiting jobs, the most urgent first.
 func (s *Scheduler) drain(now time.Time, p *pool) []Decision {
+	p.decay(now)
+	p.observeLight(now)
 	var decisions []Decision
 	slices.SortStableFunc(p.queue, func(a, b *run) int { return p.compare(now, a, b) })
 	waiting := len(p.queue)
@@ -288,13 +306,13 @@
 		if o == r {
 			continue
 		}
-		if o.long {
+		if o.heavy {
 			work += o.alone
 		} else {
 			short++
 		}
 	}
-	if r.long {
+	if r.heavy {
 		return work / time.Duration(max(1, p.laneSize()))
 	}
 	// A slot is free after each answer; all slots end an answer in about the
@@ -319,30 +337,39 @@
 	p.demandAt = now
 }
 
-// laneSize returns the number of engines that are kept for long prompts. Short
+// laneSize returns the number of engines that are kept for heavy prompts. Light
 // answers get the engines that they need first.
 func (p *pool) laneSize() int {
 	perSecond := p.demand / demandMemory.Seconds()
-	if perSecond < 0.01 {
+	if perSecond < leastDemand {
 		return 0
 	}
-	short := 0
+	perEngine := writersPerEngine * float64(p.figures.Slots)
+	need := int(math.Ceil(p.light/perEngine + laneHeadroom))
+	wanted := int(math.Ceil(perSecond/laneUse)) + laneSpare
+	return max(1, min(wanted, len(p.order)-need))
+}
+
+// observeLight follows the number of light answers: up at once, down slowly, so
+// that an engine does not change lanes with each answer that ends.
+func (p *pool) observeLight(now time.Time) {
+	n := 0
 	for _, e := range p.order {
 		for _, part := range e.parts {
-			if part.writes && !part.job.long {
-				short++
+			if part.writes && !part.job.heavy {
+				n++
 			}
 		}
 	}
 	for _, r := range p.queue {
-		if !r.long {
-			short++
+		if !r.heavy {
+			n++
 		}
 	}
-	perEngine := max(1, int(writersPerEngine*float64(p.figures.Slots)))
-	need := (short + perEngine - 1) / perEngine
-	wanted := int(math.Ceil(perSecond/laneUse)) + laneSpare
-	return max(1, min(wanted, len(p.order)-max(1, need)))
+	if !p.lightAt.IsZero() {
+		p.light *= math.Exp(-now.Sub(p.lightAt).Seconds() / lightMemory.Seconds())
+	}
+	p.light, p.lightAt = max(p.light, float64(n)), now
 }
 
 // settle corrects the predictions of the engines after a job read its prompt or ended.
@@ -380,7 +407,7 @@
 			part.context = max(0, rest)
 		}
 		e.parts[r.job.ID] = part
-		e.readUntil = now.Add(e.backlog(now) + time.Duration(float64(read)*e.currentPace(now)))
+		e.read(now, read)
 		if i == 0 && e.isCold(now) {
 			e.cold.AllowN(now, 1)
 		}
