Refuse late light requests beyond what free slots serve, before their callers leave

Cause: at 9 of 14 engines more light requests arrive than slots end answers; the queue held late ones until their callers had left, who were told nothing.

--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -35,6 +35,13 @@
 	maxRetryAfter = 3 * time.Second
 	// lostAfter is the time after its deadline at which a job is taken for ended.
 	lostAfter = time.Second
+	// retrySpread is the number of different times after which refused callers return.
+	retrySpread = 16
+	// latePerEngine bounds the light jobs that wait although they are late: the
+	// slots that requests in time leave free do not serve more before they leave.
+	latePerEngine = 2
+	// leaveMargin is the time by which a refusal comes before the caller leaves.
+	leaveMargin = 200 * time.Millisecond
 	// startTime is the time for which a new scheduler lets jobs wait for engines
 	// that have not announced themselves yet.
 	startTime = 3 * time.Second
@@ -64,6 +71,7 @@
 	demandAt time.Time
 	light    float64 // highest number of light answers at once, decaying
 	lightAt  time.Time
+	refused  int // jobs refused so far
 }
 
 // Scheduler places jobs on engines.
@@ -125,7 +133,7 @@
 	r := s.admit(now, p, job)
 	if wait := p.predictWait(r); wait > min(job.Patience, job.Deadline-p.minimum(r)) {
 		delete(s.runs, job.ID)
-		return []Decision{p.refuse(now, r, wait, "the queue is longer than the caller waits")}
+		return []Decision{p.refuse(now, r, "the queue is longer than the caller waits")}
 	}
 	p.queue = append(p.queue, r)
 	return s.drain(now, p)
@@ -243,17 +251,24 @@
 	p.observeLight(now)
 	var decisions []Decision
 	slices.SortStableFunc(p.queue, func(a, b *run) int { return p.compare(now, a, b) })
-	waiting := len(p.queue)
+	waiting, late := len(p.queue), 0
 	kept := p.queue[:0]
 	for _, r := range p.queue {
 		d := Decision{Job: r.job.ID, Waited: now.Sub(r.arrived), Waiting: waiting}
-		switch placement := p.choose(now, r); {
+		placement := p.choose(now, r)
+		if placement == nil && !r.heavy && p.late(now, r) {
+			late++
+		}
+		switch {
 		case placement != nil:
 			p.assign(now, r, placement)
 			d.Placement = placement
 		case p.hopeless(now, r):
 			delete(s.runs, r.job.ID)
-			d = p.refuse(now, r, p.predictWait(r), "no engine was free in time")
+			d = p.refuse(now, r, "no engine was free in time")
+		case late > latePerEngine*len(p.order) && !r.heavy:
+			delete(s.runs, r.job.ID)
+			d = p.refuse(now, r, "too many late requests wait")
 		default:
 			kept = append(kept, r)
 			continue
@@ -284,8 +299,19 @@
 	return a.due(a.job.Target).Compare(b.due(b.job.Target))
 }
 
+// late reports whether a waiting job cannot meet its target any more.
 func (p *pool) late(now time.Time, r *run) bool {
-	return now.Add(p.figures.ReadShared(r.job.Prompt, len(p.order))).After(r.due(r.job.Target))
+	return now.Add(p.soonest(r)).After(r.due(r.job.Target))
+}
+
+// soonest returns the time to the first event of a job that is placed on
+// engines with no other prompt to read.
+func (p *pool) soonest(r *run) time.Duration {
+	pass := p.figures.Pass(p.figures.Slots, p.figures.Slots*p.figures.UsualPrompt/2)
+	if r.heavy {
+		return r.alone/time.Duration(max(1, p.laneSize())) + pass
+	}
+	return r.alone + pass + pass/2 // the pass in progress has to end first
 }
 
 // minimum returns the least time that a job takes once it is placed.
@@ -293,9 +319,10 @@
 	return p.figures.ReadShared(r.job.Prompt, min(maxHelpers, len(p.order))) + p.figures.Write(r.job.Expected, 1, r.job.Prompt)
 }
 
-// hopeless reports whether a waiting job cannot be served any more.
+// hopeless reports whether a waiting job cannot be served any more. It is said
+// before the caller leaves, who is then told when to come back.
 func (p *pool) hopeless(now time.Time, r *run) bool {
-	return !now.Before(r.due(r.job.Patience)) || now.Add(p.minimum(r)).After(r.due(r.job.Deadline))
+	return now.Add(p.soonest(r)+leaveMargin).After(r.due(r.job.Patience)) || now.Add(p.minimum(r)).After(r.due(r.job.Deadline))
 }
 
 // predictWait returns the time until the waiting jobs ahead of a job are placed.
@@ -322,10 +349,17 @@
 }
 
 // refuse returns the decision that turns a job away. The caller is asked to
-// come back when the queue ahead of it will have been worked off.
-func (p *pool) refuse(now time.Time, r *run, wait time.Duration, reason string) Decision {
+// come back when the answers in progress have ended and the heavy prompts ahead
+// have been read; refused callers are spread so that they do not return at once.
+func (p *pool) refuse(now time.Time, r *run, reason string) Decision {
+	wait := p.predictWait(r)
+	if !r.heavy {
+		wait = p.figures.Write(p.figures.UsualAnswer, p.figures.Slots/2, 0)
+	}
+	p.refused++
+	wait += time.Duration(p.refused%retrySpread) * wait / (2 * retrySpread)
 	return Decision{
-		Job: r.job.ID, Reason: reason, RetryAfter: min(maxRetryAfter, max(minRetryAfter, wait/2)),
+		Job: r.job.ID, Reason: reason, RetryAfter: min(maxRetryAfter, max(minRetryAfter, wait)),
 		Waited: now.Sub(r.arrived), Waiting: len(p.queue),
 	}
 }
