--- a/attempts/budget.go
+++ b/attempts/budget.go
@@ -65,6 +65,12 @@
 	return "service " + req.Service
 }
 
+// Resize changes what is allowed without regard to traffic, when the number of
+// daemons that share it changes.
+func (b *Budget) Resize(perSecond, burst float64) {
+	b.cfg.PerSecond, b.cfg.Burst = perSecond, burst
+}
+
 // Earn credits one first attempt.
 func (b *Budget) Earn(now time.Time, key string) {
 	b.fill(now, key)
--- a/forwards/attempt.go
+++ b/forwards/attempt.go
@@ -33,11 +33,23 @@
 // try sends the request to a backend server and reads the head of the answer.
 // The returned attempt must be closed, also after an error.
 func (d *delivery) try(ctx context.Context, k rosters.Known, call Call, limit time.Duration) (*attempt, error) {
+	a, out, err := d.open(ctx, k, call)
+	if err != nil {
+		return a, err
+	}
+	if a.answer, err = a.exchange.head(out, min(limit, d.left())); err != nil {
+		return a, err
+	}
+	return a, d.examine(a)
+}
+
+// open sends the request to a backend server.
+func (d *delivery) open(ctx context.Context, k rosters.Known, call Call) (*attempt, *outgoing, error) {
 	a := &attempt{server: k}
 	d.tried = append(d.tried, k.ID)
 	x, err := dial(ctx, k.Address)
 	if err != nil {
-		return a, err
+		return a, nil, err
 	}
 	a.exchange = x
 	header := endToEnd(d.r.Header)
@@ -46,18 +58,15 @@
 	out := &outgoing{method: d.r.Method, uri: d.r.RequestURI, host: d.r.Host, header: header, body: d.body}
 	data, err := out.encode()
 	if err != nil {
-		return a, err
+		return a, nil, err
 	}
 	if _, usable := d.forwarder.cfg.Fleet.Usable(k.ID); !usable {
-		return a, errWrong // it began to leave while the connection was opened
+		return a, nil, errWrong // it began to leave while the connection was opened
 	}
 	d.sent++
 	a.verdict = gypsumshelf.MayHaveRun
 	x.send(data)
-	if a.answer, err = x.head(out, min(limit, d.left())); err != nil {
-		return a, err
-	}
-	return a, d.examine(a)
+	return a, out, nil
 }
 
 // examine checks that the head of an answer is one to this request.
--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
-	"gypsumshelf.example/gypsumshelf/catalogs"
 	"gypsumshelf.example/gypsumshelf/rosters"
 	"gypsumshelf.example/gypsumshelf/schedules"
 )
@@ -44,6 +43,7 @@
 func (d *delivery) job() schedules.Job {
 	now := d.now()
 	engine := d.service.Engine
+	d.jobs++
 	prompt, answer, expected := d.meta.Prompt, d.meta.Answer, d.meta.Expected
 	if prompt == 0 {
 		prompt = engine.UsualPrompt
@@ -55,7 +55,7 @@
 		expected = int(defaultExpected * float64(answer))
 	}
 	job := schedules.Job{
-		ID:      schedules.JobID(string(d.meta.ID) + "." + strconv.Itoa(len(d.tried))),
+		ID:      schedules.JobID(string(d.meta.ID) + "." + strconv.Itoa(d.jobs)),
 		Service: d.service.Name, DataCentre: d.forwarder.cfg.DataCentre,
 		Prompt: prompt, Answer: answer, Expected: min(expected, answer), Priority: d.route.Priority,
 		Target: d.arrived.Add(d.route.Target).Sub(now), Patience: d.arrived.Add(d.patience()).Sub(now),
@@ -76,34 +76,82 @@
 
 // runOnEngines serves a request of a service of engines.
 func (d *delivery) runOnEngines(ctx context.Context) {
+	place := newPlacing(ctx, d)
 	for {
-		job := d.job()
-		decision, err := d.forwarder.cfg.Placer.Place(ctx, job)
-		if err != nil {
-			d.forwarder.cfg.Placer.End(job.ID, schedules.Cancelled, "")
-			d.finish("no decision about a place: " + err.Error())
+		p := place.wait(ctx)
+		if p.err != nil {
+			place.end(schedules.Cancelled, "")
+			d.finish("no decision about a place: " + p.err.Error())
 			return
 		}
-		if decision.Placement == nil {
-			d.refused(decision)
+		if p.decision.Placement == nil {
+			d.refused(p.decision)
 			return
 		}
-		d.pace.place(decision)
-		run := &engineRun{delivery: d, job: job, placement: *decision.Placement, begun: d.now()}
-		err = run.run(ctx)
-		d.forwarder.cfg.Placer.End(job.ID, run.outcome, run.blamed)
+		d.pace.place(p.decision)
+		run := &engineRun{delivery: d, placing: place, placement: *p.decision.Placement, begun: d.now()}
+		err := run.run(ctx)
+		place.end(run.outcome, run.blamed)
 		if err == nil {
 			return
 		}
 		d.verdict = d.verdict.Worse(run.verdict)
-		d.attemptFailed(decision.Placement.Server, run.outcome, err)
+		d.attemptFailed(p.decision.Placement.Server, run.outcome, err)
+		if run.next != nil {
+			place = run.next
+			continue
+		}
 		if again, why := d.mayTryAgain(run.verdict); !again {
 			d.finish(fmt.Sprintf("%v; %s", err, why))
 			return
 		}
+		place = newPlacing(ctx, d)
+	}
+}
+
+// placing is a job on its way through the scheduler.
+type placing struct {
+	delivery *delivery
+	job      schedules.Job
+	cancel   context.CancelFunc
+	done     chan placed
+}
+
+// placed is the end of a placing.
+type placed struct {
+	decision schedules.Decision
+	err      error
+}
+
+// newPlacing submits the request to the scheduler.
+func newPlacing(ctx context.Context, d *delivery) *placing {
+	ctx, cancel := context.WithCancel(ctx)
+	p := &placing{delivery: d, job: d.job(), cancel: cancel, done: make(chan placed, 1)}
+	go p.run(ctx)
+	return p
+}
+
+func (p *placing) run(ctx context.Context) {
+	decision, err := p.delivery.forwarder.cfg.Placer.Place(ctx, p.job)
+	p.done <- placed{decision: decision, err: err}
+}
+
+func (p *placing) wait(ctx context.Context) placed {
+	select {
+	case done := <-p.done:
+		p.done <- done
+		return done
+	case <-ctx.Done():
+		return placed{err: ctx.Err()}
 	}
 }
 
+// end tells the scheduler that the job has ended, or is not to be placed any more.
+func (p *placing) end(outcome schedules.Outcome, blamed gypsumshelf.ServerID) {
+	p.cancel()
+	p.delivery.forwarder.cfg.Placer.End(p.job.ID, outcome, blamed)
+}
+
 // refused answers a request that the scheduler turned away.
 func (d *delivery) refused(decision schedules.Decision) {
 	cause := fmt.Sprintf("%s; waited %d ms among %d", decision.Reason, decision.Waited.Milliseconds(), decision.Waiting)
@@ -117,9 +165,11 @@
 // engineRun is one attempt on a placement.
 type engineRun struct {
 	delivery  *delivery
-	job       schedules.Job
+	placing   *placing
 	placement schedules.Placement
+	next      *placing // where the stream goes on, when this engine went silent
 	begun     time.Time
+	started   bool // the first event has been seen
 	server    rosters.Known
 	holds     []*hold
 	attempt   *attempt
@@ -157,26 +207,22 @@
 	}
 	e.server = server
 	call := d.call(server.ID)
-	call.Urgency = urgency(e.job)
+	call.Urgency = urgency(e.placing.job)
 	helpers, err := e.helpers(ctx)
 	if err != nil {
 		d.tried = append(d.tried, e.blamed)
 		return err
 	}
 	call.Helpers = helpers
-	limit := d.left()
-	if d.route.Idempotent() && d.sent+1 < d.route.MaxAttempts {
-		limit = 2*e.placement.First + firstSlack
-	}
 	fleet.Begin(server)
-	e.attempt, err = d.try(ctx, server, call, limit)
+	a, out, err := d.open(ctx, server, call)
+	e.attempt = a
 	if err != nil {
 		return err
 	}
-	if e.attempt.answer.StatusCode != http.StatusOK || d.route.Kind != catalogs.Stream {
-		return e.deliverWhole(limit)
-	}
-	return e.deliverStream(ctx, limit)
+	r := newStream(d, a, out)
+	defer r.close()
+	return e.follow(ctx, r)
 }
 
 // urgency returns the priority that engines are told: short prompts are
@@ -228,13 +274,77 @@
 	return helpers, nil
 }
 
-// deliverWhole passes on an answer that is no stream.
-func (e *engineRun) deliverWhole(limit time.Duration) error {
+// follow passes the answer on as it arrives.
+func (e *engineRun) follow(ctx context.Context, r *stream) error {
 	d := e.delivery
-	answer, err := e.attempt.whole(limit)
-	if err != nil {
-		return err
+	silence := time.NewTimer(2*e.placement.First + firstSlack)
+	defer silence.Stop()
+	for {
+		var next chan placed
+		if e.next != nil {
+			next = e.next.done
+		}
+		select {
+		case <-ctx.Done():
+			e.dropNext()
+			return ctx.Err()
+		case p := <-next:
+			if p.err == nil && p.decision.Placement != nil {
+				e.next.done <- p
+				return errSilent
+			}
+			e.dropNext() // no other engine is free: this one may still go on
+		case <-silence.C:
+			// The answer is not given up before another engine takes over.
+			if again, _ := d.mayTryAgain(gypsumshelf.MayHaveRun); again {
+				e.next = newPlacing(ctx, d)
+			}
+		case i := <-r.items:
+			e.dropNext()
+			done, err := e.handle(i)
+			if done || err != nil {
+				return err
+			}
+			silence.Reset(max(minGap, gapFactor*d.route.GapTarget))
+		}
 	}
+}
+
+// dropNext gives up the search for another engine.
+func (e *engineRun) dropNext() {
+	if e.next != nil {
+		e.next.end(schedules.Cancelled, "")
+		e.next = nil
+	}
+}
+
+// handle deals with a part of the answer; it reports true after the last one.
+func (e *engineRun) handle(i item) (bool, error) {
+	d := e.delivery
+	switch {
+	case i.whole != nil:
+		return true, e.deliverWhole(i.whole)
+	case errors.Is(i.err, io.EOF):
+		return true, e.endStream()
+	case i.err != nil:
+		return false, i.err
+	}
+	if !e.started {
+		e.started = true
+		d.pace.seen = d.now().Sub(e.begun)
+		d.forwarder.cfg.Placer.Started(e.placing.job.ID)
+		d.forwarder.cfg.Recorder.FirstEvent(d.service.Name, d.now().Sub(d.arrived))
+	}
+	fresh, err := e.follows(i.event)
+	if err != nil || !fresh {
+		return false, err
+	}
+	return false, e.pass(i.event)
+}
+
+// deliverWhole passes on an answer that is no stream.
+func (e *engineRun) deliverWhole(answer *wholeAnswer) error {
+	d := e.delivery
 	if answer.status >= http.StatusInternalServerError {
 		if !d.headSent {
 			d.failed = answer
@@ -248,46 +358,6 @@
 	return nil
 }
 
-// deliverStream passes events on as they arrive. The head of the answer follows
-// with the first event, so that another engine can still take over before.
-func (e *engineRun) deliverStream(ctx context.Context, limit time.Duration) error {
-	d := e.delivery
-	stream := newEvents(e.attempt.exchange)
-	gap := d.left()
-	if d.route.Idempotent() && d.sent < d.route.MaxAttempts {
-		gap = max(minGap, gapFactor*d.route.GapTarget)
-	}
-	first := true
-	for {
-		event, err := stream.next(min(limit, max(minAttempt, d.left())))
-		if errors.Is(err, io.EOF) {
-			return e.endStream()
-		}
-		if err != nil {
-			return err
-		}
-		if first {
-			first, limit = false, gap
-			d.pace.seen = d.now().Sub(e.begun)
-			d.forwarder.cfg.Placer.Started(e.job.ID)
-			d.forwarder.cfg.Recorder.FirstEvent(d.service.Name, d.now().Sub(d.arrived))
-		}
-		fresh, err := e.follows(event)
-		if err != nil {
-			return err
-		}
-		if !fresh {
-			continue
-		}
-		if err := e.pass(event); err != nil {
-			return err
-		}
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-	}
-}
-
 // follows reports whether an event is the one after the last that was passed
 // on, and an error when one is missing.
 func (e *engineRun) follows(event []byte) (bool, error) {
--- a/forwards/exchange.go
+++ b/forwards/exchange.go
@@ -12,8 +12,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"gypsumshelf.example/gypsumshelf"
 )
 
 const (
@@ -156,31 +154,18 @@
 // maxEvent bounds one event of a stream.
 const maxEvent = 1 << 20
 
-// events reads the events of a stream one by one.
-type events struct {
-	exchange *exchange
-	reader   *bufio.Reader
-}
-
-func newEvents(x *exchange) *events {
-	return &events{exchange: x, reader: bufio.NewReaderSize(x.answer.Body, readBuffer)}
-}
-
-// next returns the next whole event with the blank line that ends it, and
-// io.EOF at the proper end of the stream. limit is the longest silence.
-func (s *events) next(limit time.Duration) ([]byte, error) {
-	if err := s.exchange.conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
-		return nil, err
-	}
+// readEvent returns the next whole event with the blank line that ends it, and
+// io.EOF at the proper end of the stream.
+func readEvent(r *bufio.Reader) ([]byte, error) {
 	var event []byte
 	for {
-		line, err := s.reader.ReadBytes('\n')
+		line, err := r.ReadBytes('\n')
 		event = append(event, line...)
 		if err != nil {
 			if errors.Is(err, io.EOF) && len(event) > 0 {
 				return nil, io.ErrUnexpectedEOF
 			}
-			return nil, s.exchange.cause(err)
+			return nil, err
 		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return event, nil
@@ -190,11 +175,3 @@
 		}
 	}
 }
-
-// verdictOf returns what an attempt's error says about the work.
-func verdictOf(err error) gypsumshelf.Verdict {
-	if errors.Is(err, errConnect) {
-		return gypsumshelf.NotRun
-	}
-	return gypsumshelf.MayHaveRun
-}
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -41,7 +41,7 @@
 	Protocol   Protocol
 	Fleet      *Fleet
 	Placer     Placer
-	Budget     *attempts.Budget // of second attempts, for each service
+	Retries    Retries
 	Log        *logrus.Entry
 	Recorder   Recorder
 }
@@ -56,10 +56,24 @@
 	active  atomic.Int64
 
 	budgetMu sync.Mutex
+	budget   *attempts.Budget // of second attempts, for each service
 }
 
 // New returns a Forwarder that refuses all requests until it has a catalog.
-func New(cfg Config) *Forwarder { return &Forwarder{cfg: cfg, ready: make(chan struct{})} }
+func New(cfg Config) *Forwarder {
+	f := &Forwarder{cfg: cfg, ready: make(chan struct{})}
+	f.budget = attempts.NewBudget(cfg.Retries.budget(1))
+	return f
+}
+
+// ShareRetries tells the forwarder how many daemons share the budget of second
+// attempts.
+func (f *Forwarder) ShareRetries(daemons int) {
+	b := f.cfg.Retries.budget(daemons)
+	f.budgetMu.Lock()
+	defer f.budgetMu.Unlock()
+	f.budget.Resize(b.PerSecond, b.Burst)
+}
 
 // SetCatalog puts a catalog in force for requests that arrive from now on.
 func (f *Forwarder) SetCatalog(c *catalogs.Catalog) {
@@ -103,13 +117,13 @@
 func (f *Forwarder) spend(service string) bool {
 	f.budgetMu.Lock()
 	defer f.budgetMu.Unlock()
-	return f.cfg.Budget.Spend(f.cfg.Fleet.now(), service)
+	return f.budget.Spend(f.cfg.Fleet.now(), service)
 }
 
 func (f *Forwarder) earn(service string) {
 	f.budgetMu.Lock()
 	defer f.budgetMu.Unlock()
-	f.cfg.Budget.Earn(f.cfg.Fleet.now(), service)
+	f.budget.Earn(f.cfg.Fleet.now(), service)
 }
 
 // ServeHTTP implements http.Handler.
@@ -137,6 +151,7 @@
 	arrived   time.Time
 	deadline  time.Time
 
+	jobs      int                    // submitted to the scheduler
 	sent      int                    // attempts that reached a backend server
 	tried     []gypsumshelf.ServerID // of all attempts
 	verdict   gypsumshelf.Verdict    // of all attempts
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -15,7 +15,6 @@
 	"github.com/sirupsen/logrus"
 
 	"gypsumshelf.example/gypsumshelf"
-	"gypsumshelf.example/gypsumshelf/attempts"
 	"gypsumshelf.example/gypsumshelf/catalogs"
 	"gypsumshelf.example/gypsumshelf/controls"
 	"gypsumshelf.example/gypsumshelf/desks"
@@ -32,6 +31,11 @@
 	stopMargin = 400 * time.Millisecond
 	// stopPoll is the period at which a stopping daemon looks for requests in progress.
 	stopPoll = 20 * time.Millisecond
+	// entriesLife is the time for which the highest number of entry daemons that
+	// a control daemon knew of is believed.
+	entriesLife = 5 * time.Second
+	// leastEntries is the number of entry daemons of the smallest deployment.
+	leastEntries = 4
 	// Limits on callers before the first catalog is known.
 	defaultHeaderBytes   = 16 << 10
 	defaultHeaderTimeout = 3 * time.Second
@@ -49,7 +53,7 @@
 	Seeds      []string // addresses of directories
 	Decode     catalogs.Decoder
 	Protocol   forwards.Protocol
-	Retries    attempts.BudgetConfig
+	Retries    forwards.Retries
 	Recorder   forwards.Recorder
 	Log        *logrus.Entry
 	Timers     *timers.Service
@@ -67,8 +71,10 @@
 	stopping  atomic.Bool
 	wg        sync.WaitGroup
 
-	mu    sync.Mutex
-	state catalogs.State
+	mu        sync.Mutex
+	state     catalogs.State
+	entries   int       // daemons that take requests
+	entriesAt time.Time // when a control daemon last knew of as many
 }
 
 // Start starts an entry daemon.
@@ -82,7 +88,7 @@
 	g.desk = desks.NewClient(desks.ClientConfig{Feeds: g.feeds, Local: g.local, Log: cfg.Log})
 	g.forwarder = forwards.New(forwards.Config{
 		DataCentre: cfg.DataCentre, Protocol: cfg.Protocol, Fleet: g.fleet, Placer: g.desk,
-		Budget: attempts.NewBudget(cfg.Retries), Log: cfg.Log, Recorder: cfg.Recorder,
+		Retries: cfg.Retries, Log: cfg.Log, Recorder: cfg.Recorder,
 	})
 	g.server = &http.Server{
 		Handler: g.forwarder, MaxHeaderBytes: defaultHeaderBytes - headerSlack,
@@ -137,6 +143,7 @@
 // hear takes a view of a control daemon.
 func (g *Gateway) hear(_ string, v directories.View) {
 	g.desk.SetLeader(v.Leader, v.Term)
+	g.shareRetries(v.Entries)
 	if len(v.Records) == 0 || !g.fleet.Merge(v.Records) {
 		return
 	}
@@ -145,6 +152,21 @@
 	g.updateLocal()
 }
 
+// shareRetries divides the budget of second attempts among the entry daemons.
+// Control daemons that were cut off know of fewer.
+func (g *Gateway) shareRetries(entries int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.cfg.Timers.Now()
+	if entries < g.entries && now.Sub(g.entriesAt) < entriesLife {
+		return
+	}
+	if entries != g.entries {
+		g.forwarder.ShareRetries(max(leastEntries, entries))
+	}
+	g.entries, g.entriesAt = entries, now
+}
+
 // updateLocal tells the own desk which engines may get work; mu is held.
 func (g *Gateway) updateLocal() {
 	c := g.forwarder.Catalog()
