--- a/desks/client.go
+++ b/desks/client.go
@@ -139,6 +139,7 @@
 	if client, leader := c.connection(); client != nil {
 		decision, err := c.ask(ctx, client, job)
 		if err == nil {
+			decision.Scheduler = leader
 			return c.decided(p, decision, false), nil
 		}
 		if ctx.Err() != nil {
--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -9,7 +9,10 @@
 	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/logs"
 	"gypsumshelf.example/gypsumshelf/rosters"
 	"gypsumshelf.example/gypsumshelf/schedules"
 )
@@ -89,6 +92,7 @@
 			return
 		}
 		d.pace.place(p.decision)
+		place.log(p.decision)
 		run := &engineRun{delivery: d, placing: place, placement: *p.decision.Placement, begun: d.now()}
 		err := run.run(ctx)
 		place.end(run.outcome, run.blamed)
@@ -146,6 +150,16 @@
 	}
 }
 
+// log writes where the request goes.
+func (p *placing) log(decision schedules.Decision) {
+	d := p.delivery
+	d.forwarder.cfg.Log.WithFields(logrus.Fields{
+		logs.KeyRequest: d.meta.ID, "job": p.job.ID, logs.KeyServer: decision.Placement.Server, "helpers": decision.Placement.Helpers,
+		"holds": decision.Placement.Holds, "prompt-tokens": p.job.Prompt, "avoid": p.job.Avoid, "scheduler": decision.Scheduler,
+		"waited-ms": decision.Waited.Milliseconds(), "waiting": decision.Waiting, "predicted-first-ms": decision.Placement.First.Milliseconds(),
+	}).Info("request placed")
+}
+
 // end tells the scheduler that the job has ended, or is not to be placed any more.
 func (p *placing) end(outcome schedules.Outcome, blamed gypsumshelf.ServerID) {
 	p.cancel()
--- /dev/null
+++ b/forwards/fake_test.go
@@ -0,0 +1,294 @@
+package forwards
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/catalogs"
+	"gypsumshelf.example/gypsumshelf/costs"
+	"gypsumshelf.example/gypsumshelf/desks"
+	"gypsumshelf.example/gypsumshelf/rosters"
+	"gypsumshelf.example/gypsumshelf/schedules"
+)
+
+// fakeProtocol speaks headers of its own.
+type fakeProtocol struct{}
+
+func (fakeProtocol) Meta(r *http.Request) Meta {
+	last, _ := strconv.Atoi(r.Header.Get("Last"))
+	ms, _ := strconv.Atoi(r.Header.Get("Wait"))
+	return Meta{
+		ID: gypsumshelf.RequestID(r.Header.Get("Id")), Key: r.Header.Get("Key"), Prompt: 1000, Answer: 100,
+		LastEvent: last, Deadline: time.Duration(ms) * time.Millisecond,
+	}
+}
+
+func (fakeProtocol) Outgoing(h http.Header, c Call) {
+	h.Set("Server", string(c.Server))
+	h.Set("Workspace", c.Workspace)
+	h.Set("Left", strconv.FormatInt(c.Left.Milliseconds(), 10))
+	h.Set("Last", strconv.Itoa(c.LastEvent))
+	if c.Protected {
+		h.Del("Key")
+	}
+}
+
+func (fakeProtocol) Reply(h http.Header, status int) Reply {
+	return Reply{
+		Request: gypsumshelf.RequestID(h.Get("Id")), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "",
+		Wrong: status == http.StatusMisdirectedRequest,
+	}
+}
+
+func (fakeProtocol) EventID(event []byte) (int, bool) {
+	for line := range bytes.Lines(event) {
+		if v, ok := bytes.CutPrefix(line, []byte("id: ")); ok {
+			n, err := strconv.Atoi(strings.TrimSpace(string(v)))
+			return n, err == nil
+		}
+	}
+	return 0, false
+}
+
+func (fakeProtocol) Reserve(context.Context, string, string, int, time.Duration) (bool, error) {
+	return true, nil
+}
+func (fakeProtocol) Release(context.Context, string, string) error { return nil }
+func (fakeProtocol) Report(context.Context, string) (desks.Report, error) {
+	return desks.Report{Pace: 1}, nil
+}
+
+// backend is a fake backend server; answer gets the request and the connection.
+type backend struct {
+	t      *testing.T
+	record rosters.Record
+	answer func(r *http.Request, body string, conn net.Conn)
+
+	mu   sync.Mutex
+	seen []*http.Request
+	gone chan struct{} // gets a value when a connection ends that answer left open
+}
+
+func newBackend(t *testing.T, id, service string, answer func(r *http.Request, body string, conn net.Conn)) *backend {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	b := &backend{t: t, answer: answer, gone: make(chan struct{}, 16), record: rosters.Record{
+		ID: gypsumshelf.ServerID(id), Born: 1, Sequence: 1, Service: service, Address: l.Addr().String(), DataCentre: "a", Slots: 4,
+	}}
+	go b.run(l)
+	return b
+}
+
+func (b *backend) run(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go b.serve(conn)
+	}
+}
+
+func (b *backend) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	r, err := http.ReadRequest(reader)
+	if err != nil {
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	b.mu.Lock()
+	b.seen = append(b.seen, r)
+	b.mu.Unlock()
+	b.answer(r, string(body), conn)
+	if _, err := reader.ReadByte(); err != nil {
+		b.gone <- struct{}{}
+	}
+}
+
+func (b *backend) count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.seen)
+}
+
+// reset ends a connection without a proper close.
+func reset(conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	conn.Close()
+}
+
+func head(r *http.Request, status int, more string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nId: %s\r\nSeal: s\r\n%s\r\n", status, r.Header.Get("Id"), more)
+}
+
+// whole answers with a length.
+func whole(status int, text string) func(*http.Request, string, net.Conn) {
+	return func(r *http.Request, _ string, conn net.Conn) {
+		fmt.Fprintf(conn, "%s%s", head(r, status, fmt.Sprintf("Content-Length: %d\r\n", len(text))), text)
+	}
+}
+
+// events answers with a chunked stream of events from..to.
+func events(r *http.Request, conn net.Conn, from, to int) {
+	fmt.Fprint(conn, head(r, http.StatusOK, "Transfer-Encoding: chunked\r\n"))
+	for i := from; i <= to; i++ {
+		chunk(conn, fmt.Sprintf("id: %d\ndata: x\n\n", i))
+	}
+}
+
+func chunk(conn net.Conn, text string) { fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text) }
+
+func endChunks(conn net.Conn) { fmt.Fprint(conn, "0\r\n\r\n") }
+
+// fakePlacer places jobs on the engines in turn and refuses when none is left.
+type fakePlacer struct {
+	mu      sync.Mutex
+	engines []gypsumshelf.ServerID
+	ended   []schedules.Outcome
+}
+
+func (p *fakePlacer) Place(_ context.Context, job schedules.Job) (schedules.Decision, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.engines) == 0 {
+		return schedules.Decision{Job: job.ID, Reason: "no engine is free", RetryAfter: time.Second}, nil
+	}
+	id := p.engines[0]
+	p.engines = p.engines[1:]
+	return schedules.Decision{Job: job.ID, Placement: &schedules.Placement{Server: id, First: time.Millisecond}}, nil
+}
+
+func (p *fakePlacer) Started(schedules.JobID) {}
+
+func (p *fakePlacer) End(_ schedules.JobID, outcome schedules.Outcome, _ gypsumshelf.ServerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended = append(p.ended, outcome)
+}
+
+type fakeRecorder struct{}
+
+func (fakeRecorder) Request(string, string, int, time.Duration) {}
+func (fakeRecorder) Attempt(string, string)                     {}
+func (fakeRecorder) FirstEvent(string, time.Duration)           {}
+
+// fixture is a forwarder in front of fake backend servers.
+type fixture struct {
+	t         *testing.T
+	forwarder *Forwarder
+	server    *httptest.Server
+	placer    *fakePlacer
+	log       *bytes.Buffer
+}
+
+func newFixture(t *testing.T, backends ...*backend) *fixture {
+	f := &fixture{t: t, placer: &fakePlacer{}, log: &bytes.Buffer{}}
+	fleet := NewFleet("a", time.Now)
+	for _, b := range backends {
+		fleet.Merge([]rosters.Record{b.record})
+		if b.record.Service == "engines" {
+			f.placer.engines = append(f.placer.engines, b.record.ID)
+		}
+	}
+	log := logrus.New()
+	log.SetOutput(f.log)
+	f.forwarder = New(Config{
+		DataCentre: "a", Protocol: fakeProtocol{}, Fleet: fleet, Placer: f.placer, Recorder: fakeRecorder{},
+		Log: logrus.NewEntry(log), Retries: Retries{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+	})
+	f.server = httptest.NewServer(f.forwarder)
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+func catalog(t *testing.T) *catalogs.Catalog {
+	route := func(prefix, service string, kind catalogs.Kind, attempts int) catalogs.Route {
+		return catalogs.Route{
+			Name: prefix, Host: "127.0.0.1", Prefix: prefix, Kind: kind, Timeout: 5 * time.Second, Target: 100 * time.Millisecond,
+			GapTarget: 100 * time.Millisecond, MaxAttempts: attempts, Resumable: kind == catalogs.Stream,
+			Split: []catalogs.Share{{Service: service, Weight: 1}},
+		}
+	}
+	c, err := catalogs.New(catalogs.Spec{
+		Version: 1,
+		Routes: []catalogs.Route{
+			route("/safe/", "plain", catalogs.Safe, 2), route("/unsafe/", "plain", catalogs.Unsafe, 1),
+			route("/stream/", "engines", catalogs.Stream, 2),
+		},
+		Services:   []catalogs.Service{{Name: "plain"}, {Name: "engines", Engine: &costs.Engine{Slots: 4, MemoryTokens: 1000, ReadRate: 1000}}},
+		Workspaces: []catalogs.Workspace{{Name: "w", Keys: []string{"k"}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func start(t *testing.T, backends ...*backend) *fixture {
+	f := newFixture(t, backends...)
+	f.forwarder.SetCatalog(catalog(t))
+	return f
+}
+
+// got is a caller's view of an answer.
+type got struct {
+	status int
+	header http.Header
+	body   string
+	err    error // the answer is not whole
+}
+
+func (f *fixture) send(method, path, body string, header ...string) got {
+	f.t.Helper()
+	r, err := http.NewRequest(method, f.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Header.Set("Id", "r1")
+	r.Header.Set("Key", "k")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return got{err: err}
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(answer.Body)
+	return got{status: answer.StatusCode, header: answer.Header, body: string(data), err: err}
+}
+
+func assertAnswer(t *testing.T, g got, status int, body string) {
+	t.Helper()
+	if g.err != nil || g.status != status || body != "" && g.body != body {
+		t.Errorf("answer is %d %q with error %v, want %d %q", g.status, g.body, g.err, status, body)
+	}
+}
+
+func assertCount(t *testing.T, b *backend, n int) {
+	t.Helper()
+	if got := b.count(); got != n {
+		t.Errorf("%s got %d requests, want %d", b.record.ID, got, n)
+	}
+}
--- /dev/null
+++ b/forwards/forwarder_test.go
@@ -0,0 +1,143 @@
+package forwards
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards against a request or an answer that is changed on its way, and against
+// a key that leaves the system.
+func TestRequestAndAnswerArriveUnchanged(t *testing.T) {
+	var line, body string
+	var header http.Header
+	b := newBackend(t, "s1", "plain", func(r *http.Request, text string, conn net.Conn) {
+		line, body, header = r.Method+" "+r.RequestURI, text, r.Header
+		whole(http.StatusCreated, "made")(r, text, conn)
+	})
+	f := start(t, b)
+	g := f.send("POST", "/unsafe/a%2Fb?x=1&y", "the body", "Other", "kept", "Connection", "X-Hop", "X-Hop", "1", "Workspace", "forged")
+	assertAnswer(t, g, http.StatusCreated, "made")
+	if line != "POST /unsafe/a%2Fb?x=1&y" || body != "the body" {
+		t.Errorf("backend server got %q with body %q", line, body)
+	}
+	for name, want := range map[string]string{"Other": "kept", "X-Hop": "", "Key": "", "Workspace": "w", "Id": "r1", "Server": "s1"} {
+		if got := header.Get(name); got != want {
+			t.Errorf("header %s is %q, want %q", name, got, want)
+		}
+	}
+	if g.header.Get("Seal") != "s" {
+		t.Error("the answer lost its seal")
+	}
+}
+
+// Guards against requests that are repeated although they may have run, and
+// against answers that claim more than is known.
+func TestPlainAttempts(t *testing.T) {
+	broken := func(text string) func(*http.Request, string, net.Conn) {
+		return func(r *http.Request, _ string, conn net.Conn) {
+			fmt.Fprint(conn, strings.ReplaceAll(text, "HEAD", head(r, http.StatusOK, "")))
+			reset(conn)
+		}
+	}
+	refusing := func(_ *http.Request, _ string, conn net.Conn) {
+		fmt.Fprint(conn, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	}
+	unframed := func(r *http.Request, _ string, conn net.Conn) {
+		fmt.Fprint(conn, head(r, http.StatusOK, "")+"text")
+		conn.Close()
+	}
+	foreign := func(r *http.Request, text string, conn net.Conn) {
+		r.Header.Set("Id", "other")
+		whole(http.StatusOK, "secret")(r, text, conn)
+	}
+	early := func(r *http.Request, text string, conn net.Conn) { whole(http.StatusOK, "fine")(r, text, conn) }
+	for _, test := range []struct {
+		name, path string
+		first      func(*http.Request, string, net.Conn)
+		status     int
+		body       string
+		second     int // requests that reach the other backend server
+	}{
+		{"whole answer", "/unsafe/", early, 200, "fine", 0},
+		{"answer that ends with its connection", "/unsafe/", unframed, 200, "text", 0},
+		{"reset, must not run twice", "/unsafe/", broken(""), 502, "", 0},
+		{"reset, may run twice", "/safe/", broken(""), 200, "fine", 1},
+		{"answer without a length, reset", "/unsafe/", broken("HEADte"), 502, "", 0},
+		{"no answer at all", "/unsafe/", broken("garbage\r\n\r\n"), 502, "", 0},
+		{"refused without running, one attempt", "/unsafe/", refusing, 503, "", 0},
+		{"refused without running, two attempts", "/safe/", refusing, 200, "fine", 1},
+		{"answer to another request", "/unsafe/", foreign, 502, "", 0},
+		{"own failure of the backend server", "/unsafe/", whole(500, "failed"), 500, "failed", 0},
+		{"own failure, may run twice", "/safe/", whole(500, "failed"), 200, "fine", 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			first := newBackend(t, "s1", "plain", test.first)
+			second := newBackend(t, "s2", "plain", early)
+			second.record.DataCentre = "b" // chosen after the first
+			f := start(t, first, second)
+			g := f.send("POST", test.path, "x")
+			assertAnswer(t, g, test.status, test.body)
+			assertCount(t, first, 1)
+			assertCount(t, second, test.second)
+			if test.status == http.StatusServiceUnavailable && g.header.Get("Retry-After") == "" {
+				t.Error("a refusal does not say when to come back")
+			}
+		})
+	}
+}
+
+// Guards against work that no caller waits for.
+func TestCallerThatLeavesEndsTheWork(t *testing.T) {
+	b := newBackend(t, "s1", "plain", func(*http.Request, string, net.Conn) {})
+	f := start(t, b)
+	client := &http.Client{Timeout: 200 * time.Millisecond}
+	r, err := http.NewRequest("GET", f.server.URL+"/safe/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Id", "r1")
+	r.Header.Set("Key", "k")
+	if _, err := client.Do(r); err == nil {
+		t.Fatal("the backend server answered")
+	}
+	select {
+	case <-b.gone:
+	case <-time.After(10 * time.Second):
+		t.Error("the backend server still works for a caller that has left")
+	}
+}
+
+// Guards against requests that are held past their time.
+func TestTimeLimitsEndARequest(t *testing.T) {
+	b := newBackend(t, "s1", "plain", func(*http.Request, string, net.Conn) {})
+	f := start(t, b)
+	begin := time.Now()
+	assertAnswer(t, f.send("POST", "/unsafe/", "x", "Wait", "300"), http.StatusGatewayTimeout, "")
+	if took := time.Since(begin); took < 300*time.Millisecond {
+		t.Errorf("the request ended after %v, before its time", took)
+	}
+}
+
+// Guards against requests that are refused in the second in which a daemon that
+// has just started has no catalog, and against refusals without a route or key.
+func TestAdmission(t *testing.T) {
+	b := newBackend(t, "s1", "plain", whole(http.StatusOK, "fine"))
+	t.Run("waits for the first catalog", func(t *testing.T) {
+		f := newFixture(t, b)
+		time.AfterFunc(100*time.Millisecond, func() { f.forwarder.SetCatalog(catalog(t)) })
+		assertAnswer(t, f.send("GET", "/safe/", ""), http.StatusOK, "fine")
+	})
+	t.Run("refuses when none comes", func(t *testing.T) {
+		f := newFixture(t, b)
+		assertAnswer(t, f.send("GET", "/safe/", ""), http.StatusServiceUnavailable, "")
+	})
+	f := start(t, b)
+	assertAnswer(t, f.send("GET", "/none/", ""), http.StatusNotFound, "")
+	assertAnswer(t, f.send("GET", "/safe/", "", "Key", "wrong"), http.StatusUnauthorized, "")
+	f.forwarder.StopTaking()
+	assertAnswer(t, f.send("GET", "/safe/", ""), http.StatusServiceUnavailable, "")
+}
--- a/schedules/choice.go
+++ b/schedules/choice.go
@@ -237,41 +237,51 @@
 }
 
 // chooseHuge places a prompt that no engine's memory holds: its writer keeps
-// what is left after memory on other engines is reserved, largest first.
+// what is left after memory on other engines is reserved, largest first. It uses
+// as many engines as can read a part without disturbing their answers.
 func (p *pool) chooseHuge(now time.Time, r *run, engines []*engine) *Placement {
+	heavy, _ := p.lanes(engines)
+	if len(heavy) == 0 {
+		heavy = engines
+	}
+	for k := min(len(heavy), maxHelpers+1); k > 1; k-- {
+		part := r.alone / time.Duration(k)
+		able := readers(now, heavy, nil, part)
+		if len(able) < k || now.Add(part).After(r.due(r.job.Patience)) {
+			continue
+		}
+		if placement := p.spread(now, r, able[:k], part); placement != nil {
+			return placement
+		}
+	}
+	return nil
+}
+
+// spread returns the placement of a huge prompt on engines that each read a
+// part, nil when their memory does not hold it.
+func (p *pool) spread(now time.Time, r *run, engines []*engine, part time.Duration) *Placement {
 	order := slices.Clone(engines)
 	slices.SortStableFunc(order, func(a, b *engine) int { return cmp.Compare(b.free(), a.free()) })
-	writer := p.writer(order, p.figures.MemoryTokens/2)
-	if writer == nil {
+	writer := order[0]
+	if n, _, _ := writer.writers(); n >= p.figures.Slots {
 		return nil
 	}
 	rest := r.job.Prompt + r.job.Answer - writer.free()
-	placement := &Placement{Server: writer.id()}
-	chosen := []*engine{writer}
-	for _, e := range order {
+	placement := &Placement{Server: writer.id(), Helpers: ids(order[1:]), First: part + p.figures.Pass(1, r.job.Prompt)}
+	for _, e := range order[1:] {
 		if rest <= 0 {
 			break
 		}
-		if e == writer || e.isCold(now) || e.free() < p.figures.MemoryTokens/4 {
-			continue
+		if take := min(rest, e.free()); take > 0 {
+			placement.Holds = append(placement.Holds, Hold{Server: e.id(), Tokens: take})
+			rest -= take
 		}
-		take := min(rest, e.free())
-		placement.Holds = append(placement.Holds, Hold{Server: e.id(), Tokens: take})
-		chosen = append(chosen, e)
-		rest -= take
 	}
 	if rest > 0 {
 		return nil
 	}
-	heavy, _ := p.lanes(engines)
-	for _, e := range heavy {
-		if len(chosen) <= maxHelpers && !slices.Contains(chosen, e) && e.backlog(now) <= maxAhead && !e.isCold(now) {
-			chosen = append(chosen, e)
-		}
-	}
-	placement.Helpers = ids(chosen[1:])
-	for _, e := range chosen {
-		placement.First = max(placement.First, e.backlog(now)+p.figures.ReadShared(r.job.Prompt, len(chosen)))
+	for _, e := range order {
+		placement.First = max(placement.First, e.backlog(now)+part)
 	}
 	return placement
 }
--- a/schedules/job.go
+++ b/schedules/job.go
@@ -54,6 +54,7 @@
 	Reason     string        // of the refusal
 	Waited     time.Duration // time that the job spent in the queue
 	Waiting    int           // jobs in the queue when it was decided
+	Scheduler  string        // address of the daemon that decided, empty for the own one
 }
 
 // Outcome is how an attempt ended.
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -357,7 +357,7 @@
 		wait = p.figures.Write(p.figures.UsualAnswer, p.figures.Slots/2, 0)
 	}
 	p.refused++
-	wait += time.Duration(p.refused%retrySpread) * wait / (2 * retrySpread)
+	wait += time.Duration(p.refused%retrySpread) * wait / time.Duration(2*retrySpread)
 	return Decision{
 		Job: r.job.ID, Reason: reason, RetryAfter: min(maxRetryAfter, max(minRetryAfter, wait)),
 		Waited: now.Sub(r.arrived), Waiting: len(p.queue),
