--- a/controls/daemon.go
+++ b/controls/daemon.go
@@ -53,6 +53,7 @@
 // Daemon is a running control daemon.
 type Daemon struct {
 	cfg       Config
+	id        replicas.NodeID
 	reducer   *Reducer
 	storage   *storage
 	links     *peers.Links
@@ -83,6 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
+	d.id = logConfig.ID
 	d.reducer = NewReducer(logConfig)
 	d.leader.Store(&Lead{})
 	d.desk = desks.New(desks.Config{Log: cfg.Log, Reporter: cfg.Reporter, Timers: cfg.Timers})
@@ -124,6 +126,9 @@
 	return cfg
 }
 
+// ID returns the identity under which the daemon started.
+func (d *Daemon) ID() replicas.NodeID { return d.id }
+
 // Reseed replaces the addresses that are always asked for other daemons.
 func (d *Daemon) Reseed(seeds []string) { d.feeds.Reseed(seeds) }
 
--- /dev/null
+++ b/controls/daemon_test.go
@@ -0,0 +1,256 @@
+package controls
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/catalogs"
+	"gypsumshelf.example/gypsumshelf/replicas"
+	"gypsumshelf.example/gypsumshelf/rosters"
+	"gypsumshelf.example/gypsumshelf/timers"
+)
+
+// host is a place where a control daemon runs.
+type host struct {
+	t      *testing.T
+	ip     string
+	folder string
+	daemon *Daemon
+	id     replicas.NodeID
+	timers *timers.Service
+}
+
+// cluster is a set of hosts on loopback addresses with the same ports.
+type cluster struct {
+	t     *testing.T
+	port  int
+	hosts []*host
+	seeds []string
+}
+
+func newCluster(t *testing.T, n int) *cluster {
+	c := &cluster{t: t, port: freePorts(t)}
+	for range n {
+		c.add()
+	}
+	for _, h := range c.hosts[:min(3, n)] {
+		c.seeds = append(c.seeds, h.directoryAddress(c.port))
+	}
+	return c
+}
+
+// freePorts returns a port that is free together with the next one.
+func freePorts(t *testing.T) int {
+	t.Helper()
+	for range 50 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		port := l.Addr().(*net.TCPAddr).Port
+		next, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+1))
+		l.Close()
+		if err == nil {
+			next.Close()
+			return port
+		}
+	}
+	t.Fatal("no two adjacent ports are free")
+	return 0
+}
+
+func (h *host) directoryAddress(port int) string { return fmt.Sprintf("%s:%d", h.ip, port+1) }
+
+func (c *cluster) add() *host {
+	h := &host{t: c.t, ip: fmt.Sprintf("127.0.77.%d", len(c.hosts)+1), folder: c.t.TempDir()}
+	c.hosts = append(c.hosts, h)
+	return h
+}
+
+// listen opens a listener; the port of a daemon that has just ended may still
+// be in use for a moment.
+func (h *host) listen(port int) net.Listener {
+	h.t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", h.ip, port))
+		if err == nil {
+			return l
+		}
+		if time.Now().After(deadline) {
+			h.t.Fatal(err)
+		}
+	}
+}
+
+func (c *cluster) start(h *host, first bool) {
+	c.t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h.timers = timers.New(timers.Config{})
+	peers, directory := h.listen(c.port), h.listen(c.port+1)
+	d, err := Start(Config{
+		Daemon: gypsumshelf.DaemonID(peers.Addr().String()), DataCentre: "a", DataFolder: filepath.Join(h.folder, "log"),
+		Seeds: c.seeds, FirstStart: first, Peers: peers, Directory: directory, Decode: decode,
+		Silence: 3 * time.Second, Log: logrus.NewEntry(log), Timers: h.timers,
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	h.daemon, h.id = d, d.ID()
+	c.t.Cleanup(h.stop)
+}
+
+func (h *host) stop() {
+	if h.daemon != nil {
+		h.daemon.Close()
+		h.timers.Close()
+		h.daemon = nil
+	}
+}
+
+// wipe loses the disk of a stopped host.
+func (h *host) wipe() { h.folder = h.t.TempDir() }
+
+func decode([]byte) (*catalogs.Catalog, error) { return catalogs.New(catalogs.Spec{}) }
+
+// put sends a catalog to the hosts in turn until one acknowledges it.
+func (c *cluster) put(version uint64) {
+	c.t.Helper()
+	c.eventually(fmt.Sprintf("version %d is acknowledged", version), func(h *host) bool {
+		return h.daemon.Propose(context.Background(), catalogs.Command{
+			Action: catalogs.Put, Version: version, Document: []byte(fmt.Sprint(version)),
+		}) == nil
+	})
+}
+
+// assertVersion reads the newest state until a host is sure of it.
+func (c *cluster) assertVersion(want uint64) {
+	c.t.Helper()
+	c.eventually("a read is answered", func(h *host) bool {
+		s, err := h.daemon.Newest(context.Background())
+		if err == nil && s.Version != want {
+			c.t.Fatalf("%s answers version %d, want %d", h.ip, s.Version, want)
+		}
+		return err == nil
+	})
+}
+
+func (c *cluster) eventually(what string, ok func(h *host) bool) {
+	c.t.Helper()
+	for deadline := time.Now().Add(60 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		for _, h := range c.hosts {
+			if h.daemon != nil && ok(h) {
+				return
+			}
+		}
+	}
+	c.t.Fatalf("never happened: %s", what)
+}
+
+// awaitVoters waits until the running daemons, with their present disks, are
+// the voters.
+func (c *cluster) awaitVoters() {
+	c.t.Helper()
+	c.eventually("all running daemons vote", func(h *host) bool {
+		l := h.daemon.leader.Load()
+		for _, other := range c.hosts {
+			if other.daemon != nil && !l.Members.IsVoter(other.id) {
+				return false
+			}
+		}
+		return l.Self
+	})
+}
+
+// Guards against acknowledged configurations that are lost or go back when
+// hosts lose their disks, are replaced at another address, or all restart.
+func TestAcknowledgedStateSurvives(t *testing.T) {
+	c := newCluster(t, 5)
+	for _, h := range c.hosts {
+		c.start(h, true)
+	}
+	c.put(1)
+	c.awaitVoters()
+	t.Run("two disks are lost at once", func(t *testing.T) {
+		c.put(2)
+		for _, h := range c.hosts[:2] {
+			h.stop()
+			h.wipe()
+		}
+		c.assertVersion(2)
+		for _, h := range c.hosts[:2] {
+			c.start(h, false)
+		}
+		c.put(3)
+		c.awaitVoters()
+	})
+	t.Run("a host is replaced at another address", func(t *testing.T) {
+		c.hosts[2].stop()
+		h := c.add()
+		c.start(h, false)
+		c.put(4)
+		c.awaitVoters()
+	})
+	t.Run("all restart", func(t *testing.T) {
+		c.put(5)
+		for _, h := range c.hosts {
+			h.stop()
+		}
+		for i, h := range c.hosts {
+			if i != 2 {
+				c.start(h, false)
+			}
+		}
+		c.assertVersion(5)
+	})
+}
+
+// Guards against a daemon that answers a read although others may have moved on.
+func TestReadNeedsAQuorum(t *testing.T) {
+	c := newCluster(t, 3)
+	for _, h := range c.hosts {
+		c.start(h, true)
+	}
+	c.put(1)
+	c.awaitVoters()
+	c.assertVersion(1)
+	c.hosts[1].stop()
+	c.hosts[2].stop()
+	time.Sleep(2 * electionTimeout)
+	if s, err := c.hosts[0].daemon.Newest(context.Background()); err == nil {
+		t.Errorf("a daemon without a quorum answers version %d", s.Version)
+	}
+	if err := c.hosts[0].daemon.Propose(context.Background(), catalogs.Command{Action: catalogs.TakeOut, DataCentre: "a"}); err == nil {
+		t.Error("a daemon without a quorum acknowledges a command")
+	}
+}
+
+// Guards against a leave that only the daemon which acknowledged it knows.
+func TestLeaveIsKnownWhenItIsAcknowledged(t *testing.T) {
+	c := newCluster(t, 3)
+	for _, h := range c.hosts {
+		c.start(h, true)
+	}
+	c.put(1)
+	c.eventually("all daemons poll each other", func(h *host) bool { return len(h.daemon.feeds.Reachable()) == 2 })
+	r := rosters.Record{ID: "s1", Born: 1, Sequence: 1, Service: "x", Address: "127.0.0.1:1", DataCentre: "a"}
+	c.hosts[0].daemon.Announce(context.Background(), r)
+	r.Sequence, r.Leaving = 2, true
+	c.hosts[0].daemon.Announce(context.Background(), r)
+	for _, h := range c.hosts {
+		h.daemon.registry.mu.Lock()
+		k, known := h.daemon.registry.roster.Get("s1")
+		h.daemon.registry.mu.Unlock()
+		if known && k.Usable() {
+			t.Errorf("%s still uses a backend server whose leave was acknowledged", h.ip)
+		}
+	}
+}
--- a/schedules/choice.go
+++ b/schedules/choice.go
@@ -11,7 +11,7 @@
 const (
 	// lightPart is the part of a light prompt that one engine reads: two of them
 	// fit between two events of a short answer.
-	lightPart = 90 * time.Millisecond
+	lightPart = 85 * time.Millisecond
 	// lightHelpers bounds the engines that share a light prompt.
 	lightHelpers = 10
 	// maxHelpers is the number of helpers that an engine accepts in one request.
@@ -19,19 +19,19 @@
 	// maxAhead is the reading that is given to an engine in advance. More would
 	// fix the order of heavy prompts too early, less would leave engines idle
 	// between two decisions.
-	maxAhead = 440 * time.Millisecond
+	maxAhead = 600 * time.Millisecond
 	// maxPart is the longest part of a heavy prompt that one engine reads while
 	// others of the lane could share it: a longer one keeps the engine from
 	// everything else for too long. Where the lane is so small that equal parts
 	// are longer, parts may be partSpread times as long as those.
-	maxPart    = 500 * time.Millisecond
+	maxPart    = 1500 * time.Millisecond
 	partSpread = 1.5
 	// urgentShare is the part of its target that a heavy prompt waits for
 	// engines whose answers it does not disturb.
-	urgentShare = 0.1
+	urgentShare = 0.15
 	// wrongLane is added to the predicted time of a light prompt on an engine
 	// that is kept for heavy ones.
-	wrongLane = 370 * time.Millisecond
+	wrongLane = 215 * time.Millisecond
 	// disturbance is added when an engine's answers would pause for too long.
 	disturbance = 160 * time.Millisecond
 	// otherDataCentre is added for an engine in another data centre: a round
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -13,10 +13,10 @@
 const (
 	// demandMemory is the time after which demand counts 1/e: it follows a
 	// burst of long prompts within seconds and outlasts the gaps between them.
-	demandMemory = 3500 * time.Millisecond
+	demandMemory = 3 * time.Second
 	// laneUse is the share of the heavy lane's time that heavy prompts may fill
 	// before a prompt often waits for another one.
-	laneUse = 0.36
+	laneUse = 0.32
 	// laneSpare engines are added to the heavy lane, so that one heavy prompt is
 	// read by several engines even when there are few of them.
 	laneSpare = 2
@@ -27,7 +27,7 @@
 	laneHeadroom = 0.15
 	// lightMemory is the time after which the highest number of light answers
 	// counts 1/e, a little longer than such an answer takes.
-	lightMemory = 900 * time.Millisecond
+	lightMemory = 600 * time.Millisecond
 	// leastDemand is the reading, in engines, below which no lane is kept.
 	leastDemand = 0.02
 	// maxRetryAfter bounds the time after which a refused caller is asked to
