--- a/schedules/choice.go
+++ b/schedules/choice.go
@@ -100,13 +100,12 @@
 	var best *engine
 	var bestScore, first time.Duration
 	for i, e := range engines {
-		n, _, _ := e.writers()
-		if n >= p.figures.Slots || e.free() < r.job.Prompt+r.job.Answer {
+		if e.sum.writers >= p.figures.Slots || e.free() < r.job.Prompt+r.job.Answer {
 			continue
 		}
 		part := r.alone / time.Duration(parts)
 		predicted := e.firstEvent(now, part, r.job.Prompt)
-		score := predicted + time.Duration(n)*perWriter
+		score := predicted + time.Duration(e.sum.writers)*perWriter
 		if i < len(heavy) {
 			score += wrongLane
 		}
@@ -155,15 +154,40 @@
 	return out
 }
 
+// reader is an engine of the heavy lane with what decides about a heavy prompt.
+type reader struct {
+	engine    *engine
+	backlog   time.Duration
+	allowance time.Duration
+	pace      float64
+}
+
+// heavyReaders returns the engines that may read parts of a heavy prompt, the
+// least busy first.
+func (p *pool) heavyReaders(now time.Time, engines []*engine, urgent bool) (readers []reader, lane int) {
+	heavy, _ := p.lanes(engines)
+	if len(heavy) == 0 {
+		heavy = engines
+	}
+	for _, e := range heavy {
+		if backlog := e.backlog(now); !e.committed() && backlog <= maxAhead {
+			readers = append(readers, reader{engine: e, backlog: backlog, allowance: e.allowance(now, urgent), pace: e.currentPace(now)})
+		}
+	}
+	slices.SortStableFunc(readers, func(a, b reader) int { return cmp.Compare(a.backlog, b.backlog) })
+	return readers, len(heavy)
+}
+
 // chooseHeavy shares the reading over as many engines as bring the first event
-// earlier, without disturbing answers on them.
+// earlier, without disturbing answers on them. When the job is urgent, answers
+// may pause for as long as their callers accept.
 func (p *pool) chooseHeavy(now time.Time, r *run, engines []*engine) *Placement {
-	heavy, _ := p.lanes(engines)
 	urgent := now.Sub(r.arrived) > time.Duration(urgentShare*float64(r.job.Target))
+	readers, lane := p.heavyReaders(now, engines, urgent)
+	longest := max(maxPart, time.Duration(partSpread*float64(r.alone)/float64(max(1, lane))))
 	var best []*engine
 	var finish time.Duration
-	longest := max(maxPart, time.Duration(partSpread*float64(r.alone)/float64(max(1, len(heavy)))))
-	for k := 1; k <= min(len(engines), maxHelpers+1); k++ {
+	for k := 1; k <= min(len(readers), maxHelpers+1); k++ {
 		part := r.alone / time.Duration(k)
 		if part > longest {
 			continue
@@ -171,7 +195,7 @@
 		if part < lightPart && best != nil {
 			break
 		}
-		group, end := p.group(now, r, engines, heavy, k, part, urgent)
+		group, end := p.group(readers, r, k, part)
 		if group != nil && (best == nil || end < finish) {
 			best, finish = group, end
 		}
@@ -182,40 +206,36 @@
 	return &Placement{Server: best[0].id(), Helpers: ids(best[1:]), First: finish + p.figures.Pass(1, r.job.Prompt)}
 }
 
-// group returns k engines of the heavy lane that can read a part each, the
-// writer first, and the time until they have read it. When the job is urgent
-// they are used even if that disturbs their answers.
-func (p *pool) group(now time.Time, r *run, engines, heavy []*engine, k int, part time.Duration, urgent bool) ([]*engine, time.Duration) {
-	lane := heavy
-	if len(lane) == 0 {
-		lane = engines
-	}
-	var able []*engine
-	for _, e := range lane {
-		need := time.Duration(float64(part) * e.currentPace(now))
-		if !e.committed() && e.backlog(now) <= maxAhead && e.allowance(now, urgent) >= need {
-			able = append(able, e)
+// group returns k engines that can read a part each, the writer first, and the
+// time until they have read it.
+func (p *pool) group(readers []reader, r *run, k int, part time.Duration) ([]*engine, time.Duration) {
+	able := make([]reader, 0, len(readers))
+	engines := make([]*engine, 0, len(readers))
+	for _, c := range readers {
+		if c.allowance >= time.Duration(float64(part)*c.pace) {
+			able = append(able, c)
+			engines = append(engines, c.engine)
 		}
 	}
-	slices.SortStableFunc(able, func(a, b *engine) int { return cmp.Compare(a.backlog(now), b.backlog(now)) })
-	writer := p.writer(able, r.job.Prompt+r.job.Answer)
-	if writer == nil || len(able) < k {
+	if len(able) < k {
+		return nil, 0
+	}
+	writer := p.writer(engines, r.job.Prompt+r.job.Answer)
+	if writer == nil {
 		return nil, 0
 	}
 	group := []*engine{writer}
-	end := writer.backlog(now)
-	for _, e := range able {
-		if len(group) == k {
-			break
+	var end time.Duration
+	slowest := 1.0
+	for _, c := range able {
+		if c.engine != writer && len(group) == k {
+			continue
 		}
-		if e != writer {
-			group = append(group, e)
-			end = max(end, e.backlog(now))
+		if c.engine != writer {
+			group = append(group, c.engine)
 		}
-	}
-	slowest := 1.0
-	for _, e := range group {
-		slowest = max(slowest, e.currentPace(now))
+		end = max(end, c.backlog)
+		slowest = max(slowest, c.pace)
 	}
 	return group, end + time.Duration(float64(part)*slowest)
 }
@@ -226,7 +246,7 @@
 func (p *pool) writer(engines []*engine, tokens int) *engine {
 	var best *engine
 	for _, e := range engines {
-		if n, _, _ := e.writers(); n >= p.figures.Slots || e.free() < tokens {
+		if e.sum.writers >= p.figures.Slots || e.free() < tokens {
 			continue
 		}
 		if best == nil || e.free() < best.free() {
@@ -263,7 +283,7 @@
 	order := slices.Clone(engines)
 	slices.SortStableFunc(order, func(a, b *engine) int { return cmp.Compare(b.free(), a.free()) })
 	writer := order[0]
-	if n, _, _ := writer.writers(); n >= p.figures.Slots {
+	if writer.sum.writers >= p.figures.Slots {
 		return nil
 	}
 	rest := r.job.Prompt + r.job.Answer - writer.free()
--- a/schedules/engine.go
+++ b/schedules/engine.go
@@ -48,6 +48,7 @@
 	state     EngineState
 	figures   *costs.Engine
 	parts     map[JobID]*part
+	sum       summary   // of parts
 	readUntil time.Time // predicted end of all reading
 	reads     []reading // in the order of their ends
 	avoid     time.Time // no work before this time
@@ -89,28 +90,52 @@
 	return max(1, e.pace)
 }
 
-// writers returns the number of answers in progress or about to begin, the sum
-// of all contexts, and the shortest pause that their callers accept.
-func (e *engine) writers() (n, context int, gap time.Duration) {
+// summary is what decisions need to know of an engine's parts. It is kept
+// beside them, because every decision asks all engines for it.
+type summary struct {
+	writers   int           // answers in progress or about to begin
+	light     int           // those of light prompts
+	context   int           // tokens in memory
+	gap       time.Duration // shortest pause that the callers of the writers accept
+	committed bool          // a heavy prompt that the engine will answer is not read yet
+}
+
+// put adds or replaces a job's part.
+func (e *engine) put(p *part) {
+	e.parts[p.job.job.ID] = p
+	e.summarize()
+}
+
+// remove ends a job's part.
+func (e *engine) remove(id JobID) {
+	if _, ok := e.parts[id]; ok {
+		delete(e.parts, id)
+		e.summarize()
+	}
+}
+
+func (e *engine) summarize() {
+	e.sum = summary{}
 	for _, p := range e.parts {
-		context += p.context
-		if p.writes {
-			n++
-			if gap == 0 || p.job.job.Gap < gap {
-				gap = p.job.job.Gap
-			}
+		e.sum.context += p.context
+		if !p.writes {
+			continue
+		}
+		e.sum.writers++
+		if !p.job.heavy {
+			e.sum.light++
+		} else if !p.job.started {
+			e.sum.committed = true
+		}
+		if e.sum.gap == 0 || p.job.job.Gap < e.sum.gap {
+			e.sum.gap = p.job.job.Gap
 		}
 	}
-	return n, context, gap
 }
 
 // free returns the tokens that still fit into the engine's memory.
 func (e *engine) free() int {
-	used := 0
-	for _, p := range e.parts {
-		used += p.context
-	}
-	return int(memoryShare*float64(e.figures.MemoryTokens)) - used
+	return int(memoryShare*float64(e.figures.MemoryTokens)) - e.sum.context
 }
 
 // backlog returns the time until the engine has read what it was given.
@@ -122,14 +147,14 @@
 // urgent, pauses stay below calmPause even if callers would accept more: an
 // answer that advances slowly keeps its memory and its slot for longer.
 func (e *engine) allowance(now time.Time, urgent bool) time.Duration {
-	n, context, gap := e.writers()
-	if n == 0 {
+	if e.sum.writers == 0 {
 		return time.Hour
 	}
+	gap := e.sum.gap
 	if !urgent {
 		gap = min(gap, calmPause)
 	}
-	pass := e.figures.Pass(n, context)
+	pass := e.figures.Pass(e.sum.writers, e.sum.context)
 	e.reads = slices.DeleteFunc(e.reads, func(r reading) bool { return now.Sub(r.until) > pass })
 	left := gap - pass - gapMargin
 	for _, r := range e.reads {
@@ -141,22 +166,14 @@
 // committed reports whether the engine still has to read its own part of a
 // heavy prompt that it will answer. Parts that it reads as a helper go ahead of
 // its own ones, so that more of them would hold that answer up.
-func (e *engine) committed() bool {
-	for _, p := range e.parts {
-		if p.writes && p.job.heavy && !p.job.started {
-			return true
-		}
-	}
-	return false
-}
+func (e *engine) committed() bool { return e.sum.committed }
 
 // firstEvent predicts the time to the first event of a new answer whose prompt
 // the engine reads in part: the pass in progress, then one with the reading.
 func (e *engine) firstEvent(now time.Time, part time.Duration, prompt int) time.Duration {
-	n, context, _ := e.writers()
-	t := e.backlog(now) + part + e.figures.Pass(n+1, context+prompt)
-	if n > 0 {
-		t += e.figures.Pass(n, context) / 2
+	t := e.backlog(now) + part + e.figures.Pass(e.sum.writers+1, e.sum.context+prompt)
+	if e.sum.writers > 0 {
+		t += e.figures.Pass(e.sum.writers, e.sum.context) / 2
 	}
 	return time.Duration(float64(t) * e.currentPace(now))
 }
--- a/schedules/job.go
+++ b/schedules/job.go
@@ -46,6 +46,11 @@
 	First   time.Duration          // predicted time to the first event
 }
 
+// engines returns all engines of the placement, the writer first.
+func (p *Placement) engines() []gypsumshelf.ServerID {
+	return append([]gypsumshelf.ServerID{p.Server}, p.Helpers...)
+}
+
 // Decision is what the scheduler decided about one job.
 type Decision struct {
 	Job        JobID
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -136,7 +136,7 @@
 		return []Decision{p.refuse(now, r, "the queue is longer than the caller waits")}
 	}
 	p.queue = append(p.queue, r)
-	return s.drain(now, p)
+	return s.drain(now, p, r.heavy)
 }
 
 // admit creates the run of a job and counts its demand.
@@ -159,8 +159,9 @@
 	}
 	r := s.admit(now, p, job)
 	p.assign(now, r, &placement)
-	r.started = started
-	p.settle(now, r)
+	if r.started = started; started {
+		p.settle(now, r)
+	}
 }
 
 // Started notes the first event of a job.
@@ -171,8 +172,10 @@
 	}
 	r.started = true
 	p := s.pools[r.job.Service]
-	p.settle(now, r)
-	return s.drain(now, p)
+	if r.placement != nil {
+		p.settle(now, r)
+	}
+	return s.drain(now, p, lightOnly)
 }
 
 // End notes the end of a job, placed or waiting. The blamed engine, when there
@@ -188,10 +191,12 @@
 		p.queue = slices.DeleteFunc(p.queue, func(o *run) bool { return o == r })
 		return nil
 	}
-	for _, e := range p.order {
-		delete(e.parts, id)
+	for _, engine := range r.placement.engines() {
+		if e := p.engines[engine]; e != nil {
+			e.remove(id)
+			e.settle(now)
+		}
 	}
-	p.settle(now, r)
 	if e := p.engines[cmp.Or(blamed, r.placement.Server)]; e != nil {
 		switch {
 		case outcome.Failure():
@@ -200,7 +205,7 @@
 			e.succeed()
 		}
 	}
-	return s.drain(now, p)
+	return s.drain(now, p, lightOnly)
 }
 
 // Report takes the pace that an engine reports.
@@ -231,7 +236,7 @@
 		}
 	}
 	for _, p := range s.pools {
-		decisions = append(decisions, s.drain(now, p)...)
+		decisions = append(decisions, s.drain(now, p, everyJob)...)
 	}
 	return decisions
 }
@@ -245,15 +250,29 @@
 	return n
 }
 
+// Which waiting jobs are looked at. A heavy job waits for several engines and
+// is costly to place, so that the end of a single answer is no reason to try it.
+const (
+	lightOnly = false
+	everyJob  = true
+)
+
 // drain places and refuses waiting jobs, the most urgent first.
-func (s *Scheduler) drain(now time.Time, p *pool) []Decision {
+func (s *Scheduler) drain(now time.Time, p *pool, heavy bool) []Decision {
 	p.decay(now)
 	p.observeLight(now)
+	if len(p.queue) == 0 {
+		return nil
+	}
 	var decisions []Decision
 	slices.SortStableFunc(p.queue, func(a, b *run) int { return p.compare(now, a, b) })
 	waiting, late := len(p.queue), 0
 	kept := p.queue[:0]
 	for _, r := range p.queue {
+		if r.heavy && !heavy {
+			kept = append(kept, r)
+			continue
+		}
 		d := Decision{Job: r.job.ID, Waited: now.Sub(r.arrived), Waiting: waiting}
 		placement := p.choose(now, r)
 		if placement == nil && !r.heavy && p.late(now, r) {
@@ -389,11 +408,7 @@
 func (p *pool) observeLight(now time.Time) {
 	n := 0
 	for _, e := range p.order {
-		for _, part := range e.parts {
-			if part.writes && !part.job.heavy {
-				n++
-			}
-		}
+		n += e.sum.light
 	}
 	for _, r := range p.queue {
 		if !r.heavy {
@@ -406,18 +421,19 @@
 	p.light, p.lightAt = max(p.light, float64(n)), now
 }
 
-// settle corrects the predictions of the engines after a job read its prompt or ended.
+// settle corrects the predictions of the engines after a job's prompt is read.
 func (p *pool) settle(now time.Time, r *run) {
-	if r.placement == nil {
-		return
-	}
-	for _, id := range append([]gypsumshelf.ServerID{r.placement.Server}, r.placement.Helpers...) {
-		if e := p.engines[id]; e != nil {
-			if part := e.parts[r.job.ID]; part != nil && !part.writes && r.started && part.context == 0 {
-				delete(e.parts, r.job.ID) // a helper is done once the prompt is read
-			}
-			e.settle(now)
+	for _, id := range r.placement.engines() {
+		e := p.engines[id]
+		if e == nil {
+			continue
+		}
+		if part := e.parts[r.job.ID]; part != nil && !part.writes && part.context == 0 {
+			e.remove(r.job.ID) // a helper is done once the prompt is read
+		} else {
+			e.summarize()
 		}
+		e.settle(now)
 	}
 }
 
@@ -431,7 +447,7 @@
 		rest -= h.Tokens
 	}
 	read := r.alone / time.Duration(1+len(placement.Helpers))
-	for i, id := range append([]gypsumshelf.ServerID{placement.Server}, placement.Helpers...) {
+	for i, id := range placement.engines() {
 		e := p.engines[id]
 		if e == nil {
 			continue
@@ -440,7 +456,7 @@
 		if i == 0 {
 			part.context = max(0, rest)
 		}
-		e.parts[r.job.ID] = part
+		e.put(part)
 		e.read(now, read)
 		if i == 0 && e.isCold(now) {
 			e.cold.AllowN(now, 1)
--- a/schedules/simulation_test.go
+++ b/schedules/simulation_test.go
@@ -48,16 +48,18 @@
 
 // simulated is a job in the simulation.
 type simulated struct {
-	class   *class
-	job     Job
-	arrived time.Duration
-	events  int
-	parts   int // still to be read
-	first   time.Duration
-	last    time.Duration
-	gap     time.Duration
-	done    bool
-	refused bool
+	class     *class
+	job       Job
+	arrived   time.Duration
+	events    int
+	parts     int // still to be read
+	first     time.Duration
+	last      time.Duration
+	gap       time.Duration
+	done      bool
+	placement *Placement
+	placedAt  time.Duration
+	refused   bool
 }
 
 // simEngine executes passes as the platform's page describes them.
@@ -196,6 +198,7 @@
 		}
 		ids := append([]gypsumshelf.ServerID{d.Placement.Server}, d.Placement.Helpers...)
 		j.parts = len(ids)
+		j.placement, j.placedAt = d.Placement, s.now
 		ms := float64(s.figures.Read(j.job.Prompt)) / 1e6 / float64(len(ids))
 		for i, id := range ids {
 			e := s.engines[id]
