--- a/cmd/gypsumshelf/config.go
+++ b/cmd/gypsumshelf/config.go
@@ -19,7 +19,7 @@
 		Short: "Check a settings file and print every fault with its line and key",
 		Args:  cobra.ExactArgs(1),
 		RunE: run(func(cmd *cobra.Command, args []string) error {
-			_, err := settings.Load(args[0])
+			err := settings.Check(args[0])
 			var faults settings.Faults
 			if errors.As(err, &faults) {
 				for _, f := range faults {
--- a/settings/host.go
+++ b/settings/host.go
@@ -84,6 +84,25 @@
 	return ParseHost(data)
 }
 
+// Check reads and checks a settings file of either kind: that of a host, which
+// names a role, or that of a daemon that is told all its peers.
+func Check(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return merry.Prepend(err, "settings file cannot be read")
+	}
+	value, err := hujson.Parse(data)
+	if err != nil {
+		return merry.Prepend(err, "settings are not valid JSON with comments")
+	}
+	if value.Find("/role") != nil {
+		_, err = ParseHost(data)
+	} else {
+		_, err = Parse(data)
+	}
+	return err
+}
+
 // ParseHost decodes and checks the settings of a host.
 func ParseHost(data []byte) (Host, error) {
 	h := Host{LogLevel: "info"}
--- /dev/null
+++ b/settings/host_test.go
@@ -0,0 +1,148 @@
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// fields are what the platform fills into the settings template.
+func fields(role string, more map[string]any) map[string]any {
+	f := map[string]any{
+		"node": role + "-1", "ip": "10.1.0.40", "zone": "wien-nord", "region": "ostalpen",
+		"internalPorts": []any{7340, 7355}, "seeds": []any{"10.1.0.42:8229", "10.2.0.30:8229", "10.3.0.20:8229"},
+		"bootstrap": true, "heartbeatMs": 1200,
+		"bounds": map[string]any{"graceS": 8, "retryBudgetRatio": 0.2, "budgetSlack": 106, "budgetWindowS": 10},
+	}
+	for k, v := range more {
+		f[k] = v
+	}
+	return f
+}
+
+func lookUp(f map[string]any, path string) any {
+	var v any = f
+	for name := range strings.SplitSeq(path, ".") {
+		switch x := v.(type) {
+		case map[string]any:
+			v = x[name]
+		case []any:
+			i, err := strconv.Atoi(name)
+			if err != nil || i >= len(x) {
+				return nil
+			}
+			v = x[i]
+		default:
+			return nil
+		}
+	}
+	return v
+}
+
+var (
+	section     = regexp.MustCompile(`(?s)\{\{([#^])([\w.]+)\}\}(.*?)\{\{/[\w.]+\}\}`)
+	placeholder = regexp.MustCompile(`\{\{([\w.]+)(\|json)?\}\}`)
+)
+
+// render fills the parts of the platform's template language that the template uses.
+func render(t *testing.T, text string, f map[string]any) []byte {
+	t.Helper()
+	text = section.ReplaceAllStringFunc(text, func(s string) string {
+		m := section.FindStringSubmatch(s)
+		if (lookUp(f, m[2]) != nil) == (m[1] == "#") {
+			return m[3]
+		}
+		return ""
+	})
+	return []byte(placeholder.ReplaceAllStringFunc(text, func(s string) string {
+		m := placeholder.FindStringSubmatch(s)
+		v := lookUp(f, m[1])
+		if m[2] == "" {
+			if v == nil {
+				return ""
+			}
+			return fmt.Sprint(v)
+		}
+		data, err := json.Marshal(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(data)
+	}))
+}
+
+// Guards against a template whose result the daemons refuse to start with.
+func TestTemplateYieldsHostSettings(t *testing.T) {
+	template, err := os.ReadFile("../deploy/settings.hujson.tmpl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	entry := fields("front", map[string]any{"listen": map[string]any{"front": "10.1.0.40:8227", "ready": "10.1.0.40:8220"}})
+	control := fields("core", map[string]any{"listen": map[string]any{"control": "10.1.0.42:8229"}, "dataDir": "/data/control"})
+	for _, test := range []struct {
+		role   string
+		fields map[string]any
+	}{{RoleEntry, entry}, {RoleControl, control}} {
+		t.Run(test.role, func(t *testing.T) {
+			h, err := ParseHost(render(t, string(template), test.fields))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if h.Role != test.role || h.Bounds.Grace != Duration(8*time.Second) || !h.FirstStart || h.Bounds.Heartbeat != Duration(1200*time.Millisecond) {
+				t.Errorf("settings are %+v", h)
+			}
+			if got := h.Directories(); len(got) != 3 || got[0] != "10.1.0.42:7341" {
+				t.Errorf("directories are %v", got)
+			}
+		})
+	}
+}
+
+// Guards against settings that a daemon starts with although it cannot work.
+func TestHostFaultsNameTheirKeys(t *testing.T) {
+	const good = `{"daemon":"c1","role":"control","address":"10.0.0.1","data-centre":"a","data-folder":"/d","seeds":["10.0.0.1:1"],
+"ports":{"internal":7340},"listen":{"control":"10.0.0.1:2"},"bounds":{"grace":"8s","heartbeat":"1s","retry-window":"10s"}}`
+	if _, err := ParseHost([]byte(good)); err != nil {
+		t.Fatal(err)
+	}
+	for key, change := range map[string][2]string{
+		"role":           {`"control","address"`, `"other","address"`},
+		"data-folder":    {`"/d"`, `""`},
+		"seeds":          {`["10.0.0.1:1"]`, `[]`},
+		"listen.control": {`"10.0.0.1:2"`, `"host:2"`},
+		"bounds.grace":   {`"8s"`, `"0s"`},
+		"daemonn":        {`"daemon"`, `"daemonn"`},
+	} {
+		_, err := ParseHost([]byte(strings.Replace(good, change[0], change[1], 1)))
+		var faults Faults
+		if !errors.As(err, &faults) || faults[0].Key != key {
+			t.Errorf("fault is %v, want one of %s", err, key)
+		}
+	}
+}
+
+// Guards against a change of the settings file that goes unnoticed without a signal.
+func TestWatchNoticesChanges(t *testing.T) {
+	path := t.TempDir() + "/settings"
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("one")
+	w := NewWatch(path)
+	if w.Changed() {
+		t.Error("an unchanged file counts as changed")
+	}
+	write("three")
+	if !w.Changed() || w.Changed() {
+		t.Error("a change is not noticed once")
+	}
+}
