--- a/cmd/gypsumshelf/main.go
+++ b/cmd/gypsumshelf/main.go
@@ -49,7 +49,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: false,
 	}
-	root.AddCommand(newServe(), newConfig(), newHost(), newDemo(), newStandIns(), newMeasure(), newLoad())
+	root.AddCommand(newServe(), newConfig(), newHost(), newSoak(), newDemo(), newStandIns(), newMeasure(), newLoad())
 	root.AddCommand(newStatus(), newClass(), newDataCentre(), newName(), newExplain())
 	return root
 }
--- /dev/null
+++ b/cmd/gypsumshelf/soak.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"gypsumshelf.example/gypsumshelf/platform/soaks"
+)
+
+func newSoak() *cobra.Command {
+	var seed uint64
+	var seconds, runs int
+	cmd := &cobra.Command{
+		Use:   "soak",
+		Short: "Run daemons as processes on this machine, inject faults and check what callers see",
+		Args:  cobra.NoArgs,
+		RunE: run(func(cmd *cobra.Command, _ []string) error {
+			binary, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			log := logrus.New()
+			log.SetOutput(cmd.ErrOrStderr())
+			log.SetFormatter(&logrus.JSONFormatter{})
+			failed := 0
+			for i := range uint64(runs) {
+				folder, err := os.MkdirTemp("", "gypsumshelf-soak-")
+				if err != nil {
+					return err
+				}
+				found, err := soaks.Run(cmd.Context(), soaks.Config{
+					Seed: seed + i, Duration: time.Duration(seconds) * time.Second, Binary: binary, Folder: folder, Log: logrus.NewEntry(log),
+				})
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(cmd.OutOrStdout(), "seed %d: %d broken promises\n", seed+i, len(found))
+				for _, f := range found {
+					fmt.Fprintf(cmd.OutOrStdout(), "  %s\n", f)
+				}
+				if len(found) > 0 {
+					failed++
+					fmt.Fprintf(cmd.OutOrStdout(), "  logs are in %s\n", folder)
+				}
+			}
+			if failed > 0 {
+				return fmt.Errorf("%d of %d soaks broke a promise", failed, runs)
+			}
+			return nil
+		}),
+	}
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the first run")
+	cmd.Flags().IntVar(&seconds, "seconds", 20, "time with faults in each run")
+	cmd.Flags().IntVar(&runs, "runs", 1, "number of runs, each with the next seed")
+	return cmd
+}
