--- a/cmd/gypsumshelf/operators.go
+++ b/cmd/gypsumshelf/operators.go
@@ -4,12 +4,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/logs"
 	"gypsumshelf.example/gypsumshelf/configs"
 	"gypsumshelf.example/gypsumshelf/operators"
 	"gypsumshelf.example/gypsumshelf/settings"
@@ -112,11 +114,15 @@
 
 func newExplain() *cobra.Command {
 	f := &operatorFlags{}
+	var files []string
 	cmd := &cobra.Command{Use: "explain REQUEST-ID", Short: "Explain the decisions for a request", Args: cobra.ExactArgs(1)}
 	cmd.RunE = run(func(cmd *cobra.Command, args []string) error {
 		if args[0] == "" {
 			return errors.New("request id is empty")
 		}
+		if len(files) > 0 {
+			return explainFromLogs(cmd.OutOrStdout(), gypsumshelf.RequestID(args[0]), files)
+		}
 		notes, err := f.client().Explain(cmd.Context(), gypsumshelf.RequestID(args[0]))
 		if err != nil {
 			return err
@@ -128,5 +134,33 @@
 		})
 	})
 	addQueryFlags(cmd, f)
+	cmd.Flags().StringArrayVar(&files, "log", nil, "log file of a daemon; repeat it for several, instead of asking a server")
 	return cmd
 }
+
+// explainFromLogs prints what log files say about a request, in time order.
+func explainFromLogs(w io.Writer, id gypsumshelf.RequestID, names []string) error {
+	var readers []io.Reader
+	for _, name := range names {
+		f, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		readers = append(readers, f)
+	}
+	story, err := logs.Read(id, readers...)
+	if err != nil {
+		return err
+	}
+	for _, e := range story.Entries {
+		fmt.Fprintln(w, e)
+	}
+	if story.Skipped > 0 {
+		fmt.Fprintf(w, "%d lines were skipped: they are cut short or not lines of a daemon\n", story.Skipped)
+	}
+	if len(story.Entries) == 0 {
+		return fmt.Errorf("no line names request %s", id)
+	}
+	return nil
+}
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -82,6 +82,49 @@
 	}
 }
 
+// awaitCatalog returns the catalog in force. A daemon that has just started
+// gets one within a second or two, for which requests wait.
+func (f *Forwarder) awaitCatalog(ctx context.Context, deadline time.Duration) *catalogs.Catalog {
+	if c := f.catalog.Load(); c != nil {
+		return c
+	}
+	wait := catalogWait
+	if deadline > 0 {
+		wait = min(wait, time.Duration(catalogWaitShare*float64(deadline)))
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-f.ready:
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return f.catalog.Load()
+}
+
+const (
+	// catalogWait is below the 2 s after which callers of short prompts leave.
+	catalogWait = 1600 * time.Millisecond
+	// catalogWaitShare leaves the caller time to come back to another daemon.
+	catalogWaitShare = 0.4
+)
+
+// ShareRetries tells the forwarder how many daemons share the budget of second
+// attempts.
+func (f *Forwarder) ShareRetries(daemons int) {
+	b := f.cfg.Retries.budget(daemons)
+	f.budgetMu.Lock()
+	defer f.budgetMu.Unlock()
+	f.budget.Resize(b.PerSecond, b.Burst)
+}
+
+// SetCatalog puts a catalog in force for requests that arrive from now on.
+func (f *Forwarder) SetCatalog(c *catalogs.Catalog) {
+	if f.catalog.Swap(c) == nil {
+		close(f.ready)
+	}
+}
+
 // awaitCatalog returns the catalog in force. A daemon that has just started
 // gets one within a second or so, for which requests wait.
 func (f *Forwarder) awaitCatalog(ctx context.Context) *catalogs.Catalog {
@@ -204,7 +247,7 @@
 
 // admit finds the route and checks the key. It reports false after an answer.
 func (d *delivery) admit() bool {
-	d.catalog = d.forwarder.awaitCatalog(d.r.Context())
+	d.catalog = d.forwarder.awaitCatalog(d.r.Context(), d.meta.Deadline)
 	switch {
 	case d.forwarder.closing.Load():
 		return d.refuse(http.StatusServiceUnavailable, stopRetryAfter, "the daemon is stopping")
@@ -236,7 +279,7 @@
 	// stopRetryAfter and startRetryAfter are as long as a new connection takes
 	// to reach another daemon.
 	stopRetryAfter  = 50 * time.Millisecond
-	startRetryAfter = 200 * time.Millisecond
+	startRetryAfter = 400 * time.Millisecond
 )
 
 func (d *delivery) readBody() bool {
