--- a/cmd/gypsumshelf/operators.go
+++ b/cmd/gypsumshelf/operators.go
@@ -11,8 +11,8 @@
 	"github.com/spf13/cobra"
 
 	"gypsumshelf.example/gypsumshelf"
-	"gypsumshelf.example/gypsumshelf/logs"
 	"gypsumshelf.example/gypsumshelf/configs"
+	"gypsumshelf.example/gypsumshelf/logs"
 	"gypsumshelf.example/gypsumshelf/operators"
 	"gypsumshelf.example/gypsumshelf/settings"
 )
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -109,41 +109,6 @@
 	catalogWaitShare = 0.4
 )
 
-// ShareRetries tells the forwarder how many daemons share the budget of second
-// attempts.
-func (f *Forwarder) ShareRetries(daemons int) {
-	b := f.cfg.Retries.budget(daemons)
-	f.budgetMu.Lock()
-	defer f.budgetMu.Unlock()
-	f.budget.Resize(b.PerSecond, b.Burst)
-}
-
-// SetCatalog puts a catalog in force for requests that arrive from now on.
-func (f *Forwarder) SetCatalog(c *catalogs.Catalog) {
-	if f.catalog.Swap(c) == nil {
-		close(f.ready)
-	}
-}
-
-// awaitCatalog returns the catalog in force. A daemon that has just started
-// gets one within a second or so, for which requests wait.
-func (f *Forwarder) awaitCatalog(ctx context.Context) *catalogs.Catalog {
-	if c := f.catalog.Load(); c != nil {
-		return c
-	}
-	timer := time.NewTimer(catalogWait)
-	defer timer.Stop()
-	select {
-	case <-f.ready:
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-	return f.catalog.Load()
-}
-
-// catalogWait is below the time after which callers of short requests give up.
-const catalogWait = 900 * time.Millisecond
-
 // Catalog returns the catalog in force, nil before the first.
 func (f *Forwarder) Catalog() *catalogs.Catalog { return f.catalog.Load() }
 
