--- a/entries/error_test.go
+++ b/entries/error_test.go
@@ -8,7 +8,7 @@
 
 // Guards against an error code that operators cannot look up.
 func TestEveryCodeIsDocumented(t *testing.T) {
-	page, err := os.ReadFile("../docs/operations.md")
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
