Divide what a cold engine bears among schedulers that do not know of each other

A cold engine is also no longer given parts of heavy prompts, and control daemons pass on that a backend server stays cold for longer.

--- a/controls/registry.go
+++ b/controls/registry.go
@@ -80,7 +80,7 @@
 		return
 	}
 	g.heard[r.ID] = now
-	if known && sameStatement(old.Record, r) {
+	if known && sameStatement(now, old, r) {
 		return
 	}
 	g.logChange(old, known, r)
@@ -88,13 +88,17 @@
 	g.publisher.Publish(r)
 }
 
-// sameStatement reports whether two statements differ only in what all
-// subscribers can do without.
-func sameStatement(a, b rosters.Record) bool {
-	a.Sequence, b.Sequence = 0, 0
-	wasCold, isCold := a.Cold > 0, b.Cold > 0
-	a.Cold, b.Cold = 0, 0
-	return a == b && wasCold == isCold
+// coldSlack is the time by which a backend server may be cold for longer than
+// is known before that is news.
+const coldSlack = 500 * time.Millisecond
+
+// sameStatement reports whether a statement says nothing new that subscribers
+// need. A backend server that is cold for longer than it was said is news.
+func sameStatement(now time.Time, old rosters.Known, r rosters.Record) bool {
+	longer := r.Cold > 0 && now.Add(r.Cold).After(old.ColdUntil.Add(coldSlack))
+	a := old.Record
+	a.Sequence, a.Cold = r.Sequence, r.Cold
+	return a == r && !longer
 }
 
 func (g *registry) logChange(old rosters.Known, known bool, r rosters.Record) {
@@ -123,7 +127,7 @@
 			}
 			continue
 		}
-		if !known || !sameStatement(old.Record, r) {
+		if !known || !sameStatement(now, old, r) {
 			g.publisher.Publish(r)
 			changed = true
 		}
--- /dev/null
+++ b/controls/registry_test.go
@@ -0,0 +1,36 @@
+package controls
+
+import (
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf/rosters"
+)
+
+// Guards against news of a backend server that is not passed on: one that turned
+// cold again while it was cold would get the work of a warm one too early.
+func TestSameStatement(t *testing.T) {
+	now := time.Unix(100, 0)
+	record := rosters.Record{ID: "s1", Born: 1, Sequence: 4, Service: "x", Address: "a:1", Cold: time.Second}
+	old := rosters.Known{Record: record, At: now, ColdUntil: now.Add(time.Second)}
+	for _, test := range []struct {
+		name   string
+		change func(*rosters.Record)
+		same   bool
+	}{
+		{"a later sequence", func(r *rosters.Record) { r.Sequence = 9 }, true},
+		{"less time left", func(r *rosters.Record) { r.Cold = 200 * time.Millisecond }, true},
+		{"warm", func(r *rosters.Record) { r.Cold = 0 }, true},
+		{"cold for longer", func(r *rosters.Record) { r.Cold = 3 * time.Second }, false},
+		{"leaving", func(r *rosters.Record) { r.Leaving = true }, false},
+		{"another address", func(r *rosters.Record) { r.Address = "b:1" }, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := record
+			test.change(&r)
+			if got := sameStatement(now, old, r); got != test.same {
+				t.Errorf("same statement: %v, want %v", got, test.same)
+			}
+		})
+	}
+}
--- a/desks/desk.go
+++ b/desks/desk.go
@@ -21,6 +21,9 @@
 	// tickPeriod is the period at which waiting jobs are looked at again: a
 	// tenth of the shortest target.
 	tickPeriod = 25 * time.Millisecond
+	// leastDesks is the number of local desks that is assumed until more are
+	// known, several times that of the smallest deployment.
+	leastDesks = 16
 	// reportPeriod is the period at which engines are asked for their pace;
 	// a slow one is noticed within two periods.
 	reportPeriod = time.Second
@@ -52,6 +55,7 @@
 type Config struct {
 	Log      *logrus.Entry
 	Reporter Reporter // nil when the desk does not ask engines
+	Local    bool     // one of several desks that do not know of each other's jobs
 	Timers   *timers.Service
 }
 
@@ -66,11 +70,13 @@
 	engines   []Engine
 	decided   map[schedules.JobID]chan schedules.Decision // of waiting jobs
 	asking    map[gypsumshelf.ServerID]bool               // engines with a report in flight
+	desks     int                                         // local desks of the deployment
 }
 
 // New returns a Desk that is not active.
 func New(cfg Config) *Desk {
-	d := &Desk{cfg: cfg, scheduler: schedules.New(), decided: map[schedules.JobID]chan schedules.Decision{}, asking: map[gypsumshelf.ServerID]bool{}}
+	d := &Desk{cfg: cfg, desks: leastDesks, decided: map[schedules.JobID]chan schedules.Decision{}, asking: map[gypsumshelf.ServerID]bool{}}
+	d.scheduler = d.newScheduler()
 	cfg.Timers.Subscribe(tickPeriod, d.tick)
 	if cfg.Reporter != nil {
 		cfg.Timers.Subscribe(reportPeriod, func(time.Time) { d.askAll() })
@@ -78,6 +84,22 @@
 	return d
 }
 
+func (d *Desk) newScheduler() *schedules.Scheduler {
+	if !d.cfg.Local {
+		return schedules.New(schedules.Config{})
+	}
+	return schedules.New(schedules.Config{Share: 1 / float64(d.desks)})
+}
+
+// SetDesks tells a local desk how many there are. It takes effect for engines
+// that turn cold from now on.
+func (d *Desk) SetDesks(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.desks = max(leastDesks, n)
+	d.scheduler.SetShare(1 / float64(d.desks))
+}
+
 // SetActive starts or stops scheduling. A desk that starts knows of no jobs
 // until their daemons tell it.
 func (d *Desk) SetActive(active bool) {
@@ -87,7 +109,7 @@
 		return
 	}
 	d.active = active
-	d.scheduler = schedules.New()
+	d.scheduler = d.newScheduler()
 	for id, c := range d.decided {
 		close(c)
 		delete(d.decided, id)
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -80,7 +80,7 @@
 // Start starts an entry daemon.
 func Start(cfg Config) *Gateway {
 	g := &Gateway{cfg: cfg, fleet: forwards.NewFleet(cfg.DataCentre, cfg.Timers.Now)}
-	g.local = desks.New(desks.Config{Log: cfg.Log, Timers: cfg.Timers})
+	g.local = desks.New(desks.Config{Log: cfg.Log, Timers: cfg.Timers, Local: true})
 	g.feeds = directories.NewSubscriber(directories.SubscriberConfig{
 		Daemon: cfg.Daemon, Entry: true, Seeds: cfg.Seeds, Log: cfg.Log,
 		Index: g.index, Install: g.install, Receive: g.hear,
@@ -163,6 +163,7 @@
 	}
 	if entries != g.entries {
 		g.forwarder.ShareRetries(max(leastEntries, entries))
+		g.local.SetDesks(entries)
 	}
 	g.entries, g.entriesAt = entries, now
 }
--- a/schedules/choice.go
+++ b/schedules/choice.go
@@ -176,7 +176,7 @@
 		heavy = engines
 	}
 	for _, e := range heavy {
-		if !e.committed() && !e.busy(now) {
+		if !e.committed() && !e.busy(now) && !e.isCold(now) {
 			readers = append(readers, reader{engine: e, backlog: e.backlog(now), allowance: e.allowance(now, urgent), pace: e.currentPace(now)})
 		}
 	}
--- a/schedules/engine.go
+++ b/schedules/engine.go
@@ -63,11 +63,19 @@
 }
 
 // update takes a new state of the engine.
-func (e *engine) update(now time.Time, state EngineState, figures *costs.Engine) {
+func (e *engine) update(now time.Time, state EngineState, figures *costs.Engine, share float64) {
 	e.state, e.figures = state, figures
-	if e.isCold(now) && e.cold == nil {
-		e.cold = rate.NewLimiter(rate.Limit(state.ColdRate*coldShare), max(1, int(state.ColdRate*coldShare/2)))
+	if !e.isCold(now) || e.cold != nil {
+		return
 	}
+	perSecond := state.ColdRate * coldShare
+	if share == 0 {
+		e.cold = rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond/2)))
+		return
+	}
+	// With equal shares every scheduler would begin with a burst of its own.
+	e.cold = rate.NewLimiter(rate.Limit(perSecond*share), 1)
+	e.cold.AllowN(now, 1)
 }
 
 func (e *engine) isCold(now time.Time) bool {
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -68,18 +68,30 @@
 	refused  int // jobs refused so far
 }
 
+// Config configures a Scheduler.
+type Config struct {
+	// Share is the part of what a cold engine bears that this scheduler may use;
+	// 0 stands for all of it. Schedulers that do not know of each other's jobs
+	// have equal shares.
+	Share float64
+}
+
 // Scheduler places jobs on engines.
 type Scheduler struct {
+	cfg   Config
 	since time.Time // of the first job
 	pools map[string]*pool
 	runs  map[JobID]*run
 }
 
 // New returns a Scheduler without engines.
-func New() *Scheduler {
-	return &Scheduler{pools: map[string]*pool{}, runs: map[JobID]*run{}}
+func New(cfg Config) *Scheduler {
+	return &Scheduler{cfg: cfg, pools: map[string]*pool{}, runs: map[JobID]*run{}}
 }
 
+// SetShare changes the share for engines that turn cold from now on.
+func (s *Scheduler) SetShare(share float64) { s.cfg.Share = share }
+
 // Update replaces what is known of the engines of all services. Engines that
 // are not listed any more get no new work.
 func (s *Scheduler) Update(now time.Time, figures map[string]*costs.Engine, states []EngineState) {
@@ -99,7 +111,7 @@
 		if p.engines[state.ID] == nil {
 			p.engines[state.ID] = newEngine(state, p.figures)
 		}
-		p.engines[state.ID].update(now, state, p.figures)
+		p.engines[state.ID].update(now, state, p.figures, s.cfg.Share)
 	}
 	for _, p := range s.pools {
 		for id := range p.engines {
--- a/schedules/scheduler_test.go
+++ b/schedules/scheduler_test.go
@@ -13,7 +13,7 @@
 
 // fleet returns a scheduler with n engines e00, e01, ...
 func fleet(n int) *Scheduler {
-	s := New()
+	s := New(Config{})
 	var states []EngineState
 	for i := range n {
 		states = append(states, EngineState{ID: gypsumshelf.ServerID(fmt.Sprintf("e%02d", i)), Service: "llm", DataCentre: "a"})
@@ -200,7 +200,7 @@
 
 // Guards against a cold engine that gets more requests than it bears.
 func TestColdEngineGetsFewRequests(t *testing.T) {
-	s := New()
+	s := New(Config{})
 	s.Update(origin, map[string]*costs.Engine{"llm": figures()}, []EngineState{
 		{ID: "warm", Service: "llm"}, {ID: "cold", Service: "llm", ColdUntil: origin.Add(time.Minute), ColdRate: 10},
 	})
@@ -247,3 +247,32 @@
 		})
 	}
 }
+
+// Guards against local schedulers that together give a cold engine more than it
+// bears: 26 entry daemons without a leader, after all hosts lost power. Hunted
+// days trouble-1 --seed 187285715084 and 667865039470 broke that bound.
+func TestLocalSchedulersShareAColdEngine(t *testing.T) {
+	const schedulers, bears = 26, 14.0
+	sent := make([]int, 30)
+	for range schedulers {
+		s := New(Config{Share: 1.0 / schedulers})
+		s.Update(origin, map[string]*costs.Engine{"llm": figures()}, []EngineState{
+			{ID: "cold", Service: "llm", ColdUntil: origin.Add(time.Minute), ColdRate: bears},
+		})
+		for i := range 300 {
+			now := origin.Add(time.Duration(i) * 100 * time.Millisecond)
+			for _, d := range s.Submit(now, draft(fmt.Sprint("d", i))) {
+				if d.Placement != nil {
+					sent[i/10]++
+				}
+				s.Started(now, d.Job)
+				s.End(now, d.Job, Completed, "")
+			}
+		}
+	}
+	for second, n := range sent {
+		if limit := int(bears*1.5 + 5); n > limit {
+			t.Errorf("%d requests in second %d, the engine bears %d", n, second, limit)
+		}
+	}
+}
--- a/schedules/simulation_test.go
+++ b/schedules/simulation_test.go
@@ -124,7 +124,7 @@
 
 func newSimulation(t testing.TB, engines int, seed uint64) *simulation {
 	s := &simulation{
-		t: t, rand: rand.New(rand.NewPCG(seed, 1)), figures: figures(), scheduler: New(), classes: classes,
+		t: t, rand: rand.New(rand.NewPCG(seed, 1)), figures: figures(), scheduler: New(Config{}), classes: classes,
 		engines: map[gypsumshelf.ServerID]*simEngine{}, jobs: map[JobID]*simulated{},
 	}
 	var states []EngineState
