--- a/controls/registry.go
+++ b/controls/registry.go
@@ -137,8 +137,12 @@
 	}
 }
 
-// tick looks for backend servers that fell silent.
+// tick looks for backend servers and daemons that fell silent.
 func (g *registry) tick(now time.Time) {
+	for _, id := range g.publisher.Gone() {
+		g.log.WithField("gone", id).Warn("a daemon no longer polls; its jobs are taken for ended")
+		g.desk.Drop(id)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	changed := false
--- a/desks/desk.go
+++ b/desks/desk.go
@@ -27,6 +27,11 @@
 	// reportPeriod is the period at which engines are asked for their pace;
 	// a slow one is noticed within two periods.
 	reportPeriod = time.Second
+	// localReportPeriod is shorter, since a local desk sees the load of other
+	// daemons only in reports; usedLife is the time after its last job in which
+	// it goes on asking.
+	localReportPeriod = 250 * time.Millisecond
+	usedLife          = time.Second
 	// reportTimeout is the time after which an engine that does not answer is
 	// taken for dead.
 	reportTimeout = 600 * time.Millisecond
@@ -35,14 +40,9 @@
 // ErrInactive is returned by a desk that does not schedule.
 var ErrInactive = errors.New("this daemon does not lead")
 
-// Report is what an engine says of itself.
-type Report struct {
-	Pace float64 // how many times slower than its figures the engine works
-}
-
 // Reporter asks engines for their reports.
 type Reporter interface {
-	Report(ctx context.Context, address string) (Report, error)
+	Report(ctx context.Context, address string) (schedules.Load, error)
 }
 
 // Engine is an engine with its address.
@@ -71,6 +71,7 @@
 	decided   map[schedules.JobID]chan schedules.Decision // of waiting jobs
 	asking    map[gypsumshelf.ServerID]bool               // engines with a report in flight
 	desks     int                                         // local desks of the deployment
+	used      time.Time                                   // of the last job
 }
 
 // New returns a Desk that is not active.
@@ -79,7 +80,11 @@
 	d.scheduler = d.newScheduler()
 	cfg.Timers.Subscribe(tickPeriod, d.tick)
 	if cfg.Reporter != nil {
-		cfg.Timers.Subscribe(reportPeriod, func(time.Time) { d.askAll() })
+		period := reportPeriod
+		if cfg.Local {
+			period = localReportPeriod
+		}
+		cfg.Timers.Subscribe(period, d.askAll)
 	}
 	return d
 }
@@ -142,6 +147,7 @@
 	if !d.active {
 		return nil, ErrInactive
 	}
+	d.used = d.cfg.Timers.Now()
 	d.decided[job.ID] = make(chan schedules.Decision, 1)
 	d.publish(d.scheduler.Submit(d.cfg.Timers.Now(), job))
 	select {
@@ -204,6 +210,15 @@
 	}
 }
 
+// Drop ends all jobs of an entry daemon that is not heard any more.
+func (d *Desk) Drop(daemon gypsumshelf.DaemonID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.active {
+		d.publish(d.scheduler.Drop(d.cfg.Timers.Now(), daemon))
+	}
+}
+
 func (d *Desk) tick(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -228,11 +243,12 @@
 	}
 }
 
-// askAll asks every engine for its pace.
-func (d *Desk) askAll() {
+// askAll asks every engine for its load. A local desk does so only while it is
+// used: it does not know what other daemons give to the engines.
+func (d *Desk) askAll(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.active {
+	if !d.active || d.cfg.Local && now.Sub(d.used) > usedLife {
 		return
 	}
 	for _, e := range d.engines {
@@ -264,5 +280,5 @@
 		d.scheduler.Suspect(now, q.engine.State.ID)
 		return
 	}
-	d.scheduler.Report(now, q.engine.State.ID, report.Pace)
+	d.scheduler.Report(now, q.engine.State.ID, report)
 }
--- a/directories/publisher.go
+++ b/directories/publisher.go
@@ -44,7 +44,8 @@
 	controls []string
 	changes  map[gypsumshelf.ServerID]change
 	watchers map[gypsumshelf.DaemonID]watcher
-	news     chan struct{} // closed at the next change
+	gone     []gypsumshelf.DaemonID // watchers that stopped polling, until they are asked for
+	news     chan struct{}          // closed at the next change
 }
 
 // NewPublisher returns a Publisher without content.
@@ -93,6 +94,7 @@
 		switch {
 		case now.Sub(w.at) > watcherLife:
 			delete(p.watchers, id)
+			p.gone = append(p.gone, id)
 		case w.entry:
 			n++
 		}
@@ -100,6 +102,16 @@
 	return n
 }
 
+// Gone returns the daemons that have stopped polling since the last call.
+func (p *Publisher) Gone() []gypsumshelf.DaemonID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.entries(time.Now())
+	gone := p.gone
+	p.gone = nil
+	return gone
+}
+
 // Poll answers with what changed after the caller's cursor, at once or when
 // something changes within pollHold.
 func (p *Publisher) Poll(q Poll, v *View) error {
--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -59,7 +59,7 @@
 	}
 	job := schedules.Job{
 		ID:      schedules.JobID(string(d.meta.ID) + "." + strconv.Itoa(d.jobs)),
-		Service: d.service.Name, DataCentre: d.forwarder.cfg.DataCentre,
+		Service: d.service.Name, Daemon: d.forwarder.cfg.Daemon, DataCentre: d.forwarder.cfg.DataCentre,
 		Prompt: prompt, Answer: answer, Expected: min(expected, answer), Priority: d.route.Priority,
 		Target: d.arrived.Add(d.route.Target).Sub(now), Patience: d.arrived.Add(d.patience()).Sub(now),
 		Deadline: d.left(), Gap: d.route.GapTarget,
--- a/forwards/fake_test.go
+++ b/forwards/fake_test.go
@@ -20,7 +20,6 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/catalogs"
 	"gypsumshelf.example/gypsumshelf/costs"
-	"gypsumshelf.example/gypsumshelf/desks"
 	"gypsumshelf.example/gypsumshelf/rosters"
 	"gypsumshelf.example/gypsumshelf/schedules"
 )
@@ -68,8 +67,8 @@
 	return true, nil
 }
 func (fakeProtocol) Release(context.Context, string, string) error { return nil }
-func (fakeProtocol) Report(context.Context, string) (desks.Report, error) {
-	return desks.Report{Pace: 1}, nil
+func (fakeProtocol) Report(context.Context, string) (schedules.Load, error) {
+	return schedules.Load{Pace: 1}, nil
 }
 
 // backend is a fake backend server; answer gets the request and the connection.
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -37,6 +37,7 @@
 
 // Config configures a Forwarder.
 type Config struct {
+	Daemon     gypsumshelf.DaemonID
 	DataCentre string
 	Protocol   Protocol
 	Fleet      *Fleet
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -80,14 +80,14 @@
 // Start starts an entry daemon.
 func Start(cfg Config) *Gateway {
 	g := &Gateway{cfg: cfg, fleet: forwards.NewFleet(cfg.DataCentre, cfg.Timers.Now)}
-	g.local = desks.New(desks.Config{Log: cfg.Log, Timers: cfg.Timers, Local: true})
+	g.local = desks.New(desks.Config{Log: cfg.Log, Timers: cfg.Timers, Reporter: cfg.Protocol, Local: true})
 	g.feeds = directories.NewSubscriber(directories.SubscriberConfig{
 		Daemon: cfg.Daemon, Entry: true, Seeds: cfg.Seeds, Log: cfg.Log,
 		Index: g.index, Install: g.install, Receive: g.hear,
 	})
 	g.desk = desks.NewClient(desks.ClientConfig{Feeds: g.feeds, Local: g.local, Log: cfg.Log})
 	g.forwarder = forwards.New(forwards.Config{
-		DataCentre: cfg.DataCentre, Protocol: cfg.Protocol, Fleet: g.fleet, Placer: g.desk,
+		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: cfg.Protocol, Fleet: g.fleet, Placer: g.desk,
 		Retries: cfg.Retries, Log: cfg.Log, Recorder: cfg.Recorder,
 	})
 	g.server = &http.Server{
--- a/schedules/choice.go
+++ b/schedules/choice.go
@@ -102,12 +102,12 @@
 	var best *engine
 	var bestScore, first time.Duration
 	for i, e := range engines {
-		if e.sum.writers >= p.figures.Slots || e.free() < r.job.Prompt+r.job.Answer {
+		if e.writers(now) >= p.figures.Slots || e.free() < r.job.Prompt+r.job.Answer {
 			continue
 		}
 		part := r.alone / time.Duration(parts)
 		predicted := e.firstEvent(now, part, r.job.Prompt)
-		score := predicted + time.Duration(e.sum.writers)*perWriter
+		score := predicted + time.Duration(e.writers(now))*perWriter
 		switch {
 		case i >= len(heavy):
 		case e.sum.light == 0:
@@ -201,7 +201,7 @@
 		if part < lightPart && best != nil {
 			break
 		}
-		group, end := p.group(readers, r, k, part)
+		group, end := p.group(now, readers, r, k, part)
 		if group != nil && (best == nil || end < finish) {
 			best, finish = group, end
 		}
@@ -214,7 +214,7 @@
 
 // group returns k engines that can read a part each, the writer first, and the
 // time until they have read it.
-func (p *pool) group(readers []reader, r *run, k int, part time.Duration) ([]*engine, time.Duration) {
+func (p *pool) group(now time.Time, readers []reader, r *run, k int, part time.Duration) ([]*engine, time.Duration) {
 	able := make([]reader, 0, len(readers))
 	engines := make([]*engine, 0, len(readers))
 	for _, c := range readers {
@@ -226,7 +226,7 @@
 	if len(able) < k {
 		return nil, 0
 	}
-	writer := p.writer(engines, r.job.Prompt+r.job.Answer)
+	writer := p.writer(now, engines, r.job.Prompt+r.job.Answer)
 	if writer == nil {
 		return nil, 0
 	}
@@ -249,10 +249,10 @@
 // writer returns an engine that has a slot and memory for an answer. Answers to
 // heavy prompts are gathered on few engines, so that the others can read without
 // disturbing any.
-func (p *pool) writer(engines []*engine, tokens int) *engine {
+func (p *pool) writer(now time.Time, engines []*engine, tokens int) *engine {
 	var best *engine
 	for _, e := range engines {
-		if e.sum.writers >= p.figures.Slots || e.free() < tokens {
+		if e.writers(now) >= p.figures.Slots || e.free() < tokens {
 			continue
 		}
 		if best == nil || e.free() < best.free() {
@@ -289,7 +289,7 @@
 	order := slices.Clone(engines)
 	slices.SortStableFunc(order, func(a, b *engine) int { return cmp.Compare(b.free(), a.free()) })
 	writer := order[0]
-	if writer.sum.writers >= p.figures.Slots {
+	if writer.writers(now) >= p.figures.Slots {
 		return nil
 	}
 	rest := r.job.Prompt + r.job.Answer - writer.free()
--- a/schedules/engine.go
+++ b/schedules/engine.go
@@ -19,8 +19,16 @@
 	// slowPace is the reported pace from which an engine is not used while
 	// faster ones are free.
 	slowPace = 1.6
-	// paceLife is the time for which a reported pace is believed.
-	paceLife = 4 * time.Second
+	// paceLife is the time for which a reported pace is believed, foreignLife
+	// that for which reported requests of other schedulers are.
+	paceLife    = 4 * time.Second
+	foreignLife = 1500 * time.Millisecond
+	// foreignSlack is the number of requests by which a report may exceed what
+	// was placed: it lags behind what began and ended lately.
+	foreignSlack = 2
+	// foreignGap is the pause that is assumed to suit the callers of requests
+	// that other schedulers placed: most answers are short.
+	foreignGap = 200 * time.Millisecond
 	// memoryShare is the part of an engine's memory that is planned for; a
 	// prompt that grows past the memory is read again from its start.
 	memoryShare = 0.97
@@ -53,13 +61,14 @@
 	reads     []reading // in the order of their ends
 	avoid     time.Time // no work before this time
 	failures  int       // consecutive
-	pace      float64
-	paceAt    time.Time
+	load      Load
+	loadAt    time.Time
+	foreign   int // requests that this scheduler did not place, at loadAt
 	cold      *rate.Limiter
 }
 
 func newEngine(state EngineState, figures *costs.Engine) *engine {
-	return &engine{state: state, figures: figures, parts: map[JobID]*part{}, pace: 1}
+	return &engine{state: state, figures: figures, parts: map[JobID]*part{}, load: Load{Pace: 1}}
 }
 
 // update takes a new state of the engine.
@@ -92,12 +101,30 @@
 
 // currentPace returns how many times slower than its figures the engine works.
 func (e *engine) currentPace(now time.Time) float64 {
-	if now.Sub(e.paceAt) > paceLife {
+	if now.Sub(e.loadAt) > paceLife {
 		return 1
 	}
-	return max(1, e.pace)
+	return max(1, e.load.Pace)
 }
 
+// report takes what the engine says of itself. Requests beyond those that were
+// placed here come from entry daemons that schedule by themselves.
+func (e *engine) report(now time.Time, l Load) {
+	e.load, e.loadAt = l, now
+	e.foreign = max(0, l.Running+l.Waiting-len(e.parts)-foreignSlack)
+}
+
+// strangers returns the number of requests that other schedulers placed.
+func (e *engine) strangers(now time.Time) int {
+	if now.Sub(e.loadAt) > foreignLife {
+		return 0
+	}
+	return e.foreign
+}
+
+// writers returns the number of answers in progress or about to begin.
+func (e *engine) writers(now time.Time) int { return e.sum.writers + e.strangers(now) }
+
 // summary is what decisions need to know of an engine's parts. It is kept
 // beside them, because every decision asks all engines for it.
 type summary struct {
@@ -159,14 +186,18 @@
 // urgent, pauses stay below calmPause even if callers would accept more: an
 // answer that advances slowly keeps its memory and its slot for longer.
 func (e *engine) allowance(now time.Time, urgent bool) time.Duration {
-	if e.sum.writers == 0 {
+	n := e.writers(now)
+	if n == 0 {
 		return time.Hour
 	}
 	gap := e.sum.gap
+	if e.strangers(now) > 0 && (gap == 0 || gap > foreignGap) {
+		gap = foreignGap
+	}
 	if !urgent {
 		gap = min(gap, calmPause)
 	}
-	pass := e.figures.Pass(e.sum.writers, e.sum.context)
+	pass := e.figures.Pass(n, e.sum.context)
 	e.reads = slices.DeleteFunc(e.reads, func(r reading) bool { return now.Sub(r.until) > pass })
 	left := gap - pass - gapMargin
 	for _, r := range e.reads {
@@ -193,9 +224,10 @@
 // firstEvent predicts the time to the first event of a new answer whose prompt
 // the engine reads in part: the pass in progress, then one with the reading.
 func (e *engine) firstEvent(now time.Time, part time.Duration, prompt int) time.Duration {
-	t := e.backlog(now) + part + e.figures.Pass(e.sum.writers+1, e.sum.context+prompt)
-	if e.sum.writers > 0 {
-		t += e.figures.Pass(e.sum.writers, e.sum.context) / 2
+	n := e.writers(now)
+	t := e.backlog(now) + part + e.figures.Pass(n+1, e.sum.context+prompt)
+	if n > 0 {
+		t += e.figures.Pass(n, e.sum.context) / 2
 	}
 	return time.Duration(float64(t) * e.currentPace(now))
 }
--- a/schedules/job.go
+++ b/schedules/job.go
@@ -16,7 +16,8 @@
 type Job struct {
 	ID         JobID
 	Service    string
-	DataCentre string // of the entry daemon that holds the request
+	Daemon     gypsumshelf.DaemonID // entry daemon that holds the request
+	DataCentre string               // of that daemon
 	Workspace  string
 	Prompt     int // tokens
 	Answer     int // most tokens of the answer
@@ -83,6 +84,13 @@
 	return [...]string{"completed", "cancelled", "rejected", "unreachable", "broken", "stalled"}[o]
 }
 
+// Load is what an engine reports of itself; it lags behind the truth.
+type Load struct {
+	Pace    float64 // how many times slower than its figures the engine works
+	Running int     // requests, and parts of prompts for other engines
+	Waiting int     // requests that wait for a slot
+}
+
 // EngineState is what the scheduler is told of an engine.
 type EngineState struct {
 	ID         gypsumshelf.ServerID
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -214,15 +214,27 @@
 	return s.drain(now, p, lightOnly)
 }
 
-// Report takes the pace that an engine reports.
-func (s *Scheduler) Report(now time.Time, id gypsumshelf.ServerID, pace float64) {
+// Report takes what an engine says of itself.
+func (s *Scheduler) Report(now time.Time, id gypsumshelf.ServerID, l Load) {
 	for _, p := range s.pools {
 		if e := p.engines[id]; e != nil {
-			e.pace, e.paceAt = pace, now
+			e.report(now, l)
 		}
 	}
 }
 
+// Drop ends all jobs of an entry daemon that is not heard any more. If it still
+// runs, its requests show in the reports of the engines.
+func (s *Scheduler) Drop(now time.Time, daemon gypsumshelf.DaemonID) []Decision {
+	var decisions []Decision
+	for id, r := range s.runs {
+		if r.job.Daemon == daemon {
+			decisions = append(decisions, s.End(now, id, Cancelled, "")...)
+		}
+	}
+	return decisions
+}
+
 // Suspect keeps new work off an engine that does not answer.
 func (s *Scheduler) Suspect(now time.Time, id gypsumshelf.ServerID) {
 	for _, p := range s.pools {
--- a/schedules/scheduler_test.go
+++ b/schedules/scheduler_test.go
@@ -276,3 +276,35 @@
 		}
 	}
 }
+
+// Guards against schedulers that fill slots which others have filled: an entry
+// daemon that was cut off from the leader sees its neighbours' requests in
+// reports only. On trouble-2 of Schriftgilde both sides placed on the same slots.
+func TestReportedRequestsOfOthersTakeSlots(t *testing.T) {
+	s := fleet(2)
+	s.Report(origin, "e00", Load{Pace: 1, Running: figures().Slots + foreignSlack})
+	for i := range 4 {
+		if p := placed(t, s.Submit(origin, draft(fmt.Sprint("d", i)))); p.Server != "e01" {
+			t.Errorf("a draft goes to %s, whose slots are taken", p.Server)
+		}
+	}
+	later := origin.Add(2 * foreignLife)
+	for i := range 2 * figures().Slots {
+		s.Submit(later, draft(fmt.Sprint("l", i)))
+	}
+	if n := s.pools["llm"].engines["e00"].sum.writers; n == 0 {
+		t.Error("an old report still keeps requests away")
+	}
+}
+
+// Guards against slots that are kept for requests of a daemon that died.
+func TestJobsOfALostDaemonEnd(t *testing.T) {
+	s := fleet(1)
+	for i := range figures().Slots {
+		j := draft(fmt.Sprint("d", i))
+		j.Daemon = "lost"
+		placed(t, s.Submit(origin, j))
+	}
+	assertWaits(t, s.Submit(origin, draft("next")))
+	placed(t, s.Drop(origin, "lost"))
+}
