Count requests of other schedulers only beyond the lag of reports

Cause: reports lag by 200 ms, so that answers which had just ended kept parts of heavy prompts off their engines.

--- a/schedules/engine.go
+++ b/schedules/engine.go
@@ -24,8 +24,9 @@
 	paceLife    = 4 * time.Second
 	foreignLife = 1500 * time.Millisecond
 	// foreignSlack is the number of requests by which a report may exceed what
-	// was placed: it lags behind what began and ended lately.
-	foreignSlack = 2
+	// was placed without a reason: it lags by 200 ms, in which several short
+	// answers end, and counts parts that have just been read.
+	foreignSlack = 5
 	// foreignGap is the pause that is assumed to suit the callers of requests
 	// that other schedulers placed: most answers are short.
 	foreignGap = 200 * time.Millisecond
@@ -111,7 +112,9 @@
 // placed here come from entry daemons that schedule by themselves.
 func (e *engine) report(now time.Time, l Load) {
 	e.load, e.loadAt = l, now
-	e.foreign = max(0, l.Running+l.Waiting-len(e.parts)-foreignSlack)
+	if e.foreign = l.Running + l.Waiting - len(e.parts); e.foreign <= foreignSlack {
+		e.foreign = 0
+	}
 }
 
 // strangers returns the number of requests that other schedulers placed.
