--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -51,9 +51,9 @@
 type Forwarder struct {
 	cfg     Config
 	catalog atomic.Pointer[catalogs.Catalog]
-	ready   chan struct{} // closed with the first catalog
-	ending  atomic.Bool   // connections end with their next answer
-	closing atomic.Bool   // no new requests are taken
+	ready   chan struct{}             // closed with the first catalog
+	ending  atomic.Bool               // connections end with their next answer
+	until   atomic.Pointer[time.Time] // set when the daemon stops: requests must end before it
 	active  atomic.Int64
 
 	budgetMu sync.Mutex
@@ -116,8 +116,9 @@
 // CloseConnections makes every answer from now on the last of its connection.
 func (f *Forwarder) CloseConnections() { f.ending.Store(true) }
 
-// StopTaking makes the forwarder refuse requests that arrive from now on.
-func (f *Forwarder) StopTaking() { f.closing.Store(true) }
+// StopTaking makes the forwarder refuse requests that arrive from now on, unless
+// their time ends before the daemon does.
+func (f *Forwarder) StopTaking(until time.Time) { f.until.Store(&until) }
 
 // Active returns the number of requests in progress.
 func (f *Forwarder) Active() int64 { return f.active.Load() }
@@ -215,8 +216,6 @@
 func (d *delivery) admit() bool {
 	d.catalog = d.forwarder.awaitCatalog(d.r.Context(), d.meta.Deadline)
 	switch {
-	case d.forwarder.closing.Load():
-		return d.refuse(http.StatusServiceUnavailable, stopRetryAfter, "the daemon is stopping")
 	case d.catalog == nil:
 		return d.refuse(http.StatusServiceUnavailable, startRetryAfter, "the daemon has no catalog yet")
 	}
@@ -238,6 +237,9 @@
 		wait = min(wait, d.meta.Deadline)
 	}
 	d.deadline = d.arrived.Add(wait)
+	if until := d.forwarder.until.Load(); until != nil && d.deadline.After(*until) {
+		return d.refuse(http.StatusServiceUnavailable, stopRetryAfter, "the daemon is stopping")
+	}
 	return true
 }
 
--- a/forwards/forwarder_test.go
+++ b/forwards/forwarder_test.go
@@ -138,6 +138,7 @@
 	f := start(t, b)
 	assertAnswer(t, f.send("GET", "/none/", ""), http.StatusNotFound, "")
 	assertAnswer(t, f.send("GET", "/safe/", "", "Key", "wrong"), http.StatusUnauthorized, "")
-	f.forwarder.StopTaking()
+	f.forwarder.StopTaking(time.Now().Add(2 * time.Second))
 	assertAnswer(t, f.send("GET", "/safe/", ""), http.StatusServiceUnavailable, "")
+	assertAnswer(t, f.send("GET", "/safe/", "", "Wait", "1000"), http.StatusOK, "fine")
 }
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -191,7 +191,7 @@
 	g.stopping.Store(true)
 	g.forwarder.CloseConnections()
 	time.Sleep(min(takingTime, grace/2))
-	g.forwarder.StopTaking()
+	g.forwarder.StopTaking(start.Add(grace - stopMargin))
 	for time.Since(start) < grace-stopMargin && g.forwarder.Active() > 0 {
 		time.Sleep(stopPoll)
 	}
