--- a/cmd/gypsumshelf/soak.go
+++ b/cmd/gypsumshelf/soak.go
@@ -8,7 +8,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
-	"gypsumshelf.example/gypsumshelf/platform/soaks"
+	"gypsumshelf.example/gypsumshelf/platform/trials"
 )
 
 func newSoak() *cobra.Command {
@@ -32,17 +32,17 @@
 				if err != nil {
 					return err
 				}
-				found, err := soaks.Run(cmd.Context(), soaks.Config{
+				result, err := trials.Run(cmd.Context(), trials.Config{
 					Seed: seed + i, Duration: time.Duration(seconds) * time.Second, Binary: binary, Folder: folder, Log: logrus.NewEntry(log),
 				})
 				if err != nil {
 					return err
 				}
-				fmt.Fprintf(cmd.OutOrStdout(), "seed %d: %d broken promises\n", seed+i, len(found))
-				for _, f := range found {
+				fmt.Fprintf(cmd.OutOrStdout(), "seed %d: %d requests, %d served, %d broken promises\n", seed+i, result.Sent, result.Served, len(result.Broken))
+				for _, f := range result.Broken {
 					fmt.Fprintf(cmd.OutOrStdout(), "  %s\n", f)
 				}
-				if len(found) > 0 {
+				if len(result.Broken) > 0 {
 					failed++
 					fmt.Fprintf(cmd.OutOrStdout(), "  logs are in %s\n", folder)
 				}
--- a/controls/daemon.go
+++ b/controls/daemon.go
@@ -129,6 +129,12 @@
 // ID returns the identity under which the daemon started.
 func (d *Daemon) ID() replicas.NodeID { return d.id }
 
+// Leads reports whether this daemon leads the replicated log.
+func (d *Daemon) Leads() bool { return d.leader.Load().Self }
+
+// Voters returns the number of voters that this daemon knows of.
+func (d *Daemon) Voters() int { return len(d.leader.Load().Members.Voters()) }
+
 // Reseed replaces the addresses that are always asked for other daemons.
 func (d *Daemon) Reseed(seeds []string) { d.feeds.Reseed(seeds) }
 
@@ -267,7 +273,7 @@
 		return ErrNotLeader
 	}
 	deadline, _ := ctx.Deadline()
-	return directories.Call(client, ServiceName+".Propose", c, &struct{}{}, time.Until(deadline))
+	return peers.Call(client, ServiceName+".Propose", c, &struct{}{}, time.Until(deadline))
 }
 
 // Newest returns the newest state; it fails when this daemon cannot be sure.
--- a/controls/daemon_test.go
+++ b/controls/daemon_test.go
@@ -179,7 +179,7 @@
 	}
 	c.put(1)
 	c.awaitVoters()
-	t.Run("two disks are lost at once", func(t *testing.T) {
+	t.Run("two disks are lost at once", func(*testing.T) {
 		c.put(2)
 		for _, h := range c.hosts[:2] {
 			h.stop()
@@ -192,14 +192,14 @@
 		c.put(3)
 		c.awaitVoters()
 	})
-	t.Run("a host is replaced at another address", func(t *testing.T) {
+	t.Run("a host is replaced at another address", func(*testing.T) {
 		c.hosts[2].stop()
 		h := c.add()
 		c.start(h, false)
 		c.put(4)
 		c.awaitVoters()
 	})
-	t.Run("all restart", func(t *testing.T) {
+	t.Run("all restart", func(*testing.T) {
 		c.put(5)
 		for _, h := range c.hosts {
 			h.stop()
--- a/desks/client.go
+++ b/desks/client.go
@@ -11,6 +11,7 @@
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/directories"
+	"gypsumshelf.example/gypsumshelf/peers"
 	"gypsumshelf.example/gypsumshelf/schedules"
 )
 
@@ -115,7 +116,7 @@
 		}
 	}
 	c.mu.Unlock()
-	if err := directories.Call(client, ServiceName+".Adopt", jobs, &struct{}{}, placeTimeout); err != nil {
+	if err := peers.Call(client, ServiceName+".Adopt", jobs, &struct{}{}, placeTimeout); err != nil {
 		c.blame(leader, err)
 	}
 }
@@ -153,7 +154,7 @@
 // ask places a job at the leader.
 func (c *Client) ask(ctx context.Context, client *rpc.Client, job schedules.Job) (*schedules.Decision, error) {
 	var reply Reply
-	if err := directories.Call(client, ServiceName+".Place", job, &reply, placeTimeout); err != nil {
+	if err := peers.Call(client, ServiceName+".Place", job, &reply, placeTimeout); err != nil {
 		return nil, err
 	}
 	for reply.Decision == nil {
@@ -161,7 +162,7 @@
 			return nil, ctx.Err()
 		}
 		reply = Reply{}
-		if err := directories.Call(client, ServiceName+".Await", job.ID, &reply, awaitHold+placeTimeout); err != nil {
+		if err := peers.Call(client, ServiceName+".Await", job.ID, &reply, awaitHold+placeTimeout); err != nil {
 			return nil, err
 		}
 	}
@@ -260,7 +261,7 @@
 			}
 		}
 		if client, leader := c.connection(); client != nil {
-			if err := directories.Call(client, ServiceName+".Tell", notes, &struct{}{}, noteTimeout); err != nil && !errors.Is(err, rpc.ErrShutdown) {
+			if err := peers.Call(client, ServiceName+".Tell", notes, &struct{}{}, noteTimeout); err != nil && !errors.Is(err, rpc.ErrShutdown) {
 				c.blame(leader, err)
 			}
 		}
--- a/directories/subscriber.go
+++ b/directories/subscriber.go
@@ -1,7 +1,6 @@
 package directories
 
 import (
-	"errors"
 	"net"
 	"net/rpc"
 	"slices"
@@ -12,6 +11,7 @@
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/catalogs"
+	"gypsumshelf.example/gypsumshelf/peers"
 )
 
 const (
@@ -198,8 +198,6 @@
 	return true
 }
 
-var errSilent = errors.New("the control daemon does not answer")
-
 // poll asks for news until the connection fails or goes silent.
 func (f *feed) poll(client *rpc.Client) error {
 	f.mu.Lock()
@@ -215,7 +213,7 @@
 	q := Poll{Daemon: cfg.Daemon, Entry: cfg.Entry}
 	for {
 		var v View
-		if err := Call(client, ServiceName+".Poll", q, &v, pollTimeout); err != nil {
+		if err := peers.Call(client, ServiceName+".Poll", q, &v, pollTimeout); err != nil {
 			return err
 		}
 		f.mu.Lock()
@@ -246,7 +244,7 @@
 		return nil
 	}
 	var state catalogs.State
-	if err := Call(client, ServiceName+".Fetch", struct{}{}, &state, fetchTimeout); err != nil {
+	if err := peers.Call(client, ServiceName+".Fetch", struct{}{}, &state, fetchTimeout); err != nil {
 		return err
 	}
 	if state.Index > s.cfg.Index() {
@@ -254,23 +252,3 @@
 	}
 	return nil
 }
-
-// Call makes a call and gives up after a time. The reply must not be read after an error.
-func Call(client *rpc.Client, method string, args, reply any, limit time.Duration) error {
-	pending := client.Go(method, args, reply, make(chan *rpc.Call, 1))
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case done := <-pending.Done:
-		return done.Error
-	case <-timer.C:
-		return errSilent
-	}
-}
-
-// IsRefusal reports whether an error of Call was returned by the other daemon,
-// and not caused by the connection.
-func IsRefusal(err error) bool {
-	var refused rpc.ServerError
-	return errors.As(err, &refused)
-}
--- a/peers/link.go
+++ b/peers/link.go
@@ -74,7 +74,7 @@
 	}
 	client := rpc.NewClient(&countingConn{Conn: conn, counters: &k.owner.bytes})
 	hello := Hello{Deployment: k.owner.cfg.Deployment, Daemon: k.owner.cfg.Daemon}
-	if err := call(client, "Peer.Hello", hello, helloDeadline); err != nil {
+	if err := Call(client, "Peer.Hello", hello, &struct{}{}, helloDeadline); err != nil {
 		client.Close()
 		return nil, err
 	}
@@ -88,7 +88,7 @@
 		if batch == nil {
 			return
 		}
-		err := call(client, "Peer.Deliver", batch, silenceLimit)
+		err := Call(client, "Peer.Deliver", batch, &struct{}{}, silenceLimit)
 		k.waiting.Add(-int64(len(batch)))
 		if err != nil {
 			return
@@ -123,10 +123,12 @@
 	return batch
 }
 
-var errSilent = errors.New("peer does not answer")
+var errSilent = errors.New("the other daemon does not answer")
 
-func call(client *rpc.Client, method string, args any, limit time.Duration) error {
-	pending := client.Go(method, args, &struct{}{}, make(chan *rpc.Call, 1))
+// Call makes a call and gives up after a time. The reply must not be read after
+// an error.
+func Call(client *rpc.Client, method string, args, reply any, limit time.Duration) error {
+	pending := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
--- a/platform/soaks/network.go
+++ b/soaks/network.go
@@ -1,3 +1,5 @@
+// Package soaks holds what a fault soak needs whatever the daemons speak: proxies
+// that disturb connections, and a checker of what callers and backend servers saw.
 package soaks
 
 import (
@@ -8,10 +10,10 @@
 	"time"
 )
 
-// network holds the proxies in front of runners.
-type network struct {
+// Network holds the proxies in front of runners.
+type Network struct {
 	mu      sync.Mutex
-	proxies []*proxy
+	proxies []*Proxy
 }
 
 // disturbance is what a proxy does to its connections.
@@ -24,8 +26,8 @@
 	silent // bytes to the runner pass, those of its answers do not
 )
 
-// proxy forwards connections to a runner.
-type proxy struct {
+// Proxy forwards connections to a runner.
+type Proxy struct {
 	listener net.Listener
 	target   string
 
@@ -35,15 +37,19 @@
 	conns map[net.Conn]bool
 }
 
+// Address returns the address at which the proxy listens.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
 // proxyDelay is the time by which a delayed connection holds bytes back.
 const proxyDelay = 150 * time.Millisecond
 
-func (n *network) proxy(target string) (*proxy, error) {
+// Proxy starts a proxy in front of an address.
+func (n *Network) Proxy(target string) (*Proxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
+	p := &Proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
 	n.mu.Lock()
 	n.proxies = append(n.proxies, p)
 	n.mu.Unlock()
@@ -51,8 +57,8 @@
 	return p, nil
 }
 
-// disturb applies a disturbance to a proxy for a time.
-func (n *network) disturb(r *rand.Rand, kind int, d time.Duration) {
+// Disturb applies a disturbance to a proxy for a time.
+func (n *Network) Disturb(r *rand.Rand, kind int, d time.Duration) {
 	n.mu.Lock()
 	p := n.proxies[r.IntN(len(n.proxies))]
 	n.mu.Unlock()
@@ -66,7 +72,8 @@
 	}
 }
 
-func (n *network) heal() {
+// Heal ends all disturbances.
+func (n *Network) Heal() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, p := range n.proxies {
@@ -76,7 +83,8 @@
 	}
 }
 
-func (n *network) close() {
+// Close ends all proxies.
+func (n *Network) Close() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, p := range n.proxies {
@@ -93,7 +101,7 @@
 	c.Close()
 }
 
-func (p *proxy) now() disturbance {
+func (p *Proxy) now() disturbance {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if time.Now().After(p.until) {
@@ -102,7 +110,7 @@
 	return p.state
 }
 
-func (p *proxy) loop() {
+func (p *Proxy) loop() {
 	for {
 		c, err := p.listener.Accept()
 		if err != nil {
@@ -115,7 +123,7 @@
 
 // forwarding is one connection through a proxy.
 type forwarding struct {
-	proxy *proxy
+	proxy *Proxy
 	conn  net.Conn
 }
 
