--- a/directories/subscriber.go
+++ b/directories/subscriber.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	dialTimeout = 400 * time.Millisecond
-	redialPause = 150 * time.Millisecond
+	// dialTimeout is short because a host that starts does not answer attempts
+	// that were made before; control daemons are some ms away.
+	dialTimeout = 250 * time.Millisecond
+	redialPause = 100 * time.Millisecond
 	// pollTimeout is the time without an answer after which a connection is
 	// taken for dead; a healthy one answers every pollHold.
 	pollTimeout = 2 * pollHold
--- a/peers/link.go
+++ b/peers/link.go
@@ -14,7 +14,7 @@
 	queueLength   = 1024 // envelopes that wait for one peer
 	maxBatch      = 256  // envelopes in one call
 	redialPause   = 100 * time.Millisecond
-	dialTimeout   = time.Second
+	dialTimeout   = 300 * time.Millisecond // a host that starts answers no earlier attempt; regions are tens of ms apart
 	helloDeadline = 2 * time.Second
 	heartbeatGap  = 500 * time.Millisecond // idle time after which a heartbeat is sent
 	drainPoll     = 5 * time.Millisecond
