--- a/schedules/choice.go
+++ b/schedules/choice.go
@@ -16,9 +16,8 @@
 	lightHelpers = 10
 	// maxHelpers is the number of helpers that an engine accepts in one request.
 	maxHelpers = 16
-	// maxAhead is the reading that is given to an engine in advance. More would
-	// fix the order of heavy prompts too early, less would leave engines idle
-	// between two decisions.
+	// maxAhead is the unread part of other prompts from which an engine does not
+	// help with a light one: its part would hold all of them up.
 	maxAhead = 600 * time.Millisecond
 	// maxPart is the longest part of a heavy prompt that one engine reads while
 	// others of the lane could share it: a longer one keeps the engine from
@@ -29,6 +28,10 @@
 	// urgentShare is the part of its target that a heavy prompt waits for
 	// engines whose answers it does not disturb.
 	urgentShare = 0.15
+	// The times below are added to predicted times to compare engines. Those up
+	// to perWriter were found by a search over the simulated loads of
+	// scheduler_test.go, whose result depends little on any one of them.
+
 	// cleanLane is added to the predicted time of a light prompt on an engine that
 	// is kept for heavy ones and writes no light answer yet: for as long as it
 	// does, it can read only short parts. usedLane is added when it does already.
--- a/schedules/engine.go
+++ b/schedules/engine.go
@@ -41,9 +41,8 @@
 // part is a job's work on one engine.
 type part struct {
 	job     *run
-	read    time.Duration // time to read this engine's part of the prompt
-	writes  bool          // the engine writes the answer
-	context int           // tokens in the engine's memory
+	writes  bool // the engine writes the answer
+	context int  // tokens in the engine's memory
 }
 
 // reading is a part of a prompt that the engine was given to read.
@@ -245,7 +244,8 @@
 	}
 }
 
-// calmPause is the longest pause that is planned for while no job is urgent.
+// calmPause is the longest pause that is planned for while no job is urgent, a
+// little below what callers of the longest prompts accept.
 const calmPause = 680 * time.Millisecond
 
 // maxReads bounds the readings that are remembered.
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// demandMemory is the time after which demand counts 1/e: it follows a
-	// burst of long prompts within seconds and outlasts the gaps between them.
+	// demandMemory is the time after which demand counts 1/e, about the time
+	// between two heavy prompts under usual load.
 	demandMemory = time.Second
 	// writersPerEngine is the part of an engine's slots that short answers are
 	// planned to fill; the rest absorbs bursts.
@@ -20,7 +20,8 @@
 	// laneHeadroom is the part of an engine by which the light lane exceeds that.
 	laneHeadroom = 0.3
 	// lightMemory is the time after which the highest number of light answers
-	// counts 1/e, a little longer than such an answer takes.
+	// counts 1/e: a quarter of the time that such an answer takes, so that the
+	// lane does not follow each answer and still follows a burst.
 	lightMemory = 500 * time.Millisecond
 	// leastDemand is the reading, in engines, below which no lane is kept.
 	leastDemand = 0.02
@@ -470,7 +471,7 @@
 		if e == nil {
 			continue
 		}
-		part := &part{job: r, read: read, writes: i == 0, context: held[id]}
+		part := &part{job: r, writes: i == 0, context: held[id]}
 		if i == 0 {
 			part.context = max(0, rest)
 		}
