--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -43,6 +43,7 @@
 	Fleet      *Fleet
 	Placer     Placer
 	Retries    Retries
+	Fresh      func() bool // whether the state may still be used; nil for always
 	Log        *logrus.Entry
 	Recorder   Recorder
 }
@@ -218,6 +219,8 @@
 	switch {
 	case d.catalog == nil:
 		return d.refuse(http.StatusServiceUnavailable, startRetryAfter, "the daemon has no catalog yet")
+	case d.forwarder.cfg.Fresh != nil && !d.forwarder.cfg.Fresh():
+		return d.refuse(http.StatusServiceUnavailable, startRetryAfter, "no control daemon has confirmed the state for too long")
 	}
 	d.route = d.catalog.Route(d.r.Host, d.r.URL.Path)
 	if d.route == nil {
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -55,6 +55,7 @@
 	Protocol   forwards.Protocol
 	Retries    forwards.Retries
 	Recorder   forwards.Recorder
+	StaleState time.Duration // time without a control daemon after which requests are refused, 0 for never
 	Log        *logrus.Entry
 	Timers     *timers.Service
 }
@@ -69,6 +70,8 @@
 	feeds     *directories.Subscriber
 	server    *http.Server
 	stopping  atomic.Bool
+	heard     atomic.Int64 // last view of a control daemon, in ns since started
+	started   time.Time
 	wg        sync.WaitGroup
 
 	mu        sync.Mutex
@@ -79,7 +82,7 @@
 
 // Start starts an entry daemon.
 func Start(cfg Config) *Gateway {
-	g := &Gateway{cfg: cfg, fleet: forwards.NewFleet(cfg.DataCentre, cfg.Timers.Now)}
+	g := &Gateway{cfg: cfg, started: time.Now(), fleet: forwards.NewFleet(cfg.DataCentre, cfg.Timers.Now)}
 	g.local = desks.New(desks.Config{Log: cfg.Log, Timers: cfg.Timers, Reporter: cfg.Protocol, Local: true})
 	g.feeds = directories.NewSubscriber(directories.SubscriberConfig{
 		Daemon: cfg.Daemon, Entry: true, Seeds: cfg.Seeds, Log: cfg.Log,
@@ -88,7 +91,7 @@
 	g.desk = desks.NewClient(desks.ClientConfig{Feeds: g.feeds, Local: g.local, Log: cfg.Log})
 	g.forwarder = forwards.New(forwards.Config{
 		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: cfg.Protocol, Fleet: g.fleet, Placer: g.desk,
-		Retries: cfg.Retries, Log: cfg.Log, Recorder: cfg.Recorder,
+		Retries: cfg.Retries, Fresh: g.fresh, Log: cfg.Log, Recorder: cfg.Recorder,
 	})
 	g.server = &http.Server{
 		Handler: g.forwarder, MaxHeaderBytes: defaultHeaderBytes - headerSlack,
@@ -142,6 +145,7 @@
 
 // hear takes a view of a control daemon.
 func (g *Gateway) hear(_ string, v directories.View) {
+	g.heard.Store(int64(time.Since(g.started)))
 	g.desk.SetLeader(v.Leader, v.Term)
 	g.shareRetries(v.Entries)
 	if len(v.Records) == 0 || !g.fleet.Merge(v.Records) {
@@ -178,11 +182,17 @@
 	g.local.Update(controls.Engines(c, records, out))
 }
 
-// Ready reports whether the daemon wants new connections. A daemon that no
-// control daemon reaches goes on serving with the newest state that it has:
-// callers lose nothing by it, and the bounds on changes hold for daemons in
-// touch with the control daemons.
-func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.forwarder.Catalog() != nil }
+// fresh reports whether the state may still be used. By default it may be used
+// for good: callers lose nothing by it, and the bounds on changes hold for
+// daemons in touch with the control daemons.
+func (g *Gateway) fresh() bool {
+	return g.cfg.StaleState == 0 || time.Since(g.started)-time.Duration(g.heard.Load()) <= g.cfg.StaleState
+}
+
+// Ready reports whether the daemon wants new connections.
+func (g *Gateway) Ready() bool {
+	return !g.stopping.Load() && g.forwarder.Catalog() != nil && g.fresh()
+}
 
 // Stop ends the daemon within a grace period without cutting off requests that
 // can end in it.
--- a/settings/host.go
+++ b/settings/host.go
@@ -34,6 +34,9 @@
 	Listen     HostListen           `json:"listen"`
 	Bounds     HostBounds           `json:"bounds"`
 	LogLevel   string               `json:"log-level"`
+	// StaleState is the time without any control daemon after which an entry
+	// daemon refuses requests; 0 lets it go on with the state that it has.
+	StaleState Duration `json:"stale-state"`
 }
 
 // Ports are the ports between daemons, the same on all hosts.
@@ -149,6 +152,7 @@
 		{"bounds.grace", h.Bounds.Grace <= 0},
 		{"bounds.heartbeat", h.Bounds.Heartbeat <= 0},
 		{"bounds.retry-window", h.Bounds.Window <= 0},
+		{"stale-state", h.StaleState < 0},
 		{"bounds.retry-ratio", h.Bounds.RetryRatio < 0},
 		{"data-folder", h.Role == RoleControl && h.DataFolder == ""},
 		{"listen.control", h.Role == RoleControl && !isAddress(h.Listen.Control)},
