Name the engines that heavy prompts may use in one place

The second result of lanes was never used, and two callers had the same fallback to all engines. The simulated loads of scheduler_test.go give the same figures to the last digit before and after.

--- a/schedules/choice.go
+++ b/schedules/choice.go
@@ -91,16 +91,25 @@
 	return usable
 }
 
-// lanes divides engines into those kept for heavy prompts and the others.
-func (p *pool) lanes(engines []*engine) (heavy, light []*engine) {
-	n := max(0, min(p.laneSize(), len(engines)-1))
-	return engines[:n], engines[n:]
+// heavyLane returns the engines that are kept for heavy prompts, which are none
+// without demand for them.
+func (p *pool) heavyLane(engines []*engine) []*engine {
+	return engines[:max(0, min(p.laneSize(), len(engines)-1))]
+}
+
+// heavyEngines returns the engines that a heavy prompt may use: those of the
+// lane, or all while there is no lane.
+func (p *pool) heavyEngines(engines []*engine) []*engine {
+	if lane := p.heavyLane(engines); len(lane) > 0 {
+		return lane
+	}
+	return engines
 }
 
 // chooseLight takes the engine that is predicted to deliver the first event
 // earliest, with helpers for all but the shortest prompts.
 func (p *pool) chooseLight(now time.Time, r *run, engines []*engine) *Placement {
-	heavy, _ := p.lanes(engines)
+	lane := len(p.heavyLane(engines))
 	parts := 1 + min(lightHelpers, int(r.alone/lightPart))
 	var best *engine
 	var bestScore, first time.Duration
@@ -112,7 +121,7 @@
 		predicted := e.firstEvent(now, part, r.job.Prompt)
 		score := predicted + time.Duration(e.writers(now))*perWriter
 		switch {
-		case i >= len(heavy):
+		case i >= lane:
 		case e.sum.light == 0:
 			score += cleanLane
 		default:
@@ -174,10 +183,7 @@
 // heavyReaders returns the engines that may read parts of a heavy prompt, the
 // least busy first.
 func (p *pool) heavyReaders(now time.Time, engines []*engine, urgent bool) (readers []reader, lane int) {
-	heavy, _ := p.lanes(engines)
-	if len(heavy) == 0 {
-		heavy = engines
-	}
+	heavy := p.heavyEngines(engines)
 	for _, e := range heavy {
 		if !e.committed() && !e.busy(now) && !e.isCold(now) {
 			readers = append(readers, reader{engine: e, backlog: e.backlog(now), allowance: e.allowance(now, urgent), pace: e.currentPace(now)})
@@ -269,10 +275,7 @@
 // what is left after memory on other engines is reserved, largest first. It uses
 // as many engines as can read a part without disturbing their answers.
 func (p *pool) chooseHuge(now time.Time, r *run, engines []*engine) *Placement {
-	heavy, _ := p.lanes(engines)
-	if len(heavy) == 0 {
-		heavy = engines
-	}
+	heavy := p.heavyEngines(engines)
 	for k := min(len(heavy), maxHelpers+1); k > 1; k-- {
 		part := r.alone / time.Duration(k)
 		able := readers(now, heavy, nil, part)
