Keep waiting jobs at the leader when its answers are late

Cause: on a link that loses packets an answer comes 200 ms and more too late. The entry daemon then placed the job with its own scheduler, which knows nothing of other daemons' jobs.

--- a/desks/client.go
+++ b/desks/client.go
@@ -13,6 +13,7 @@
 	"gypsumshelf.example/gypsumshelf/directories"
 	"gypsumshelf.example/gypsumshelf/peers"
 	"gypsumshelf.example/gypsumshelf/schedules"
+	"gypsumshelf.example/gypsumshelf/timers"
 )
 
 const (
@@ -20,6 +21,16 @@
 	// asked any more for suspectTime: half of the shortest target is left then.
 	placeTimeout = 120 * time.Millisecond
 	suspectTime  = 500 * time.Millisecond
+	// silenceShare is the part of its target that a job waits for the answer of a
+	// leader, which is sent again after 200 ms or more when packets are lost.
+	silenceShare = 0.4
+	// leaderlessShare is the part of its target that a job waits for a leader.
+	// One that would wait for less than leastLeaderless does not wait: a
+	// connection is not restored in that time.
+	leaderlessShare = 0.2
+	leastLeaderless = 200 * time.Millisecond
+	// leaderPoll is the period at which a waiting job looks for a leader.
+	leaderPoll = 20 * time.Millisecond
 	// noteTimeout bounds calls that no request waits for.
 	noteTimeout = time.Second
 	// noteBacklog is the number of notes that may wait; a note that is lost is
@@ -137,55 +148,100 @@
 	c.jobs[job.ID] = p
 	c.mu.Unlock()
 	arrived := time.Now()
-	if client, leader := c.connection(); client != nil {
-		decision, err := c.ask(ctx, client, job)
-		if err == nil {
-			decision.Scheduler = leader
-			return c.decided(p, decision, false), nil
+	contact := arrived // last one with a leader
+	failed := ""       // leader that does not know the job any more
+	for {
+		if client, leader := c.connection(); client != nil && leader != failed {
+			decision, err := c.ask(ctx, client, leader, after(job, time.Since(arrived)))
+			if err == nil {
+				decision.Scheduler = leader
+				return c.decided(p, *decision, false), nil
+			}
+			if ctx.Err() != nil {
+				return schedules.Decision{}, ctx.Err()
+			}
+			c.blame(leader, err)
+			contact, failed = time.Now(), leader
 		}
-		if ctx.Err() != nil {
+		if time.Since(contact) >= leaderless(job) {
+			return c.placeLocally(ctx, p, time.Since(arrived))
+		}
+		if !timers.Pause(ctx, leaderPoll) {
 			return schedules.Decision{}, ctx.Err()
 		}
-		c.blame(leader, err)
 	}
-	return c.placeLocally(ctx, p, time.Since(arrived))
 }
 
-// ask places a job at the leader.
-func (c *Client) ask(ctx context.Context, client *rpc.Client, job schedules.Job) (*schedules.Decision, error) {
-	var reply Reply
-	if err := peers.Call(client, ServiceName+".Place", job, &reply, placeTimeout); err != nil {
+// after returns a job as it is when a time has passed since it was made.
+func after(job schedules.Job, spent time.Duration) schedules.Job {
+	job.Target -= spent
+	job.Patience -= spent
+	job.Deadline -= spent
+	return job
+}
+
+// silence returns how long a leader may take to answer a job's daemon.
+func silence(job schedules.Job) time.Duration {
+	return max(placeTimeout, time.Duration(silenceShare*float64(job.Target)))
+}
+
+// leaderless returns how long a job waits for a leader before this daemon
+// places it with what it knows itself.
+func leaderless(job schedules.Job) time.Duration {
+	if share := time.Duration(leaderlessShare * float64(job.Target)); share >= leastLeaderless {
+		return share
+	}
+	return 0
+}
+
+// ask places a job at the leader. While the job waits there, answers that come
+// too late do not end its wait: what the leader knows of other daemons' jobs is
+// worth more than the time. An error means that the leader has lost the job or
+// is not reached any more.
+func (c *Client) ask(ctx context.Context, client *rpc.Client, leader string, job schedules.Job) (*schedules.Decision, error) {
+	reply := &Reply{}
+	if err := peers.Call(client, ServiceName+".Place", job, reply, silence(job)); err != nil {
 		return nil, err
 	}
+	heard := time.Now()
 	for reply.Decision == nil {
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
-		reply = Reply{}
-		if err := peers.Call(client, ServiceName+".Await", job.ID, &reply, awaitHold+placeTimeout); err != nil {
+		reply = &Reply{}
+		err := peers.Call(client, ServiceName+".Await", job.ID, reply, awaitHold+placeTimeout)
+		if err == nil {
+			heard = time.Now()
+			continue
+		}
+		reply = &Reply{} // the other one may still be written to
+		var answered rpc.ServerError
+		if errors.As(err, &answered) || time.Since(heard) > awaitHold+silence(job) {
 			return nil, err
 		}
+		if again, current := c.connection(); again != nil && current == leader {
+			client = again
+		} else if !timers.Pause(ctx, leaderPoll) {
+			return nil, ctx.Err()
+		}
 	}
 	return reply.Decision, nil
 }
 
-func (c *Client) decided(p *placed, d *schedules.Decision, local bool) schedules.Decision {
+func (c *Client) decided(p *placed, d schedules.Decision, local bool) schedules.Decision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p.placement, p.local = d.Placement, local
 	if d.Placement == nil {
 		delete(c.jobs, p.job.ID)
 	}
-	return *d
+	return d
 }
 
 // placeLocally places a job with what this daemon knows. The time that the
 // leader was waited for counts.
 func (c *Client) placeLocally(ctx context.Context, p *placed, spent time.Duration) (schedules.Decision, error) {
-	job := p.job
-	job.Target -= spent
-	job.Patience -= spent
-	job.Deadline -= spent
+	job := after(p.job, spent)
 	decision, err := c.cfg.Local.Place(job)
 	if err == nil && decision == nil {
 		decision, err = c.cfg.Local.Await(ctx, job.ID)
@@ -196,7 +252,7 @@
 	if err != nil {
 		return schedules.Decision{}, err
 	}
-	return c.decided(p, decision, true), nil
+	return c.decided(p, *decision, true), nil
 }
 
 var errUndecided = errors.New("the caller's time ended before a place was free")
--- a/desks/desk.go
+++ b/desks/desk.go
@@ -24,6 +24,9 @@
 	// leastDesks is the number of local desks that is assumed until more are
 	// known, several times that of the smallest deployment.
 	leastDesks = 16
+	// decisionLife is the time for which a decision can be asked for again: the
+	// longest silence after which a daemon still trusts its leader.
+	decisionLife = 2 * time.Second
 	// reportPeriod is the period at which engines are asked for their pace;
 	// a slow one is noticed within two periods.
 	reportPeriod = time.Second
@@ -59,6 +62,14 @@
 	Timers   *timers.Service
 }
 
+// wait is a job on its way to a decision. The decision is kept after it was
+// given out, since the answer that carried it may have come too late.
+type wait struct {
+	done     chan struct{} // closed when decided or inactive
+	decision *schedules.Decision
+	at       time.Time // of the decision
+}
+
 // Desk runs a scheduler.
 type Desk struct {
 	cfg Config
@@ -68,15 +79,15 @@
 	scheduler *schedules.Scheduler
 	figures   map[string]*costs.Engine
 	engines   []Engine
-	decided   map[schedules.JobID]chan schedules.Decision // of waiting jobs
-	asking    map[gypsumshelf.ServerID]bool               // engines with a report in flight
-	desks     int                                         // local desks of the deployment
-	used      time.Time                                   // of the last job
+	waits     map[schedules.JobID]*wait     // jobs whose daemons may ask for a decision
+	asking    map[gypsumshelf.ServerID]bool // engines with a report in flight
+	desks     int                           // local desks of the deployment
+	used      time.Time                     // of the last job
 }
 
 // New returns a Desk that is not active.
 func New(cfg Config) *Desk {
-	d := &Desk{cfg: cfg, desks: leastDesks, decided: map[schedules.JobID]chan schedules.Decision{}, asking: map[gypsumshelf.ServerID]bool{}}
+	d := &Desk{cfg: cfg, desks: leastDesks, waits: map[schedules.JobID]*wait{}, asking: map[gypsumshelf.ServerID]bool{}}
 	d.scheduler = d.newScheduler()
 	cfg.Timers.Subscribe(tickPeriod, d.tick)
 	if cfg.Reporter != nil {
@@ -115,9 +126,11 @@
 	}
 	d.active = active
 	d.scheduler = d.newScheduler()
-	for id, c := range d.decided {
-		close(c)
-		delete(d.decided, id)
+	for id, w := range d.waits {
+		if w.decision == nil {
+			close(w.done)
+		}
+		delete(d.waits, id)
 	}
 	d.scheduler.Update(d.cfg.Timers.Now(), d.figures, d.states())
 	d.cfg.Log.WithField("active", active).Info("the scheduler of engine work changed its state")
@@ -148,35 +161,27 @@
 		return nil, ErrInactive
 	}
 	d.used = d.cfg.Timers.Now()
-	d.decided[job.ID] = make(chan schedules.Decision, 1)
+	w := &wait{done: make(chan struct{})}
+	d.waits[job.ID] = w
 	d.publish(d.scheduler.Submit(d.cfg.Timers.Now(), job))
-	select {
-	case decision := <-d.decided[job.ID]:
-		delete(d.decided, job.ID)
-		return &decision, nil
-	default:
-		return nil, nil
-	}
+	return w.decision, nil
 }
 
-// Await waits for the decision about a job that waits; it returns nil without
-// an error when ctx ends first.
+// Await waits for the decision about a job; it returns nil without an error
+// when ctx ends first. It may be called again after it returned the decision.
 func (d *Desk) Await(ctx context.Context, id schedules.JobID) (*schedules.Decision, error) {
 	d.mu.Lock()
-	c := d.decided[id]
+	w := d.waits[id]
 	d.mu.Unlock()
-	if c == nil {
+	if w == nil {
 		return nil, ErrInactive
 	}
 	select {
-	case decision, ok := <-c:
-		if !ok {
+	case <-w.done:
+		if w.decision == nil {
 			return nil, ErrInactive
 		}
-		d.mu.Lock()
-		delete(d.decided, id)
-		d.mu.Unlock()
-		return &decision, nil
+		return w.decision, nil
 	case <-ctx.Done():
 		return nil, nil
 	}
@@ -195,7 +200,7 @@
 func (d *Desk) End(id schedules.JobID, outcome schedules.Outcome, blamed gypsumshelf.ServerID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.decided, id)
+	delete(d.waits, id)
 	if d.active {
 		d.publish(d.scheduler.End(d.cfg.Timers.Now(), id, outcome, blamed))
 	}
@@ -222,6 +227,11 @@
 func (d *Desk) tick(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	for id, w := range d.waits {
+		if w.decision != nil && now.Sub(w.at) > decisionLife {
+			delete(d.waits, id)
+		}
+	}
 	if d.active {
 		d.publish(d.scheduler.Tick(now))
 	}
@@ -233,8 +243,9 @@
 	for len(decisions) > 0 {
 		var next []schedules.Decision
 		for _, decision := range decisions {
-			if c := d.decided[decision.Job]; c != nil {
-				c <- decision
+			if w := d.waits[decision.Job]; w != nil && w.decision == nil {
+				w.decision, w.at = &decision, d.cfg.Timers.Now()
+				close(w.done)
 			} else if decision.Placement != nil {
 				next = append(next, d.scheduler.End(d.cfg.Timers.Now(), decision.Job, schedules.Cancelled, "")...)
 			}
--- a/desks/desks_test.go
+++ b/desks/desks_test.go
@@ -42,12 +42,17 @@
 
 // leader serves a desk as the leading control daemon does.
 func leader(t *testing.T, d *Desk) (address string, server *directories.Server) {
+	t.Helper()
+	return serve(t, NewService(d))
+}
+
+func serve(t *testing.T, service any) (address string, server *directories.Server) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := directories.NewServer(l, map[string]any{directories.ServiceName: directories.NewPublisher(), ServiceName: NewService(d)})
+	s, err := directories.NewServer(l, map[string]any{directories.ServiceName: directories.NewPublisher(), ServiceName: service})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -138,3 +143,69 @@
 		t.Error("an older term replaced the leader")
 	}
 }
+
+// lateService gives its first answers later than its callers wait, as a link
+// that loses packets does.
+type lateService struct {
+	*Service
+	late chan time.Duration
+}
+
+func (s *lateService) Await(id schedules.JobID, reply *Reply) error {
+	err := s.Service.Await(id, reply)
+	select {
+	case d := <-s.late:
+		time.Sleep(d)
+	default:
+	}
+	return err
+}
+
+// Guards against a job that leaves the leader's queue because an answer is
+// late: the local desk knows nothing of the jobs of other daemons. On trouble-3
+// of Schriftgilde a review that had waited for 5.5 s was given to five engines
+// that wrote 60 drafts.
+func TestLateAnswerKeepsTheJobAtTheLeader(t *testing.T) {
+	desk := newDesk(t, 1)
+	desk.SetActive(true)
+	s := &lateService{Service: NewService(desk), late: make(chan time.Duration, 1)}
+	address, _ := serve(t, s)
+	c := newClient(t, address)
+	c.SetLeader(address, 1)
+	assertPlacedBy(t, c, "first", address)
+	s.late <- awaitHold + 2*placeTimeout
+	go func() {
+		time.Sleep(awaitHold / 2)
+		c.End("first", schedules.Completed, "")
+	}()
+	assertPlacedBy(t, c, "second", address)
+	t.Run("also when it carried the decision", func(t *testing.T) {
+		s.late <- 2 * awaitHold
+		go func() {
+			time.Sleep(awaitHold / 2)
+			c.End("second", schedules.Completed, "")
+		}()
+		assertPlacedBy(t, c, "third", address)
+	})
+}
+
+// Guards against a long prompt that is placed blindly as soon as its leader is
+// gone, although the next one is there in half a second.
+func TestLongPromptWaitsForTheNextLeader(t *testing.T) {
+	desk := newDesk(t, 4)
+	desk.SetActive(true)
+	address, _ := leader(t, desk)
+	c := newClient(t, address)
+	long := job("long")
+	long.Target = 3 * time.Second
+	time.AfterFunc(leaderless(long)/2, func() { c.SetLeader(address, 1) })
+	d, err := c.Place(t.Context(), long)
+	if err != nil || d.Scheduler != address {
+		t.Errorf("decision %+v with error %v, want a placement by the new leader", d, err)
+	}
+	short := job("short")
+	short.Target = 300 * time.Millisecond
+	if w := leaderless(short); w != 0 {
+		t.Errorf("a short prompt waits %v for a leader", w)
+	}
+}
--- a/forwards/plain.go
+++ b/forwards/plain.go
@@ -9,6 +9,7 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/rosters"
 	"gypsumshelf.example/gypsumshelf/schedules"
+	"gypsumshelf.example/gypsumshelf/timers"
 )
 
 // silenceShare is the multiple of its target after which a request that may run
@@ -22,23 +23,11 @@
 	announcePoll = 30 * time.Millisecond
 )
 
-// pause waits; it reports false when ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // runOnPlain serves a request of a service without engines.
 func (d *delivery) runOnPlain(ctx context.Context) {
 	for {
 		k, found := d.forwarder.cfg.Fleet.Choose(d.service.Name, d.tried)
-		if !found && len(d.tried) == 0 && d.now().Sub(d.arrived) < announceWait && pause(ctx, announcePoll) {
+		if !found && len(d.tried) == 0 && d.now().Sub(d.arrived) < announceWait && timers.Pause(ctx, announcePoll) {
 			continue
 		}
 		if !found {
--- a/loads/bench_leaving.go
+++ b/loads/bench_leaving.go
@@ -11,6 +11,7 @@
 	"gypsumshelf.example/gypsumshelf/configs"
 	"gypsumshelf.example/gypsumshelf/operators"
 	"gypsumshelf.example/gypsumshelf/standins"
+	"gypsumshelf.example/gypsumshelf/timers"
 )
 
 // leavingLoad is the share of the capacity of all data centres, so that two of
@@ -75,7 +76,7 @@
 		p.cfg.Seed += uint64(i)
 		phases = append(phases, p)
 		answers.Go(p.run)
-		pause(ctx, cfg.Duration)
+		timers.Pause(ctx, cfg.Duration)
 	}
 	answers.Wait()
 	if err := writePhases(cfg, phases); err != nil {
--- a/loads/bench_overhead.go
+++ b/loads/bench_overhead.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gypsumshelf.example/gypsumshelf/standins"
+	"gypsumshelf.example/gypsumshelf/timers"
 )
 
 const (
@@ -67,7 +68,7 @@
 			} else {
 				failed++
 			}
-			pause(ctx, overheadPause)
+			timers.Pause(ctx, overheadPause)
 		}
 	}
 	return direct, through, failed
--- a/loads/cluster.go
+++ b/loads/cluster.go
@@ -16,6 +16,7 @@
 	"gypsumshelf.example/gypsumshelf/operators"
 	"gypsumshelf.example/gypsumshelf/settings"
 	"gypsumshelf.example/gypsumshelf/standins"
+	"gypsumshelf.example/gypsumshelf/timers"
 )
 
 const (
@@ -106,7 +107,7 @@
 	deadline := time.Now().Add(clusterStart)
 	for _, s := range c.settings {
 		for !isReady(s, servers) {
-			if pause(ctx, clusterPoll); ctx.Err() != nil || time.Now().After(deadline) {
+			if timers.Pause(ctx, clusterPoll); ctx.Err() != nil || time.Now().After(deadline) {
 				return errNotReady
 			}
 		}
--- a/loads/load.go
+++ b/loads/load.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"gypsumshelf.example/gypsumshelf/timers"
 )
 
 // Config configures a run of load.
@@ -103,7 +105,7 @@
 		if at.After(end) {
 			return
 		}
-		pause(g.ctx, time.Until(at))
+		timers.Pause(g.ctx, time.Until(at))
 		if g.ctx.Err() != nil {
 			return
 		}
--- a/loads/slope_idle.go
+++ b/loads/slope_idle.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gypsumshelf.example/gypsumshelf/standins"
+	"gypsumshelf.example/gypsumshelf/timers"
 )
 
 // Sizes of the idle deployments that are measured.
@@ -62,14 +63,14 @@
 		return cost{}, err
 	}
 	defer c.Close()
-	pause(ctx, idleSettle)
+	timers.Pause(ctx, idleSettle)
 	out := cost{heap: (liveHeap() - heap) / float64(daemons)}
 	before, err := c.peerBytes()
 	if err != nil {
 		return cost{}, err
 	}
 	start, began := processorTime(), time.Now()
-	pause(ctx, d)
+	timers.Pause(ctx, d)
 	unit := float64(daemons) * time.Since(began).Seconds()
 	out.cpu = time.Duration(float64(processorTime()-start) / unit)
 	after, err := c.peerBytes()
--- a/loads/slope_link.go
+++ b/loads/slope_link.go
@@ -9,6 +9,7 @@
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/peers"
+	"gypsumshelf.example/gypsumshelf/timers"
 )
 
 // minLinkTime is the shortest time over which idle links are measured: four
@@ -88,23 +89,13 @@
 		links := peers.New(peers.Config{Deployment: "slopes", Daemon: id, Peers: others, Receive: func(peers.Envelope) {}}, l)
 		defer links.Close()
 	}
-	pause(ctx, time.Second) // all connections are then open
+	timers.Pause(ctx, time.Second) // all connections are then open
 	count := float64(n * (n - 1))
 	c := cost{heap: (liveHeap() - heap) / count}
 	before, start, began := bytes.Load(), processorTime(), time.Now()
-	pause(ctx, d)
+	timers.Pause(ctx, d)
 	seconds := time.Since(began).Seconds()
 	c.cpu = time.Duration(float64(processorTime()-start) / count / seconds)
 	c.bytes = float64(bytes.Load()-before) / count / seconds
 	return c, ctx.Err()
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/standins/generation.go
+++ b/standins/generation.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gypsumshelf.example/gypsumshelf/streams"
+	"gypsumshelf.example/gypsumshelf/timers"
 )
 
 // generation is one completion in progress.
@@ -63,7 +64,7 @@
 			break
 		}
 		due = due.Add(e.tokenTime())
-		if !sleep(ctx, time.Until(due)) {
+		if !timers.Pause(ctx, time.Until(due)) {
 			return false
 		}
 	}
--- a/standins/plain.go
+++ b/standins/plain.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"gypsumshelf.example/gypsumshelf/timers"
 )
 
 // Ledger counts how often each call ran on any plain service of a fleet.
@@ -82,7 +84,7 @@
 		<-r.Context().Done()
 		return
 	}
-	if sleep(r.Context(), p.cfg.WorkTime) {
+	if timers.Pause(r.Context(), p.cfg.WorkTime) {
 		writeJSON(w, answer)
 	}
 }
--- a/standins/prefill.go
+++ b/standins/prefill.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"gypsumshelf.example/gypsumshelf/timers"
 )
 
 // prefillSlice is the number of prompt tokens processed before the engine
@@ -101,7 +103,7 @@
 			due = now
 		}
 		due = due.Add(p.cost(tokens))
-		if !sleep(p.ctx, time.Until(due)) {
+		if !timers.Pause(p.ctx, time.Until(due)) {
 			return
 		}
 		j.left -= tokens
@@ -111,18 +113,3 @@
 		}
 	}
 }
-
-// sleep waits for d and reports false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
