Check callers and engine loads after a host stood still

Cause: a host that wakes after 4 s reads the requests that waited in its sockets as new ones, and its connection to the leader counts as dead.

Callers get 15 ms to show that they have left when the process stood still. A scheduler that shares the engines with others gives long prompts only to engines with a recent report, and asks for reports when it is used again.

--- a/desks/desk.go
+++ b/desks/desk.go
@@ -133,6 +133,9 @@
 		delete(d.waits, id)
 	}
 	d.scheduler.Update(d.cfg.Timers.Now(), d.figures, d.states())
+	if active && d.cfg.Reporter != nil {
+		d.ask()
+	}
 	d.cfg.Log.WithField("active", active).Info("the scheduler of engine work changed its state")
 }
 
@@ -160,7 +163,11 @@
 	if !d.active {
 		return nil, ErrInactive
 	}
-	d.used = d.cfg.Timers.Now()
+	now := d.cfg.Timers.Now()
+	if d.cfg.Local && d.cfg.Reporter != nil && now.Sub(d.used) > usedLife {
+		d.ask() // what is known of the engines is old
+	}
+	d.used = now
 	w := &wait{done: make(chan struct{})}
 	d.waits[job.ID] = w
 	d.publish(d.scheduler.Submit(d.cfg.Timers.Now(), job))
@@ -259,9 +266,13 @@
 func (d *Desk) askAll(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.active || d.cfg.Local && now.Sub(d.used) > usedLife {
-		return
+	if d.active && (!d.cfg.Local || now.Sub(d.used) <= usedLife) {
+		d.ask()
 	}
+}
+
+// ask begins a question to every engine that has none in flight; mu is held.
+func (d *Desk) ask() {
 	for _, e := range d.engines {
 		if !d.asking[e.State.ID] {
 			d.asking[e.State.ID] = true
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -18,6 +18,7 @@
 	"gypsumshelf.example/gypsumshelf/catalogs"
 	"gypsumshelf.example/gypsumshelf/logs"
 	"gypsumshelf.example/gypsumshelf/schedules"
+	"gypsumshelf.example/gypsumshelf/timers"
 )
 
 // Placer decides on which engines a job runs.
@@ -56,6 +57,7 @@
 	ending  atomic.Bool               // connections end with their next answer
 	until   atomic.Pointer[time.Time] // set when the daemon stops: requests must end before it
 	active  atomic.Int64
+	still   standstill
 
 	budgetMu sync.Mutex
 	budget   *attempts.Budget // of second attempts, for each service
@@ -121,6 +123,14 @@
 // their time ends before the daemon does.
 func (f *Forwarder) StopTaking(until time.Time) { f.until.Store(&until) }
 
+// Beat is called every BeatPeriod, so that the forwarder notices when the
+// process was stopped.
+func (f *Forwarder) Beat(now time.Time) {
+	if f.still.tick(now) {
+		f.cfg.Log.Warn("the process stood still; callers of requests that waited meanwhile may have left")
+	}
+}
+
 // Active returns the number of requests in progress.
 func (f *Forwarder) Active() int64 { return f.active.Load() }
 
@@ -202,6 +212,10 @@
 		return
 	}
 	f := d.forwarder
+	if f.still.recent(d.now()) && !timers.Pause(d.r.Context(), callerCheck) {
+		d.finish("the caller left while the process stood still")
+		return
+	}
 	f.earn(d.service.Name)
 	d.lastEvent = d.meta.LastEvent
 	ctx, cancel := context.WithDeadline(d.r.Context(), d.deadline)
--- a/forwards/forwarder_test.go
+++ b/forwards/forwarder_test.go
@@ -142,3 +142,22 @@
 	assertAnswer(t, f.send("GET", "/safe/", ""), http.StatusServiceUnavailable, "")
 	assertAnswer(t, f.send("GET", "/safe/", "", "Wait", "1000"), http.StatusOK, "fine")
 }
+
+// Guards against work for callers that left while the process was stopped: a
+// host of Schriftgilde that woke after 4 s gave 128 such requests to engines.
+func TestCallersThatLeftWhileStopped(t *testing.T) {
+	b := newBackend(t, "s1", "plain", whole(http.StatusOK, "fine"))
+	f := start(t, b)
+	f.forwarder.Beat(time.Now().Add(-4 * time.Second))
+	for i := range 20 {
+		conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(conn, "GET /safe/ HTTP/1.1\r\nHost: 127.0.0.1\r\nId: left-%d\r\nKey: k\r\n\r\n", i)
+		conn.Close()
+	}
+	time.Sleep(10 * callerCheck)
+	assertCount(t, b, 0)
+	assertAnswer(t, f.send("GET", "/safe/", ""), http.StatusOK, "fine")
+}
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -98,6 +98,7 @@
 		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 		ErrorLog: stdlog.New(cfg.Log.WriterLevel(logrus.DebugLevel), "", 0),
 	}
+	cfg.Timers.Subscribe(forwards.BeatPeriod, g.forwarder.Beat)
 	g.feeds.Run()
 	g.wg.Add(1)
 	go g.run()
--- a/schedules/choice.go
+++ b/schedules/choice.go
@@ -55,6 +55,9 @@
 // choose returns where a job runs now, nil when it should wait.
 func (p *pool) choose(now time.Time, r *run) *Placement {
 	engines := p.candidates(now, r)
+	if r.heavy {
+		engines = slices.DeleteFunc(engines, func(e *engine) bool { return e.unseen(now) })
+	}
 	if len(engines) == 0 {
 		return nil
 	}
--- a/schedules/engine.go
+++ b/schedules/engine.go
@@ -65,6 +65,7 @@
 	loadAt    time.Time
 	foreign   int // requests that this scheduler did not place, at loadAt
 	cold      *rate.Limiter
+	shared    bool // others place jobs here too
 }
 
 func newEngine(state EngineState, figures *costs.Engine) *engine {
@@ -73,7 +74,7 @@
 
 // update takes a new state of the engine.
 func (e *engine) update(now time.Time, state EngineState, figures *costs.Engine, share float64) {
-	e.state, e.figures = state, figures
+	e.state, e.figures, e.shared = state, figures, share > 0
 	if !e.isCold(now) || e.cold != nil {
 		return
 	}
@@ -124,6 +125,12 @@
 	return e.foreign
 }
 
+// unseen reports whether other schedulers may have given the engine work that
+// no recent report shows. A long prompt there could hold up many answers.
+func (e *engine) unseen(now time.Time) bool {
+	return e.shared && now.Sub(e.loadAt) > foreignLife
+}
+
 // writers returns the number of answers in progress or about to begin.
 func (e *engine) writers(now time.Time) int { return e.sum.writers + e.strangers(now) }
 
--- a/schedules/scheduler_test.go
+++ b/schedules/scheduler_test.go
@@ -308,3 +308,30 @@
 	assertWaits(t, s.Submit(origin, draft("next")))
 	placed(t, s.Drop(origin, "lost"))
 }
+
+// Guards against a long prompt that a scheduler without news of the engines
+// gives to those that write for other daemons. On trouble-3 of Schriftgilde an
+// entry daemon that had stood still gave a review to six engines and made 76
+// drafts pause for 400 ms.
+func TestLongPromptWaitsForReports(t *testing.T) {
+	s := New(Config{Share: 0.25})
+	var states []EngineState
+	for i := range 8 {
+		states = append(states, EngineState{ID: gypsumshelf.ServerID(fmt.Sprintf("e%02d", i)), Service: "llm"})
+	}
+	s.Update(origin, map[string]*costs.Engine{"llm": figures()}, states)
+	assertWaits(t, s.Submit(origin, job("review", 210_000, 3*time.Second)))
+	placed(t, s.Submit(origin, draft("short")))
+	for i, state := range states {
+		l := Load{Pace: 1, Running: 14}
+		if i >= 2 {
+			l.Running = 0
+		}
+		s.Report(origin, state.ID, l)
+	}
+	for _, id := range placed(t, s.Tick(origin)).engines() {
+		if id < "e02" {
+			t.Errorf("%s reads although it writes 14 answers", id)
+		}
+	}
+}
