Pack the replicated state once for all daemons

Cause: after every new catalog all daemons fetched the state from the control daemon that told them first, mostly the leader.

--- a/directories/directories_test.go
+++ b/directories/directories_test.go
@@ -1,7 +1,9 @@
 package directories
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -144,3 +146,43 @@
 		t.Errorf("view %+v: %v", v, err)
 	}
 }
+
+// Guards against a state that keeps the leader busy while all daemons fetch it:
+// on scale-1 of the grown Schriftgilde deployment a catalog with many routes
+// held up the placing of requests for half a second.
+func TestStateIsPackedOnce(t *testing.T) {
+	var document bytes.Buffer
+	for i := range 700 {
+		fmt.Fprintf(&document, `{"name":"route-%d","host":"callers.example","prefix":"/%x/","timeout-ms":10000,"target-ms":300,"split":[{"service":"llm","weight":100}]},`, i, i*7919)
+	}
+	p := NewPublisher()
+	state := catalogs.State{Index: 7, Version: 3, Document: document.Bytes(), Out: []string{"linz-hafen"}}
+	p.SetState(state)
+	var first, second Packed
+	for _, reply := range []*Packed{&first, &second} {
+		if err := p.Fetch(struct{}{}, reply); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if &first.Data[0] != &second.Data[0] {
+		t.Error("the state was packed twice")
+	}
+	if len(first.Data)*5 > document.Len() {
+		t.Errorf("%d bytes are sent for a document of %d", len(first.Data), document.Len())
+	}
+	got, err := first.unpack()
+	if err != nil || !bytes.Equal(got.Document, state.Document) || got.Index != state.Index || len(got.Out) != 1 {
+		t.Errorf("state %d with %d bytes arrives with error %v", got.Index, len(got.Document), err)
+	}
+	t.Run("a newer one replaces it", func(t *testing.T) {
+		p.SetState(catalogs.State{Index: 8})
+		if err := p.Fetch(struct{}{}, &second); err != nil || second.Index != 8 {
+			t.Errorf("state %d with error %v", second.Index, err)
+		}
+	})
+	t.Run("a damaged one is an error", func(t *testing.T) {
+		if _, err := (Packed{Index: 9, Data: first.Data[:len(first.Data)/2]}).unpack(); err == nil {
+			t.Error("half of a state is accepted")
+		}
+	})
+}
--- a/directories/publisher.go
+++ b/directories/publisher.go
@@ -39,6 +39,7 @@
 	mu       sync.Mutex
 	cursor   uint64
 	state    catalogs.State
+	packed   Packed // the state, once it was fetched
 	leader   string
 	term     uint64
 	controls []string
@@ -141,10 +142,17 @@
 
 // Fetch returns the replicated state. It is apart from Poll so that a daemon
 // which polls several control daemons receives each state once.
-func (p *Publisher) Fetch(_ struct{}, s *catalogs.State) error {
+func (p *Publisher) Fetch(_ struct{}, reply *Packed) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	*s = p.state
+	if p.packed.Index != p.state.Index {
+		packed, err := pack(&p.state)
+		if err != nil {
+			return err
+		}
+		p.packed = packed
+	}
+	*reply = p.packed
 	return nil
 }
 
--- a/directories/subscriber.go
+++ b/directories/subscriber.go
@@ -245,8 +245,12 @@
 	if index <= s.cfg.Index() {
 		return nil
 	}
-	var state catalogs.State
-	if err := peers.Call(client, ServiceName+".Fetch", struct{}{}, &state, fetchTimeout); err != nil {
+	packed := &Packed{}
+	if err := peers.Call(client, ServiceName+".Fetch", struct{}{}, packed, fetchTimeout); err != nil {
+		return err
+	}
+	state, err := packed.unpack()
+	if err != nil {
 		return err
 	}
 	if state.Index > s.cfg.Index() {
