Check the log line and the counters of every outcome of a request

The lines that docs/OPERATIONS.md lists are checked for their fields, and the counters for the same outcome and status.

--- a/forwards/fake_test.go
+++ b/forwards/fake_test.go
@@ -20,6 +20,7 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/catalogs"
 	"gypsumshelf.example/gypsumshelf/costs"
+	"gypsumshelf.example/gypsumshelf/metrics"
 	"gypsumshelf.example/gypsumshelf/rosters"
 	"gypsumshelf.example/gypsumshelf/schedules"
 )
@@ -186,23 +187,18 @@
 	p.ended = append(p.ended, outcome)
 }
 
-type fakeRecorder struct{}
-
-func (fakeRecorder) Request(string, string, int, time.Duration) {}
-func (fakeRecorder) Attempt(string, string)                     {}
-func (fakeRecorder) FirstEvent(string, time.Duration)           {}
-
 // fixture is a forwarder in front of fake backend servers.
 type fixture struct {
 	t         *testing.T
 	forwarder *Forwarder
 	server    *httptest.Server
+	metrics   *metrics.Recorder
 	placer    *fakePlacer
 	log       *bytes.Buffer
 }
 
 func newFixture(t *testing.T, backends ...*backend) *fixture {
-	f := &fixture{t: t, placer: &fakePlacer{}, log: &bytes.Buffer{}}
+	f := &fixture{t: t, placer: &fakePlacer{}, metrics: metrics.New(), log: &bytes.Buffer{}}
 	fleet := NewFleet("a", time.Now)
 	for _, b := range backends {
 		fleet.Merge([]rosters.Record{b.record})
@@ -212,8 +208,9 @@
 	}
 	log := logrus.New()
 	log.SetOutput(f.log)
+	log.SetFormatter(&logrus.JSONFormatter{})
 	f.forwarder = New(Config{
-		DataCentre: "a", Protocol: fakeProtocol{}, Fleet: fleet, Placer: f.placer, Recorder: fakeRecorder{},
+		DataCentre: "a", Protocol: fakeProtocol{}, Fleet: fleet, Placer: f.placer, Recorder: metrics.NewForwards(f.metrics),
 		Log: logrus.NewEntry(log), Retries: Retries{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 	})
 	f.server = httptest.NewServer(f.forwarder)
