--- a/forwards/outcomes_test.go
+++ b/forwards/outcomes_test.go
@@ -66,7 +66,7 @@
 // Guards against a request whose end is not logged, whose line lacks what
 // on-call needs, or which the counters show differently.
 func TestEveryOutcomeIsLoggedAndCounted(t *testing.T) {
-	broken := func(r *http.Request, _ string, conn net.Conn) { reset(conn) }
+	broken := func(_ *http.Request, _ string, conn net.Conn) { reset(conn) }
 	stream := func(r *http.Request, _ string, conn net.Conn) { events(r, conn, 1, 3); endChunks(conn) }
 	half := func(r *http.Request, _ string, conn net.Conn) { events(r, conn, 1, 3); reset(conn) }
 	endless := func(r *http.Request, _ string, conn net.Conn) { events(r, conn, 1, 3) }
