--- a/cmd/gypsumshelf/operate.go
+++ b/cmd/gypsumshelf/operate.go
@@ -26,9 +26,14 @@
 }
 
 func addQueryFlags(cmd *cobra.Command, f *operatorFlags) {
+	addServerFlags(cmd, f)
+	_ = cmd.MarkFlagRequired("server")
+}
+
+// addServerFlags adds the flags of a command that may do without a server.
+func addServerFlags(cmd *cobra.Command, f *operatorFlags) {
 	cmd.Flags().StringSliceVar(&f.servers, "server", nil, "IP:PORT of a daemon's listener for operators (repeatable, tried in order)")
 	cmd.Flags().StringVar(&f.output, "output", "text", "text or json")
-	_ = cmd.MarkFlagRequired("server")
 	cmd.PreRunE = func(*cobra.Command, []string) error { return f.check() }
 }
 
--- a/cmd/gypsumshelf/operators.go
+++ b/cmd/gypsumshelf/operators.go
@@ -133,8 +133,10 @@
 			}
 		})
 	})
-	addQueryFlags(cmd, f)
+	addServerFlags(cmd, f)
 	cmd.Flags().StringArrayVar(&files, "log", nil, "log file of a daemon; repeat it for several, instead of asking a server")
+	cmd.MarkFlagsOneRequired("server", "log")
+	cmd.MarkFlagsMutuallyExclusive("server", "log")
 	return cmd
 }
 
