Open or renew a data folder in one place

Both kinds of daemon opened a data folder, renewed a damaged one and opened it again with the same lines; disks.OpenOrRenew does so for both, and each logs the damage as before, now after the renewal. Scheduler.Waiting, which only a test used, is gone; the test looks at the queue itself.

--- a/controls/storage.go
+++ b/controls/storage.go
@@ -1,7 +1,6 @@
 package controls
 
 import (
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -39,15 +38,9 @@
 // log. A damaged folder is given a new incarnation: the daemon then joins as a
 // new member and is repaired from the others.
 func (s *storage) open(cfg replicas.Config) (replicas.Config, error) {
-	diskConfig := disks.Config{Folder: s.folder, Synced: s.synced, Failed: s.failed}
-	store, err := disks.Open(diskConfig)
-	var damaged *disks.DamagedError
-	if errors.As(err, &damaged) {
-		s.log.WithError(err).Error("the data folder is damaged; the daemon joins with a new incarnation and is repaired from the others")
-		if err := disks.Renew(s.folder); err != nil {
-			return cfg, merry.Prepend(err, "damaged data folder")
-		}
-		store, err = disks.Open(diskConfig)
+	store, damage, err := disks.OpenOrRenew(disks.Config{Folder: s.folder, Synced: s.synced, Failed: s.failed})
+	if damage != nil {
+		s.log.WithError(damage).Error("the data folder is damaged; the daemon joins with a new incarnation and is repaired from the others")
 	}
 	if err != nil {
 		return cfg, merry.Prepend(err, "data folder")
--- a/daemons/storage.go
+++ b/daemons/storage.go
@@ -1,7 +1,6 @@
 package daemons
 
 import (
-	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -44,15 +43,10 @@
 	if s.settings.DataFolder == "" {
 		return id, replicas.Recovered{}, nil
 	}
-	cfg := disks.Config{Folder: s.settings.DataFolder, Synced: s.synced, Failed: s.failed}
-	s.store, err = disks.Open(cfg)
-	var damaged *disks.DamagedError
-	if errors.As(err, &damaged) {
-		s.log.WithError(err).Error("the data folder is damaged; the daemon does not vote and is repaired from its peers")
-		if err := disks.Renew(cfg.Folder); err != nil {
-			return id, recovered, merry.Prepend(err, "damaged data folder")
-		}
-		s.store, err = disks.Open(cfg)
+	store, damage, err := disks.OpenOrRenew(disks.Config{Folder: s.settings.DataFolder, Synced: s.synced, Failed: s.failed})
+	s.store = store
+	if damage != nil {
+		s.log.WithError(damage).Error("the data folder is damaged; the daemon does not vote and is repaired from its peers")
 	}
 	if err != nil {
 		return id, recovered, merry.Prepend(err, "data folder")
--- a/disks/folder.go
+++ b/disks/folder.go
@@ -158,6 +158,21 @@
 	return syncFolder(folder)
 }
 
+// OpenOrRenew opens a data folder. One that is damaged is given a new
+// incarnation by Renew; what was wrong with it is returned beside the store, or
+// beside the error when that fails.
+func OpenOrRenew(cfg Config) (store *Store, damage *DamagedError, err error) {
+	store, err = Open(cfg)
+	if !errors.As(err, &damage) {
+		return store, nil, err
+	}
+	if err := Renew(cfg.Folder); err != nil {
+		return nil, damage, merry.Prepend(err, "damaged data folder")
+	}
+	store, err = Open(cfg)
+	return store, damage, err
+}
+
 // Renew discards the log of a folder, which no process may have open, and gives
 // the folder a new incarnation. The discarded files of the last Renew are kept
 // in the folder "damaged" for inspection.
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -263,15 +263,6 @@
 	return decisions
 }
 
-// Waiting returns the number of jobs in the queues.
-func (s *Scheduler) Waiting() int {
-	n := 0
-	for _, p := range s.pools {
-		n += len(p.queue)
-	}
-	return n
-}
-
 // Which waiting jobs are looked at. A heavy job waits for several engines and
 // is costly to place, so that the end of a single answer is no reason to try it.
 const (
--- a/schedules/scheduler_test.go
+++ b/schedules/scheduler_test.go
@@ -169,7 +169,7 @@
 			}
 		}
 	}
-	if n := s.Waiting(); n != 0 {
+	if n := len(s.pools["llm"].queue); n != 0 {
 		t.Errorf("%d requests wait although their callers have left", n)
 	}
 	if len(refused) != 100-2*figures().Slots {
