Bound what a backend server can make a daemon read

Cause: a status line, a header or a line of an event was read without a limit, and each buffered body only had a limit of its own.

A request whose body does not fit is refused with 503 before it has run.

--- a/cmd/gypsumshelf/host.go
+++ b/cmd/gypsumshelf/host.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -27,6 +28,10 @@
 	return cmd
 }
 
+// heapMemoryShare is the part of the process's memory that the Go runtime may use
+// before it collects garbage more often. The rest is for the buffers of sockets.
+const heapMemoryShare = 0.7
+
 // runHost runs a daemon until SIGTERM or SIGINT. It reloads the settings on
 // SIGHUP and when the settings file changes.
 func runHost(path string) error {
@@ -40,6 +45,9 @@
 	if err != nil {
 		return err
 	}
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(heapMemoryShare * float64(s.MemoryBytes())))
+	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	host, err := platform.Start(s, log, logWriter.Dropped)
--- a/entries/completion.go
+++ b/entries/completion.go
@@ -23,7 +23,7 @@
 		writeError(w, req.ID, err)
 		return
 	}
-	defer body.reservation.release()
+	defer body.reservation.Release()
 	h.run(r.Context(), req, &completionRunner{
 		handler: h, body: body,
 		completionResponse: &completionResponse{callerWriter: h.newCallerWriter(w, req), path: r.URL.Path, id: req.ID, stream: body.stream},
@@ -65,7 +65,7 @@
 		s.firstTokenReported = true
 		s.runner.handler.cfg.Submit(attempts.FirstToken{Attempt: s.start.Attempt})
 		if s.start.Last {
-			s.runner.body.reservation.release()
+			s.runner.body.reservation.Release()
 			s.runner.body.data = nil
 		}
 	}
--- a/entries/handler.go
+++ b/entries/handler.go
@@ -8,6 +8,7 @@
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/buffers"
 	"gypsumshelf.example/gypsumshelf/engines"
 )
 
@@ -45,7 +46,7 @@
 	// workspaces is the set of allowed workspaces. A linear search in a list of
 	// 47,000 took half of the time for reading a request.
 	workspaces map[string]bool
-	bodyBudget bodyBudget
+	bodyBudget *buffers.Budget
 }
 
 // New returns a Handler.
@@ -53,7 +54,7 @@
 	if cfg.WriteTimeout == 0 {
 		cfg.WriteTimeout = defaultWriteTimeout
 	}
-	h := &Handler{cfg: cfg, mux: http.NewServeMux(), bodyBudget: bodyBudget{limit: cfg.BodyBudget}}
+	h := &Handler{cfg: cfg, mux: http.NewServeMux(), bodyBudget: buffers.NewBudget(cfg.BodyBudget)}
 	h.workspaces = make(map[string]bool, len(cfg.Workspaces))
 	for _, workspace := range cfg.Workspaces {
 		h.workspaces[workspace] = true
@@ -105,7 +106,7 @@
 func (h *Handler) RequestsInProgress() int { return h.activeRequests.count() }
 
 // HeldBodyBytes returns the total size of the long bodies kept for a retry.
-func (h *Handler) HeldBodyBytes() int64 { return h.bodyBudget.reservedBytes() }
+func (h *Handler) HeldBodyBytes() int64 { return h.bodyBudget.Reserved() }
 
 func (h *Handler) newCallerWriter(w http.ResponseWriter, req gypsumshelf.Request) callerWriter {
 	return callerWriter{w: w, timeout: h.cfg.WriteTimeout, deadline: req.Deadline()}
--- a/entries/request.go
+++ b/entries/request.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/buffers"
 )
 
 // bytesPerToken is the estimated size of a prompt token: a million tokens are
@@ -34,7 +35,7 @@
 	data        []byte
 	model       string // name of the model in data
 	stream      bool   // the caller requested a stream
-	reservation *reservation
+	reservation *buffers.Reservation
 }
 
 // completionFields are the fields of a completion request that the daemon reads.
@@ -74,7 +75,7 @@
 	}
 	f, failure := parseCompletionFields(data)
 	if failure != nil {
-		res.release()
+		res.Release()
 		return req, body{}, failure
 	}
 	prompt := f.prompt()
@@ -111,10 +112,6 @@
 
 // bodyReadError returns the error for a body that could not be read.
 func bodyReadError(err error, limit int64) *gypsumshelf.Error {
-	wrapped := new(gypsumshelf.Error)
-	if errors.As(err, &wrapped) {
-		return wrapped
-	}
 	if errors.As(err, new(*http.MaxBytesError)) {
 		return bodyTooLargeError(limit)
 	}
--- a/entries/service.go
+++ b/entries/service.go
@@ -8,6 +8,7 @@
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/buffers"
 	"gypsumshelf.example/gypsumshelf/engines"
 )
 
@@ -27,7 +28,7 @@
 	handler         *Handler
 	request         gypsumshelf.Request
 	call            engines.ServiceCall
-	reservation     *reservation
+	reservation     *buffers.Reservation
 	responseStarted bool              // the status and headers have been written
 	callerGone      bool              // a write to the caller failed; a keyed call runs on without it
 	outcome         *attempts.Outcome // outcome to record, nil for a call without a key
@@ -44,7 +45,7 @@
 		writeError(w, req.ID, failure)
 		return
 	}
-	defer res.release()
+	defer res.Release()
 	req.Service = r.PathValue("name")
 	uri := "/" + strings.TrimPrefix(r.URL.EscapedPath(), servicePrefix+escapedServiceName(r))
 	uri = "/" + strings.TrimLeft(uri, "/")
@@ -165,7 +166,7 @@
 	s := k.runner
 	s.handler.cfg.Submit(attempts.FirstToken{Attempt: k.start.Attempt})
 	s.responseStarted = true // no attempt can follow, so the body is no longer needed
-	s.reservation.release()
+	s.reservation.Release()
 	s.call.Body = nil
 	header = endToEndHeaders(header)
 	if s.outcome != nil {
--- a/forwards/attempt.go
+++ b/forwards/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/buffers"
 	"gypsumshelf.example/gypsumshelf/rosters"
 )
 
@@ -106,8 +107,8 @@
 }
 
 // bufferResponse reads the response body into memory.
-func (a *attempt) bufferResponse(timeout time.Duration) (*bufferedResponse, error) {
-	body, err := a.exchange.readBody(timeout)
+func (a *attempt) bufferResponse(timeout time.Duration, memory *buffers.Reservation) (*bufferedResponse, error) {
+	body, err := a.exchange.readBody(timeout, memory)
 	if err != nil {
 		return nil, err
 	}
--- a/forwards/exchange.go
+++ b/forwards/exchange.go
@@ -7,11 +7,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
+
+	"gypsumshelf.example/gypsumshelf/buffers"
 )
 
 const (
@@ -19,6 +22,14 @@
 	// and below the 1 s after which TCP resends a lost first packet.
 	connectTimeout  = 350 * time.Millisecond
 	readBufferBytes = 8 << 10
+	// maxResponseHeaderBytes limits the status line and the header of a response. It
+	// is several times the limit that is usual for requests, 16 KB.
+	maxResponseHeaderBytes = 64 << 10
+	// maxResponseBytes limits responses that are buffered in memory.
+	maxResponseBytes = 32 << 20
+	// maxEventBytes limits the size of one stream event, which holds the text of
+	// some hundred tokens at most.
+	maxEventBytes = 256 << 10
 )
 
 // Errors that decide the outcome of an attempt. After errConnect the request has
@@ -26,6 +37,7 @@
 var (
 	errConnect    = errors.New("no connection to the backend server")
 	errNoProgress = errors.New("the backend server sent nothing in time")
+	errTooLong    = errors.New("the response of the backend server is longer than the limit")
 )
 
 // outgoingRequest is a request to a backend server.
@@ -37,10 +49,14 @@
 	body   []byte
 }
 
-// encode returns the request in HTTP/1.1 wire format.
-func (o *outgoingRequest) encode() ([]byte, error) {
+// maxJoinedBytes is the size up to which a body is copied behind its header, so
+// that one write sends both. A longer body is not copied.
+const maxJoinedBytes = 16 << 10
+
+// encode returns the request in HTTP/1.1 wire format, in one or two parts.
+func (o *outgoingRequest) encode() (buffers.Chunks, error) {
 	var b bytes.Buffer
-	b.Grow(512 + len(o.body))
+	b.Grow(512 + min(len(o.body), maxJoinedBytes))
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", o.method, o.uri, o.host)
 	if len(o.body) > 0 || o.method == http.MethodPost || o.method == http.MethodPut || o.method == http.MethodPatch {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(o.body)) + "\r\n")
@@ -49,8 +65,11 @@
 		return nil, err
 	}
 	b.WriteString("\r\n")
+	if len(o.body) > maxJoinedBytes {
+		return buffers.Chunks{b.Bytes(), o.body}, nil
+	}
 	b.Write(o.body)
-	return b.Bytes(), nil
+	return buffers.Chunks{b.Bytes()}, nil
 }
 
 // hopByHopHeaders apply to one connection and are not forwarded.
@@ -78,6 +97,7 @@
 // while idle.
 type exchange struct {
 	conn             net.Conn
+	header           *io.LimitedReader // limits what is read from conn while the header is read
 	reader           *bufio.Reader
 	response         *http.Response
 	writeResult      chan error
@@ -92,7 +112,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errConnect, err)
 	}
-	x := &exchange{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), writeResult: make(chan error, 1)}
+	header := &io.LimitedReader{R: conn, N: maxResponseHeaderBytes}
+	x := &exchange{conn: conn, header: header, reader: bufio.NewReaderSize(header, readBufferBytes), writeResult: make(chan error, 1)}
 	x.stopContextWatch = context.AfterFunc(ctx, func() { conn.Close() })
 	return x, nil
 }
@@ -105,10 +126,10 @@
 
 // send writes the request in the background, since a backend server may respond
 // before it has read a long body.
-func (x *exchange) send(data []byte) { go x.write(data) }
+func (x *exchange) send(data buffers.Chunks) { go x.write(data) }
 
-func (x *exchange) write(data []byte) {
-	_, err := x.conn.Write(data)
+func (x *exchange) write(data buffers.Chunks) {
+	_, err := data.WriteTo(x.conn)
 	x.writeResult <- err
 }
 
@@ -118,9 +139,13 @@
 		return nil, err
 	}
 	response, err := http.ReadResponse(x.reader, &http.Request{Method: o.method})
+	if err != nil && x.header.N == 0 {
+		return nil, fmt.Errorf("%w: header of more than %d bytes", errTooLong, maxResponseHeaderBytes)
+	}
 	if err != nil {
 		return nil, x.mapTimeout(err)
 	}
+	x.header.N = math.MaxInt64 // the body has limits of its own
 	x.response = response
 	return response, nil
 }
@@ -134,46 +159,44 @@
 	return err
 }
 
-// maxResponseBytes limits responses that are buffered in memory.
-const maxResponseBytes = 32 << 20
-
-// readBody reads the complete response body.
-func (x *exchange) readBody(timeout time.Duration) ([]byte, error) {
+// readBody reads the complete response body within the memory that a reservation
+// can get.
+func (x *exchange) readBody(timeout time.Duration, memory *buffers.Reservation) (buffers.Chunks, error) {
 	if err := x.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return nil, err
 	}
-	data, err := io.ReadAll(io.LimitReader(x.response.Body, maxResponseBytes+1))
+	data, err := buffers.ReadChunks(memory.Reader(io.LimitReader(x.response.Body, maxResponseBytes+1)))
 	if err != nil {
 		return nil, x.mapTimeout(err)
 	}
-	if len(data) > maxResponseBytes {
-		return nil, fmt.Errorf("the response body is larger than %d bytes", maxResponseBytes)
+	if data.Len() > maxResponseBytes {
+		return nil, fmt.Errorf("%w: body of more than %d bytes", errTooLong, maxResponseBytes)
 	}
 	return data, nil
 }
 
-// maxEventBytes limits the size of one stream event.
-const maxEventBytes = 1 << 20
-
 // readEvent returns the next complete event including the blank line that ends
 // it. It returns io.EOF at the end of the stream, and io.ErrUnexpectedEOF when the
 // stream ends within an event.
 func readEvent(r *bufio.Reader) ([]byte, error) {
 	var event []byte
+	lineStart := 0
 	for {
-		line, err := r.ReadBytes('\n')
-		event = append(event, line...)
-		if err != nil {
-			if errors.Is(err, io.EOF) && len(event) > 0 {
-				return nil, io.ErrUnexpectedEOF
-			}
+		part, err := r.ReadSlice('\n')
+		event = append(event, part...)
+		switch {
+		case len(event) > maxEventBytes:
+			return nil, fmt.Errorf("%w: stream event of more than %d bytes", errTooLong, maxEventBytes)
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue // the line is longer than the buffer of r
+		case errors.Is(err, io.EOF) && len(event) > 0:
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
 			return nil, err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		if len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0 {
 			return event, nil
 		}
-		if len(event) > maxEventBytes {
-			return nil, fmt.Errorf("a stream event is larger than %d bytes", maxEventBytes)
-		}
+		lineStart = len(event)
 	}
 }
--- a/forwards/fake_test.go
+++ b/forwards/fake_test.go
@@ -200,6 +200,9 @@
 	log       *bytes.Buffer
 }
 
+// testBodyBudget is the budget of a host with 256 MB.
+const testBodyBudget = 32 << 20
+
 func newFixture(t *testing.T, backends ...*fakeBackend) *fixture {
 	f := &fixture{t: t, placer: &fakePlacer{}, metrics: metrics.New(), log: &bytes.Buffer{}}
 	fleet := NewFleet("a", time.Now)
@@ -215,6 +218,7 @@
 	f.forwarder = New(Config{
 		DataCentre: "a", Protocol: fakeProtocol{}, Fleet: fleet, Placer: f.placer, Recorder: metrics.NewForwardMetrics(f.metrics),
 		Log: logrus.NewEntry(log), Retries: RetryBudget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+		BodyBudget: testBodyBudget,
 	})
 	f.server = httptest.NewServer(f.forwarder)
 	t.Cleanup(f.server.Close)
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -1,6 +1,7 @@
 package forwards
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"hash/fnv"
@@ -15,6 +16,7 @@
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/attempts"
+	"gypsumshelf.example/gypsumshelf/buffers"
 	"gypsumshelf.example/gypsumshelf/catalogs"
 	"gypsumshelf.example/gypsumshelf/logs"
 	"gypsumshelf.example/gypsumshelf/schedules"
@@ -47,6 +49,7 @@
 	Fleet      *Fleet
 	Placer     Placer
 	Retries    RetryBudget
+	BodyBudget int64       // memory for the bodies of requests and responses in bytes, 0 for no limit
 	StateFresh func() bool // reports whether the replicated state is recent enough to use; nil means always
 	Log        *logrus.Entry
 	Recorder   Recorder
@@ -61,6 +64,7 @@
 	drainDeadline      atomic.Pointer[time.Time] // set while the daemon drains; requests must end before it
 	activeRequests     atomic.Int64
 	pauses             pauseDetector
+	bodies             *buffers.Budget
 
 	budgetMu    sync.Mutex
 	retryBudget *attempts.Budget // of retries, per service
@@ -68,7 +72,7 @@
 
 // New returns a Forwarder, which refuses requests until SetCatalog is called.
 func New(cfg Config) *Forwarder {
-	f := &Forwarder{cfg: cfg, catalogReady: make(chan struct{})}
+	f := &Forwarder{cfg: cfg, catalogReady: make(chan struct{}), bodies: buffers.NewBudget(cfg.BodyBudget)}
 	f.retryBudget = attempts.NewBudget(cfg.Retries.daemonBudget(1))
 	return f
 }
@@ -158,7 +162,12 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.activeRequests.Add(1)
 	defer f.activeRequests.Add(-1)
-	req := &proxyRequest{forwarder: f, w: w, r: r, arrived: f.cfg.Fleet.now(), meta: f.cfg.Protocol.ParseRequest(r)}
+	req := &proxyRequest{
+		forwarder: f, w: w, r: r, arrived: f.cfg.Fleet.now(), meta: f.cfg.Protocol.ParseRequest(r),
+		requestMemory: f.bodies.Reserve(), responseMemory: f.bodies.Reserve(),
+	}
+	defer req.requestMemory.Release()
+	defer req.responseMemory.Release()
 	req.serve()
 	if req.abortConnection {
 		panic(http.ErrAbortHandler) // makes the truncated response visible to the caller
@@ -179,6 +188,9 @@
 	arrived   time.Time
 	deadline  time.Time
 
+	requestMemory  *buffers.Reservation // of the body
+	responseMemory *buffers.Reservation // of the buffered response
+
 	submittedJobs   int                    // number of jobs submitted to the scheduler
 	sentAttempts    int                    // number of attempts sent to a backend server
 	triedServers    []gypsumshelf.ServerID // servers of all attempts, including those not reached
@@ -197,7 +209,7 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   buffers.Chunks
 }
 
 // Outcomes of requests in logs and metrics.
@@ -273,6 +285,9 @@
 	// connection takes to reach another daemon.
 	stoppingRetryAfter = 50 * time.Millisecond
 	startupRetryAfter  = 400 * time.Millisecond
+	// bodyBudgetRetryAfter is the time in which some of the requests whose bodies
+	// are in memory end.
+	bodyBudgetRetryAfter = 300 * time.Millisecond
 )
 
 func (req *proxyRequest) readBody() bool {
@@ -283,15 +298,22 @@
 	if req.r.ContentLength > limit {
 		return req.refuse(http.StatusRequestEntityTooLarge, 0, "the body is too long")
 	}
-	body, err := io.ReadAll(io.LimitReader(req.r.Body, limit+1))
+	if !req.requestMemory.Resize(max(0, req.r.ContentLength)) {
+		return req.refuse(http.StatusServiceUnavailable, bodyBudgetRetryAfter, buffers.ErrBudgetExceeded.Error())
+	}
+	var body bytes.Buffer
+	body.Grow(int(max(0, req.r.ContentLength)) + bytes.MinRead)
+	_, err := body.ReadFrom(req.requestMemory.Reader(io.LimitReader(req.r.Body, limit+1)))
 	switch {
+	case errors.Is(err, buffers.ErrBudgetExceeded):
+		return req.refuse(http.StatusServiceUnavailable, bodyBudgetRetryAfter, err.Error())
 	case err != nil:
 		req.outcome, req.cause, req.abortConnection = outcomeCallerGone, "the body could not be read: "+err.Error(), true
 		return false
-	case int64(len(body)) > limit:
+	case int64(body.Len()) > limit:
 		return req.refuse(http.StatusRequestEntityTooLarge, 0, "the body is too long")
 	}
-	req.body = body
+	req.body = body.Bytes()
 	return true
 }
 
@@ -359,13 +381,13 @@
 		h[name] = values
 	}
 	if req.r.Method != http.MethodHead {
-		h.Set("Content-Length", strconv.Itoa(len(response.body)))
+		h.Set("Content-Length", strconv.Itoa(response.body.Len()))
 	}
 	if req.forwarder.keepAlivesDisabled.Load() {
 		h.Set("Connection", "close")
 	}
 	req.w.WriteHeader(response.status)
-	if _, err := req.w.Write(response.body); err != nil && req.r.Method != http.MethodHead {
+	if _, err := response.body.WriteTo(req.w); err != nil && req.r.Method != http.MethodHead {
 		req.outcome, req.cause = outcomeCallerGone, "the caller left while the answer was written"
 	}
 }
--- a/forwards/plain.go
+++ b/forwards/plain.go
@@ -60,7 +60,7 @@
 	defer a.close()
 	var response *bufferedResponse
 	if err == nil {
-		response, err = a.bufferResponse(req.remaining())
+		response, err = a.bufferResponse(req.remaining(), req.responseMemory)
 	}
 	if err != nil {
 		outcome := outcomeOf(ctx, err)
--- a/forwards/stream.go
+++ b/forwards/stream.go
@@ -49,7 +49,7 @@
 		err = r.request.validateHeader(a)
 	}
 	if err == nil && (response.StatusCode != http.StatusOK || r.request.route.Kind != catalogs.Stream) {
-		buffered, bufferErr := a.bufferResponse(r.request.remaining())
+		buffered, bufferErr := a.bufferResponse(r.request.remaining(), r.request.responseMemory)
 		r.send(responsePart{response: buffered, err: bufferErr})
 		return
 	}
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -39,6 +39,10 @@
 	entryCountTTL = 5 * time.Second
 	// minEntryDaemons is the number of entry daemons of the smallest deployment.
 	minEntryDaemons = 4
+	// bodyMemoryDivisor divides the memory of the process by the part that bodies of
+	// requests and responses may take. The garbage collector needs up to the same
+	// again, and connections and their buffers take most of the rest.
+	bodyMemoryDivisor = 8
 	// Limits on callers' connections. The server starts before the first catalog is
 	// known, so they are constants.
 	defaultHeaderBytes   = 16 << 10
@@ -59,6 +63,7 @@
 	Protocol   forwards.Protocol
 	Retries    forwards.RetryBudget
 	Recorder   forwards.Recorder
+	Memory     int64         // memory that the process may use in bytes, 0 when unknown
 	StaleState time.Duration // time without contact to a control daemon after which requests are refused, 0 for never
 	Log        *logrus.Entry
 	Timers     *timers.Service
@@ -95,7 +100,7 @@
 	g.dispatchClient = dispatchers.NewClient(dispatchers.ClientConfig{Feeds: g.subscriber, Local: g.localDispatcher, Log: cfg.Log})
 	g.forwarder = forwards.New(forwards.Config{
 		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: cfg.Protocol, Fleet: g.fleet, Placer: g.dispatchClient,
-		Retries: cfg.Retries, StateFresh: g.stateFresh, Log: cfg.Log, Recorder: cfg.Recorder,
+		Retries: cfg.Retries, StateFresh: g.stateFresh, Log: cfg.Log, Recorder: cfg.Recorder, BodyBudget: cfg.Memory / bodyMemoryDivisor,
 	})
 	g.server = &http.Server{
 		Handler: g.forwarder, MaxHeaderBytes: defaultHeaderBytes - headerSlack,
--- a/settings/host.go
+++ b/settings/host.go
@@ -34,6 +34,7 @@
 	Listen     HostListen           `json:"listen"`
 	Bounds     HostBounds           `json:"bounds"`
 	LogLevel   string               `json:"log-level"`
+	MemoryMB   int                  `json:"memory-mb"` // memory that the process may use, 0 when unknown
 	// StaleState is the time without contact to any control daemon after which an
 	// entry daemon refuses requests. With 0 it serves them from its last known
 	// state without a limit.
@@ -81,6 +82,9 @@
 	return addresses
 }
 
+// MemoryBytes returns the memory that the process may use, 0 when unknown.
+func (h Host) MemoryBytes() int64 { return int64(h.MemoryMB) << 20 }
+
 // LoadHost reads and checks the settings of a host.
 func LoadHost(path string) (Host, error) {
 	data, err := os.ReadFile(path)
@@ -157,6 +161,7 @@
 		{"bounds.heartbeat", h.Bounds.Heartbeat <= 0},
 		{"bounds.retry-window", h.Bounds.RetryWindow <= 0},
 		{"stale-state", h.StaleState < 0},
+		{"memory-mb", h.MemoryMB < 0},
 		{"bounds.retry-ratio", h.Bounds.RetryRatio < 0},
 		{"data-folder", h.Role == RoleControl && h.DataFolder == ""},
 		{"listen.control", h.Role == RoleControl && !isAddress(h.Listen.Control)},
