--- a/settings/host_test.go
+++ b/settings/host_test.go
@@ -18,6 +18,7 @@
 	f := map[string]any{
 		"node": role + "-1", "ip": "10.1.0.40", "zone": "wien-nord", "region": "ostalpen",
 		"internalPorts": []any{7340, 7355}, "seeds": []any{"10.1.0.42:8229", "10.2.0.30:8229", "10.3.0.20:8229"},
+		"limits":    map[string]any{"memoryMb": 544},
 		"bootstrap": true, "heartbeatMs": 1200,
 		"bounds": map[string]any{"graceS": 8, "retryBudgetRatio": 0.2, "budgetSlack": 106, "budgetWindowS": 10},
 	}
@@ -96,6 +97,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			if h.MemoryBytes() != 544<<20 {
+				t.Errorf("memory is %d bytes, want 544 MB", h.MemoryBytes())
+			}
 			if h.Role != test.role || h.Bounds.Grace != Duration(8*time.Second) || !h.FirstStart || h.Bounds.Heartbeat != Duration(1200*time.Millisecond) {
 				t.Errorf("settings are %+v", h)
 			}
@@ -118,6 +122,7 @@
 		"data-folder":    {`"/d"`, `""`},
 		"seeds":          {`["10.0.0.1:1"]`, `[]`},
 		"listen.control": {`"10.0.0.1:2"`, `"host:2"`},
+		"memory-mb":      {`"data-folder"`, `"memory-mb":-1,"data-folder"`},
 		"bounds.grace":   {`"8s"`, `"0s"`},
 		"daemonn":        {`"daemon"`, `"daemonn"`},
 	} {
