Bound what a directory spends on its polls at size

Cause: each change of a backend server was one answer to each polling daemon, and a new connection asked for all records again.

Change: ordinary changes share an answer within 0.2 ms times the number of daemons, 100 ms at most; leaves, leaders and states are answered at once. A view has at most 200 records. A subscriber goes on at its position after a lost connection. Changes that later ones replace are dropped.

--- a/directories/publisher.go
+++ b/directories/publisher.go
@@ -1,8 +1,10 @@
 package directories
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +17,15 @@
 	// maxPollWait is the longest time for which a poll waits for a change. The
 	// answer at its end also serves as the heartbeat of the connection.
 	maxPollWait = 400 * time.Millisecond
+	// viewSpacingPerDaemon times the number of polling daemons is the shortest time
+	// between two answers to one daemon, up to maxViewSpacing: what a publisher spends
+	// on ordinary changes then does not grow with the number of daemons. Urgent
+	// changes are answered at once.
+	viewSpacingPerDaemon = 200 * time.Microsecond
+	maxViewSpacing       = 100 * time.Millisecond
+	// maxViewRecords limits the records of one answer to about 30 KB, which a control
+	// host sends to 300 daemons in half of pollTimeout.
+	maxViewRecords = 200
 	// pollerExpiry is the time after its last poll for which a daemon counts as
 	// polling.
 	pollerExpiry = 4 * maxPollWait
@@ -31,6 +42,7 @@
 	acceptsRequests bool   // of callers
 	cursor          uint64 // cursor of its last poll
 	lastPoll        time.Time
+	answeredAt      time.Time
 }
 
 // Publisher is the net/rpc service that answers the polls of Subscribers.
@@ -39,31 +51,39 @@
 
 	mu         sync.Mutex
 	cursor     uint64
+	urgent     uint64 // cursor of the last urgent change
 	state      catalogs.State
 	compressed CompressedState // cache of the compressed state, filled by Fetch
 	leader     string
 	term       uint64
 	controls   []string
-	changes    map[gypsumshelf.ServerID]change
+	changes    []change                        // ascending by cursor, with changes that later ones have replaced
+	newest     map[gypsumshelf.ServerID]uint64 // cursor of the newest change of each backend server
 	pollers    map[gypsumshelf.DaemonID]poller
 	expired    []gypsumshelf.DaemonID // daemons that stopped polling, until TakeExpired returns them
 	changed    chan struct{}          // closed at the next change
+	hurried    chan struct{}          // closed at the next urgent change
 }
 
 // NewPublisher returns a Publisher that has nothing published yet.
 func NewPublisher() *Publisher {
 	return &Publisher{
-		epoch: rand.Uint64() | 1, changes: map[gypsumshelf.ServerID]change{},
-		pollers: map[gypsumshelf.DaemonID]poller{}, changed: make(chan struct{}),
+		epoch: rand.Uint64() | 1, newest: map[gypsumshelf.ServerID]uint64{},
+		pollers: map[gypsumshelf.DaemonID]poller{}, changed: make(chan struct{}), hurried: make(chan struct{}),
 	}
 }
 
 // advance increments the cursor and wakes the polls that wait. The caller holds
 // mu.
-func (p *Publisher) advance() {
+func (p *Publisher) advance(urgent bool) {
 	p.cursor++
 	close(p.changed)
 	p.changed = make(chan struct{})
+	if urgent {
+		p.urgent = p.cursor
+		close(p.hurried)
+		p.hurried = make(chan struct{})
+	}
 }
 
 // SetState publishes a replicated state, which must be newer than the last one.
@@ -71,7 +91,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.state = s
-	p.advance()
+	p.advance(true)
 }
 
 // SetLeader publishes the leader, its term and the addresses of all control
@@ -80,17 +100,24 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.leader, p.term, p.controls = leader, term, controls
-	p.advance()
+	p.advance(true)
 }
 
 // Publish publishes the newest record of a backend server.
 func (p *Publisher) Publish(r rosters.Record) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.advance()
-	p.changes[r.ID] = change{cursor: p.cursor, record: r}
+	p.advance(!r.Usable())
+	p.changes = append(p.changes, change{cursor: p.cursor, record: r})
+	p.newest[r.ID] = p.cursor
+	if len(p.changes) > 2*len(p.newest)+maxViewRecords {
+		p.changes = slices.DeleteFunc(p.changes, p.isReplaced)
+	}
 }
 
+// isReplaced reports whether a later change of the same backend server exists.
+func (p *Publisher) isReplaced(c change) bool { return p.newest[c.record.ID] != c.cursor }
+
 // expirePollers removes expired pollers, adds them to expired, and returns the
 // number of the others that accept requests. The caller holds mu.
 func (p *Publisher) expirePollers(now time.Time) int {
@@ -118,7 +145,8 @@
 }
 
 // Poll returns the changes after the cursor of q. If there are none, it waits
-// for the next change for up to maxPollWait.
+// for the next change for up to maxPollWait. The answer to ordinary changes waits
+// for the spacing of views.
 func (p *Publisher) Poll(q PollRequest, v *View) error {
 	deadline := time.NewTimer(maxPollWait)
 	defer deadline.Stop()
@@ -126,15 +154,18 @@
 		q.Cursor = 0
 	}
 	for {
-		p.mu.Lock()
-		p.pollers[q.Daemon] = poller{acceptsRequests: q.Entry, cursor: q.Cursor, lastPoll: time.Now()}
-		cursor, changed := p.cursor, p.changed
-		p.mu.Unlock()
-		if cursor > q.Cursor {
+		wake, delay := p.registerPoll(q, time.Now())
+		if wake == nil {
 			break
 		}
+		var due <-chan time.Time
+		if delay > 0 {
+			due = time.After(delay)
+		}
 		select {
-		case <-changed:
+		case <-wake:
+			continue
+		case <-due:
 			continue
 		case <-deadline.C:
 		}
@@ -144,6 +175,24 @@
 	return nil
 }
 
+// registerPoll records a poll. It returns nil when an answer is due, and otherwise a
+// channel that is closed when that may have changed, with the time until the answer
+// is due, 0 when there is nothing to answer yet.
+func (p *Publisher) registerPoll(q PollRequest, now time.Time) (<-chan struct{}, time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	answeredAt := p.pollers[q.Daemon].answeredAt
+	p.pollers[q.Daemon] = poller{acceptsRequests: q.Entry, cursor: q.Cursor, lastPoll: now, answeredAt: answeredAt}
+	if p.cursor <= q.Cursor {
+		return p.changed, 0
+	}
+	spacing := min(maxViewSpacing, viewSpacingPerDaemon*time.Duration(len(p.pollers)))
+	if delay := answeredAt.Add(spacing).Sub(now); delay > 0 && p.urgent <= q.Cursor {
+		return p.hurried, delay
+	}
+	return nil, 0
+}
+
 // Fetch returns the replicated state. It is separate from Poll, so that a daemon
 // which polls several control daemons receives each state only once.
 func (p *Publisher) Fetch(_ struct{}, reply *CompressedState) error {
@@ -163,14 +212,26 @@
 func (p *Publisher) fillView(q PollRequest, v *View) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
 	*v = View{
 		Epoch: p.epoch, Cursor: p.cursor, Leader: p.leader, Term: p.term,
-		Controls: p.controls, Entries: p.expirePollers(time.Now()), Index: p.state.Index,
+		Controls: p.controls, Entries: p.expirePollers(now), Index: p.state.Index,
 	}
-	for _, c := range p.changes {
-		if c.cursor > q.Cursor {
-			v.Records = append(v.Records, c.record)
+	if poller, ok := p.pollers[q.Daemon]; ok {
+		poller.answeredAt = now
+		p.pollers[q.Daemon] = poller
+	}
+	last := q.Cursor // of the records in v
+	first, _ := slices.BinarySearchFunc(p.changes, q.Cursor+1, func(c change, cursor uint64) int { return cmp.Compare(c.cursor, cursor) })
+	for _, c := range p.changes[first:] {
+		if p.isReplaced(c) {
+			continue
+		}
+		if len(v.Records) == maxViewRecords {
+			v.Cursor = last
+			break
 		}
+		v.Records, last = append(v.Records, c.record), c.cursor
 	}
 }
 
--- a/directories/subscriber.go
+++ b/directories/subscriber.go
@@ -68,6 +68,9 @@
 type pollLoop struct {
 	subscriber *Subscriber
 	address    string
+	// Position up to which views were handled. It outlives connections, so that a
+	// publisher which was late does not have to send everything again.
+	epoch, cursor uint64
 
 	mu         sync.Mutex
 	client     *rpc.Client
@@ -218,21 +221,21 @@
 		l.mu.Unlock()
 	}()
 	cfg := l.subscriber.cfg
-	q := PollRequest{Daemon: cfg.Daemon, Entry: cfg.AcceptsRequests}
 	for {
 		var v View
+		q := PollRequest{Daemon: cfg.Daemon, Entry: cfg.AcceptsRequests, Epoch: l.epoch, Cursor: l.cursor}
 		if err := peers.Call(client, ServiceName+".Poll", q, &v, pollTimeout); err != nil {
 			return err
 		}
 		l.mu.Lock()
 		l.lastAnswer = time.Now()
 		l.mu.Unlock()
-		q.Epoch, q.Cursor = v.Epoch, v.Cursor
 		l.subscriber.add(v.Controls)
 		if err := l.subscriber.fetch(client, v.Index); err != nil {
 			return err
 		}
 		cfg.HandleView(l.address, v)
+		l.epoch, l.cursor = v.Epoch, v.Cursor
 		select {
 		case <-l.subscriber.stop:
 			return net.ErrClosed
