Poll engines at a bounded rate, and only a sample of them locally

Cause: while no leader answered, each entry daemon polled every engine four times a second, and the leader polled all at the same moment.

Ruled out: a limit of the garbage collector alone, since the connections stay.

--- a/dispatchers/dispatcher.go
+++ b/dispatchers/dispatcher.go
@@ -35,6 +35,12 @@
 	// job.
 	localReportPeriod = 250 * time.Millisecond
 	reportIdleTimeout = time.Second
+	// reportSteps is the number of steps in which the polls of one period are spread,
+	// so that they do not all run at once.
+	reportSteps = 10
+	// maxReportsPerSecond limits the polls of one daemon. With more engines than this
+	// in a period, each is polled less often.
+	maxReportsPerSecond = 500
 	// reportTimeout is the time after which an engine without an answer is treated
 	// as failed.
 	reportTimeout = 600 * time.Millisecond
@@ -57,6 +63,7 @@
 
 // Config configures a Dispatcher.
 type Config struct {
+	Daemon   gypsumshelf.DaemonID // selects the engines that a local scheduler uses
 	Log      *logrus.Entry
 	Reporter Reporter // nil if engines are not polled
 	Local    bool     // one of several schedulers that do not know of each other's jobs
@@ -83,6 +90,7 @@
 	engines         []Engine
 	pending         map[schedules.JobID]*pendingDecision // jobs whose daemons may request a decision
 	reportsInFlight map[gypsumshelf.ServerID]bool        // engines with a poll in flight
+	nextReport      int                                  // index in engines of the next one to poll
 	localSchedulers int                                  // in the deployment
 	lastJobAt       time.Time
 }
@@ -93,15 +101,18 @@
 	d.scheduler = d.newScheduler()
 	cfg.Timers.Subscribe(tickPeriod, d.tick)
 	if cfg.Reporter != nil {
-		period := reportPeriod
-		if cfg.Local {
-			period = localReportPeriod
-		}
-		cfg.Timers.Subscribe(period, d.pollIfActive)
+		cfg.Timers.Subscribe(d.reportPeriod()/reportSteps, d.pollIfActive)
 	}
 	return d
 }
 
+func (d *Dispatcher) reportPeriod() time.Duration {
+	if d.cfg.Local {
+		return localReportPeriod
+	}
+	return reportPeriod
+}
+
 func (d *Dispatcher) newScheduler() *schedules.Scheduler {
 	if !d.cfg.Local {
 		return schedules.New(schedules.Config{})
@@ -136,7 +147,7 @@
 	}
 	d.scheduler.UpdateEngines(d.cfg.Timers.Now(), d.profiles, d.states())
 	if active && d.cfg.Reporter != nil {
-		d.pollEngines()
+		d.pollEngines(maxFirstReports)
 	}
 	d.cfg.Log.WithField("active", active).Info("the scheduler of engine work was activated or deactivated")
 }
@@ -146,6 +157,9 @@
 func (d *Dispatcher) UpdateEngines(profiles map[string]*costs.Profile, engines []Engine) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.cfg.Local {
+		engines = sampleEngines(d.cfg.Daemon, engines)
+	}
 	d.profiles, d.engines = profiles, engines
 	d.scheduler.UpdateEngines(d.cfg.Timers.Now(), profiles, d.states())
 }
@@ -168,7 +182,7 @@
 	}
 	now := d.cfg.Timers.Now()
 	if d.cfg.Local && d.cfg.Reporter != nil && now.Sub(d.lastJobAt) > reportIdleTimeout {
-		d.pollEngines() // the last load reports are outdated
+		d.pollEngines(maxFirstReports) // the last load reports are outdated
 	}
 	d.lastJobAt = now
 	w := &pendingDecision{done: make(chan struct{})}
@@ -264,21 +278,28 @@
 	}
 }
 
-// pollIfActive polls the load of all engines while scheduling is active. A
+// pollIfActive polls the load of the next engines while scheduling is active. A
 // local scheduler polls only while it is in use, since it needs the load that
 // other daemons cause.
 func (d *Dispatcher) pollIfActive(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.active && (!d.cfg.Local || now.Sub(d.lastJobAt) <= reportIdleTimeout) {
-		d.pollEngines()
+		step := d.reportPeriod() / reportSteps
+		limit := int(maxReportsPerSecond * step.Seconds())
+		d.pollEngines(min(limit, (len(d.engines)+reportSteps-1)/reportSteps))
 	}
 }
 
-// pollEngines starts a poll of every engine that has none in flight; mu is
-// held.
-func (d *Dispatcher) pollEngines() {
-	for _, e := range d.engines {
+// maxFirstReports limits the polls that run at once when scheduling starts.
+const maxFirstReports = 128
+
+// pollEngines polls the next n engines in turn, except those that have a poll in
+// flight; mu is held.
+func (d *Dispatcher) pollEngines(n int) {
+	for range min(n, len(d.engines)) {
+		e := d.engines[d.nextReport%len(d.engines)]
+		d.nextReport = (d.nextReport + 1) % len(d.engines)
 		if !d.reportsInFlight[e.State.ID] {
 			d.reportsInFlight[e.State.ID] = true
 			poll := &loadPoll{dispatcher: d, engine: e}
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -92,7 +92,7 @@
 // Start starts an entry daemon.
 func Start(cfg Config) *Gateway {
 	g := &Gateway{cfg: cfg, started: time.Now(), fleet: forwards.NewFleet(cfg.DataCentre, cfg.Timers.Now)}
-	g.localDispatcher = dispatchers.New(dispatchers.Config{Log: cfg.Log, Timers: cfg.Timers, Reporter: cfg.Protocol, Local: true})
+	g.localDispatcher = dispatchers.New(dispatchers.Config{Daemon: cfg.Daemon, Log: cfg.Log, Timers: cfg.Timers, Reporter: cfg.Protocol, Local: true})
 	g.subscriber = directories.NewSubscriber(directories.SubscriberConfig{
 		Daemon: cfg.Daemon, AcceptsRequests: true, Seeds: cfg.Seeds, Log: cfg.Log,
 		StateIndex: g.stateIndex, InstallState: g.installState, HandleView: g.receiveView,
