--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -1,6 +1,7 @@
 package forwards
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -187,6 +188,7 @@
 	firstEventSeen bool
 	server         rosters.Entry
 	reservations   []*reservation
+	watch          *primaryWatch // of the primary, while memory is reserved at helpers
 	attempt        *attempt
 	verdict        gypsumshelf.Verdict
 	outcome        schedules.Outcome
@@ -200,6 +202,9 @@
 	for _, r := range e.reservations {
 		r.end()
 	}
+	if e.watch != nil {
+		e.watch.end()
+	}
 	e.outcome = schedules.Completed
 	if err != nil {
 		e.outcome = outcomeOf(ctx, err)
@@ -278,7 +283,10 @@
 		}
 		helper := Helper{Address: server.Address}
 		if mustReserve {
-			r, err := reserveMemory(ctx, req, server, want.Tokens, len(e.reservations))
+			if e.watch == nil {
+				e.watch = newPrimaryWatch(req, e.server)
+			}
+			r, err := reserveMemory(ctx, e.watch, server, want.Tokens, len(e.reservations))
 			if err != nil {
 				e.blamed = id
 				return nil, err
@@ -292,11 +300,17 @@
 }
 
 // relayStream relays the response as it arrives. When the engine is silent, it
-// looks for another engine and returns errNoProgress once one is free.
+// looks for another engine, again and again, and returns errNoProgress once one is
+// free. It returns errEngineLost when the engine counts as dead and the memory
+// reserved for it at others must be released.
 func (e *engineAttempt) relayStream(ctx context.Context, reader *responseReader) error {
 	req := e.request
 	silence := time.NewTimer(2*e.placement.First + firstEventSlack)
 	defer silence.Stop()
+	var lost chan struct{}
+	if e.watch != nil {
+		lost = e.watch.lost
+	}
 	for {
 		var replacementResult chan placementResult
 		if e.replacement != nil {
@@ -306,28 +320,44 @@
 		case <-ctx.Done():
 			e.cancelReplacement()
 			return ctx.Err()
+		case <-lost:
+			e.cancelReplacement()
+			return errEngineLost
 		case result := <-replacementResult:
-			if result.err == nil && result.decision.Placement != nil {
+			if result.err == nil && result.decision.Placement != nil && req.spendRetry() {
 				e.replacement.result <- result
 				return errNoProgress
 			}
 			e.cancelReplacement() // no other engine is free, so keep waiting for this one
+			silence.Reset(req.maxSilence())
 		case <-silence.C:
 			// Keep this stream open until another engine is available.
-			if allowed, _ := req.mayRetry(gypsumshelf.MayHaveRun); allowed {
+			if allowed, _ := req.retryPossible(gypsumshelf.MayHaveRun); allowed {
 				e.replacement = submitJob(ctx, req)
 			}
 		case part := <-reader.parts:
-			e.cancelReplacement()
-			done, err := e.handlePart(part)
+			if e.watch != nil {
+				e.watch.sign(req.now())
+			}
+			progress, done, err := e.handlePart(part)
 			if done || err != nil {
+				e.cancelReplacement()
 				return err
 			}
-			silence.Reset(max(minSilence, silenceGapFactor*req.route.GapTarget))
+			if progress {
+				e.cancelReplacement()
+				silence.Reset(req.maxSilence())
+			}
 		}
 	}
 }
 
+// maxSilence returns the pause between events after which an engine counts as
+// silent.
+func (req *proxyRequest) maxSilence() time.Duration {
+	return max(minSilence, silenceGapFactor*req.route.GapTarget)
+}
+
 // cancelReplacement cancels the search for another engine.
 func (e *engineAttempt) cancelReplacement() {
 	if e.replacement != nil {
@@ -336,28 +366,41 @@
 	}
 }
 
-// handlePart relays one part of the response and reports true after the last one.
-func (e *engineAttempt) handlePart(part responsePart) (bool, error) {
+// handlePart relays one part of the response. It reports whether the answer got on,
+// and whether this was its last part.
+func (e *engineAttempt) handlePart(part responsePart) (progress, done bool, err error) {
 	req := e.request
 	switch {
 	case part.response != nil:
-		return true, e.relayResponse(part.response)
+		return true, true, e.relayResponse(part.response)
 	case errors.Is(part.err, io.EOF):
-		return true, e.finishStream()
+		return true, true, e.finishStream()
 	case part.err != nil:
-		return false, part.err
+		return false, false, part.err
+	}
+	isNew, numbered, err := e.checkSequence(part.event)
+	if err != nil || !isNew {
+		return false, false, err
 	}
-	if !e.firstEventSeen {
+	progress = numbered || hasData(part.event)
+	if progress && !e.firstEventSeen {
 		e.firstEventSeen = true
 		req.timing.measuredFirst = req.now().Sub(e.startedAt)
 		req.forwarder.cfg.Placer.Started(e.pending.job.ID)
 		req.forwarder.cfg.Recorder.FirstEvent(req.service.Name, req.now().Sub(req.arrived))
 	}
-	isNew, err := e.checkSequence(part.event)
-	if err != nil || !isNew {
-		return false, err
+	return progress, false, e.writeEvent(part.event)
+}
+
+// hasData reports whether an event is more than comments, which only keep a
+// connection open.
+func hasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if bytes.HasPrefix(line, []byte("data")) {
+			return true
+		}
 	}
-	return false, e.writeEvent(part.event)
+	return false
 }
 
 // relayResponse relays a response that is not a stream.
@@ -376,22 +419,23 @@
 	return nil
 }
 
-// checkSequence reports whether an event is to be relayed: false for one that the
-// caller already has, and an error when events before it are missing.
-func (e *engineAttempt) checkSequence(event []byte) (bool, error) {
+// checkSequence reports whether an event is to be relayed, and whether it has an ID:
+// an event that the caller already has is not relayed, and it is an error when events
+// before it are missing.
+func (e *engineAttempt) checkSequence(event []byte) (isNew, numbered bool, err error) {
 	req := e.request
 	id, ok := req.forwarder.cfg.Protocol.EventID(event)
 	if !ok {
-		return true, nil
+		return true, false, nil
 	}
 	if id <= req.lastEvent {
-		return false, nil
+		return false, true, nil
 	}
 	if req.lastEvent > 0 && id != req.lastEvent+1 {
-		return false, fmt.Errorf("%w: got event %d after event %d", errInvalidResponse, id, req.lastEvent)
+		return false, true, fmt.Errorf("%w: got event %d after event %d", errInvalidResponse, id, req.lastEvent)
 	}
 	req.lastEvent = id
-	return true, nil
+	return true, true, nil
 }
 
 // writeEvent writes an event to the caller, after the response header if it is
--- a/forwards/fake_test.go
+++ b/forwards/fake_test.go
@@ -200,10 +200,19 @@
 	log       *bytes.Buffer
 }
 
-// testBodyBudget is the budget of a host with 256 MB.
-const testBodyBudget = 32 << 20
+const (
+	// testBodyBudget is the budget of a host with 256 MB.
+	testBodyBudget = 32 << 20
+	// testMemoryBound is the time within which engines' memory must be free after the
+	// end of its request.
+	testMemoryBound = 4 * time.Second
+)
 
 func newFixture(t *testing.T, backends ...*fakeBackend) *fixture {
+	return newFixtureWith(t, fakeProtocol{}, backends...)
+}
+
+func newFixtureWith(t *testing.T, protocol Protocol, backends ...*fakeBackend) *fixture {
 	f := &fixture{t: t, placer: &fakePlacer{}, metrics: metrics.New(), log: &bytes.Buffer{}}
 	fleet := NewFleet("a", time.Now)
 	for _, b := range backends {
@@ -216,9 +225,9 @@
 	log.SetOutput(f.log)
 	log.SetFormatter(&logrus.JSONFormatter{})
 	f.forwarder = New(Config{
-		DataCentre: "a", Protocol: fakeProtocol{}, Fleet: fleet, Placer: f.placer, Recorder: metrics.NewForwardMetrics(f.metrics),
+		DataCentre: "a", Protocol: protocol, Fleet: fleet, Placer: f.placer, Recorder: metrics.NewForwardMetrics(f.metrics),
 		Log: logrus.NewEntry(log), Retries: RetryBudget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
-		BodyBudget: testBodyBudget,
+		BodyBudget: testBodyBudget, MemoryBound: testMemoryBound,
 	})
 	f.server = httptest.NewServer(f.forwarder)
 	t.Cleanup(f.server.Close)
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -49,10 +49,13 @@
 	Fleet      *Fleet
 	Placer     Placer
 	Retries    RetryBudget
-	BodyBudget int64       // memory for the bodies of requests and responses in bytes, 0 for no limit
-	StateFresh func() bool // reports whether the replicated state is recent enough to use; nil means always
-	Log        *logrus.Entry
-	Recorder   Recorder
+	BodyBudget int64 // memory for the bodies of requests and responses in bytes, 0 for no limit
+	// MemoryBound is the time within which engine memory reserved for a request must
+	// be free after the request has ended, 0 for the default of 4 s.
+	MemoryBound time.Duration
+	StateFresh  func() bool // reports whether the replicated state is recent enough to use; nil means always
+	Log         *logrus.Entry
+	Recorder    Recorder
 }
 
 // Forwarder is the HTTP handler that proxies callers' requests to backend servers.
@@ -395,6 +398,24 @@
 // mayRetry reports whether another attempt is allowed after one that ended with
 // verdict, and the reason if not. It takes the retry out of the budget.
 func (req *proxyRequest) mayRetry(verdict gypsumshelf.Verdict) (bool, string) {
+	if allowed, reason := req.retryPossible(verdict); !allowed {
+		return false, reason
+	}
+	if !req.spendRetry() {
+		return false, "the retry budget is used up"
+	}
+	return true, ""
+}
+
+// spendRetry takes a retry out of the budget, unless no attempt was sent yet. It
+// reports false when none is left.
+func (req *proxyRequest) spendRetry() bool {
+	return req.sentAttempts == 0 || req.forwarder.spendRetry(req.service.Name)
+}
+
+// retryPossible reports whether another attempt is allowed apart from the budget,
+// and the reason if not.
+func (req *proxyRequest) retryPossible(verdict gypsumshelf.Verdict) (bool, string) {
 	switch {
 	case req.r.Context().Err() != nil:
 		return false, "the caller has left"
@@ -406,8 +427,6 @@
 		return false, "all attempts are used"
 	case len(req.triedServers) >= maxTriedServers:
 		return false, "too many backend servers failed"
-	case req.sentAttempts > 0 && !req.forwarder.spendRetry(req.service.Name):
-		return false, "the retry budget is used up"
 	}
 	return true, ""
 }
@@ -467,7 +486,7 @@
 		return schedules.Cancelled
 	case errors.Is(err, errConnect):
 		return schedules.Unreachable
-	case errors.Is(err, errNoProgress):
+	case errors.Is(err, errNoProgress), errors.Is(err, errEngineLost):
 		return schedules.Stalled
 	case errors.Is(err, errRejected):
 		return schedules.Rejected
--- a/forwards/reservation.go
+++ b/forwards/reservation.go
@@ -28,9 +28,11 @@
 
 var errInsufficientMemory = errors.New("the engine has too little free memory")
 
-// reservation is engine memory that stays reserved until end is called.
+// reservation is engine memory that stays reserved until end is called, or until the
+// primary engine of the request counts as dead.
 type reservation struct {
 	request *proxyRequest
+	watch   *primaryWatch
 	server  rosters.Entry
 	id      string
 	tokens  int
@@ -39,11 +41,12 @@
 
 // reserveMemory reserves memory on an engine and renews the reservation in the
 // background. The index makes the IDs of one placement's reservations unique.
-func reserveMemory(ctx context.Context, req *proxyRequest, server rosters.Entry, tokens, index int) (*reservation, error) {
-	r := &reservation{request: req, server: server, tokens: tokens, id: string(req.meta.ID) + "-" + strconv.Itoa(len(req.triedServers)) + "-" + strconv.Itoa(index), stop: make(chan struct{})}
+func reserveMemory(ctx context.Context, watch *primaryWatch, server rosters.Entry, tokens, index int) (*reservation, error) {
+	req := watch.request
+	r := &reservation{request: req, watch: watch, server: server, tokens: tokens, id: string(req.meta.ID) + "-" + strconv.Itoa(len(req.triedServers)) + "-" + strconv.Itoa(index), stop: make(chan struct{})}
 	ctx, cancel := context.WithTimeout(ctx, reservationTimeout)
 	defer cancel()
-	granted, err := req.forwarder.cfg.Protocol.Reserve(ctx, server.Address, r.id, tokens, reservationTTL)
+	granted, err := req.forwarder.cfg.Protocol.Reserve(ctx, server.Address, r.id, tokens, watch.hold())
 	if err == nil && !granted {
 		err = errInsufficientMemory
 	}
@@ -76,8 +79,12 @@
 			return
 		case <-ticker.C:
 		}
+		hold := r.watch.hold()
+		if hold < reservationTimeout {
+			continue // a renewal could arrive after the time at which the memory must be free
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), reservationTimeout)
-		_, err := r.request.forwarder.cfg.Protocol.Reserve(ctx, r.server.Address, r.id, r.tokens, reservationTTL)
+		_, err := r.request.forwarder.cfg.Protocol.Reserve(ctx, r.server.Address, r.id, r.tokens, hold)
 		cancel()
 		if err != nil {
 			r.logger().WithError(err).Warn("cannot renew the reservation of engine memory")
--- /dev/null
+++ b/forwards/reservation_test.go
@@ -0,0 +1,179 @@
+package forwards
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/schedules"
+)
+
+// memoryProtocol keeps the memory reservations of engines as engines do: each one
+// ends when it is released or when its time is over.
+type memoryProtocol struct {
+	fakeProtocol
+	reportErr atomic.Pointer[error]
+	reports   atomic.Int64
+
+	mu     sync.Mutex
+	expiry map[string]time.Time // by reservation ID
+}
+
+func newMemoryProtocol() *memoryProtocol {
+	return &memoryProtocol{expiry: map[string]time.Time{}}
+}
+
+func (p *memoryProtocol) Reserve(_ context.Context, _, id string, _ int, hold time.Duration) (bool, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expiry[id] = time.Now().Add(hold)
+	return true, nil
+}
+
+func (p *memoryProtocol) Release(_ context.Context, _, id string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.expiry, id)
+	return nil
+}
+
+func (p *memoryProtocol) Report(context.Context, string) (schedules.Load, error) {
+	p.reports.Add(1)
+	if err := p.reportErr.Load(); err != nil {
+		return schedules.Load{}, *err
+	}
+	return schedules.Load{Slowdown: 1}, nil
+}
+
+// held reports whether any memory is reserved.
+func (p *memoryProtocol) held() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, until := range p.expiry {
+		if time.Now().Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
+// reservingPlacer places the first job on e1 with memory reserved on e2, and refuses
+// all later ones: the other engines are busy.
+type reservingPlacer struct{ fakePlacer }
+
+func (p *reservingPlacer) Place(ctx context.Context, job schedules.Job) (schedules.Decision, error) {
+	d, err := p.fakePlacer.Place(ctx, job)
+	if d.Placement != nil {
+		d.Placement.Helpers = []gypsumshelf.ServerID{"e2"}
+		d.Placement.Holds = []schedules.Hold{{Server: "e2", Tokens: 1000}}
+		d.Placement.First = 300 * time.Millisecond
+	}
+	return d, err
+}
+
+// memoryFixture returns a forwarder whose first job has its primary on e1 and
+// reserved memory on e2.
+func memoryFixture(t *testing.T, primary func(*http.Request, string, net.Conn)) (*fixture, *memoryProtocol) {
+	t.Helper()
+	p := newMemoryProtocol()
+	f := newFixtureWith(t, p, newFakeBackend(t, "e1", "engines", primary), newFakeBackend(t, "e2", "engines", primary))
+	f.placer.engines = f.placer.engines[:1]
+	f.forwarder.cfg.Placer = &reservingPlacer{fakePlacer{engines: f.placer.engines}}
+	f.forwarder.SetCatalog(newCatalog(t))
+	return f, p
+}
+
+// silent is the handler of an engine that never answers.
+func silent(_ *http.Request, _ string, _ net.Conn) {}
+
+// Guards against memory that stays reserved at the helpers of a dead engine until the
+// caller's deadline. Seen on schriftgilde-plattform-now-grown, mix --seed 266581946997:
+// the primary engine went dark in its prefill, and no other engine was free.
+func TestDeadPrimaryReleasesMemory(t *testing.T) {
+	f, p := memoryFixture(t, silent)
+	dark := errors.New("no answer")
+	p.reportErr.Store(&dark)
+	died := time.Now()
+	answer := make(chan callerResponse, 1)
+	go func() { answer <- f.send("POST", "/stream/", "x", "Wait", "15000") }()
+	for !p.held() {
+		time.Sleep(time.Millisecond)
+	}
+	for p.held() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if took := time.Since(died); took > testMemoryBound {
+		t.Errorf("memory was reserved for %v after the engine had died, want at most %v", took, testMemoryBound)
+	}
+	g := <-answer
+	if took := time.Since(died); g.status != http.StatusBadGateway || took > testMemoryBound+time.Second {
+		t.Errorf("status is %d with error %v after %v, want %d within %v", g.status, g.err, took, http.StatusBadGateway, testMemoryBound+time.Second)
+	}
+}
+
+// Guards against giving up an engine that is slow but lives: it sends nothing for
+// longer than the bound and answers load reports.
+func TestSlowPrimaryKeepsItsMemory(t *testing.T) {
+	pause := testMemoryBound + 500*time.Millisecond
+	f, p := memoryFixture(t, func(r *http.Request, _ string, conn net.Conn) {
+		time.Sleep(pause)
+		writeEvents(r, conn, 1, 3)
+		endChunkedBody(conn)
+	})
+	begin := time.Now()
+	var gaps atomic.Int64
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(20 * time.Millisecond):
+				if since := time.Since(begin); since > 200*time.Millisecond && since < pause && !p.held() {
+					gaps.Add(1)
+				}
+			}
+		}
+	})
+	assertAnswer(t, f.send("POST", "/stream/", "x", "Wait", "15000"), http.StatusOK, eventText(1, 3))
+	close(done)
+	wg.Wait()
+	if gaps.Load() > 0 {
+		t.Error("the memory of a live engine was not reserved all the time")
+	}
+	if p.held() {
+		t.Error("memory is still reserved after the end of the request")
+	}
+}
+
+// Guards against a live engine that is given up because some of its load reports are
+// late or lost.
+func TestSomeLostReportsChangeNothing(t *testing.T) {
+	f, p := memoryFixture(t, func(r *http.Request, _ string, conn net.Conn) {
+		time.Sleep(testMemoryBound * 11 / 10)
+		writeEvents(r, conn, 1, 3)
+		endChunkedBody(conn)
+	})
+	lost := errors.New("no answer")
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		// Silent for a little over half of the bound, then heard again.
+		for _, err := range []*error{&lost, nil, &lost, nil} {
+			p.reportErr.Store(err)
+			select {
+			case <-stop:
+				return
+			case <-time.After(testMemoryBound * 6 / 10):
+			}
+		}
+	}()
+	assertAnswer(t, f.send("POST", "/stream/", "x", "Wait", "15000"), http.StatusOK, eventText(1, 3))
+}
--- /dev/null
+++ b/forwards/slow_test.go
@@ -0,0 +1,92 @@
+package forwards
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// drip returns a handler that sends two events and then text again and again, until
+// its client closes the connection.
+func drip(text string) func(*http.Request, string, net.Conn) {
+	return func(r *http.Request, _ string, conn net.Conn) {
+		writeEvents(r, conn, 1, 2)
+		for {
+			time.Sleep(minSilence / 5)
+			if _, err := conn.Write([]byte(text)); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// Guards against a stream that never ends because its engine sends something now and
+// then without getting on. Another engine takes over after the silence that counts as
+// a stall.
+func TestDrippingStreamIsTakenOver(t *testing.T) {
+	for name, text := range map[string]string{
+		"comments":             chunk(": wait\n\n"),
+		"repeated event":       chunk("id: 2\ndata: x\n\n"),
+		"bytes of one event":   chunk("d"),
+		"digits of chunk size": "0",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newStartedFixture(t, newFakeBackend(t, "e1", "engines", drip(text)), newFakeBackend(t, "e2", "engines", resumeAfterLastEvent(4)))
+			begin := time.Now()
+			g := f.send("POST", "/stream/", "x")
+			if events := strings.ReplaceAll(g.body, ": wait\n\n", ""); g.err != nil || events != eventText(1, 4) {
+				t.Errorf("got %q with error %v, want events 1 to 4", g.body, g.err)
+			}
+			if took := time.Since(begin); took > 2*minSilence+500*time.Millisecond {
+				t.Errorf("the stalled stream was taken over after %v, want at most %v", took, 2*minSilence+500*time.Millisecond)
+			}
+		})
+	}
+}
+
+// Guards against a dripping stream that outlives the timeout of its route when no
+// other engine is free.
+func TestDrippingStreamEndsWithItsRoute(t *testing.T) {
+	f := newStartedFixture(t, newFakeBackend(t, "e1", "engines", drip(chunk(": wait\n\n"))))
+	begin := time.Now()
+	if g := f.send("POST", "/stream/", "x"); g.err == nil {
+		t.Errorf("a stalled stream looks complete: %q", g.body)
+	}
+	timeout := newCatalog(t).Route("127.0.0.1", "/stream/").Timeout
+	if took := time.Since(begin); took > timeout+500*time.Millisecond {
+		t.Errorf("the stream ended after %v, want at most %v", took, timeout+500*time.Millisecond)
+	}
+}
+
+// Guards against cutting a stream that is slow but gets on: each event comes just
+// before the silence that counts as a stall, and another engine is free.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	second := newFakeBackend(t, "e2", "engines", resumeAfterLastEvent(4))
+	f := newStartedFixture(t, newFakeBackend(t, "e1", "engines", func(r *http.Request, _ string, conn net.Conn) {
+		writeEvents(r, conn, 1, 1)
+		for _, event := range []string{"id: 2\ndata: x\n\n", "id: 3\ndata: x\n\n", "id: 4\ndata: x\n\n"} {
+			time.Sleep(minSilence * 8 / 10)
+			writeChunk(conn, event)
+		}
+		endChunkedBody(conn)
+	}), second)
+	assertAnswer(t, f.send("POST", "/stream/", "x"), http.StatusOK, eventText(1, 4))
+	assertCount(t, second, 0)
+}
+
+// Guards against cutting a body that a plain backend server sends slowly.
+func TestSlowBodyIsNotCut(t *testing.T) {
+	f := newStartedFixture(t, newFakeBackend(t, "p1", "plain", func(r *http.Request, _ string, conn net.Conn) {
+		_, _ = conn.Write([]byte(responseHeader(r, http.StatusOK, "Content-Length: 8\r\n")))
+		for range 8 {
+			time.Sleep(300 * time.Millisecond)
+			_, _ = conn.Write([]byte("a"))
+		}
+	}))
+	assertAnswer(t, f.send("POST", "/safe/", "x"), http.StatusOK, "aaaaaaaa")
+}
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -68,6 +68,7 @@
 	Retries    forwards.RetryBudget
 	Recorder   forwards.Recorder
 	Memory     int64         // memory that the process may use in bytes, 0 when unknown
+	FreeMemory time.Duration // forwards.Config.MemoryBound
 	StaleState time.Duration // time without contact to a control daemon after which requests are refused, 0 for never
 	Log        *logrus.Entry
 	Timers     *timers.Service
@@ -106,6 +107,7 @@
 	g.forwarder = forwards.New(forwards.Config{
 		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: cfg.Protocol, Fleet: g.fleet, Placer: g.dispatchClient,
 		Retries: cfg.Retries, StateFresh: g.stateFresh, Log: cfg.Log, Recorder: cfg.Recorder, BodyBudget: cfg.Memory / bodyMemoryDivisor,
+		MemoryBound: cfg.FreeMemory,
 	})
 	g.server = &http.Server{
 		Handler: g.forwarder, MaxHeaderBytes: defaultHeaderBytes - headerSlack,
--- a/settings/host.go
+++ b/settings/host.go
@@ -6,6 +6,7 @@
 	"os"
 	"reflect"
 	"slices"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/tailscale/hujson"
@@ -61,8 +62,13 @@
 	RetryRatio  float64  `json:"retry-ratio"` // allowed second attempts per request, over all daemons
 	RetrySlack  float64  `json:"retry-slack"` // second attempts allowed beyond RetryRatio within RetryWindow
 	RetryWindow Duration `json:"retry-window"`
+	FreeMemory  Duration `json:"free-memory"` // time within which engine memory must be free after its request has ended, 0 for 4 s
 }
 
+// minFreeMemory is the shortest bounds.free-memory: in less time a dead engine cannot
+// be told from one whose answers are delayed.
+const minFreeMemory = Duration(1500 * time.Millisecond)
+
 const maxPort = 1<<16 - 1
 
 // PeerAddress returns the address at which the host's daemon listens for peers.
@@ -161,6 +167,7 @@
 		{"bounds.heartbeat", h.Bounds.Heartbeat <= 0},
 		{"bounds.retry-window", h.Bounds.RetryWindow <= 0},
 		{"stale-state", h.StaleState < 0},
+		{"bounds.free-memory", h.Bounds.FreeMemory < 0 || h.Bounds.FreeMemory > 0 && h.Bounds.FreeMemory < minFreeMemory},
 		{"memory-mb", h.MemoryMB < 0},
 		{"bounds.retry-ratio", h.Bounds.RetryRatio < 0},
 		{"data-folder", h.Role == RoleControl && h.DataFolder == ""},
--- a/settings/host_test.go
+++ b/settings/host_test.go
@@ -20,7 +20,7 @@
 		"internalPorts": []any{7340, 7355}, "seeds": []any{"10.1.0.42:8229", "10.2.0.30:8229", "10.3.0.20:8229"},
 		"limits":    map[string]any{"memoryMb": 544},
 		"bootstrap": true, "heartbeatMs": 1200,
-		"bounds": map[string]any{"graceS": 8, "retryBudgetRatio": 0.2, "budgetSlack": 106, "budgetWindowS": 10},
+		"bounds": map[string]any{"graceS": 8, "retryBudgetRatio": 0.2, "budgetSlack": 106, "budgetWindowS": 10, "freeMs": 4000},
 	}
 	for k, v := range more {
 		f[k] = v
@@ -97,6 +97,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			if h.Bounds.FreeMemory != Duration(4*time.Second) {
+				t.Errorf("memory must be free after %v, want 4s", time.Duration(h.Bounds.FreeMemory))
+			}
 			if h.MemoryBytes() != 544<<20 {
 				t.Errorf("memory is %d bytes, want 544 MB", h.MemoryBytes())
 			}
