Contain malformed messages and unexpected errors

Cause: a panic in an RPC handler ended the process, since net/rpc does not recover; malformed messages of the replicated log reached its state machine (negative offsets, entries out of order, memberships that cannot be decoded); a committed command that cannot be applied stopped every daemon, again after each start.

Change: messages are validated before they are received and dropped with a log line; each RPC handler contains a panic, logs and counts it; a panic in the reducer of a control daemon, be it a broken invariant, discards what the event had led to, stops the replica and starts it again from its disk after 1 s; a command that cannot be applied is skipped by all. The accept loop of peers waits after an error.

Ruled out: to go on with the replica after a broken invariant.

--- a/controls/daemon.go
+++ b/controls/daemon.go
@@ -14,6 +14,7 @@
 	"gypsumshelf.example/gypsumshelf/catalogs"
 	"gypsumshelf.example/gypsumshelf/directories"
 	"gypsumshelf.example/gypsumshelf/dispatchers"
+	"gypsumshelf.example/gypsumshelf/faults"
 	"gypsumshelf.example/gypsumshelf/peers"
 	"gypsumshelf.example/gypsumshelf/replicas"
 	"gypsumshelf.example/gypsumshelf/timers"
@@ -76,7 +77,7 @@
 // Start starts a control daemon.
 func Start(cfg Config) (*Daemon, error) {
 	d := &Daemon{
-		cfg: cfg, publisher: directories.NewPublisher(), events: make(chan any, eventQueueSize),
+		cfg: cfg, publisher: directories.NewPublisher(cfg.Log), events: make(chan any, eventQueueSize),
 		stop: make(chan struct{}), pendingReplies: map[Ticket]chan Reply{},
 	}
 	d.storage = &storage{folder: cfg.DataFolder, log: cfg.Log, submit: d.submit}
@@ -89,7 +90,7 @@
 	d.leadership.Store(&Leadership{})
 	d.dispatcher = dispatchers.New(dispatchers.Config{Log: cfg.Log, Reporter: cfg.Reporter, Timers: cfg.Timers})
 	d.registry = newRegistry(cfg, d.publisher, d.dispatcher)
-	d.links = peers.New(peers.Config{Daemon: cfg.Daemon, AllowUnlisted: true, Receive: d.handleEnvelope}, cfg.Peers)
+	d.links = peers.New(peers.Config{Daemon: cfg.Daemon, AllowUnlisted: true, Receive: d.handleEnvelope, Log: cfg.Log}, cfg.Peers)
 	d.server, err = directories.NewServer(cfg.Directory, map[string]any{
 		directories.ServiceName: d.publisher, dispatchers.ServiceName: dispatchers.NewService(d.dispatcher), ServiceName: &Service{daemon: d},
 	})
@@ -175,6 +176,11 @@
 		d.publishLeadership(e)
 	case Reply:
 		d.deliverReply(e)
+	case Skipped:
+		d.cfg.Log.WithError(e.Err).Error("a committed command cannot be applied; every daemon skips it")
+	case Halted:
+		faults.Report(d.cfg.Log.WithField("event", fmt.Sprintf("%T", e.Event)), "replicated log", e.Panic)
+		d.storage.reopen(d.replicaConfig())
 	default:
 		panic(fmt.Sprintf("unknown effect %T", effect))
 	}
@@ -209,9 +215,14 @@
 // whose sender differs from that of the envelope is dropped.
 func (d *Daemon) handleEnvelope(e peers.Envelope) {
 	m, ok := e.Payload.(replicas.Message)
-	if ok && m.From.Daemon == e.From {
-		d.submit(MessageReceived{Message: m})
+	if !ok || m.From.Daemon != e.From {
+		return
 	}
+	if err := m.Validate(); err != nil {
+		d.cfg.Log.WithField("from", e.From).WithError(err).Error("a message was dropped")
+		return
+	}
+	d.submit(MessageReceived{Message: m})
 }
 
 // handleView handles a view from another control daemon.
@@ -323,7 +334,8 @@
 const ServiceName = "Control"
 
 // Propose commits a command on this daemon, which must be the leader.
-func (s *Service) Propose(c catalogs.Command, _ *struct{}) error {
+func (s *Service) Propose(c catalogs.Command, _ *struct{}) (err error) {
+	defer faults.Recover(s.daemon.cfg.Log, ServiceName+".Propose", &err)
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
 	return s.daemon.propose(ctx, c)
--- a/controls/reducer.go
+++ b/controls/reducer.go
@@ -77,6 +77,14 @@
 		Term     uint64
 		Members  replicas.Members
 	}
+	// Halted reports that an unexpected error has stopped the replica. What the event
+	// had led to is discarded, so that nothing is acknowledged.
+	Halted struct {
+		Event any
+		Panic any
+	}
+	// Skipped reports a committed command that cannot be applied.
+	Skipped struct{ Err error }
 	// Reply completes a proposal or a read.
 	Reply struct {
 		Ticket Ticket
@@ -119,8 +127,14 @@
 	return &Reducer{cfg: cfg, replica: replicas.New(cfg), pendingProposals: map[uint64]pendingProposal{}}
 }
 
-// Step handles an event and returns its effects.
-func (r *Reducer) Step(now time.Time, event any) []any {
+// Step handles an event and returns its effects. A panic, be it a broken invariant of
+// the replicated log, stops the replica until StorageRenewed replaces it.
+func (r *Reducer) Step(now time.Time, event any) (effects []any) {
+	defer func() {
+		if v := recover(); v != nil {
+			effects = r.halt(event, v)
+		}
+	}()
 	r.effects = nil
 	switch e := event.(type) {
 	case Tick:
@@ -157,6 +171,17 @@
 	return r.effects
 }
 
+// halt stops the replica and returns the effects of doing so.
+func (r *Reducer) halt(event, cause any) []any {
+	r.effects = nil
+	r.replica.Halt()
+	r.failProposals(ErrStorage)
+	r.leadership = Leadership{Term: r.leadership.Term, Members: r.leadership.Members}
+	r.emit(r.leadership)
+	r.emit(Halted{Event: event, Panic: cause})
+	return r.effects
+}
+
 func (r *Reducer) emit(effect any) { r.effects = append(r.effects, effect) }
 
 func (r *Reducer) propose(now time.Time, e CommandProposed) {
@@ -216,10 +241,13 @@
 	r.appliedIndex = e.Index
 	r.entriesSinceSnapshot++
 	r.bytesSinceSnapshot += len(e.Data)
+	var err error
 	if e.Kind == replicas.Command && e.Index > r.state.Index {
-		changed, err := r.state.Apply(e.Index, e.Data)
-		if err != nil {
-			panic(fmt.Sprintf("committed command cannot be applied: %v", err))
+		var changed bool
+		if changed, err = r.state.Apply(e.Index, e.Data); err != nil {
+			// All daemons skip the same command. A panic would stop all of them, again
+			// after each start.
+			r.emit(Skipped{Err: err})
 		}
 		if changed {
 			r.emit(Publish{State: r.state})
@@ -227,7 +255,6 @@
 	}
 	if p, ok := r.pendingProposals[e.Index]; ok {
 		delete(r.pendingProposals, e.Index)
-		var err error
 		if p.term != e.Term {
 			err = ErrOverridden
 		}
--- a/controls/size_test.go
+++ b/controls/size_test.go
@@ -27,7 +27,7 @@
 	cfg := Config{Log: logrus.NewEntry(log), Timers: service, SilenceTimeout: time.Minute, Decode: func([]byte) (*catalogs.Catalog, error) {
 		return catalogs.New(catalogs.Spec{Services: []catalogs.Service{{Name: "engines", Engine: &costs.Profile{Slots: 10, MemoryTokens: 1000, PrefillRate: 1000}}}})
 	}}
-	g := newRegistry(cfg, directories.NewPublisher(), dispatchers.New(dispatchers.Config{Log: cfg.Log, Timers: service}))
+	g := newRegistry(cfg, directories.NewPublisher(nil), dispatchers.New(dispatchers.Config{Log: cfg.Log, Timers: service}))
 	g.setState(catalogs.State{Index: 1, Version: 1, Document: []byte("x")})
 	return g
 }
--- a/controls/storage.go
+++ b/controls/storage.go
@@ -22,6 +22,9 @@
 	// was replaced, and the old host must no longer count as a lost voter 4 s
 	// after its successor has started.
 	replaceAfter = 1500 * time.Millisecond
+	// reopenDelay bounds how often a replica starts again when the same error comes
+	// back. The others elect a leader meanwhile.
+	reopenDelay = time.Second
 )
 
 // storage writes the data folder of a control daemon.
@@ -77,34 +80,47 @@
 // renew replaces the data folder by an empty one in the background, without
 // blocking the event loop. StorageRenewed or StorageFailed reports the result.
 func (s *storage) renew(cfg replicas.Config) {
+	s.log.Error("the data folder is older than what peers saw of this daemon; it joins with a new incarnation")
+	s.replace(&replacement{storage: s, cfg: cfg, erase: true})
+}
+
+// reopen opens the data folder again after reopenDelay, in the background. The
+// replica then starts as after a restart of the process.
+func (s *storage) reopen(cfg replicas.Config) {
+	s.log.Warn("the replicated log starts again from the data folder")
+	s.replace(&replacement{storage: s, cfg: cfg, delay: reopenDelay})
+}
+
+func (s *storage) replace(p *replacement) {
 	s.wg.Add(1)
-	n := &renewal{storage: s, cfg: cfg}
-	go n.run()
+	go p.run()
 }
 
-// renewal is a running replacement of the data folder.
-type renewal struct {
+// replacement closes the store and opens another one.
+type replacement struct {
 	storage *storage
 	cfg     replicas.Config
+	erase   bool // begin with an empty folder
+	delay   time.Duration
 }
 
-func (n *renewal) run() {
-	s := n.storage
+func (p *replacement) run() {
+	s := p.storage
 	defer s.wg.Done()
-	s.log.Error("the data folder is older than what peers saw of this daemon; it joins with a new incarnation")
+	time.Sleep(p.delay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
+	if s.closed || s.store == nil {
 		return
 	}
 	err := s.store.Close()
 	s.store = nil
-	if err == nil {
+	if err == nil && p.erase {
 		err = disks.Renew(s.folder)
 	}
 	var cfg replicas.Config
 	if err == nil {
-		cfg, err = s.open(n.cfg)
+		cfg, err = s.open(p.cfg)
 	}
 	if err != nil {
 		s.failed(err)
--- a/daemons/storage.go
+++ b/daemons/storage.go
@@ -154,7 +154,12 @@
 // handleLogMessage submits a log message, unless its sender is not the daemon
 // that the message names.
 func (d *Daemon) handleLogMessage(e peers.Envelope, m replicas.Message) {
-	if m.From.Daemon == e.From {
-		d.loop.Submit(LogReceived{Message: m})
+	if m.From.Daemon != e.From {
+		return
+	}
+	if err := m.Validate(); err != nil {
+		d.log.WithField("from", e.From).WithError(err).Error("a message was dropped")
+		return
 	}
+	d.loop.Submit(LogReceived{Message: m})
 }
--- a/directories/directories_test.go
+++ b/directories/directories_test.go
@@ -87,7 +87,7 @@
 // Guards against a subscriber that polls only its seed and not the publishers
 // listed by it, and against fetching the same state over every connection.
 func TestSubscriberFindsAllPublishers(t *testing.T) {
-	first, second := NewPublisher(), NewPublisher()
+	first, second := NewPublisher(discardLog()), NewPublisher(discardLog())
 	a, b := startPublisher(t, first), startPublisher(t, second)
 	first.SetLeader(a, 1, []string{a, b})
 	var h fakeDaemon
@@ -113,7 +113,7 @@
 // Guards against an acknowledged leave that some polling daemon has not
 // received.
 func TestAwaitDeliveryWaitsForEveryPoller(t *testing.T) {
-	p := NewPublisher()
+	p := NewPublisher(discardLog())
 	var v View
 	if err := p.Poll(PollRequest{Daemon: "slow"}, &v); err != nil {
 		t.Fatal(err)
@@ -141,7 +141,7 @@
 // Guards against records that a subscriber misses after a restart of the
 // publisher, because its cursor is from the previous epoch.
 func TestRestartedPublisherSendsEverything(t *testing.T) {
-	p := NewPublisher()
+	p := NewPublisher(discardLog())
 	p.Publish(rosters.Record{ID: "s1"})
 	var v View
 	if err := p.Poll(PollRequest{Daemon: "d", Epoch: 99, Cursor: 1000}, &v); err != nil || len(v.Records) != 1 {
@@ -158,7 +158,7 @@
 	for i := range 700 {
 		fmt.Fprintf(&document, `{"name":"route-%d","host":"callers.example","prefix":"/%x/","timeout-ms":10000,"target-ms":300,"split":[{"service":"llm","weight":100}]},`, i, i*7919)
 	}
-	p := NewPublisher()
+	p := NewPublisher(discardLog())
 	state := catalogs.State{Index: 7, Version: 3, Document: document.Bytes(), OutOfService: []string{"linz-hafen"}}
 	p.SetState(state)
 	var first, second CompressedState
--- a/directories/publisher.go
+++ b/directories/publisher.go
@@ -8,8 +8,11 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/catalogs"
+	"gypsumshelf.example/gypsumshelf/faults"
 	"gypsumshelf.example/gypsumshelf/rosters"
 )
 
@@ -47,6 +50,7 @@
 
 // Publisher is the net/rpc service that answers the polls of Subscribers.
 type Publisher struct {
+	log   *logrus.Entry
 	epoch uint64 // random, differs for each process
 
 	mu         sync.Mutex
@@ -66,9 +70,9 @@
 }
 
 // NewPublisher returns a Publisher that has nothing published yet.
-func NewPublisher() *Publisher {
+func NewPublisher(log *logrus.Entry) *Publisher {
 	return &Publisher{
-		epoch: rand.Uint64() | 1, newest: map[gypsumshelf.ServerID]uint64{},
+		log: log, epoch: rand.Uint64() | 1, newest: map[gypsumshelf.ServerID]uint64{},
 		pollers: map[gypsumshelf.DaemonID]poller{}, changed: make(chan struct{}), hurried: make(chan struct{}),
 	}
 }
@@ -147,7 +151,8 @@
 // Poll returns the changes after the cursor of q. If there are none, it waits
 // for the next change for up to maxPollWait. The answer to ordinary changes waits
 // for the spacing of views.
-func (p *Publisher) Poll(q PollRequest, v *View) error {
+func (p *Publisher) Poll(q PollRequest, v *View) (err error) {
+	defer faults.Recover(p.log, ServiceName+".Poll", &err)
 	deadline := time.NewTimer(maxPollWait)
 	defer deadline.Stop()
 	if q.Epoch != p.epoch {
@@ -195,7 +200,8 @@
 
 // Fetch returns the replicated state. It is separate from Poll, so that a daemon
 // which polls several control daemons receives each state only once.
-func (p *Publisher) Fetch(_ struct{}, reply *CompressedState) error {
+func (p *Publisher) Fetch(_ struct{}, reply *CompressedState) (err error) {
+	defer faults.Recover(p.log, ServiceName+".Fetch", &err)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.compressed.Index != p.state.Index {
--- a/directories/size_test.go
+++ b/directories/size_test.go
@@ -49,7 +49,7 @@
 // each, and nothing was served for 30 s.
 func TestChangesInQuickSuccessionShareAnswers(t *testing.T) {
 	const daemons, changes, changeInterval = 100, 500, time.Millisecond
-	p := NewPublisher()
+	p := NewPublisher(discardLog())
 	stop := make(chan struct{})
 	pollers := make([]*fakePoller, 0, daemons)
 	var wg sync.WaitGroup
@@ -94,7 +94,7 @@
 		"leave":  func(p *Publisher) { p.Publish(rosters.Record{ID: "s-0001", Born: 1, Sequence: 2, Leaving: true}) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := NewPublisher()
+			p := NewPublisher(discardLog())
 			for i := range 1000 { // enough daemons for the longest spacing
 				p.pollers[gypsumshelf.DaemonID(fmt.Sprint(i))] = poller{lastPoll: time.Now()}
 			}
@@ -120,7 +120,7 @@
 // pollTimeout to send when all daemons ask at once.
 func TestLongViewsAreSentInPages(t *testing.T) {
 	const servers = 3*maxViewRecords + 7
-	p := NewPublisher()
+	p := NewPublisher(discardLog())
 	for i := range servers {
 		p.Publish(serverRecord(i))
 	}
@@ -148,7 +148,7 @@
 // Guards against a subscriber that asks for everything again after each lost
 // connection, which overloads a publisher that was late.
 func TestReconnectedSubscriberAsksForTheRest(t *testing.T) {
-	p := NewPublisher()
+	p := NewPublisher(discardLog())
 	address := startPublisher(t, p)
 	for i := range 10 {
 		p.Publish(serverRecord(i))
--- a/dispatchers/dispatchers_test.go
+++ b/dispatchers/dispatchers_test.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := directories.NewServer(l, map[string]any{directories.ServiceName: directories.NewPublisher(), ServiceName: service})
+	s, err := directories.NewServer(l, map[string]any{directories.ServiceName: directories.NewPublisher(discardLog()), ServiceName: service})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/dispatchers/service.go
+++ b/dispatchers/service.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/faults"
 	"gypsumshelf.example/gypsumshelf/schedules"
 )
 
@@ -42,12 +43,14 @@
 
 // Place submits a job.
 func (s *Service) Place(job schedules.Job, reply *Reply) (err error) {
+	defer faults.Recover(s.dispatcher.cfg.Log, ServiceName+".Place", &err)
 	reply.Decision, err = s.dispatcher.Place(job)
 	return err
 }
 
 // Await waits for a decision for at most maxAwait.
 func (s *Service) Await(id schedules.JobID, reply *Reply) (err error) {
+	defer faults.Recover(s.dispatcher.cfg.Log, ServiceName+".Await", &err)
 	ctx, cancel := context.WithTimeout(context.Background(), maxAwait)
 	defer cancel()
 	reply.Decision, err = s.dispatcher.Await(ctx, id)
@@ -55,7 +58,8 @@
 }
 
 // Tell records updates of jobs.
-func (s *Service) Tell(updates []JobUpdate, _ *struct{}) error {
+func (s *Service) Tell(updates []JobUpdate, _ *struct{}) (err error) {
+	defer faults.Recover(s.dispatcher.cfg.Log, ServiceName+".Tell", &err)
 	for _, u := range updates {
 		if u.Started {
 			s.dispatcher.Started(u.Job)
@@ -67,7 +71,8 @@
 }
 
 // Adopt takes over active jobs.
-func (s *Service) Adopt(jobs []AdoptedJob, _ *struct{}) error {
+func (s *Service) Adopt(jobs []AdoptedJob, _ *struct{}) (err error) {
+	defer faults.Recover(s.dispatcher.cfg.Log, ServiceName+".Adopt", &err)
 	for _, j := range jobs {
 		s.dispatcher.Adopt(j.Job, j.Placement, j.Started)
 	}
--- a/peers/links.go
+++ b/peers/links.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"gypsumshelf.example/gypsumshelf"
 )
 
@@ -31,6 +33,7 @@
 	Daemon     gypsumshelf.DaemonID
 	Peers      map[gypsumshelf.DaemonID]string // address of each other daemon
 	Receive    func(Envelope)                  // called for each received envelope; a heartbeat has no payload
+	Log        *logrus.Entry                   // of unexpected errors, the standard logger when nil
 	// AllowUnlisted admits daemons that are not in Peers. The ID of each daemon
 	// is then the address at which it listens, and the first message to it
 	// creates a link.
@@ -172,6 +175,7 @@
 			return
 		}
 		if err != nil {
+			time.Sleep(redialDelay) // there may be no free file descriptor
 			continue
 		}
 		s := &session{links: l, conn: &countingConn{Conn: conn, counters: &l.bytes, readTimeout: sessionReadTimeout}}
--- a/peers/session.go
+++ b/peers/session.go
@@ -6,6 +6,8 @@
 	"net/rpc"
 	"sync"
 	"time"
+
+	"gypsumshelf.example/gypsumshelf/faults"
 )
 
 // sessionReadTimeout is the time without received data after which an accepted
@@ -44,7 +46,8 @@
 
 // Hello identifies the peer. It rejects a peer of another deployment and a daemon
 // that is not admitted.
-func (s *Service) Hello(h Hello, _ *struct{}) error {
+func (s *Service) Hello(h Hello, _ *struct{}) (err error) {
+	defer faults.Recover(s.links.cfg.Log, "Peer.Hello", &err)
 	if h.Deployment != s.links.cfg.Deployment {
 		return fmt.Errorf("peer belongs to deployment %q, want %q", h.Deployment, s.links.cfg.Deployment)
 	}
@@ -58,7 +61,8 @@
 }
 
 // Deliver receives a batch of envelopes. An empty batch is a heartbeat.
-func (s *Service) Deliver(batch []Envelope, _ *struct{}) error {
+func (s *Service) Deliver(batch []Envelope, _ *struct{}) (err error) {
+	defer faults.Recover(s.links.cfg.Log, "Peer.Deliver", &err)
 	s.mu.Lock()
 	hello := s.hello
 	s.mu.Unlock()
