Let daemons retry at any size, and apply what can be applied of a state

Cause: the retry budget of a daemon is its part of the slack, and below one retry at more than 97 daemons with a slack of 260, so that no daemon of a larger deployment ever retried. Where a catalog could not be decoded, the data centres taken out in the same state stayed in use. Reservations of an attempt that ended with a panic were renewed for ever.

--- a/controls/faults_test.go
+++ b/controls/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/rpc"
 	"testing"
@@ -105,6 +106,17 @@
 	})
 }
 
+// Guards against a data centre that stays in use because the catalog of the same state
+// cannot be decoded.
+func TestDataCentreIsTakenOutBesideAnUnreadableCatalog(t *testing.T) {
+	g := newTestRegistry(t)
+	g.decode = func([]byte) (*catalogs.Catalog, error) { return nil, errors.New("unreadable") }
+	g.setState(catalogs.State{Index: 2, Version: 2, Document: []byte("y"), OutOfService: []string{"a"}})
+	if !g.outOfService["a"] || g.catalog == nil {
+		t.Errorf("out of service is %v and the catalog is %v, want a and the previous one", g.outOfService, g.catalog)
+	}
+}
+
 // Guards against a committed command that no daemon can apply and that stops all of
 // them, again after each start.
 func TestUnknownCommandIsSkipped(t *testing.T) {
--- a/controls/registry.go
+++ b/controls/registry.go
@@ -60,20 +60,17 @@
 }
 
 // setState installs a new replicated state. If its catalog cannot be decoded,
-// the previous state stays in use.
+// the previous one stays in use.
 func (g *registry) setState(s catalogs.State) {
-	var catalog *catalogs.Catalog
-	if s.Document != nil {
-		c, err := g.decode(s.Document)
-		if err != nil {
-			g.log.WithError(err).WithField("version", s.Version).Error("the catalog of the replicated state cannot be decoded; the previous one stays in use")
-			return
-		}
-		catalog = c
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.catalog = catalog
+	if s.Document == nil {
+		g.catalog = nil
+	} else if c, err := g.decode(s.Document); err == nil {
+		g.catalog = c
+	} else {
+		g.log.WithError(err).WithField("version", s.Version).Error("the catalog of the replicated state cannot be decoded; the previous one stays in use")
+	}
 	g.outOfService = map[string]bool{}
 	for _, dc := range s.OutOfService {
 		g.outOfService[dc] = true
--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -198,13 +198,8 @@
 // run sends the request and relays the response. It returns nil when the caller
 // has received the complete response.
 func (e *engineAttempt) run(ctx context.Context) error {
+	defer e.endReservations()
 	err := e.sendAndRelay(ctx)
-	for _, r := range e.reservations {
-		r.end()
-	}
-	if e.watch != nil {
-		e.watch.end()
-	}
 	e.outcome = schedules.Completed
 	if err != nil {
 		e.outcome = outcomeOf(ctx, err)
@@ -218,6 +213,17 @@
 	return err
 }
 
+// endReservations releases the memory that is reserved at helpers, also when the
+// attempt ends with a panic.
+func (e *engineAttempt) endReservations() {
+	for _, r := range e.reservations {
+		r.end()
+	}
+	if e.watch != nil {
+		e.watch.end()
+	}
+}
+
 func (e *engineAttempt) sendAndRelay(ctx context.Context) error {
 	req := e.request
 	fleet := req.forwarder.cfg.Fleet
--- a/forwards/retry_budget.go
+++ b/forwards/retry_budget.go
@@ -18,6 +18,11 @@
 	Window time.Duration
 }
 
+// minBurst lets each daemon make a retry at any size of the deployment: with a smaller
+// burst its budget would never hold a whole one. Where many daemons make their parts
+// of the slack smaller than this, their requests earn far more than the difference.
+const minBurst = 1
+
 // daemonBudget returns one daemon's part of the budget. Its burst and its refill
 // during one window are half of its slack each.
 func (r RetryBudget) daemonBudget(daemons int) attempts.BudgetConfig {
@@ -25,6 +30,6 @@
 	return attempts.BudgetConfig{
 		RetryRatio: usedBudgetShare * r.Ratio,
 		PerSecond:  slack / 2 / r.Window.Seconds(),
-		Burst:      slack / 2,
+		Burst:      max(minBurst, slack/2),
 	}
 }
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -149,12 +149,11 @@
 	changed := s.Version != g.state.Version || g.state.Document == nil
 	g.state = s
 	if changed && s.Document != nil {
-		c, err := g.cfg.Decode(s.Document)
-		if err != nil {
+		if c, err := g.cfg.Decode(s.Document); err == nil {
+			g.forwarder.SetCatalog(c)
+		} else {
 			g.cfg.Log.WithError(err).WithField("version", s.Version).Error("cannot decode the catalog of the state in force; the previous catalog stays in use")
-			return
 		}
-		g.forwarder.SetCatalog(c)
 	}
 	g.fleet.SetOutOfService(s.OutOfService)
 	g.updateLocalDispatcher()
