Apply the limits on callers, and bound what a caller can hold

Cause: the header, header time and idle limits of the configuration were decoded and never used; a caller whose body dripped, or who never read the answer, held its request, its engine and reserved memory without a limit.

Change: connections accepted after a change of limits are served by an http.Server with these, without cutting older ones; a body has the time of its request and is refused with 408 after it, before it has run; a write fails 2 s after the deadline of its request.

--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -277,6 +278,7 @@
 		wait = min(wait, req.meta.Deadline)
 	}
 	req.deadline = req.arrived.Add(wait)
+	req.limitWriting()
 	if until := req.forwarder.drainDeadline.Load(); until != nil && req.deadline.After(*until) {
 		return req.refuse(http.StatusServiceUnavailable, stoppingRetryAfter, "the daemon is stopping")
 	}
@@ -304,10 +306,17 @@
 	if !req.requestMemory.Resize(max(0, req.r.ContentLength)) {
 		return req.refuse(http.StatusServiceUnavailable, bodyBudgetRetryAfter, buffers.ErrBudgetExceeded.Error())
 	}
+	req.limitReading(req.deadline)
 	var body bytes.Buffer
 	body.Grow(int(max(0, req.r.ContentLength)) + bytes.MinRead)
 	_, err := body.ReadFrom(req.requestMemory.Reader(io.LimitReader(req.r.Body, limit+1)))
+	// net/http detects a caller that disconnects with a read in the background, which
+	// the deadline would end.
+	req.limitReading(time.Time{})
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		req.w.Header().Set("Connection", "close")
+		return req.refuse(http.StatusRequestTimeout, 0, "the body did not arrive in time")
 	case errors.Is(err, buffers.ErrBudgetExceeded):
 		return req.refuse(http.StatusServiceUnavailable, bodyBudgetRetryAfter, err.Error())
 	case err != nil:
@@ -320,6 +329,29 @@
 	return true
 }
 
+// limitReading sets the time at which reading from the caller fails, zero for never.
+func (req *proxyRequest) limitReading(deadline time.Time) {
+	if req.r.ContentLength == 0 {
+		return // the body ends before it begins
+	}
+	if err := http.NewResponseController(req.w).SetReadDeadline(deadline); err != nil {
+		req.forwarder.cfg.Log.WithError(err).Warn("cannot limit the time for a caller's body")
+	}
+}
+
+// limitWriting makes writes to the caller fail deliveryTime after the deadline of the
+// request. The limit stays until the next request on the connection.
+func (req *proxyRequest) limitWriting() {
+	if err := http.NewResponseController(req.w).SetWriteDeadline(req.deadline.Add(deliveryTime)); err != nil {
+		req.forwarder.cfg.Log.WithError(err).Warn("cannot limit the time for writing to a caller")
+	}
+}
+
+// deliveryTime is the time in which an answer that was ready at the deadline of its
+// request can still be delivered. A caller that does not read would hold the request,
+// and engine memory reserved for it, for ever.
+const deliveryTime = 2 * time.Second
+
 // defaultBodyLimit, in bytes, applies when the catalog has no limit. It fits a
 // prompt of 1,000,000 tokens.
 const defaultBodyLimit = 4 << 20
--- /dev/null
+++ b/gateways/callers.go
@@ -0,0 +1,197 @@
+package gateways
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	stdlog "log"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gypsumshelf.example/gypsumshelf/catalogs"
+)
+
+const (
+	// Limits on callers' connections until the first catalog is known, and where it
+	// states none.
+	defaultHeaderBytes   = 16 << 10
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
+	// headerSlack is the number of bytes that net/http adds to MaxHeaderBytes. It is
+	// subtracted so that the intended limit holds.
+	headerSlack = 4096
+	// handOverCapacity is the number of accepted connections that wait for the server
+	// with the limits in force.
+	handOverCapacity = 64
+	// handOverRetryDelay is the delay while the hand-over is full.
+	handOverRetryDelay = time.Millisecond
+	// acceptRetryDelay avoids a busy loop while there is no free file descriptor.
+	acceptRetryDelay = 20 * time.Millisecond
+)
+
+// callerServer serves callers' connections within the limits of the catalog. net/http
+// takes its limits at the start of a server, so each change of limits starts another
+// one, for the connections that are accepted from then on.
+type callerServer struct {
+	handler  http.Handler
+	listener net.Listener
+	log      *logrus.Entry
+	errorLog *stdlog.Logger
+	wg       sync.WaitGroup
+
+	mu      sync.Mutex
+	limits  catalogs.Limits
+	servers []*http.Server // the last one takes new connections
+	current *handOver
+	stopped bool
+}
+
+// newCallerServer returns a callerServer that is already running.
+func newCallerServer(handler http.Handler, listener net.Listener, log *logrus.Entry) *callerServer {
+	s := &callerServer{handler: handler, listener: listener, log: log, errorLog: stdlog.New(log.WriterLevel(logrus.DebugLevel), "", 0)}
+	s.setLimits(catalogs.Limits{})
+	s.wg.Add(1)
+	go s.run()
+	return s
+}
+
+// setLimits applies the limits to connections that are accepted from now on.
+func (s *callerServer) setLimits(l catalogs.Limits) {
+	l = catalogs.Limits{
+		HeaderBytes: cmp.Or(l.HeaderBytes, defaultHeaderBytes), HeaderTimeout: cmp.Or(l.HeaderTimeout, defaultHeaderTimeout),
+		IdleTimeout: cmp.Or(l.IdleTimeout, defaultIdleTimeout),
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l == s.limits {
+		return
+	}
+	s.limits = l
+	if s.current != nil {
+		s.current.Close()
+	}
+	s.current = &handOver{address: s.listener.Addr(), conns: make(chan net.Conn, handOverCapacity), closed: make(chan struct{})}
+	server := &http.Server{
+		Handler: s.handler, MaxHeaderBytes: max(1, l.HeaderBytes-headerSlack), ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout,
+		ErrorLog: s.errorLog,
+	}
+	s.servers = append(s.servers, server)
+	r := &serverRun{owner: s, server: server, conns: s.current}
+	s.wg.Add(1)
+	go r.run()
+	s.log.WithFields(logrus.Fields{
+		"header-bytes": l.HeaderBytes, "header-timeout-ms": l.HeaderTimeout.Milliseconds(), "idle-timeout-ms": l.IdleTimeout.Milliseconds(),
+	}).Info("limits on callers' connections in force")
+}
+
+// run accepts connections and hands them to the server with the limits in force.
+func (s *callerServer) run() {
+	defer s.wg.Done()
+	for {
+		conn, err := s.listener.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			s.log.WithError(err).Warn("cannot accept a caller's connection")
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		s.handOver(conn)
+	}
+}
+
+// handOver passes a connection to the server with the limits in force.
+func (s *callerServer) handOver(conn net.Conn) {
+	for !s.tryHandOver(conn) {
+		time.Sleep(handOverRetryDelay)
+	}
+}
+
+// tryHandOver reports false while the server has not taken earlier connections.
+func (s *callerServer) tryHandOver(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		conn.Close()
+		return true
+	}
+	select {
+	case s.current.conns <- conn:
+		return true
+	default:
+		return false
+	}
+}
+
+// shutdown stops accepting and waits until the connections are idle or ctx ends; then
+// it closes those that are left.
+func (s *callerServer) shutdown(ctx context.Context) error {
+	s.listener.Close()
+	s.mu.Lock()
+	servers := s.servers
+	s.stopped = true
+	s.current.Close()
+	s.mu.Unlock()
+	var errs []error
+	for _, server := range servers {
+		if err := server.Shutdown(ctx); err != nil {
+			errs = append(errs, err)
+			server.Close()
+		}
+	}
+	s.wg.Wait()
+	return errors.Join(errs...)
+}
+
+// serverRun is the run of one http.Server.
+type serverRun struct {
+	owner  *callerServer
+	server *http.Server
+	conns  *handOver
+}
+
+func (r *serverRun) run() {
+	defer r.owner.wg.Done()
+	// After the end of its queue a server goes on with the connections that it has.
+	if err := r.server.Serve(r.conns); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		r.owner.log.WithError(err).Error("the HTTP server for callers failed; it takes no more connections")
+	}
+}
+
+// handOver is a net.Listener of connections that were accepted elsewhere.
+type handOver struct {
+	address net.Addr
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+// Accept implements net.Listener. It returns all connections handed over before the
+// end.
+func (h *handOver) Accept() (net.Conn, error) {
+	select {
+	case conn := <-h.conns:
+		return conn, nil
+	case <-h.closed:
+	}
+	select {
+	case conn := <-h.conns:
+		return conn, nil
+	default:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (h *handOver) Close() error {
+	h.once.Do(func() { close(h.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (h *handOver) Addr() net.Addr { return h.address }
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -4,10 +4,7 @@
 
 import (
 	"context"
-	"errors"
-	stdlog "log"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,14 +44,6 @@
 	// requests and responses may take. The garbage collector needs up to the same
 	// again, and connections and their buffers take most of the rest.
 	bodyMemoryDivisor = 8
-	// Limits on callers' connections. The server starts before the first catalog is
-	// known, so they are constants.
-	defaultHeaderBytes   = 16 << 10
-	defaultHeaderTimeout = 3 * time.Second
-	defaultIdleTimeout   = 15 * time.Second
-	// headerSlack is the number of bytes that net/http adds to MaxHeaderBytes. It is
-	// subtracted so that the intended limit holds.
-	headerSlack = 4096
 )
 
 // Config configures a Gateway.
@@ -82,12 +71,11 @@
 	localDispatcher *dispatchers.Dispatcher
 	dispatchClient  *dispatchers.Client
 	subscriber      *directories.Subscriber
-	server          *http.Server
+	callers         *callerServer
 	stopping        atomic.Bool
 	enginesChanged  atomic.Bool  // since the last update of the local dispatcher
 	lastViewNanos   atomic.Int64 // time of the last view from a control daemon, in ns since started
 	started         time.Time
-	wg              sync.WaitGroup
 
 	mu           sync.Mutex
 	state        catalogs.State
@@ -109,26 +97,13 @@
 		Retries: cfg.Retries, StateFresh: g.stateFresh, Log: cfg.Log, Recorder: cfg.Recorder, BodyBudget: cfg.Memory / bodyMemoryDivisor,
 		MemoryBound: cfg.FreeMemory,
 	})
-	g.server = &http.Server{
-		Handler: g.forwarder, MaxHeaderBytes: defaultHeaderBytes - headerSlack,
-		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		ErrorLog: stdlog.New(cfg.Log.WriterLevel(logrus.DebugLevel), "", 0),
-	}
 	cfg.Timers.Subscribe(forwards.PauseCheckPeriod, g.forwarder.CheckPause)
 	cfg.Timers.Subscribe(dispatcherUpdatePeriod, g.refreshLocalDispatcher)
+	g.callers = newCallerServer(g.forwarder, cfg.Callers, cfg.Log)
 	g.subscriber.Run()
-	g.wg.Add(1)
-	go g.run()
 	return g
 }
 
-func (g *Gateway) run() {
-	defer g.wg.Done()
-	if err := g.server.Serve(g.cfg.Callers); !errors.Is(err, http.ErrServerClosed) {
-		g.cfg.Log.WithError(err).Error("the HTTP server for callers failed; no more requests are accepted")
-	}
-}
-
 // SetSeeds replaces the addresses of the directories that are always polled.
 func (g *Gateway) SetSeeds(seeds []string) { g.subscriber.SetSeeds(seeds) }
 
@@ -151,6 +126,7 @@
 	if changed && s.Document != nil {
 		if c, err := g.cfg.Decode(s.Document); err == nil {
 			g.forwarder.SetCatalog(c)
+			g.callers.setLimits(c.Limits())
 		} else {
 			g.cfg.Log.WithError(err).WithField("version", s.Version).Error("cannot decode the catalog of the state in force; the previous catalog stays in use")
 		}
@@ -234,11 +210,9 @@
 	g.cfg.Log.WithField("in-progress", g.forwarder.ActiveRequests()).Info("the drain has ended; closing connections")
 	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
 	defer cancel()
-	if err := g.server.Shutdown(ctx); err != nil {
-		g.cfg.Log.WithError(err).Warn("requests still in progress are aborted at the end of the grace period")
-		g.server.Close()
+	if err := g.callers.shutdown(ctx); err != nil {
+		g.cfg.Log.WithError(err).Warn("requests still in progress were aborted at the end of the grace period")
 	}
 	g.subscriber.Close()
 	g.dispatchClient.Close()
-	g.wg.Wait()
 }
