Free the address of a moved server, limit each cold period, let the demo come back

Change: the old address is freed; a warm engine has no limiter; refused requests of the demo come back while they have not run, for 30 s.

--- a/loadtests/demo.go
+++ b/loadtests/demo.go
@@ -9,7 +9,9 @@
 	"text/tabwriter"
 	"time"
 
+	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/standins"
+	"gypsumshelf.example/gypsumshelf/timers"
 )
 
 // DemoConfig configures a demonstration run.
@@ -94,9 +96,9 @@
 	var wg sync.WaitGroup
 	for i := range rounds * len(callers) {
 		wg.Go(func() {
-			out := caller.Do(ctx, Request{
+			out := caller.doUntilAdmitted(ctx, Request{
 				Address: callers[i%len(callers)], Model: demoModel, PromptTokens: length,
-				MaxTokens: demoAnswerTokens, Seed: uint64(length + i),
+				MaxTokens: demoAnswerTokens, Seed: uint64(length + i), Intended: time.Now(),
 			})
 			mu.Lock()
 			defer mu.Unlock()
@@ -110,3 +112,22 @@
 	wg.Wait()
 	return firstTokens, failed
 }
+
+const (
+	// demoRetryDelay is the time after which a refused request of the demo comes back.
+	// Engines in slow start admit more with each request that they complete.
+	demoRetryDelay = 250 * time.Millisecond
+	// demoPatience is the time after which a refused request of the demo gives up.
+	demoPatience = 30 * time.Second
+)
+
+// doUntilAdmitted sends a request again while it is refused without having run. The
+// times in the outcome include the time in between.
+func (c *Caller) doUntilAdmitted(ctx context.Context, req Request) Outcome {
+	for {
+		out := c.Do(ctx, req)
+		if out.Result != Refused || out.Verdict != gypsumshelf.NotRun || time.Since(req.Intended) > demoPatience || !timers.Sleep(ctx, demoRetryDelay) {
+			return out
+		}
+	}
+}
--- a/rosters/roster.go
+++ b/rosters/roster.go
@@ -86,6 +86,9 @@
 		other.UpdatedAt = now
 		o.byID[otherID] = other
 	}
+	if known && old.Address != r.Address && o.byAddress[old.Address] == r.ID {
+		delete(o.byAddress, old.Address) // it has restarted at another address
+	}
 	e := Entry{Record: r, UpdatedAt: now}
 	if r.Cold > 0 {
 		e.ColdUntil = now.Add(r.Cold)
--- a/rosters/roster_test.go
+++ b/rosters/roster_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"gypsumshelf.example/gypsumshelf"
 )
 
 // Guards against late records that make an ended start usable again, undo a
@@ -52,3 +54,25 @@
 		}
 	})
 }
+
+// Guards against an address that stays taken by a backend server which has restarted
+// elsewhere: the next one there was rejected, or the first one marked as gone.
+func TestAddressIsFreeAfterAMove(t *testing.T) {
+	now := time.Now()
+	record := func(id string, born int64, address string) Record {
+		return Record{ID: gypsumshelf.ServerID(id), Born: born, Sequence: 1, Address: address, Service: "x"}
+	}
+	for name, born := range map[string]int64{"an earlier start takes the address": 2, "a later start takes the address": 9} {
+		t.Run(name, func(t *testing.T) {
+			o := New()
+			o.Merge(now, record("a", 1, "10.0.0.1:1"))
+			o.Merge(now, record("a", 5, "10.0.0.2:1"))
+			if !o.Merge(now, record("b", born, "10.0.0.1:1")) {
+				t.Error("the server at the free address is rejected")
+			}
+			if a, _ := o.Get("a"); !a.Usable() {
+				t.Error("the server that has moved counts as gone")
+			}
+		})
+	}
+}
--- a/schedules/engine.go
+++ b/schedules/engine.go
@@ -78,10 +78,13 @@
 	return &engine{state: state, profile: profile, assignments: map[JobID]*assignment{}, load: Load{Slowdown: 1}}
 }
 
-// update sets the state of the engine. It also creates the request limiter when
-// the engine is cold for the first time.
+// update sets the state of the engine. Each cold period begins with a new request
+// limiter.
 func (e *engine) update(now time.Time, state EngineState, profile *costs.Profile, share float64) {
 	e.state, e.profile, e.shared = state, profile, share > 0
+	if !e.isCold(now) {
+		e.coldLimiter = nil
+	}
 	if !e.isCold(now) || e.coldLimiter != nil {
 		return
 	}
--- a/schedules/scheduler_test.go
+++ b/schedules/scheduler_test.go
@@ -420,3 +420,27 @@
 		t.Errorf("first event predicted after %v with %d helpers, want at most %v", p.First, len(p.Helpers), oversized.Target-time.Second)
 	}
 }
+
+// Guards against a second cold period that is limited by the rate of the first one.
+func TestSecondColdPeriodHasItsOwnRate(t *testing.T) {
+	s := New(Config{})
+	profiles := map[string]*costs.Profile{"llm": testProfile()}
+	update := func(at time.Time, rate float64) {
+		s.UpdateEngines(at, profiles, []EngineState{{ID: "e", Service: "llm", ColdUntil: at.Add(10 * time.Second), ColdRequestsPerSecond: rate}})
+	}
+	update(origin, 100)
+	s.UpdateEngines(origin.Add(20*time.Second), profiles, []EngineState{{ID: "e", Service: "llm"}})
+	again := origin.Add(time.Minute)
+	update(again, 4)
+	placed := 0
+	for i := range 20 {
+		for _, d := range s.Submit(again, shortJob(fmt.Sprint(i))) {
+			if d.Placement != nil {
+				placed++
+			}
+		}
+	}
+	if placed > 4 {
+		t.Errorf("%d requests were placed at once on an engine that accepts 4 per second", placed)
+	}
+}
