Hand over what an old leader decides late

Cause: a daemon handed its jobs over to a new leader once. A decision that the old leader made after that, still acting for a moment, was unknown to the new one, which assigned the same slot again; and requests that came while jobs were handed over were placed before the leader knew of these.

Change: such a decision makes the daemon hand over its jobs again, at once; calls to the leader wait while jobs are handed over. Started and End read the place of a job under the lock.

Before and after, in the test: the slot in use assigned again by the new leader; the job waits for it (20 runs with the race detector).

--- a/dispatchers/client.go
+++ b/dispatchers/client.go
@@ -60,10 +60,13 @@
 // Client schedules jobs at the leader, or at the local scheduler while no
 // leader answers.
 type Client struct {
-	cfg     ClientConfig
-	updates chan JobUpdate
-	stop    chan struct{}
-	wg      sync.WaitGroup
+	cfg         ClientConfig
+	updates     chan JobUpdate
+	handOverDue chan struct{} // receives a value when the leader does not know of a placement
+	stop        chan struct{}
+	wg          sync.WaitGroup
+
+	handOverMu sync.Mutex // held while jobs are handed over
 
 	mu             sync.Mutex
 	leader         string
@@ -75,7 +78,7 @@
 
 // NewClient returns a running Client.
 func NewClient(cfg ClientConfig) *Client {
-	c := &Client{cfg: cfg, updates: make(chan JobUpdate, updateQueueSize), stop: make(chan struct{}), jobs: map[schedules.JobID]*activeJob{}}
+	c := &Client{cfg: cfg, updates: make(chan JobUpdate, updateQueueSize), handOverDue: make(chan struct{}, 1), stop: make(chan struct{}), jobs: map[schedules.JobID]*activeJob{}}
 	cfg.Local.SetActive(true)
 	c.wg.Add(1)
 	go c.sendUpdates()
@@ -117,8 +120,11 @@
 	return client, leader
 }
 
-// handOverJobs sends the placed jobs to a new leader, once.
+// handOverJobs sends the placed jobs to a new leader, once. A call that runs meanwhile
+// waits, since the leader must know of the jobs before it places others.
 func (c *Client) handOverJobs(client *rpc.Client, leader string) {
+	c.handOverMu.Lock()
+	defer c.handOverMu.Unlock()
 	c.mu.Lock()
 	if c.informedLeader == leader {
 		c.mu.Unlock()
@@ -161,7 +167,7 @@
 			decision, err := c.placeAtLeader(ctx, client, leader, withElapsed(job, time.Since(arrived)))
 			if err == nil {
 				decision.Scheduler = leader
-				return c.recordDecision(p, *decision, false), nil
+				return c.recordDecision(p, *decision), nil
 			}
 			if ctx.Err() != nil {
 				return schedules.Decision{}, ctx.Err()
@@ -236,12 +242,21 @@
 	return reply.Decision, nil
 }
 
-func (c *Client) recordDecision(p *activeJob, d schedules.Decision, local bool) schedules.Decision {
+// recordDecision stores a decision. A leader that took over meanwhile, from another
+// one or from the local scheduler, does not know of the placement, so the jobs are
+// handed over to it again.
+func (c *Client) recordDecision(p *activeJob, d schedules.Decision) schedules.Decision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p.placement, p.local = d.Placement, local
+	p.placement, p.local = d.Placement, d.Scheduler == ""
 	if d.Placement == nil {
 		delete(c.jobs, p.job.ID)
+	} else if c.informedLeader != "" && c.informedLeader != d.Scheduler {
+		c.informedLeader = ""
+		select {
+		case c.handOverDue <- struct{}{}:
+		default: // one is due already
+		}
 	}
 	return d
 }
@@ -260,7 +275,7 @@
 	if err != nil {
 		return schedules.Decision{}, err
 	}
-	return c.recordDecision(p, *decision, true), nil
+	return c.recordDecision(p, *decision), nil
 }
 
 var errUndecided = errors.New("the request ended before an engine was free")
@@ -268,24 +283,27 @@
 // Started reports the first event of a job.
 func (c *Client) Started(id schedules.JobID) {
 	c.mu.Lock()
-	p := c.jobs[id]
+	p, local := c.jobs[id], false
 	if p != nil {
-		p.started = true
+		p.started, local = true, p.local
 	}
 	c.mu.Unlock()
 	if p != nil {
-		c.queueUpdate(JobUpdate{Job: id, Started: true}, p.local)
+		c.queueUpdate(JobUpdate{Job: id, Started: true}, local)
 	}
 }
 
 // End reports the end of a job.
 func (c *Client) End(id schedules.JobID, outcome schedules.Outcome, blamed gypsumshelf.ServerID) {
 	c.mu.Lock()
-	p := c.jobs[id]
+	p, local := c.jobs[id], false
+	if p != nil {
+		local = p.local
+	}
 	delete(c.jobs, id)
 	c.mu.Unlock()
 	if p != nil {
-		c.queueUpdate(JobUpdate{Job: id, Outcome: outcome, Blamed: blamed}, p.local)
+		c.queueUpdate(JobUpdate{Job: id, Outcome: outcome, Blamed: blamed}, local)
 	}
 }
 
@@ -313,6 +331,9 @@
 		select {
 		case <-c.stop:
 			return
+		case <-c.handOverDue:
+			c.connection() // hands the jobs over
+			continue
 		case u := <-c.updates:
 			updates = append(updates, u)
 		}
