--- a/forwards/caller_test.go
+++ b/forwards/caller_test.go
@@ -103,3 +103,25 @@
 		}
 	}
 }
+
+// Guards against a refusal that is cut off because the time of an earlier request on
+// the same connection is over.
+func TestRefusalAfterTheDeadlineOfAnEarlierRequest(t *testing.T) {
+	f := newStartedFixture(t, newFakeBackend(t, "p1", "plain", respondWith(http.StatusOK, "ok")))
+	conn := f.dialCaller()
+	reader := bufio.NewReader(conn)
+	for _, test := range []struct {
+		path   string
+		status int
+	}{{"/safe/", http.StatusOK}, {"/none/", http.StatusNotFound}} {
+		fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: k\r\nWait: 300\r\n\r\n", test.path)
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", test.path, err)
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != test.status {
+			t.Errorf("%s: status %d with error %v, want %d", test.path, response.StatusCode, err, test.status)
+		}
+		time.Sleep(deliveryTime + 500*time.Millisecond)
+	}
+}
