Let no request queue behind a hand-over that is not answered

When the leader did not answer, each waiting call handed the jobs over again, one after the other, 120 ms each.

Change: a call that finds the leader suspect after its wait schedules locally.

--- a/dispatchers/client.go
+++ b/dispatchers/client.go
@@ -116,19 +116,23 @@
 	if !alive {
 		return nil, ""
 	}
-	c.handOverJobs(client, leader)
+	if !c.handOverJobs(client, leader) {
+		return nil, ""
+	}
 	return client, leader
 }
 
-// handOverJobs sends the placed jobs to a new leader, once. A call that runs meanwhile
-// waits, since the leader must know of the jobs before it places others.
-func (c *Client) handOverJobs(client *rpc.Client, leader string) {
+// handOverJobs sends the placed jobs to a new leader, once, and reports whether the
+// leader knows them. A call that runs meanwhile waits, since the leader must know of the
+// jobs before it places others.
+func (c *Client) handOverJobs(client *rpc.Client, leader string) bool {
 	c.handOverMu.Lock()
 	defer c.handOverMu.Unlock()
 	c.mu.Lock()
-	if c.informedLeader == leader {
+	informed, suspect := c.informedLeader == leader, time.Now().Before(c.suspectUntil)
+	if informed || suspect {
 		c.mu.Unlock()
-		return
+		return !suspect
 	}
 	c.informedLeader = leader
 	var jobs []AdoptedJob
@@ -140,7 +144,9 @@
 	c.mu.Unlock()
 	if err := peers.Call(client, ServiceName+".Adopt", jobs, &struct{}{}, placeTimeout); err != nil {
 		c.suspectLeader(leader, err)
+		return false
 	}
+	return true
 }
 
 // suspectLeader avoids a leader for suspectDuration after a failed call. The
--- a/dispatchers/handover_test.go
+++ b/dispatchers/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -57,3 +58,42 @@
 		t.Errorf("got %+v, want a placement on e2 after its job has ended", d)
 	}
 }
+
+// hangingService is a leader that never answers a hand-over.
+type hangingService struct{ stop chan struct{} }
+
+// Adopt hangs until the end of the test.
+func (s *hangingService) Adopt([]AdoptedJob, *struct{}) error {
+	<-s.stop
+	return nil
+}
+
+// Guards against requests that wait for a leader that does not answer one after the
+// other: each of them tried to hand over the jobs again.
+func TestRequestsDoNotQueueForAHangingLeader(t *testing.T) {
+	hanging := &hangingService{stop: make(chan struct{})}
+	address, _ := serve(t, hanging)
+	t.Cleanup(func() { close(hanging.stop) }) // before the server waits for its calls
+	c := newClient(t, address)
+	c.SetLeader(address, 1)
+	const requests = 20
+	took := make(chan time.Duration, requests)
+	for i := range requests {
+		go func() {
+			begin := time.Now()
+			// Requests without a slot are still waiting at the end of the test.
+			if d, err := c.Place(t.Context(), job(fmt.Sprint("j", i))); err == nil && d.Placement != nil {
+				took <- time.Since(begin)
+			}
+		}()
+	}
+	placed := 0
+	for end := time.After(5 * placeTimeout); placed < 4; { // the slots of the local engine
+		select {
+		case <-took:
+			placed++
+		case <-end:
+			t.Fatalf("%d of 4 requests were placed within %v", placed, 5*placeTimeout)
+		}
+	}
+}
