Show two ways to a group without a leader

A planned stop keeps the vote of a host that never returns: with two lost disks there is no majority left, although a learner has the whole log. And a learner in a data centre without a voter is promoted to a sixth seat, which the log refuses with a broken invariant on each leader in turn.

--- a/controls/daemon_test.go
+++ b/controls/daemon_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -116,6 +117,19 @@
 	}
 }
 
+// kill ends the daemon without a planned stop: it hands nothing over.
+func (h *host) kill() {
+	d := h.daemon
+	h.daemon = nil
+	d.subscriber.Close()
+	d.server.Close()
+	d.links.Close()
+	close(d.stop)
+	d.wg.Wait()
+	d.storage.close()
+	h.timers.Close()
+}
+
 // wipe replaces the disk of a stopped host by an empty one.
 func (h *host) wipe() { h.folder = h.t.TempDir() }
 
@@ -215,6 +229,42 @@
 	})
 }
 
+// Guards against a planned stop that takes a vote away while two other voters have
+// lost their disks, although a learner that has the whole log could vote.
+func TestReplacedVoterStopsWhileTwoDisksAreLost(t *testing.T) {
+	for name, leads := range map[string]bool{"leader": true, "follower": false} {
+		t.Run(name, func(t *testing.T) {
+			c := startedCluster(t, 5)
+			successor := c.add()
+			c.start(successor, false)
+			c.eventually("the successor is a member", func(h *host) bool {
+				l := h.daemon.leadership.Load()
+				_, ok := l.Members.Member(successor.id)
+				return l.IsLeader && ok
+			})
+			c.put(2)
+			time.Sleep(2 * electionTimeout) // the successor catches up
+			leader := c.leader()
+			others := slices.DeleteFunc(slices.Clone(c.hosts[:5]), func(h *host) bool { return h == leader })
+			stopped := leader
+			if !leads {
+				stopped = others[2]
+			}
+			for _, h := range others[:2] {
+				h.kill()
+				h.wipe()
+			}
+			stopped.stop()
+			for _, h := range others[:2] {
+				c.start(h, false)
+			}
+			c.put(3)
+			c.assertVersion(3)
+			c.awaitVoters()
+		})
+	}
+}
+
 // Guards against stale reads: a daemon without a quorum must not answer a read,
 // because the others may have committed newer entries.
 func TestReadNeedsAQuorum(t *testing.T) {
--- a/replicas/rules_test.go
+++ b/replicas/rules_test.go
@@ -411,3 +411,28 @@
 		}
 	}
 }
+
+// Guards against a leader that stops because it wants one voter more than a group
+// may have: a host of a data centre without a voter returns while all seats are
+// taken.
+func TestLearnerInDataCentreWithoutVoterTakesASeat(t *testing.T) {
+	members := append(fourHostMembers(),
+		Member{ID: NodeID{Daemon: "e"}, DataCentre: "y", Durable: true},
+		Member{ID: NodeID{Daemon: "f"}, DataCentre: "x", Durable: true})
+	c := newCluster(t, 1, members...)
+	c.wantedVoters = 5
+	for _, h := range c.hosts {
+		c.start(h)
+	}
+	lost := c.host("c") // the only one of its data centre
+	c.waitUntil("a settled cluster", c.isSettled)
+	c.crash(lost)
+	c.waitUntil("replacement", func() bool {
+		l := c.confirmedLeader()
+		return l != nil && len(l.replica.Members().Voters()) == 5 && !l.replica.Members().IsVoter(lost.member.ID)
+	})
+	c.start(lost)
+	c.waitUntil("a voter in each data centre", func() bool {
+		return c.isSettled() && c.confirmedLeader().replica.Members().IsVoter(lost.member.ID)
+	})
+}
