Log why a leader changes the membership

The logs showed how many voters there are, not who asked for a change: a successor that waits for a seat and one that is refused looked alike.

--- a/controls/daemon.go
+++ b/controls/daemon.go
@@ -176,6 +176,10 @@
 		d.publishLeadership(e)
 	case Reply:
 		d.deliverReply(e)
+	case ChangeProposed:
+		d.cfg.Log.WithFields(logrus.Fields{
+			"member": e.Change.Member.String(), "votes": e.Change.Role == replicas.Voter, "reason": e.Change.Reason, "voters": e.Change.Voters,
+		}).Info("membership change proposed")
 	case Skipped:
 		d.cfg.Log.WithError(e.Err).Error("a committed command cannot be applied; every daemon skips it")
 	case Halted:
--- a/controls/reducer.go
+++ b/controls/reducer.go
@@ -77,6 +77,8 @@
 		Term     uint64
 		Members  replicas.Members
 	}
+	// ChangeProposed reports that this daemon, as the leader, changes the membership.
+	ChangeProposed struct{ Change replicas.MembershipChange }
 	// Halted reports that an unexpected error has stopped the replica. What the event
 	// had led to is discarded, so that nothing is acknowledged.
 	Halted struct {
@@ -206,6 +208,9 @@
 		for _, m := range out.Messages {
 			r.emit(Send{Message: m})
 		}
+		for _, c := range out.MembershipChanges {
+			r.emit(ChangeProposed{Change: c})
+		}
 		r.installSnapshot(out.InstallSnapshot)
 		for _, e := range out.Committed {
 			r.applyEntry(e)
--- a/replicas/entry.go
+++ b/replicas/entry.go
@@ -63,4 +63,6 @@
 	InstallSnapshot *Snapshot // snapshot to restore before applying Committed
 	Committed       []Entry   // entries to apply, of every kind, without gaps
 	Renew           bool      // storage lacks state that peers saw: discard it and start with a new incarnation
+	// MembershipChanges are the changes that this node has proposed, for logs only.
+	MembershipChanges []MembershipChange
 }
--- a/replicas/leader_test.go
+++ b/replicas/leader_test.go
@@ -78,11 +78,11 @@
 	r.memberships[0].members = r.Members().withMember(learner)
 	r.updateProgress()
 	r.cfg.TargetVoters = 4
-	if next := r.nextMembership(); next != nil {
-		t.Fatalf("voters become %v", next.Voters())
+	if id, role, reason := r.nextRole(); reason != "" {
+		t.Fatalf("%s gets role %d: %s", id, role, reason)
 	}
 	r.progress[learner.ID].caughtUp = true
-	if next := r.nextMembership(); !next.IsVoter(learner.ID) {
-		t.Fatalf("voters become %v", next.Voters())
+	if id, role, _ := r.nextRole(); id != learner.ID || role != Voter {
+		t.Fatalf("%s gets role %d, want %s as a voter", id, role, learner.ID)
 	}
 }
--- a/replicas/membership.go
+++ b/replicas/membership.go
@@ -20,6 +20,27 @@
 	freshPeers  map[gypsumshelf.DaemonID]Member
 }
 
+// MembershipReason says why a leader changes the membership.
+type MembershipReason string
+
+// Reasons of membership changes.
+const (
+	Joined            MembershipReason = "joined"                // a daemon asked to become a member
+	SeatFree          MembershipReason = "seat-free"             // a learner is promoted because there are too few voters
+	VoterUnresponsive MembershipReason = "voter-unresponsive"    // a silent voter is demoted in favour of a learner
+	VoterSurplus      MembershipReason = "voter-surplus"         // a voter is demoted because there are too many
+	NoVoterNearby     MembershipReason = "no-voter-in-its-place" // a learner is promoted whose data centre has no voter
+)
+
+// MembershipChange is a change of the membership that this node, as the leader,
+// has proposed.
+type MembershipChange struct {
+	Member NodeID // the member that joins or whose role changes
+	Role   Role   // its new role
+	Reason MembershipReason
+	Voters int // number of voters after the change
+}
+
 // Members returns the latest membership, which may not be committed yet.
 func (r *Replica) Members() Members { return r.memberships[len(r.memberships)-1].members }
 
@@ -28,10 +49,10 @@
 	return r.memberships[len(r.memberships)-1].index > r.commit
 }
 
-// proposeMembership appends a membership change. Only one change may be pending,
+// proposeMembership appends a membership change, which affects member. Only one change may be pending,
 // and it may affect at most one voter, so that the quorums of two successive
 // memberships always have a voter in common.
-func (r *Replica) proposeMembership(next Members) {
+func (r *Replica) proposeMembership(next Members, id NodeID, reason MembershipReason) {
 	if r.membershipPending() || r.commit < r.termStart {
 		invariantViolated("membership would change at entry %d while the change at entry %d or the first entry of the term is not committed", r.log.lastIndex()+1, r.memberships[len(r.memberships)-1].index)
 	}
@@ -45,6 +66,8 @@
 		}
 	}
 	r.appendNew(Membership, next.encode())
+	member, _ := next.Member(id)
+	r.out.MembershipChanges = append(r.out.MembershipChanges, MembershipChange{Member: id, Role: member.Role, Reason: reason, Voters: len(voters)})
 }
 
 // SetPeers replaces the daemons to which a node that is not a member sends Join.
@@ -118,7 +141,7 @@
 	// It joins as a learner, even if the old one was a voter.
 	next := r.Members().withMember(Member{ID: message.From, DataCentre: req.DataCentre, Durable: req.Durable})
 	if len(next.Voters()) > 0 {
-		r.proposeMembership(next)
+		r.proposeMembership(next, message.From, Joined)
 	}
 }
 
@@ -142,39 +165,39 @@
 	if r.membershipPending() || r.commit < r.termStart {
 		return
 	}
-	if next := r.nextMembership(); next != nil {
-		r.proposeMembership(next)
+	if id, role, reason := r.nextRole(); reason != "" {
+		r.proposeMembership(r.Members().withRole(id, role), id, reason)
 	}
 }
 
-// nextMembership returns a membership with one role changed, or nil when no
-// change is needed.
-func (r *Replica) nextMembership() Members {
+// nextRole returns the next member whose role is to change and its new role. The
+// reason is empty when no change is needed.
+func (r *Replica) nextRole() (id NodeID, role Role, reason MembershipReason) {
 	members := r.Members()
 	voters := members.Voters()
 	learner, newDataCentre, found := r.learnerToPromote(members)
 	switch {
 	case len(voters) > r.cfg.TargetVoters:
 		if id, ok := r.voterToDemote(members); ok {
-			return members.withRole(id, Learner)
+			return id, Learner, VoterSurplus
 		}
 	case len(voters) < r.cfg.TargetVoters:
 		if found {
-			return members.withRole(learner, Voter)
+			return learner, Voter, SeatFree
 		}
 	case found:
 		// A lost voter is demoted before its successor is promoted: with both
 		// as voters, one further loss would leave no quorum.
 		if id, ok := r.unresponsiveVoter(members); ok {
-			return members.withRole(id, Learner)
+			return id, Learner, VoterUnresponsive
 		}
 		// With every voter in contact, the learner is promoted before a voter
 		// is demoted.
 		if newDataCentre && votersShareDataCentre(members) && r.inContactFor(learner, r.cfg.ReplaceAfter) {
-			return members.withRole(learner, Voter)
+			return learner, Voter, NoVoterNearby
 		}
 	}
-	return nil
+	return NodeID{}, Learner, ""
 }
 
 // learnerToPromote returns the learner to promote next. It must be in contact,
--- a/replicas/rules_test.go
+++ b/replicas/rules_test.go
@@ -160,16 +160,16 @@
 		"commit index backward": func(r *Replica, _ time.Time, _ [2]NodeID) { r.setCommit(0) },
 		"two voters changed": func(r *Replica, _ time.Time, others [2]NodeID) {
 			r.state, r.progress = stateLeader, map[NodeID]*progress{}
-			r.proposeMembership(r.Members().withRole(others[0], Learner).withRole(others[1], Learner))
+			r.proposeMembership(r.Members().withRole(others[0], Learner).withRole(others[1], Learner), others[0], VoterSurplus)
 		},
 		"voter without storage": func(r *Replica, _ time.Time, _ [2]NodeID) {
 			r.state, r.progress = stateLeader, map[NodeID]*progress{}
-			r.proposeMembership(r.Members().withMember(Member{ID: NodeID{Daemon: "d"}, Role: Voter}))
+			r.proposeMembership(r.Members().withMember(Member{ID: NodeID{Daemon: "d"}, Role: Voter}), NodeID{Daemon: "d"}, SeatFree)
 		},
 		"change before the last is committed": func(r *Replica, _ time.Time, others [2]NodeID) {
 			r.state, r.progress = stateLeader, map[NodeID]*progress{}
-			r.proposeMembership(r.Members().withRole(others[0], Learner))
-			r.proposeMembership(r.Members().withRole(others[0], Voter))
+			r.proposeMembership(r.Members().withRole(others[0], Learner), others[0], VoterSurplus)
+			r.proposeMembership(r.Members().withRole(others[0], Voter), others[0], SeatFree)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
