Let a learner take a seat when five are taken

Seen by callers: no configuration could be read or changed for spans of a second, again and again. Cause: in a data centre without a voter, a learner is promoted before a voter of another data centre is demoted. With five voters that is a sixth, which the log refuses as a broken invariant: the leader halts, and so does each next one 1.5 s after its election. The tests of this rule had three voters. Change: six voters are allowed while a seat changes hands, if a quorum of them is in contact. Messages with seven are malformed (the test had six).

--- a/replicas/member.go
+++ b/replicas/member.go
@@ -8,9 +8,13 @@
 	"gypsumshelf.example/gypsumshelf"
 )
 
-// MaxVoters is the largest number of voters of a group.
+// MaxVoters is the largest number of voters that a group may be configured with.
 const MaxVoters = 5
 
+// maxVotersInChange allows for the learner that is promoted before the voter whose
+// seat it takes is demoted.
+const maxVotersInChange = MaxVoters + 1
+
 // NodeID identifies a daemon together with its storage. A daemon that restarts
 // without its previous storage gets a new incarnation and is a different node.
 type NodeID struct {
--- a/replicas/membership.go
+++ b/replicas/membership.go
@@ -57,7 +57,7 @@
 		invariantViolated("membership would change at entry %d while the change at entry %d or the first entry of the term is not committed", r.log.lastIndex()+1, r.memberships[len(r.memberships)-1].index)
 	}
 	voters := next.Voters()
-	if countVoterChanges(r.Members(), next) > 1 || len(voters) == 0 || len(voters) > MaxVoters {
+	if countVoterChanges(r.Members(), next) > 1 || len(voters) == 0 || len(voters) > maxVotersInChange {
 		invariantViolated("invalid change of voters from %v to %v", r.Members().Voters(), voters)
 	}
 	for _, member := range next {
@@ -193,7 +193,7 @@
 		}
 		// With every voter in contact, the learner is promoted before a voter
 		// is demoted.
-		if newDataCentre && votersShareDataCentre(members) && r.inContactFor(learner, r.cfg.ReplaceAfter) {
+		if newDataCentre && votersShareDataCentre(members) && r.inContactFor(learner, r.cfg.ReplaceAfter) && r.hasQuorumWith(learner) {
 			return learner, Voter, NoVoterNearby
 		}
 	}
@@ -279,6 +279,13 @@
 	return n
 }
 
+// hasQuorumWith reports whether, with one more member as a voter, a quorum is in
+// contact.
+func (r *Replica) hasQuorumWith(id NodeID) bool {
+	next := r.Members().withRole(id, Voter)
+	return r.aliveVoters(next) >= next.Quorum()
+}
+
 func votersInDataCentre(members Members, dataCentre string) int {
 	n := 0
 	for _, member := range members {
--- a/replicas/validate.go
+++ b/replicas/validate.go
@@ -89,8 +89,8 @@
 // fault returns why m cannot be the membership of a group, or "".
 func (m Members) fault() string {
 	voters := len(m.Voters())
-	if voters == 0 || voters > MaxVoters {
-		return fmt.Sprintf("%d voters, want 1 to %d", voters, MaxVoters)
+	if voters == 0 || voters > maxVotersInChange {
+		return fmt.Sprintf("%d voters, want 1 to %d", voters, maxVotersInChange)
 	}
 	seen := map[string]bool{}
 	for _, member := range m {
