Let a daemon with an empty disk ask the daemons that send to it

Seen by callers: part of 'no config in time'. A host whose disk was lost stays outside the group for good, so that the next losses leave no majority. Cause: it sends Join only to the seeds of its settings and to daemons that these name. When the seeds are gone or have empty disks themselves, nobody names the leader, although the leader still sends to the lost incarnation. TestDaemonWithoutPeersAsksSenders sent none before. Change: the sender of any message of the log is asked too.

--- a/replicas/membership.go
+++ b/replicas/membership.go
@@ -13,11 +13,24 @@
 	members Members
 }
 
+// maxSenders bounds the daemons that a node remembers because they sent messages.
+const maxSenders = 32
+
 // joinState tracks the attempts of a node that is not a member to join a group.
 type joinState struct {
 	nextRequest time.Time // earliest time to send the next Join
 	groupExists bool      // some daemon has already belonged to a group
 	freshPeers  map[gypsumshelf.DaemonID]Member
+	senders     []gypsumshelf.DaemonID // daemons that have sent messages, to this or an earlier incarnation
+}
+
+// addSender remembers a daemon that sends messages as one to ask. The peers that a
+// daemon without storage is told of may all be gone, while the leader still sends to
+// its previous incarnation.
+func (j *joinState) addSender(id gypsumshelf.DaemonID) {
+	if !slices.Contains(j.senders, id) && len(j.senders) < maxSenders {
+		j.senders = append(j.senders, id)
+	}
 }
 
 // MembershipReason says why a leader changes the membership.
@@ -91,7 +104,13 @@
 	if r.bootstrapGroup() {
 		return
 	}
-	for _, id := range r.cfg.Peers {
+	asked := slices.Clone(r.cfg.Peers)
+	for _, id := range r.join.senders {
+		if !slices.Contains(asked, id) {
+			asked = append(asked, id)
+		}
+	}
+	for _, id := range asked {
 		r.send(NodeID{Daemon: id}, Join{DataCentre: r.cfg.DataCentre, Durable: r.cfg.Durable})
 	}
 }
--- a/replicas/replica.go
+++ b/replicas/replica.go
@@ -167,6 +167,7 @@
 	if r.isStopped() || message.From.Daemon == r.cfg.ID.Daemon {
 		return
 	}
+	r.join.addSender(message.From.Daemon)
 	if message.To != r.cfg.ID && (message.To.Daemon != r.cfg.ID.Daemon || message.To.Incarnation != "") {
 		return
 	}
--- a/replicas/rules_test.go
+++ b/replicas/rules_test.go
@@ -436,3 +436,15 @@
 		return c.isSettled() && c.confirmedLeader().replica.Members().IsVoter(lost.member.ID)
 	})
 }
+
+// Guards against a daemon with an empty disk that never joins because the peers that it
+// was told of are gone: the leader, which sends to its previous incarnation, is asked.
+func TestDaemonWithoutPeersAsksSenders(t *testing.T) {
+	id := NodeID{Daemon: "a", Incarnation: "2"}
+	r := New(Config{ID: id, Durable: true, Seed: 1, Session: 1, ElectionTimeout: testElectionTimeout, HeartbeatInterval: testHeartbeatInterval})
+	now := time.Unix(1_000_000, 0)
+	r.Tick(now)
+	r.Receive(now, Message{From: NodeID{Daemon: "b", Incarnation: "1"}, To: NodeID{Daemon: "a", Incarnation: "1"}, Session: 9, Group: "g", Term: 2, Body: AppendRequest{}})
+	r.Tick(now.Add(testElectionTimeout))
+	assertSent[Join](t, r.TakeOutput(), 1, "after a message to an earlier incarnation")
+}
