Give a stopping voter's seat to a learner before it stops

Cause: a planned stop handed over the lead and kept the vote. A replaced host never returns, so that the quorum counted it until the leader demoted it after 1.5 s of silence; with two disks lost meanwhile, two voters of five were left, beside a learner with the whole log. Class: a vote that outlives its process. Change: the voter asks the leader and waits for its agreement, within the grace period. The leader exchanges the voter for a learner through a joint membership (majorities of both), also in place of the former two steps for silent voters and data centres without a voter: a step with four or with six voters would leave no majority when two of the wrong hosts are lost in it.

--- a/controls/daemon.go
+++ b/controls/daemon.go
@@ -47,8 +47,11 @@
 	Decode         catalogs.Decoder
 	Reporter       dispatchers.Reporter
 	SilenceTimeout time.Duration // time without an announcement after which a backend server counts as silent
-	Log            *logrus.Entry
-	Timers         *timers.Service
+	// StopTimeout bounds the time for which a planned stop waits until the replicated
+	// log goes on without this daemon.
+	StopTimeout time.Duration
+	Log         *logrus.Entry
+	Timers      *timers.Service
 }
 
 // Daemon is a running control daemon.
@@ -64,9 +67,10 @@
 	registry   *registry
 	dispatcher *dispatchers.Dispatcher
 
-	events chan any
-	stop   chan struct{}
-	wg     sync.WaitGroup
+	events      chan any
+	stop        chan struct{}
+	stopGranted chan struct{}
+	wg          sync.WaitGroup
 
 	lastTicket     atomic.Uint64
 	leadership     atomic.Pointer[Leadership]
@@ -78,7 +82,7 @@
 func Start(cfg Config) (*Daemon, error) {
 	d := &Daemon{
 		cfg: cfg, publisher: directories.NewPublisher(cfg.Log), events: make(chan any, eventQueueSize),
-		stop: make(chan struct{}), pendingReplies: map[Ticket]chan Reply{},
+		stop: make(chan struct{}), stopGranted: make(chan struct{}), pendingReplies: map[Ticket]chan Reply{},
 	}
 	d.storage = &storage{folder: cfg.DataFolder, log: cfg.Log, submit: d.submit}
 	replicaConfig, err := d.storage.open(d.replicaConfig())
@@ -178,8 +182,10 @@
 		d.deliverReply(e)
 	case ChangeProposed:
 		d.cfg.Log.WithFields(logrus.Fields{
-			"member": e.Change.Member.String(), "votes": e.Change.Role == replicas.Voter, "reason": e.Change.Reason, "voters": e.Change.Voters,
+			"member": e.Change.Member.String(), "votes": e.Change.Role != replicas.Learner, "reason": e.Change.Reason, "voters": e.Change.Voters,
 		}).Info("membership change proposed")
+	case StopGranted:
+		close(d.stopGranted)
 	case Skipped:
 		d.cfg.Log.WithError(e.Err).Error("a committed command cannot be applied; every daemon skips it")
 	case Halted:
@@ -314,12 +320,23 @@
 	}
 }
 
-// Close hands leadership over if this daemon is the leader, and stops it.
+// Close stops the daemon. It hands leadership over if this daemon is the leader, and
+// waits until a learner has taken the daemon's vote or the others need it no longer,
+// for StopTimeout at most.
 func (d *Daemon) Close() {
+	started := time.Now()
 	d.submit(ShutdownStarted{})
-	for end := time.Now().Add(handoverTimeout); time.Now().Before(end) && d.leadership.Load().IsLeader; {
-		time.Sleep(raftTickInterval)
+	select {
+	case <-d.stopGranted:
+		d.cfg.Log.WithField("waited-ms", time.Since(started).Milliseconds()).Info("the replicated log goes on without this daemon")
+	case <-time.After(d.cfg.StopTimeout):
+		d.cfg.Log.WithField("voters", d.Voters()).Warn("stopping although the replicated log may need this daemon's vote")
 	}
+	d.terminate()
+}
+
+// terminate ends the daemon without handing anything over.
+func (d *Daemon) terminate() {
 	d.subscriber.Close()
 	d.server.Close()
 	d.links.Close()
@@ -328,9 +345,6 @@
 	d.storage.close()
 }
 
-// handoverTimeout bounds the wait for the leadership handover at a planned stop.
-const handoverTimeout = 600 * time.Millisecond
-
 // Service is the net/rpc service between control daemons.
 type Service struct{ daemon *Daemon }
 
--- a/controls/daemon_test.go
+++ b/controls/daemon_test.go
@@ -35,10 +35,13 @@
 	port  int
 	hosts []*host
 	seeds []string
+	// stopTimeout is that of the daemons started next. Tests that stop a majority of
+	// the voters one after the other wait for it.
+	stopTimeout time.Duration
 }
 
 func newCluster(t *testing.T, n int) *cluster {
-	c := &cluster{t: t, port: freePortPair(t)}
+	c := &cluster{t: t, port: freePortPair(t), stopTimeout: time.Second}
 	for range n {
 		c.add()
 	}
@@ -100,13 +103,13 @@
 	d, err := Start(Config{
 		Daemon: gypsumshelf.DaemonID(peers.Addr().String()), DataCentre: "a", DataFolder: filepath.Join(h.folder, "log"),
 		Seeds: c.seeds, FirstStart: first, Peers: peers, Directory: directory, Decode: decode,
-		SilenceTimeout: 3 * time.Second, Log: logrus.NewEntry(log), Timers: h.timers,
+		SilenceTimeout: 3 * time.Second, StopTimeout: c.stopTimeout, Log: logrus.NewEntry(log), Timers: h.timers,
 	})
 	if err != nil {
 		c.t.Fatal(err)
 	}
 	h.daemon, h.id = d, d.ID()
-	c.t.Cleanup(h.stop)
+	c.t.Cleanup(h.kill)
 }
 
 func (h *host) stop() {
@@ -117,17 +120,13 @@
 	}
 }
 
-// kill ends the daemon without a planned stop: it hands nothing over.
+// kill ends the daemon without a planned stop.
 func (h *host) kill() {
-	d := h.daemon
-	h.daemon = nil
-	d.subscriber.Close()
-	d.server.Close()
-	d.links.Close()
-	close(d.stop)
-	d.wg.Wait()
-	d.storage.close()
-	h.timers.Close()
+	if h.daemon != nil {
+		h.daemon.terminate()
+		h.timers.Close()
+		h.daemon = nil
+	}
 }
 
 // wipe replaces the disk of a stopped host by an empty one.
@@ -234,7 +233,13 @@
 func TestReplacedVoterStopsWhileTwoDisksAreLost(t *testing.T) {
 	for name, leads := range map[string]bool{"leader": true, "follower": false} {
 		t.Run(name, func(t *testing.T) {
-			c := startedCluster(t, 5)
+			c := newCluster(t, 5)
+			c.stopTimeout = 10 * time.Second
+			for _, h := range c.hosts {
+				c.start(h, true)
+			}
+			c.put(1)
+			c.awaitVoters()
 			successor := c.add()
 			c.start(successor, false)
 			c.eventually("the successor is a member", func(h *host) bool {
--- a/controls/reducer.go
+++ b/controls/reducer.go
@@ -79,6 +79,8 @@
 	}
 	// ChangeProposed reports that this daemon, as the leader, changes the membership.
 	ChangeProposed struct{ Change replicas.MembershipChange }
+	// StopGranted reports, once, that the replicated log goes on without this daemon.
+	StopGranted struct{}
 	// Halted reports that an unexpected error has stopped the replica. What the event
 	// had led to is discarded, so that nothing is acknowledged.
 	Halted struct {
@@ -121,6 +123,7 @@
 	pendingReads         []pendingRead
 	leadership           Leadership
 	stopping             bool
+	stopGranted          bool
 	effects              []any
 }
 
@@ -223,6 +226,14 @@
 	}
 	r.emitLeadership()
 	r.answerReads()
+	r.emitStopGranted()
+}
+
+func (r *Reducer) emitStopGranted() {
+	if !r.stopGranted && r.replica.MayStop() {
+		r.stopGranted = true
+		r.emit(StopGranted{})
+	}
 }
 
 func (r *Reducer) installSnapshot(s *replicas.Snapshot) {
--- a/replicas/cluster_test.go
+++ b/replicas/cluster_test.go
@@ -44,6 +44,8 @@
 	disk        fakeDisk
 	replica     *Replica // nil while the process is down
 	frozenUntil time.Time
+	lostDiskAt  time.Time
+	stopping    bool // a planned stop has begun; the process ends when it may
 	clockOffset time.Duration
 	applied     uint64
 	stateHash   uint64 // state machine: hash over all applied entries
@@ -119,6 +121,7 @@
 
 func (c *cluster) start(h *host) {
 	h.starts++
+	h.stopping = false
 	if h.member.ID.Incarnation == "" || !h.member.Durable {
 		h.member.ID.Incarnation = fmt.Sprint(h.starts)
 		h.disk = fakeDisk{}
@@ -151,7 +154,7 @@
 // wipe restarts a host with an empty disk.
 func (c *cluster) wipe(h *host) {
 	c.crash(h)
-	h.disk = fakeDisk{}
+	h.disk, h.lostDiskAt = fakeDisk{}, c.now
 	h.member.ID.Incarnation = ""
 	c.start(h)
 }
@@ -186,6 +189,10 @@
 			h.replica.Tick(c.clockOf(h))
 			c.processOutput(h)
 		}
+		if h.stopping && c.isRunning(h) && c.resign(h) {
+			c.eventCounts["planned stop"]++
+			c.crash(h)
+		}
 	}
 }
 
@@ -370,12 +377,15 @@
 	}
 }
 
-// heal restores all links and restarts all frozen or crashed hosts. The faults of
-// single messages continue.
+// heal restores all links and restarts all frozen, crashed or stopping hosts. The
+// faults of single messages continue.
 func (c *cluster) heal() {
 	clear(c.cutLinks)
 	for _, h := range c.hosts {
 		h.frozenUntil = time.Time{}
+		if h.stopping {
+			c.crash(h)
+		}
 		if h.replica == nil {
 			c.start(h)
 		}
--- a/replicas/election.go
+++ b/replicas/election.go
@@ -5,7 +5,7 @@
 func (r *Replica) resetElectionTimer() {
 	spread := time.Duration(r.rand.Int64N(int64(r.cfg.ElectionTimeout)))
 	r.electionDeadline = r.now.Add(r.cfg.ElectionTimeout + spread)
-	if r.handover.resigned {
+	if r.stop.resigned {
 		r.electionDeadline = r.electionDeadline.Add(2 * r.cfg.ElectionTimeout)
 	}
 }
@@ -104,13 +104,7 @@
 
 func (r *Replica) countVote(id NodeID, granted bool) {
 	r.votesReceived[id] = granted
-	n := 0
-	for _, voter := range r.Members().Voters() {
-		if r.votesReceived[voter] {
-			n++
-		}
-	}
-	if n < r.Members().Quorum() {
+	if !r.Members().HasQuorum(func(id NodeID) bool { return r.votesReceived[id] }) {
 		return
 	}
 	if r.state == statePreCandidate {
--- a/replicas/leader_test.go
+++ b/replicas/leader_test.go
@@ -78,11 +78,11 @@
 	r.memberships[0].members = r.Members().withMember(learner)
 	r.updateProgress()
 	r.cfg.TargetVoters = 4
-	if id, role, reason := r.nextRole(); reason != "" {
-		t.Fatalf("%s gets role %d: %s", id, role, reason)
+	if next, _, reason := r.nextMembership(); reason != "" {
+		t.Fatalf("voters become %v: %s", next.Voters(), reason)
 	}
 	r.progress[learner.ID].caughtUp = true
-	if id, role, _ := r.nextRole(); id != learner.ID || role != Voter {
-		t.Fatalf("%s gets role %d, want %s as a voter", id, role, learner.ID)
+	if next, _, _ := r.nextMembership(); !next.IsVoter(learner.ID) {
+		t.Fatalf("voters become %v", next.Voters())
 	}
 }
--- a/replicas/member.go
+++ b/replicas/member.go
@@ -11,10 +11,6 @@
 // MaxVoters is the largest number of voters that a group may be configured with.
 const MaxVoters = 5
 
-// maxVotersInChange allows for the learner that is promoted before the voter whose
-// seat it takes is demoted.
-const maxVotersInChange = MaxVoters + 1
-
 // NodeID identifies a daemon together with its storage. A daemon that restarts
 // without its previous storage gets a new incarnation and is a different node.
 type NodeID struct {
@@ -30,10 +26,13 @@
 // Role determines whether a member votes and counts towards a quorum.
 type Role int
 
-// Roles of members.
+// Roles of members. Incoming and Outgoing exist only in a joint membership, in which a
+// quorum is a majority of the voters before the exchange and one of those after it.
 const (
-	Learner Role = iota
-	Voter
+	Learner  Role = iota
+	Voter         // votes before and after an exchange of voters
+	Incoming      // takes the seat of the outgoing voter, and votes already
+	Outgoing      // gives up its seat, and still votes
 )
 
 // Member is a node that the leader replicates to.
@@ -47,19 +46,52 @@
 // Members is the set of members of a group, in no particular order.
 type Members []Member
 
-// Voters returns the IDs of the voters.
+// Voters returns the IDs of the members that vote.
 func (m Members) Voters() []NodeID {
+	return m.withRoles(Voter, Incoming, Outgoing)
+}
+
+func (m Members) withRoles(roles ...Role) []NodeID {
 	var ids []NodeID
 	for _, member := range m {
-		if member.Role == Voter {
+		if slices.Contains(roles, member.Role) {
 			ids = append(ids, member.ID)
 		}
 	}
 	return ids
 }
 
-// Quorum returns the number of voters that form a majority.
-func (m Members) Quorum() int { return len(m.Voters())/2 + 1 }
+// IsJoint reports whether a voter is being exchanged.
+func (m Members) IsJoint() bool { return len(m.withRoles(Incoming, Outgoing)) > 0 }
+
+// HasQuorum reports whether the members that pass a test form a quorum.
+func (m Members) HasQuorum(ok func(NodeID) bool) bool {
+	return hasMajority(m.withRoles(Voter, Outgoing), ok) && hasMajority(m.withRoles(Voter, Incoming), ok)
+}
+
+func hasMajority(voters []NodeID, ok func(NodeID) bool) bool {
+	n := 0
+	for _, id := range voters {
+		if ok(id) {
+			n++
+		}
+	}
+	return n > len(voters)/2
+}
+
+// reachedByQuorum returns the largest value that every voter of some quorum has at
+// least reached.
+func reachedByQuorum[T any](m Members, value func(NodeID) T, compare func(a, b T) int) T {
+	var values []T
+	for _, id := range m.Voters() {
+		values = append(values, value(id))
+	}
+	slices.SortFunc(values, func(a, b T) int { return compare(b, a) })
+	i := slices.IndexFunc(values, func(v T) bool {
+		return m.HasQuorum(func(id NodeID) bool { return compare(value(id), v) >= 0 })
+	})
+	return values[i]
+}
 
 // Member returns the member with the given ID.
 func (m Members) Member(id NodeID) (Member, bool) {
@@ -73,7 +105,7 @@
 // IsVoter reports whether id is a voter.
 func (m Members) IsVoter(id NodeID) bool {
 	member, ok := m.Member(id)
-	return ok && member.Role == Voter
+	return ok && member.Role != Learner
 }
 
 // memberOfDaemon returns the member of a daemon, whatever its incarnation.
@@ -103,17 +135,55 @@
 	return c
 }
 
-// countVoterChanges returns the number of voters that are in only one of two
-// memberships.
-func countVoterChanges(a, b Members) int {
+// withExchange returns the joint copy in which a learner takes the seat of a voter.
+func (m Members) withExchange(learner, voter NodeID) Members {
+	return m.withRole(learner, Incoming).withRole(voter, Outgoing)
+}
+
+// withoutExchange returns the copy that ends a joint membership: with the exchange
+// completed, or with the voters from before it.
+func (m Members) withoutExchange(completed bool) Members {
+	incoming, outgoing := Voter, Learner
+	if !completed {
+		incoming, outgoing = Learner, Voter
+	}
+	c := slices.Clone(m)
+	for i := range c {
+		switch c[i].Role {
+		case Incoming:
+			c[i].Role = incoming
+		case Outgoing:
+			c[i].Role = outgoing
+		}
+	}
+	return c
+}
+
+// mayFollow reports whether every quorum of m has a voter in common with every quorum
+// of the membership before it: at most one vote differs, an exchange begins with the
+// voters before it, or it ends.
+func (m Members) mayFollow(previous Members) bool {
+	switch {
+	case previous.IsJoint():
+		return sameNodes(m.Voters(), previous.withoutExchange(true).Voters()) || sameNodes(m.Voters(), previous.withoutExchange(false).Voters())
+	case m.IsJoint():
+		return sameNodes(m.withoutExchange(false).Voters(), previous.Voters())
+	}
+	return countDifferences(m.Voters(), previous.Voters()) <= 1
+}
+
+func sameNodes(a, b []NodeID) bool { return countDifferences(a, b) == 0 }
+
+// countDifferences returns the number of nodes that are in only one of two lists.
+func countDifferences(a, b []NodeID) int {
 	n := 0
-	for _, id := range a.Voters() {
-		if !b.IsVoter(id) {
+	for _, id := range a {
+		if !slices.Contains(b, id) {
 			n++
 		}
 	}
-	for _, id := range b.Voters() {
-		if !a.IsVoter(id) {
+	for _, id := range b {
+		if !slices.Contains(a, id) {
 			n++
 		}
 	}
--- a/replicas/membership.go
+++ b/replicas/membership.go
@@ -38,11 +38,14 @@
 
 // Reasons of membership changes.
 const (
-	Joined            MembershipReason = "joined"                // a daemon asked to become a member
-	SeatFree          MembershipReason = "seat-free"             // a learner is promoted because there are too few voters
-	VoterUnresponsive MembershipReason = "voter-unresponsive"    // a silent voter is demoted in favour of a learner
-	VoterSurplus      MembershipReason = "voter-surplus"         // a voter is demoted because there are too many
-	NoVoterNearby     MembershipReason = "no-voter-in-its-place" // a learner is promoted whose data centre has no voter
+	Joined            MembershipReason = "joined"               // a daemon asked to become a member
+	SeatFree          MembershipReason = "seat-free"            // a learner is promoted because there are too few voters
+	VoterSurplus      MembershipReason = "voter-surplus"        // a voter is demoted because there are too many
+	VoterStops        MembershipReason = "voter-stops"          // a learner takes the seat of a voter that is about to stop
+	VoterUnresponsive MembershipReason = "voter-unresponsive"   // a learner takes the seat of a silent voter
+	VoterNearby       MembershipReason = "data-centre-has-two"  // a learner in a data centre without a voter takes the seat of one whose data centre has another
+	ExchangeCompleted MembershipReason = "exchange-completed"   // the incoming voter has taken its seat
+	ExchangeReverted  MembershipReason = "outgoing-voter-leads" // the outgoing voter keeps its seat
 )
 
 // MembershipChange is a change of the membership that this node, as the leader,
@@ -62,21 +65,16 @@
 	return r.memberships[len(r.memberships)-1].index > r.commit
 }
 
-// proposeMembership appends a membership change, which affects member. Only one change may be pending,
-// and it may affect at most one voter, so that the quorums of two successive
-// memberships always have a voter in common.
+// proposeMembership appends a membership change, which affects the member id. Only
+// one change may be pending, and the quorums of two successive memberships must
+// always have a voter in common.
 func (r *Replica) proposeMembership(next Members, id NodeID, reason MembershipReason) {
 	if r.membershipPending() || r.commit < r.termStart {
 		invariantViolated("membership would change at entry %d while the change at entry %d or the first entry of the term is not committed", r.log.lastIndex()+1, r.memberships[len(r.memberships)-1].index)
 	}
 	voters := next.Voters()
-	if countVoterChanges(r.Members(), next) > 1 || len(voters) == 0 || len(voters) > maxVotersInChange {
-		invariantViolated("invalid change of voters from %v to %v", r.Members().Voters(), voters)
-	}
-	for _, member := range next {
-		if member.Role == Voter && !member.Durable {
-			invariantViolated("voter %s has no durable storage", member.ID)
-		}
+	if reason := next.fault(); reason != "" || !next.mayFollow(r.Members()) {
+		invariantViolated("invalid change of voters from %v to %v %s", r.Members().Voters(), voters, reason)
 	}
 	r.appendNew(Membership, next.encode())
 	member, _ := next.Member(id)
@@ -149,7 +147,7 @@
 	if message.Group != "" && message.Group != r.hardState.Group {
 		return
 	}
-	if _, ok := r.Members().Member(message.From); ok {
+	if _, ok := r.Members().Member(message.From); ok || r.Members().IsJoint() {
 		return
 	}
 	// Two running processes of one daemon must not replace each other in turn.
@@ -184,39 +182,62 @@
 	if r.membershipPending() || r.commit < r.termStart {
 		return
 	}
-	if id, role, reason := r.nextRole(); reason != "" {
-		r.proposeMembership(r.Members().withRole(id, role), id, reason)
+	if next, id, reason := r.nextMembership(); reason != "" {
+		r.proposeMembership(next, id, reason)
 	}
 }
 
-// nextRole returns the next member whose role is to change and its new role. The
+// nextMembership returns the next membership and the member that it is about. The
 // reason is empty when no change is needed.
-func (r *Replica) nextRole() (id NodeID, role Role, reason MembershipReason) {
+func (r *Replica) nextMembership() (next Members, id NodeID, reason MembershipReason) {
 	members := r.Members()
-	voters := members.Voters()
+	if members.IsJoint() {
+		return r.endExchange(members)
+	}
+	voters := len(members.Voters())
 	learner, newDataCentre, found := r.learnerToPromote(members)
 	switch {
-	case len(voters) > r.cfg.TargetVoters:
+	case voters > r.cfg.TargetVoters:
 		if id, ok := r.voterToDemote(members); ok {
-			return id, Learner, VoterSurplus
+			return members.withRole(id, Learner), id, VoterSurplus
 		}
-	case len(voters) < r.cfg.TargetVoters:
-		if found {
-			return learner, Voter, SeatFree
+	case !found:
+	case voters < r.cfg.TargetVoters:
+		return members.withRole(learner, Voter), learner, SeatFree
+	default:
+		voter, reason := r.voterToReplace(members, newDataCentre && r.inContactFor(learner, r.cfg.ReplaceAfter))
+		if next := members.withExchange(learner, voter); reason != "" && r.hasAliveQuorum(next) {
+			return next, learner, reason
 		}
-	case found:
-		// A lost voter is demoted before its successor is promoted: with both
-		// as voters, one further loss would leave no quorum.
-		if id, ok := r.unresponsiveVoter(members); ok {
-			return id, Learner, VoterUnresponsive
-		}
-		// With every voter in contact, the learner is promoted before a voter
-		// is demoted.
-		if newDataCentre && votersShareDataCentre(members) && r.inContactFor(learner, r.cfg.ReplaceAfter) && r.hasQuorumWith(learner) {
-			return learner, Voter, NoVoterNearby
+	}
+	return nil, NodeID{}, ""
+}
+
+// endExchange completes the exchange of a voter. A leader does not take away its own
+// vote: as the outgoing voter, it reverts the exchange.
+func (r *Replica) endExchange(members Members) (Members, NodeID, MembershipReason) {
+	outgoing, incoming := members.withRoles(Outgoing)[0], members.withRoles(Incoming)[0]
+	if outgoing == r.cfg.ID {
+		return members.withoutExchange(false), outgoing, ExchangeReverted
+	}
+	return members.withoutExchange(true), incoming, ExchangeCompleted
+}
+
+// voterToReplace returns the voter whose seat a learner should take, and why. The
+// reason is empty when all voters should stay.
+func (r *Replica) voterToReplace(members Members, newDataCentre bool) (NodeID, MembershipReason) {
+	if id, ok := r.stoppingVoter(members); ok {
+		return id, VoterStops
+	}
+	if id, ok := r.unresponsiveVoter(members); ok {
+		return id, VoterUnresponsive
+	}
+	if newDataCentre && votersShareDataCentre(members) {
+		if id, ok := r.voterToDemote(members); ok {
+			return id, VoterNearby
 		}
 	}
-	return NodeID{}, Learner, ""
+	return NodeID{}, ""
 }
 
 // learnerToPromote returns the learner to promote next. It must be in contact,
@@ -225,7 +246,7 @@
 func (r *Replica) learnerToPromote(members Members) (id NodeID, newDataCentre, ok bool) {
 	for _, member := range sortedByDaemon(members) {
 		p := r.progress[member.ID]
-		if member.Role != Learner || !member.Durable || p == nil || !r.isAlive(member.ID) || !p.caughtUp {
+		if member.Role != Learner || !member.Durable || p == nil || !r.isAvailable(member.ID) || !p.caughtUp {
 			continue
 		}
 		firstVoter := votersInDataCentre(members, member.DataCentre) == 0
@@ -236,9 +257,7 @@
 	return id, newDataCentre, ok
 }
 
-// unresponsiveVoter returns a voter without contact for ReplaceAfter. Demoting it
-// is safe: it never raises the quorum, and the leader has contact with one, or
-// it would have stepped down.
+// unresponsiveVoter returns a voter without contact for ReplaceAfter.
 func (r *Replica) unresponsiveVoter(members Members) (NodeID, bool) {
 	for _, member := range sortedByDaemon(members) {
 		if member.Role == Voter && r.sinceContact(member.ID) >= r.cfg.ReplaceAfter {
@@ -248,9 +267,9 @@
 	return NodeID{}, false
 }
 
-// voterToDemote returns the voter to demote when there are too many: preferably
-// one without contact, then one that shares its data centre with another voter,
-// then any but this node. The remaining voters must have a quorum in contact.
+// voterToDemote returns the voter that is needed least: preferably one without
+// contact, then one that shares its data centre with another voter, then any but
+// this node. The remaining voters must have a quorum in contact.
 func (r *Replica) voterToDemote(members Members) (NodeID, bool) {
 	var choice NodeID
 	bestScore := 0
@@ -265,8 +284,7 @@
 		if !r.isAlive(member.ID) {
 			score = 3
 		}
-		next := members.withRole(member.ID, Learner)
-		if score > bestScore && r.aliveVoters(next) >= next.Quorum() {
+		if score > bestScore && r.hasAliveQuorum(members.withRole(member.ID, Learner)) {
 			choice, bestScore = member.ID, score
 		}
 	}
@@ -288,22 +306,8 @@
 	return r.isAlive(id) && r.now.Sub(r.progress[id].contactSince) >= d
 }
 
-func (r *Replica) aliveVoters(members Members) int {
-	n := 0
-	for _, id := range members.Voters() {
-		if r.isAlive(id) {
-			n++
-		}
-	}
-	return n
-}
-
-// hasQuorumWith reports whether, with one more member as a voter, a quorum is in
-// contact.
-func (r *Replica) hasQuorumWith(id NodeID) bool {
-	next := r.Members().withRole(id, Voter)
-	return r.aliveVoters(next) >= next.Quorum()
-}
+// hasAliveQuorum reports whether a quorum of a membership is in contact.
+func (r *Replica) hasAliveQuorum(members Members) bool { return members.HasQuorum(r.isAlive) }
 
 func votersInDataCentre(members Members, dataCentre string) int {
 	n := 0
--- a/replicas/message.go
+++ b/replicas/message.go
@@ -120,7 +120,8 @@
 func init() {
 	for _, body := range []any{
 		VoteRequest{}, VoteResponse{}, AppendRequest{}, AppendResponse{}, SnapshotChunk{},
-		SnapshotResponse{}, Join{}, JoinResponse{}, VerifyRequest{}, VerifyResponse{}, Handover{}, Message{},
+		SnapshotResponse{}, Join{}, JoinResponse{}, VerifyRequest{}, VerifyResponse{}, Handover{},
+		StopRequest{}, StopResponse{}, Message{},
 	} {
 		gob.Register(body)
 	}
--- a/replicas/random_test.go
+++ b/replicas/random_test.go
@@ -150,13 +150,10 @@
 func (c *cluster) diskLossIsAllowed(h *host) bool {
 	for _, o := range c.hosts {
 		for _, members := range c.knownMemberships(o) {
-			kept := 0
-			for _, id := range members.Voters() {
-				if id.Daemon != h.member.ID.Daemon && c.host(id.Daemon).member.ID == id {
-					kept++
-				}
+			keepsDisk := func(id NodeID) bool {
+				return id.Daemon != h.member.ID.Daemon && c.host(id.Daemon).member.ID == id
 			}
-			if len(members) > 0 && kept < members.Quorum() {
+			if len(members) > 0 && !members.HasQuorum(keepsDisk) {
 				return false
 			}
 		}
--- a/replicas/replica.go
+++ b/replicas/replica.go
@@ -102,7 +102,7 @@
 
 	incoming     incomingSnapshot
 	join         joinState
-	handover     handoverState
+	stop         stopState
 	verification verificationState
 	peerMarks    map[NodeID]Mark // acknowledgements seen from other nodes
 }
@@ -197,6 +197,10 @@
 		r.receiveSnapshotResponse(message, body)
 	case Handover:
 		r.receiveHandover(message)
+	case StopRequest:
+		r.receiveStopRequest(message)
+	case StopResponse:
+		r.receiveStopResponse(message, body)
 	case VerifyRequest:
 		r.send(message.From, VerifyResponse{Asked: message.Session, Mark: r.peerMarks[message.From]})
 	case VerifyResponse:
--- a/replicas/replication.go
+++ b/replicas/replication.go
@@ -1,6 +1,7 @@
 package replicas
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -27,6 +28,9 @@
 	pendingStamp   Stamp        // stamp that awaits a confirmation
 	stampReceived  time.Time    // arrival of pendingStamp on the leader's clock, zero when none is pending
 	confirmation   Confirmation // latest confirmation, sent with each AppendRequest
+	stopAnnounced  time.Time    // arrival of the first StopRequest of a series
+	stopRequested  time.Time    // arrival of its latest one
+	stopGranted    bool         // the session was told that it may stop
 }
 
 // updateProgress adds progress for new members and removes that of former ones.
@@ -338,17 +342,12 @@
 // the current term: until then a new leader can replace them, even if a
 // majority has them.
 func (r *Replica) advanceCommit() {
-	voters := r.Members().Voters()
-	matches := make([]uint64, 0, len(voters))
-	for _, id := range voters {
+	index := reachedByQuorum(r.Members(), func(id NodeID) uint64 {
 		if id == r.cfg.ID {
-			matches = append(matches, r.storage.stableIndex)
-		} else {
-			matches = append(matches, r.progress[id].match)
+			return r.storage.stableIndex
 		}
-	}
-	slices.Sort(matches)
-	index := matches[len(matches)-r.Members().Quorum()]
+		return r.progress[id].match
+	}, cmp.Compare)
 	if term, ok := r.log.term(index); ok && term == r.hardState.Term && index > r.commit {
 		r.setCommit(index)
 	}
@@ -360,16 +359,12 @@
 	if r.state != stateLeader {
 		return r.quorumConfirmed
 	}
-	var times []time.Time
-	for _, id := range r.Members().Voters() {
+	return reachedByQuorum(r.Members(), func(id NodeID) time.Time {
 		if id == r.cfg.ID {
-			times = append(times, r.now)
-		} else {
-			times = append(times, r.progress[id].ackedSendTime)
+			return r.now
 		}
-	}
-	slices.SortFunc(times, time.Time.Compare)
-	return times[len(times)-r.Members().Quorum()]
+		return r.progress[id].ackedSendTime
+	}, time.Time.Compare)
 }
 
 // Confirmation returns a time on this node's clock and a commit index: every
--- a/replicas/rules_test.go
+++ b/replicas/rules_test.go
@@ -416,16 +416,8 @@
 // may have: a host of a data centre without a voter returns while all seats are
 // taken.
 func TestLearnerInDataCentreWithoutVoterTakesASeat(t *testing.T) {
-	members := append(fourHostMembers(),
-		Member{ID: NodeID{Daemon: "e"}, DataCentre: "y", Durable: true},
-		Member{ID: NodeID{Daemon: "f"}, DataCentre: "x", Durable: true})
-	c := newCluster(t, 1, members...)
-	c.wantedVoters = 5
-	for _, h := range c.hosts {
-		c.start(h)
-	}
+	c := fiveVoters(t, sixHostMembers())
 	lost := c.host("c") // the only one of its data centre
-	c.waitUntil("a settled cluster", c.isSettled)
 	c.crash(lost)
 	c.waitUntil("replacement", func() bool {
 		l := c.confirmedLeader()
--- a/replicas/validate.go
+++ b/replicas/validate.go
@@ -38,7 +38,7 @@
 		if body.Next < 0 || body.Index > maxIndex {
 			reason = fmt.Sprintf("next chunk at %d of snapshot %d", body.Next, body.Index)
 		}
-	case VoteRequest, VoteResponse, Handover, Join, JoinResponse, VerifyRequest, VerifyResponse:
+	case VoteRequest, VoteResponse, Handover, StopRequest, StopResponse, Join, JoinResponse, VerifyRequest, VerifyResponse:
 	default:
 		reason = fmt.Sprintf("unknown body %T", m.Body)
 	}
@@ -88,15 +88,19 @@
 
 // fault returns why m cannot be the membership of a group, or "".
 func (m Members) fault() string {
-	voters := len(m.Voters())
-	if voters == 0 || voters > maxVotersInChange {
-		return fmt.Sprintf("%d voters, want 1 to %d", voters, maxVotersInChange)
+	for _, voters := range [][]NodeID{m.withRoles(Voter, Outgoing), m.withRoles(Voter, Incoming)} {
+		if len(voters) == 0 || len(voters) > MaxVoters {
+			return fmt.Sprintf("%d voters, want 1 to %d", len(voters), MaxVoters)
+		}
+	}
+	if len(m.withRoles(Incoming)) != len(m.withRoles(Outgoing)) || len(m.withRoles(Incoming)) > 1 {
+		return "more than one voter is exchanged, or one without another"
 	}
 	seen := map[string]bool{}
 	for _, member := range m {
 		daemon := string(member.ID.Daemon)
-		if daemon == "" || seen[daemon] || member.Role == Voter && !member.Durable {
-			return fmt.Sprintf("daemon %q is listed twice, has no name or votes without storage", daemon)
+		if daemon == "" || seen[daemon] || member.Role < Learner || member.Role > Outgoing || member.Role != Learner && !member.Durable {
+			return fmt.Sprintf("daemon %q is listed twice, has no name or known role, or votes without storage", daemon)
 		}
 		seen[daemon] = true
 	}
--- a/replicas/validate_test.go
+++ b/replicas/validate_test.go
@@ -46,7 +46,9 @@
 		"snapshot larger than memory":  {Term: 1, Body: SnapshotChunk{Snapshot: snapshot, Size: math.MaxInt}},
 		"snapshot without members":     {Term: 1, Body: withMembers(nil)},
 		"daemon listed twice":          {Term: 1, Body: withMembers(testMembers("a", "a"))},
-		"too many voters":              {Term: 1, Body: withMembers(testMembers("a", "b", "c", "d", "e", "f", "g"))},
+		"too many voters":              {Term: 1, Body: withMembers(testMembers("a", "b", "c", "d", "e", "f"))},
+		"unknown role":                 {Term: 1, Body: withMembers(testMembers("a", "b").withRole(NodeID{Daemon: "b", Incarnation: "1"}, 7))},
+		"incoming without outgoing":    {Term: 1, Body: withMembers(testMembers("a", "b").withRole(NodeID{Daemon: "b", Incarnation: "1"}, Incoming))},
 		"negative chunk asked for":     {Term: 1, Body: SnapshotResponse{Index: 2, Next: -1}},
 		"match that overflows":         {Term: 1, Body: AppendResponse{OK: true, Match: math.MaxUint64}},
 	} {
--- a/replicas/verify.go
+++ b/replicas/verify.go
@@ -1,6 +1,7 @@
 package replicas
 
 import (
+	"slices"
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
@@ -36,18 +37,10 @@
 	if !v.pending {
 		return
 	}
-	voters, missing, answered := r.Members().Voters(), 0, 0
-	for _, id := range voters {
-		switch {
-		case id == r.cfg.ID:
-			answered++
-		case v.answered[id.Daemon]:
-			answered++
-		default:
-			missing++
-		}
-	}
-	if missing == 0 || answered >= r.Members().Quorum() && r.now.Sub(v.startedAt) > r.cfg.ElectionTimeout {
+	voters := r.Members().Voters()
+	answered := func(id NodeID) bool { return id == r.cfg.ID || v.answered[id.Daemon] }
+	missing := slices.ContainsFunc(voters, func(id NodeID) bool { return !answered(id) })
+	if !missing || r.Members().HasQuorum(answered) && r.now.Sub(v.startedAt) > r.cfg.ElectionTimeout {
 		v.pending = false
 		r.resetElectionTimer()
 		if r.leader == (NodeID{}) {
