Join again when no leader sends to a member

Seen by callers: as before; a host stays outside the group for good. Cause: the entry that adds a host can reach only that host before its leader is lost. By its own log the host is then a member and asks nobody; later leaders send to its lost incarnation. The same follows when a delayed Join of an earlier incarnation replaces the present one. Change: a member without a leader's message for four election timeouts asks to join; a leader that knows it ignores that.

--- a/replicas/membership.go
+++ b/replicas/membership.go
@@ -13,6 +13,10 @@
 	members Members
 }
 
+// joinAfterTimeouts is the number of election timeouts without a leader after which a
+// member asks to join again. A new leader is usually elected sooner.
+const joinAfterTimeouts = 4
+
 // maxSenders bounds the daemons that a node remembers because they sent messages.
 const maxSenders = 32
 
@@ -92,10 +96,22 @@
 	return r.hardState.Group == "" && !r.cfg.Recovered.FormerMember && r.cfg.Recovered.Snapshot == nil
 }
 
+// hasHeardLeader reports whether a leader has sent to this node recently, or the node
+// has only just started.
+func (r *Replica) hasHeardLeader() bool {
+	last := r.lastLeaderContact
+	if last.Before(r.clockStart) {
+		last = r.clockStart
+	}
+	return r.now.Sub(last) < joinAfterTimeouts*r.cfg.ElectionTimeout
+}
+
 // tickJoin asks the peers to add this node as a member, or creates the group
-// when bootstrapGroup allows it.
+// when bootstrapGroup allows it. A member asks again when no leader sends to it: the
+// entry that made it a member may have been lost with the leader that proposed it,
+// and later leaders do not know it.
 func (r *Replica) tickJoin() {
-	if _, member := r.Members().Member(r.cfg.ID); member || r.now.Before(r.join.nextRequest) {
+	if _, member := r.Members().Member(r.cfg.ID); member && r.hasHeardLeader() || r.now.Before(r.join.nextRequest) {
 		return
 	}
 	r.join.nextRequest = r.now.Add(2 * r.cfg.HeartbeatInterval)
--- a/replicas/rules_test.go
+++ b/replicas/rules_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"gypsumshelf.example/gypsumshelf"
 )
 
 // newTestVoter returns a voter of a group of three. The test sends the messages of
@@ -429,6 +431,31 @@
 	})
 }
 
+// Guards against a daemon that never becomes a member again because the entry that
+// added it is lost with its leader: by its own log it is a member, and later leaders
+// do not know it.
+func TestLostJoinIsRepeated(t *testing.T) {
+	c := fiveVoters(t, sixHostMembers()[:5])
+	leader, voters, _ := c.roles()
+	joining := voters[0]
+	c.loseDisk(joining)
+	for range 2 * testElectionTimeout / testStep {
+		c.step()
+	}
+	for _, o := range voters[1:] {
+		c.cutLinks[[2]gypsumshelf.DaemonID{leader.member.ID.Daemon, o.member.ID.Daemon}] = true
+	}
+	c.start(joining)
+	c.waitUntil("the entry reaches the joining host only", func() bool {
+		_, ok := joining.replica.Members().Member(joining.member.ID)
+		return ok
+	})
+	c.crash(leader)
+	c.waitUntil("another leader", func() bool { return c.confirmedLeader() != nil })
+	c.heal()
+	c.waitUntil("a settled cluster", c.isSettled)
+}
+
 // Guards against a daemon with an empty disk that never joins because the peers that it
 // was told of are gone: the leader, which sends to its previous incarnation, is asked.
 func TestDaemonWithoutPeersAsksSenders(t *testing.T) {
