Let a demoted voter campaign until its demotion is committed

Seen by callers: no leader, though a majority with its disks runs. Cause: the entry that takes a vote away may have reached only the voter that loses it, besides the lost leader. That voter refuses its vote to all others, whose logs are older, and did not campaign itself. Change: it campaigns until the entry is committed, counting only the votes of the new voters; as leader it completes the change, hands the lead over and steps down.

--- a/replicas/election.go
+++ b/replicas/election.go
@@ -14,6 +14,24 @@
 // and its storage must be verified.
 func (r *Replica) mayVote() bool { return r.cfg.Durable && !r.verification.pending }
 
+// mayCampaign reports whether this node may ask for votes: it votes, or the entry that
+// takes its vote away is not known to be committed. In the latter case it may be the
+// only node with that entry, and then it refuses its own vote to all others.
+func (r *Replica) mayCampaign() bool {
+	if !r.mayVote() {
+		return false
+	}
+	for i := len(r.memberships) - 1; i >= 0; i-- {
+		if r.memberships[i].members.IsVoter(r.cfg.ID) {
+			return true
+		}
+		if r.memberships[i].index <= r.commit {
+			return false
+		}
+	}
+	return false
+}
+
 // setTerm enters a later term, in which the node has not voted yet.
 func (r *Replica) setTerm(term uint64) {
 	if term <= r.hardState.Term {
@@ -66,7 +84,7 @@
 func (r *Replica) campaign(kind campaignKind) {
 	isPreVote := kind == preVote
 	r.resetElectionTimer()
-	if !r.Members().IsVoter(r.cfg.ID) || !r.mayVote() {
+	if !r.mayCampaign() {
 		return
 	}
 	r.leader = NodeID{}
--- a/replicas/replication.go
+++ b/replicas/replication.go
@@ -63,6 +63,10 @@
 		r.nextHeartbeat = r.now.Add(r.cfg.HeartbeatInterval)
 		r.heartbeat()
 	}
+	if !r.Members().IsVoter(r.cfg.ID) && !r.membershipPending() && r.commit >= r.termStart {
+		r.leaveLead()
+		return
+	}
 	r.adjustVoters()
 }
 
--- a/replicas/stop.go
+++ b/replicas/stop.go
@@ -59,6 +59,15 @@
 	}
 }
 
+// leaveLead ends the lead of a node without a vote, which was elected to complete the
+// change that took its vote away.
+func (r *Replica) leaveLead() {
+	r.handOver()
+	if r.now.Sub(r.leaderSince) > r.cfg.ElectionTimeout {
+		r.becomeFollower(r.hardState.Term) // no voter has taken over
+	}
+}
+
 // MayStop reports whether this node has resigned and the group can go on without
 // it, or this node could not help the group by running on.
 func (r *Replica) MayStop() bool {
