Stop hosts as planned in the randomized test of the log

Six hosts, planned stops that end when the leader agrees, and memberships on their way count as known.

--- a/replicas/random_test.go
+++ b/replicas/random_test.go
@@ -44,10 +44,13 @@
 	faults, steps, entries := map[string]int{}, 0, uint64(0)
 	rapid.Check(t, func(t *rapid.T) {
 		members := fourHostMembers()
-		n := rapid.IntRange(3, 5).Draw(t, "hosts")
-		if n == 5 {
+		n := rapid.IntRange(3, 6).Draw(t, "hosts")
+		if n >= 5 {
 			members = append(members, Member{ID: NodeID{Daemon: "e"}, DataCentre: "y", Durable: rapid.Bool().Draw(t, "fifth host has a disk")})
 		}
+		if n == 6 {
+			members = append(members, Member{ID: NodeID{Daemon: "f"}, DataCentre: "z", Durable: true})
+		}
 		c := newCluster(t, rapid.Uint64().Draw(t, "seed"), members[:n]...)
 		defer func() {
 			for name, n := range c.eventCounts {
@@ -57,7 +60,7 @@
 			entries += c.highestApplied
 			faults["terms with a leader"] += len(c.leaderOfTerm)
 		}()
-		if n == 5 && members[4].Durable && rapid.Bool().Draw(t, "five voters") {
+		if n >= 5 && members[4].Durable && rapid.Bool().Draw(t, "five voters") {
 			c.wantedVoters = 5
 			for _, h := range c.hosts {
 				c.start(h)
@@ -136,6 +139,8 @@
 			c.crash(o)
 			c.start(o)
 		}
+	case 12, 13:
+		h.stopping = h.replica != nil
 	default:
 		if h := c.confirmedLeader(); h != nil {
 			for range 1 + c.rng.IntN(5) {
@@ -145,15 +150,27 @@
 	}
 }
 
-// diskLossIsAllowed reports whether, after the loss of a host's disk, a majority
-// of voters still has its disks in every membership that a host may use.
+// unnoticedLoss is the time for which a leader may take a lost disk for sound: the
+// longest delay of a message and the timeout after it.
+const unnoticedLoss = time.Second + testElectionTimeout
+
+// diskLossIsAllowed reports whether, after the loss of a host's disk, a quorum still
+// has its disks in every membership that a host may use.
 func (c *cluster) diskLossIsAllowed(h *host) bool {
+	keepsDisk := func(id NodeID) bool {
+		return id.Daemon != h.member.ID.Daemon && c.host(id.Daemon).member.ID == id
+	}
+	all := c.membershipsInTransit()
 	for _, o := range c.hosts {
-		for _, members := range c.knownMemberships(o) {
-			keepsDisk := func(id NodeID) bool {
-				return id.Daemon != h.member.ID.Daemon && c.host(id.Daemon).member.ID == id
-			}
-			if len(members) > 0 && !members.HasQuorum(keepsDisk) {
+		all = append(all, c.knownMemberships(o)...)
+	}
+	for _, members := range all {
+		if len(members) > 0 && !members.HasQuorum(keepsDisk) {
+			return false
+		}
+		for _, m := range members {
+			unnoticed := !keepsDisk(m.ID) && c.now.Sub(c.host(m.ID.Daemon).lostDiskAt) < unnoticedLoss || m.ID == h.member.ID
+			if m.Role == Learner && unnoticed && !members.IsJoint() && !c.mayPromote(members, m.ID, keepsDisk) {
 				return false
 			}
 		}
@@ -161,6 +178,36 @@
 	return true
 }
 
+// mayPromote reports whether a quorum keeps its disks if a leader gives a learner, whose
+// loss it has not noticed, a seat of its own or that of any voter.
+func (c *cluster) mayPromote(members Members, learner NodeID, keepsDisk func(NodeID) bool) bool {
+	if len(members.Voters()) < c.wantedVoters {
+		return members.withRole(learner, Voter).HasQuorum(keepsDisk)
+	}
+	return !slices.ContainsFunc(members.Voters(), func(voter NodeID) bool {
+		return !members.withExchange(learner, voter).HasQuorum(keepsDisk)
+	})
+}
+
+// membershipsInTransit returns the memberships that a host may still learn from a
+// message whose sender has lost them meanwhile.
+func (c *cluster) membershipsInTransit() []Members {
+	var all []Members
+	for _, m := range c.inTransit {
+		switch body := m.message.Body.(type) {
+		case AppendRequest:
+			for _, e := range body.Entries {
+				if e.Kind == Membership {
+					all = append(all, decodeMembers(e.Data))
+				}
+			}
+		case SnapshotChunk:
+			all = append(all, body.Snapshot.Members)
+		}
+	}
+	return all
+}
+
 // knownMemberships returns the memberships in a host's memory and on its disk.
 func (c *cluster) knownMemberships(h *host) []Members {
 	var all []Members
