Keep prompt parts that crash engines away from them

Cause: the system blames the engine only. Each lost attempt makes its engine avoided, and the request goes to the next one; what the lost requests have in common is not remembered, neither in one daemon nor across daemons. Class: the fault travels with the work, and the retry policy spreads it. Change: jobs carry the parts of their prompt. The leader's scheduler, which sees the jobs of all daemons, strikes the parts of a crash's lost jobs; a completed job clears its parts, engines that fail together count once, and a crash in which a known culprit ran counts against no other part. At three strikes, and more than any other part of the same crashes, the part is committed to the replicated state, so that every entry daemon refuses it (503, not run), also without a leader and after a restart. Works for resent requests too, whose own part is struck.

--- a/catalogs/state.go
+++ b/catalogs/state.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+
+	"gypsumshelf.example/gypsumshelf/schedules"
 )
 
 // Decoder decodes and validates the catalog document that an operator sent.
@@ -17,14 +19,21 @@
 	Put       Action = "put-catalog"
 	TakeOut   Action = "take-out"
 	BringBack Action = "bring-back"
+	Isolate   Action = "quarantine-prompt-part"
 )
 
+// maxQuarantines bounds the quarantines of the state. The one that ends first makes
+// room for a new one.
+const maxQuarantines = 256
+
 // Command changes the replicated state.
 type Command struct {
 	Action     Action `json:"action"`
 	Version    uint64 `json:"version,omitempty"`     // of the catalog, for Put
 	Document   []byte `json:"document,omitempty"`    // the catalog as it was sent, for Put
 	DataCentre string `json:"data-centre,omitempty"` // for TakeOut and BringBack
+	// Quarantine is that of a prompt part, for Isolate.
+	Quarantine schedules.Quarantine `json:"quarantine,omitzero"`
 }
 
 // Encode returns the command as an entry of the replicated log.
@@ -43,6 +52,9 @@
 	Version      uint64   `json:"version"`  // of the document, 0 before the first one
 	Document     []byte   `json:"document"` // as the operator sent it
 	OutOfService []string `json:"out"`      // data centres out of service, sorted
+	// Quarantines are the prompt parts that crash engines, in the order in which their
+	// quarantines end.
+	Quarantines []schedules.Quarantine `json:"quarantines,omitempty"`
 }
 
 // Apply applies one log entry and reports whether anything other than the index
@@ -72,10 +84,22 @@
 			s.OutOfService = slices.Delete(slices.Clone(s.OutOfService), position, position+1)
 		}
 		return found, nil
+	case Isolate:
+		s.Quarantines = withQuarantine(s.Quarantines, c.Quarantine)
+		return true, nil
 	}
 	return false, fmt.Errorf("entry %d: unknown action %q", index, c.Action)
 }
 
+// withQuarantine returns a copy with a quarantine added, which replaces that of the
+// same part.
+func withQuarantine(old []schedules.Quarantine, q schedules.Quarantine) []schedules.Quarantine {
+	next := slices.DeleteFunc(slices.Clone(old), func(o schedules.Quarantine) bool { return o.Part == q.Part })
+	next = append(next, q)
+	slices.SortStableFunc(next, func(a, b schedules.Quarantine) int { return a.Until.Compare(b.Until) })
+	return next[max(0, len(next)-maxQuarantines):]
+}
+
 // Snapshot returns the encoded state.
 func (s *State) Snapshot() ([]byte, error) { return json.Marshal(s) }
 
--- a/controls/daemon.go
+++ b/controls/daemon.go
@@ -92,7 +92,7 @@
 	d.id = replicaConfig.ID
 	d.reducer = NewReducer(replicaConfig)
 	d.leadership.Store(&Leadership{})
-	d.dispatcher = dispatchers.New(dispatchers.Config{Log: cfg.Log, Reporter: cfg.Reporter, Timers: cfg.Timers})
+	d.dispatcher = dispatchers.New(dispatchers.Config{Log: cfg.Log, Reporter: cfg.Reporter, Timers: cfg.Timers, HandleQuarantines: d.quarantine})
 	d.registry = newRegistry(cfg, d.publisher, d.dispatcher)
 	d.links = peers.New(peers.Config{Daemon: cfg.Daemon, AllowUnlisted: true, Receive: d.handleEnvelope, Log: cfg.Log}, cfg.Peers)
 	d.server, err = directories.NewServer(cfg.Directory, map[string]any{
--- a/dispatchers/dispatcher.go
+++ b/dispatchers/dispatcher.go
@@ -67,7 +67,10 @@
 	Log      *logrus.Entry
 	Reporter Reporter // nil if engines are not polled
 	Local    bool     // one of several schedulers that do not know of each other's jobs
-	Timers   *timers.Service
+	// HandleQuarantines is called with the prompt parts that this scheduler finds to
+	// crash engines, and must not block; nil if nothing is to be done.
+	HandleQuarantines func([]schedules.Quarantine)
+	Timers            *timers.Service
 }
 
 // pendingDecision is the decision about a job, or a placeholder for it. A
@@ -92,6 +95,7 @@
 	reportsInFlight map[gypsumshelf.ServerID]bool        // engines with a poll in flight
 	nextReport      int                                  // index in engines of the next one to poll
 	localSchedulers int                                  // in the deployment
+	quarantines     []schedules.Quarantine               // in force for all daemons
 	lastJobAt       time.Time
 }
 
@@ -146,6 +150,7 @@
 		delete(d.pending, id)
 	}
 	d.scheduler.UpdateEngines(d.cfg.Timers.Now(), d.profiles, d.states())
+	d.scheduler.SetQuarantines(d.quarantines)
 	if active && d.cfg.Reporter != nil {
 		d.pollEngines(maxFirstReports)
 	}
@@ -164,6 +169,14 @@
 	d.scheduler.UpdateEngines(d.cfg.Timers.Now(), profiles, d.states())
 }
 
+// SetQuarantines replaces the quarantines that are in force for all daemons.
+func (d *Dispatcher) SetQuarantines(quarantines []schedules.Quarantine) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.quarantines = quarantines
+	d.scheduler.SetQuarantines(quarantines)
+}
+
 func (d *Dispatcher) states() []schedules.EngineState {
 	states := make([]schedules.EngineState, 0, len(d.engines))
 	for _, e := range d.engines {
@@ -256,8 +269,12 @@
 			delete(d.pending, id)
 		}
 	}
-	if d.active {
-		d.deliver(d.scheduler.Tick(now))
+	if !d.active {
+		return
+	}
+	d.deliver(d.scheduler.Tick(now))
+	if found := d.scheduler.TakeQuarantines(); len(found) > 0 && d.cfg.HandleQuarantines != nil {
+		d.cfg.HandleQuarantines(found)
 	}
 }
 
--- a/forwards/attempt.go
+++ b/forwards/attempt.go
@@ -22,6 +22,10 @@
 // does not come from a backend server or has events missing.
 var errInvalidResponse = errors.New("the response is not a valid response of a backend server to this request")
 
+// errNoEvent is returned for a stream without events. Without a length or chunks, it
+// ends like that when the backend server closes the connection.
+var errNoEvent = fmt.Errorf("%w: the stream ended without an event", errInvalidResponse)
+
 // attempt is one attempt of a request at one backend server.
 type attempt struct {
 	exchange *exchange
--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -64,7 +64,7 @@
 		Service: req.service.Name, Daemon: req.forwarder.cfg.Daemon, DataCentre: req.forwarder.cfg.DataCentre,
 		Prompt: prompt, Answer: answer, Expected: min(expected, answer), Priority: req.route.Priority,
 		Target: req.arrived.Add(req.route.Target).Sub(now), Patience: req.arrived.Add(req.patience()).Sub(now),
-		Deadline: req.remaining(), Gap: req.route.GapTarget,
+		Deadline: req.remaining(), Gap: req.route.GapTarget, Parts: req.meta.Parts,
 		Avoid: append(req.forwarder.cfg.Fleet.Avoided(req.service.Name), req.triedServers...),
 	}
 	if req.headerWritten {
@@ -112,6 +112,10 @@
 			req.finishUnanswered(fmt.Sprintf("%v; %s", err, reason))
 			return
 		}
+		if req.forwarder.isQuarantined(req.meta.Parts) {
+			req.finishUnanswered(quarantineCause)
+			return
+		}
 		pending = submitJob(ctx, req)
 	}
 }
@@ -157,7 +161,7 @@
 	req := p.request
 	req.forwarder.cfg.Log.WithFields(logrus.Fields{
 		logs.KeyRequest: req.meta.ID, "job": p.job.ID, logs.KeyServer: decision.Placement.Server, "helpers": decision.Placement.Helpers,
-		"holds": decision.Placement.Holds, "prompt-tokens": p.job.Prompt, "avoid": p.job.Avoid, "scheduler": decision.Scheduler,
+		"holds": decision.Placement.Holds, "prompt-tokens": p.job.Prompt, "prompt-parts": p.job.Parts, "avoid": p.job.Avoid, "scheduler": decision.Scheduler,
 		"waited-ms": decision.Waited.Milliseconds(), "waiting": decision.Waiting, "predicted-first-ms": decision.Placement.First.Milliseconds(),
 	}).Info("request placed")
 }
@@ -487,7 +491,7 @@
 	req := e.request
 	if !req.headerWritten {
 		if req.lastEvent == 0 || req.meta.LastEvent == 0 {
-			return fmt.Errorf("%w: the stream ended without an event", errInvalidResponse)
+			return errNoEvent
 		}
 		// A resuming caller that already has all events gets an empty body.
 		req.writeResponse(&bufferedResponse{status: e.attempt.response.StatusCode, header: endToEnd(e.attempt.response.Header)})
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -8,9 +8,11 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -68,6 +70,7 @@
 	drainDeadline      atomic.Pointer[time.Time] // set while the daemon drains; requests must end before it
 	activeRequests     atomic.Int64
 	pauses             pauseDetector
+	quarantines        atomic.Pointer[map[schedules.PromptPart]time.Time] // end of each
 	bodies             *buffers.Budget
 
 	budgetMu    sync.Mutex
@@ -96,6 +99,21 @@
 	}
 }
 
+// SetQuarantines replaces the prompt parts whose requests are refused.
+func (f *Forwarder) SetQuarantines(quarantines []schedules.Quarantine) {
+	m := make(map[schedules.PromptPart]time.Time, len(quarantines))
+	for _, q := range quarantines {
+		m[q.Part] = q.Until
+	}
+	f.quarantines.Store(&m)
+}
+
+// isQuarantined reports whether any part of a prompt is quarantined.
+func (f *Forwarder) isQuarantined(parts []schedules.PromptPart) bool {
+	m := f.quarantines.Load()
+	return m != nil && slices.ContainsFunc(parts, func(p schedules.PromptPart) bool { return f.cfg.Fleet.now().Before((*m)[p]) })
+}
+
 // awaitCatalog returns the current catalog, or nil when none arrives in time. A
 // daemon receives its first catalog within 2 s of its start, so requests wait for
 // it.
@@ -270,6 +288,9 @@
 			return req.refuse(http.StatusUnauthorized, 0, "the key is unknown")
 		}
 	}
+	if req.forwarder.isQuarantined(req.meta.Parts) {
+		return req.refuse(http.StatusServiceUnavailable, quarantineRetryAfter, quarantineCause)
+	}
 	h := fnv.New64a()
 	_, _ = io.WriteString(h, string(req.meta.ID))
 	req.service = req.catalog.Service(req.route.SelectService(h.Sum64()))
@@ -293,8 +314,12 @@
 	// bodyBudgetRetryAfter is the time in which some of the requests whose bodies
 	// are in memory end.
 	bodyBudgetRetryAfter = 300 * time.Millisecond
+	// quarantineRetryAfter is longer than most callers wait: a quarantine lasts an hour.
+	quarantineRetryAfter = 10 * time.Second
 )
 
+const quarantineCause = "a part of the prompt crashes the engines that answer it"
+
 func (req *proxyRequest) readBody() bool {
 	limit := req.catalog.Limits().BodyBytes
 	if limit <= 0 {
@@ -522,6 +547,15 @@
 		return schedules.Stalled
 	case errors.Is(err, errRejected):
 		return schedules.Rejected
+	case isConnectionLost(err):
+		return schedules.Lost
 	}
 	return schedules.Broken
 }
+
+// isConnectionLost reports whether the backend server closed or reset the connection
+// before its response was complete.
+func isConnectionLost(err error) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.Is(err, errNoEvent) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
--- a/forwards/protocol.go
+++ b/forwards/protocol.go
@@ -9,6 +9,7 @@
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/dispatchers"
+	"gypsumshelf.example/gypsumshelf/schedules"
 )
 
 // RequestMeta is the metadata in the headers of a caller's request.
@@ -20,6 +21,7 @@
 	MaxAnswerTokens      int           // maximum number of tokens of the answer, 0 when unknown
 	ExpectedAnswerTokens int           // the caller's estimate of the answer's tokens, 0 when unknown
 	LastEvent            int           // ID of the last event that the caller has, 0 for none
+	Parts                []schedules.PromptPart
 }
 
 // Call is the metadata that is sent to a backend server with a request.
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -132,6 +132,7 @@
 		}
 	}
 	g.fleet.SetOutOfService(s.OutOfService)
+	g.forwarder.SetQuarantines(s.Quarantines)
 	g.updateLocalDispatcher()
 	g.cfg.Log.WithFields(logrus.Fields{"index": s.Index, "version": s.Version, "out": s.OutOfService}).Info("state in force")
 }
--- a/schedules/job.go
+++ b/schedules/job.go
@@ -19,10 +19,11 @@
 	Daemon     gypsumshelf.DaemonID // entry daemon that holds the request
 	DataCentre string               // of the entry daemon
 	Workspace  string
-	Prompt     int // tokens
-	Answer     int // maximum tokens of the answer
-	Expected   int // expected tokens of the answer
-	Priority   int // 0 is the most urgent
+	Prompt     int          // tokens
+	Answer     int          // maximum tokens of the answer
+	Expected   int          // expected tokens of the answer
+	Parts      []PromptPart // of the prompt, if known
+	Priority   int          // 0 is the most urgent
 
 	// Durations are relative to the arrival of the job at the scheduler.
 	Target   time.Duration // until the first event is due
@@ -75,6 +76,7 @@
 	Unreachable         // no connection to the engine
 	Broken              // the engine failed or its answer ended early
 	Stalled             // the engine stopped sending events
+	Lost                // the engine closed or reset the connection before its answer was complete
 )
 
 // IsFailure reports whether the outcome counts as a failure of the engine.
@@ -82,7 +84,7 @@
 
 // String returns the kebab-case name used in logs.
 func (o Outcome) String() string {
-	return [...]string{"completed", "cancelled", "rejected", "unreachable", "broken", "stalled"}[o]
+	return [...]string{"completed", "cancelled", "rejected", "unreachable", "broken", "stalled", "lost"}[o]
 }
 
 // Load is an engine's report of its own load. It lags behind the actual load.
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -60,6 +60,7 @@
 	prefillTime time.Duration // prefill time of the whole prompt on one engine
 	long        bool          // the prompt is long: its parts are kept away from answers that accept only short pauses
 	placement   *Placement
+	placedAt    time.Time
 	started     bool // the first event has been reported
 }
 
@@ -93,11 +94,13 @@
 	firstJobAt time.Time
 	pools      map[string]*pool
 	jobs       map[JobID]*jobState
+	suspects   *suspects
+	found      []Quarantine // not returned by TakeQuarantines yet
 }
 
 // New returns a Scheduler that knows no engines.
 func New(cfg Config) *Scheduler {
-	return &Scheduler{cfg: cfg, pools: map[string]*pool{}, jobs: map[JobID]*jobState{}}
+	return &Scheduler{cfg: cfg, pools: map[string]*pool{}, jobs: map[JobID]*jobState{}, suspects: newSuspects()}
 }
 
 // SetColdShare changes Config.ColdShare for engines that turn cold from now on.
@@ -147,6 +150,9 @@
 	if p == nil || len(p.engines) == 0 && now.Sub(s.firstJobAt) > startupGrace {
 		return []Decision{{Job: job.ID, RetryAfter: minRetryAfter, Reason: "no engine of the service is known"}}
 	}
+	if s.suspects.isQuarantined(now, job.Parts) {
+		return []Decision{{Job: job.ID, RetryAfter: maxRetryAfter, Reason: quarantineReason}}
+	}
 	j := s.addJob(now, p, job)
 	if wait := p.predictWait(j); wait > min(job.Patience, job.Deadline-p.minServiceTime(j)) {
 		delete(s.jobs, job.ID)
@@ -207,6 +213,7 @@
 		return nil
 	}
 	delete(s.jobs, id)
+	s.recordEvidence(now, j, outcome, blamed)
 	p := s.pools[j.request.Service]
 	if j.placement == nil {
 		p.queue = slices.DeleteFunc(p.queue, func(o *jobState) bool { return o == j })
@@ -269,12 +276,75 @@
 			decisions = append(decisions, s.End(now, id, Cancelled, "")...)
 		}
 	}
+	decisions = append(decisions, s.judgeCrashes(now)...)
 	for _, p := range s.pools {
 		decisions = append(decisions, s.processQueue(now, p, allJobs)...)
 	}
 	return decisions
 }
 
+// quarantineReason is the reason of refusals of jobs with a quarantined prompt part.
+const quarantineReason = "a part of the prompt crashes the engines that answer it"
+
+// SetQuarantines adds quarantines that are in force for all daemons.
+func (s *Scheduler) SetQuarantines(quarantines []Quarantine) { s.suspects.addQuarantines(quarantines) }
+
+// TakeQuarantines returns the quarantines that this scheduler has found. Each is
+// returned once.
+func (s *Scheduler) TakeQuarantines() []Quarantine {
+	found := s.found
+	s.found = nil
+	return found
+}
+
+// recordEvidence records what the end of a job says about the parts of its prompt.
+func (s *Scheduler) recordEvidence(now time.Time, j *jobState, outcome Outcome, blamed gypsumshelf.ServerID) {
+	switch {
+	case j.placement == nil || len(j.request.Parts) == 0:
+	case outcome == Completed:
+		s.suspects.recordCompleted(now, j.request.Parts)
+	case outcome == Lost && (blamed == "" || blamed == j.placement.Server):
+		s.suspects.recordLost(now, j.placement.Server, lostJob{parts: j.request.Parts, placedAt: j.placedAt})
+	}
+}
+
+// judgeCrashes looks for prompt parts that crash engines, and refuses waiting jobs
+// with such parts.
+func (s *Scheduler) judgeCrashes(now time.Time) []Decision {
+	found := s.suspects.settle(now, s.runsJob)
+	if len(found) == 0 {
+		return nil
+	}
+	s.found = append(s.found, found...)
+	var decisions []Decision
+	for _, p := range s.pools {
+		p.queue = slices.DeleteFunc(p.queue, func(j *jobState) bool {
+			refused := s.suspects.isQuarantined(now, j.request.Parts)
+			if refused {
+				delete(s.jobs, j.request.ID)
+				decisions = append(decisions, Decision{Job: j.request.ID, RetryAfter: maxRetryAfter, Reason: quarantineReason, Waited: now.Sub(j.arrived)})
+			}
+			return refused
+		})
+	}
+	return decisions
+}
+
+// runsJob reports whether an engine runs a job as its primary that was placed before a
+// time.
+func (s *Scheduler) runsJob(server gypsumshelf.ServerID, before time.Time) bool {
+	for _, p := range s.pools {
+		if e := p.engines[server]; e != nil {
+			for _, a := range e.assignments {
+				if a.primary && a.job.placedAt.Before(before) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // Values of the includeLong parameter of processQueue. Long jobs are left out
 // when a single answer ends: they are costly to place and need several engines.
 const (
@@ -483,7 +553,7 @@
 
 // assign records the placement of a job on its engines.
 func (p *pool) assign(now time.Time, j *jobState, placement *Placement) {
-	j.placement = placement
+	j.placement, j.placedAt = placement, now
 	heldTokens := map[gypsumshelf.ServerID]int{}
 	remaining := j.request.Prompt + j.request.Answer
 	for _, h := range placement.Holds {
