Forget hosts without a vote that are silent for ten minutes

Each replaced host stayed a member for ever: dialed by every daemon, sent heartbeats, listed to every entry daemon. TestLostLearnerIsForgotten did not compile before, since nothing removed a member; a host that returns joins again.

--- a/controls/daemon.go
+++ b/controls/daemon.go
@@ -123,7 +123,7 @@
 	}
 	cfg := replicas.Config{
 		ID: replicas.NodeID{Daemon: d.cfg.Daemon}, DataCentre: d.cfg.DataCentre, Durable: true, Peers: seeds,
-		ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, ReplaceAfter: replaceAfter,
+		ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, ReplaceAfter: replaceAfter, ForgetAfter: forgetAfter,
 		TargetVoters: replicas.MaxVoters, RetainEntries: compactEntries,
 	}
 	if d.cfg.FirstStart {
--- a/controls/storage.go
+++ b/controls/storage.go
@@ -22,6 +22,9 @@
 	// was replaced, and the old host must no longer count as a lost voter 4 s
 	// after its successor has started.
 	replaceAfter = 1500 * time.Millisecond
+	// forgetAfter is the silence after which a host without a vote is no member any
+	// more. Hosts that restart or return from a partition are back sooner.
+	forgetAfter = 10 * time.Minute
 	// reopenDelay bounds how often a replica starts again when the same error comes
 	// back. The others elect a leader meanwhile.
 	reopenDelay = time.Second
--- a/replicas/member.go
+++ b/replicas/member.go
@@ -124,6 +124,11 @@
 	return append(c, member)
 }
 
+// without returns a copy without a member.
+func (m Members) without(id NodeID) Members {
+	return slices.DeleteFunc(slices.Clone(m), func(other Member) bool { return other.ID == id })
+}
+
 // withRole returns a copy in which the member with the given ID has the given role.
 func (m Members) withRole(id NodeID, role Role) Members {
 	c := slices.Clone(m)
--- a/replicas/membership.go
+++ b/replicas/membership.go
@@ -48,6 +48,7 @@
 	VoterStops        MembershipReason = "voter-stops"          // a learner takes the seat of a voter that is about to stop
 	VoterUnresponsive MembershipReason = "voter-unresponsive"   // a learner takes the seat of a silent voter
 	VoterNearby       MembershipReason = "data-centre-has-two"  // a learner in a data centre without a voter takes the seat of one whose data centre has another
+	LearnerLost       MembershipReason = "learner-lost"         // a learner has been silent for long and is removed
 	ExchangeCompleted MembershipReason = "exchange-completed"   // the incoming voter has taken its seat
 	ExchangeReverted  MembershipReason = "outgoing-voter-leads" // the outgoing voter keeps its seat
 )
@@ -56,7 +57,7 @@
 // has proposed.
 type MembershipChange struct {
 	Member NodeID // the member that joins or whose role changes
-	Role   Role   // its new role
+	Role   Role   // its new role; Learner also for one that is removed
 	Reason MembershipReason
 	Voters int // number of voters after the change
 }
@@ -226,9 +227,23 @@
 			return next, learner, reason
 		}
 	}
+	if id, ok := r.lostLearner(members); ok {
+		return members.without(id), id, LearnerLost
+	}
 	return nil, NodeID{}, ""
 }
 
+// lostLearner returns a learner without contact for ForgetAfter. Hosts that were
+// replaced would stay members for ever; one that returns joins again.
+func (r *Replica) lostLearner(members Members) (NodeID, bool) {
+	for _, member := range sortedByDaemon(members) {
+		if r.cfg.ForgetAfter > 0 && member.Role == Learner && r.sinceContact(member.ID) >= r.cfg.ForgetAfter {
+			return member.ID, true
+		}
+	}
+	return NodeID{}, false
+}
+
 // endExchange completes the exchange of a voter. A leader does not take away its own
 // vote: as the outgoing voter, it reverts the exchange.
 func (r *Replica) endExchange(members Members) (Members, NodeID, MembershipReason) {
--- a/replicas/replica.go
+++ b/replicas/replica.go
@@ -29,6 +29,7 @@
 	ElectionTimeout   time.Duration // minimum; each timeout is random between this and twice this
 	HeartbeatInterval time.Duration
 	ReplaceAfter      time.Duration // time without contact after which a voter is replaced
+	ForgetAfter       time.Duration // time without contact after which a learner is removed, 0 for never
 	TargetVoters      int           // target number of voters
 	MaxAppendBytes    int           // maximum entry data in one AppendRequest; a single larger entry is still sent
 	MaxChunkBytes     int           // maximum data in one SnapshotChunk
--- a/replicas/rules_test.go
+++ b/replicas/rules_test.go
@@ -467,3 +467,28 @@
 	r.Tick(now.Add(testElectionTimeout))
 	assertSent[Join](t, r.TakeOutput(), 1, "after a message to an earlier incarnation")
 }
+
+// Guards against members that grow with each host that was ever replaced.
+func TestLostLearnerIsForgotten(t *testing.T) {
+	const forgetAfter = 5 * time.Second
+	c := fiveVoters(t, sixHostMembers())
+	for _, h := range c.hosts {
+		h.replica.cfg.ForgetAfter = forgetAfter
+	}
+	_, _, learners := c.roles()
+	lost := learners[0]
+	c.crash(lost)
+	isMember := func() bool {
+		_, ok := c.confirmedLeader().replica.Members().Member(lost.member.ID)
+		return ok
+	}
+	for range (forgetAfter - time.Second) / testStep {
+		c.step()
+	}
+	if !isMember() {
+		t.Fatal("forgotten too early")
+	}
+	c.waitUntil("the learner is forgotten", func() bool { return c.confirmedLeader() != nil && !isMember() })
+	c.start(lost)
+	c.waitUntil("a settled cluster", c.isSettled)
+}
