--- a/controls/daemon.go
+++ b/controls/daemon.go
@@ -201,7 +201,7 @@
 func (d *Daemon) publishState(s catalogs.State) {
 	d.publisher.SetState(s)
 	d.registry.setState(s)
-	d.cfg.Log.WithFields(logrus.Fields{"index": s.Index, "version": s.Version, "out": s.OutOfService}).Info("state in force")
+	d.cfg.Log.WithFields(logrus.Fields{"index": s.Index, "version": s.Version, "out": s.OutOfService, "quarantines": len(s.Quarantines)}).Info("state in force")
 }
 
 // publishLeadership stores and publishes a change of the leader or of the
