--- a/forwards/stream_test.go
+++ b/forwards/stream_test.go
@@ -32,6 +32,11 @@
 	}
 }
 
+// writeUnframed writes a response whose body ends with its connection.
+func writeUnframed(r *http.Request, conn net.Conn, body string) {
+	fmt.Fprint(conn, responseHeader(r, http.StatusOK, "Connection: close\r\n")+body)
+}
+
 // Guards against streams with a missing, repeated or partial event, and against a
 // stream that looks complete although its engine failed.
 func TestStreamResumesOnAnotherEngine(t *testing.T) {
@@ -53,6 +58,23 @@
 			time.Sleep(50 * time.Millisecond)
 			resetConnection(conn)
 		}, true},
+		{"neither length nor chunks", func(r *http.Request, _ string, conn net.Conn) {
+			writeUnframed(r, conn, eventText(1, 5))
+			conn.Close()
+		}, true},
+		{"neither length nor chunks, reset between events", func(r *http.Request, _ string, conn net.Conn) {
+			writeUnframed(r, conn, eventText(1, 3))
+			time.Sleep(50 * time.Millisecond)
+			resetConnection(conn)
+		}, true},
+		{"neither length nor chunks, closed within an event", func(r *http.Request, _ string, conn net.Conn) {
+			writeUnframed(r, conn, eventText(1, 3)+"id: 4\nda")
+			conn.Close()
+		}, true},
+		{"neither length nor chunks, closed before the first event", func(r *http.Request, _ string, conn net.Conn) {
+			writeUnframed(r, conn, "")
+			conn.Close()
+		}, true},
 		{"an event is missing", func(r *http.Request, _ string, conn net.Conn) {
 			writeEvents(r, conn, 1, 2)
 			writeChunk(conn, "id: 4\ndata: x\n\n")
