Wait between the tries to commit a quarantine

Without a leader all five tries failed at once. Clearer names for the reasons of membership changes and the command of a quarantine, and a test of the replicated quarantines.

--- a/catalogs/catalog_test.go
+++ b/catalogs/catalog_test.go
@@ -1,8 +1,11 @@
 package catalogs
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"gypsumshelf.example/gypsumshelf/schedules"
 )
 
 func spec() Spec {
@@ -99,3 +102,37 @@
 		t.Error("bringing back does not undo taking out")
 	}
 }
+
+// Guards against quarantines that get lost with a restart, are listed twice, or grow
+// without bound.
+func TestQuarantinesAreKept(t *testing.T) {
+	var s State
+	begin := time.Unix(1_000_000, 0).UTC()
+	quarantine := func(part string, until time.Time) {
+		t.Helper()
+		c := Command{Action: QuarantinePart, Quarantine: schedules.Quarantine{Part: schedules.PromptPart(part), Until: until}}
+		if changed, err := s.Apply(s.Index+1, c.Encode()); err != nil || !changed {
+			t.Fatalf("changed %v, error %v", changed, err)
+		}
+	}
+	quarantine("first", begin)
+	for i := range maxQuarantines {
+		quarantine(fmt.Sprint("part", i), begin.Add(time.Minute))
+	}
+	quarantine("part0", begin.Add(time.Hour))
+	data, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var restored State
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	last := restored.Quarantines[len(restored.Quarantines)-1]
+	if n := len(restored.Quarantines); n != maxQuarantines || last.Part != "part0" || !last.Until.Equal(begin.Add(time.Hour)) {
+		t.Errorf("%d quarantines, the last is %+v", n, last)
+	}
+	if restored.Quarantines[0].Part == "first" {
+		t.Error("the quarantine that ends first made no room")
+	}
+}
--- a/catalogs/state.go
+++ b/catalogs/state.go
@@ -16,10 +16,10 @@
 
 // Actions of commands.
 const (
-	Put       Action = "put-catalog"
-	TakeOut   Action = "take-out"
-	BringBack Action = "bring-back"
-	Isolate   Action = "quarantine-prompt-part"
+	Put            Action = "put-catalog"
+	TakeOut        Action = "take-out"
+	BringBack      Action = "bring-back"
+	QuarantinePart Action = "quarantine-prompt-part"
 )
 
 // maxQuarantines bounds the quarantines of the state. The one that ends first makes
@@ -32,7 +32,7 @@
 	Version    uint64 `json:"version,omitempty"`     // of the catalog, for Put
 	Document   []byte `json:"document,omitempty"`    // the catalog as it was sent, for Put
 	DataCentre string `json:"data-centre,omitempty"` // for TakeOut and BringBack
-	// Quarantine is that of a prompt part, for Isolate.
+	// Quarantine is that of a prompt part, for QuarantinePart.
 	Quarantine schedules.Quarantine `json:"quarantine,omitzero"`
 }
 
@@ -84,7 +84,7 @@
 			s.OutOfService = slices.Delete(slices.Clone(s.OutOfService), position, position+1)
 		}
 		return found, nil
-	case Isolate:
+	case QuarantinePart:
 		s.Quarantines = withQuarantine(s.Quarantines, c.Quarantine)
 		return true, nil
 	}
--- a/controls/quarantine.go
+++ b/controls/quarantine.go
@@ -2,16 +2,22 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"gypsumshelf.example/gypsumshelf/catalogs"
 	"gypsumshelf.example/gypsumshelf/schedules"
+	"gypsumshelf.example/gypsumshelf/timers"
 )
 
-// quarantineTries bounds the attempts to commit a quarantine, which take up to
-// proposeTimeout each. A later leader finds the prompt part by itself.
-const quarantineTries = 5
+const (
+	// quarantineTries bounds the attempts to commit a quarantine. A later leader finds
+	// the prompt part by itself.
+	quarantineTries = 5
+	// quarantineRetryDelay is the time in which a new leader is elected.
+	quarantineRetryDelay = time.Second
+)
 
 // quarantineProposal commits quarantines, so that all daemons refuse the prompt parts
 // also while there is no leader or after a restart.
@@ -36,10 +42,12 @@
 }
 
 func (p *quarantineProposal) commit(q schedules.Quarantine) (err error) {
+	ctx := context.Background()
 	for range quarantineTries {
-		if err = p.daemon.Propose(context.Background(), catalogs.Command{Action: catalogs.Isolate, Quarantine: q}); err == nil {
+		if err = p.daemon.Propose(ctx, catalogs.Command{Action: catalogs.QuarantinePart, Quarantine: q}); err == nil {
 			return nil
 		}
+		timers.Sleep(ctx, quarantineRetryDelay)
 	}
 	return err
 }
--- a/replicas/member.go
+++ b/replicas/member.go
@@ -8,7 +8,8 @@
 	"gypsumshelf.example/gypsumshelf"
 )
 
-// MaxVoters is the largest number of voters that a group may be configured with.
+// MaxVoters is the largest number of voters of a group. While a voter is exchanged,
+// there is one more.
 const MaxVoters = 5
 
 // NodeID identifies a daemon together with its storage. A daemon that restarts
@@ -27,7 +28,8 @@
 type Role int
 
 // Roles of members. Incoming and Outgoing exist only in a joint membership, in which a
-// quorum is a majority of the voters before the exchange and one of those after it.
+// quorum is a majority of the voters before the exchange together with a majority of
+// the voters after it.
 const (
 	Learner  Role = iota
 	Voter         // votes before and after an exchange of voters
--- a/replicas/membership.go
+++ b/replicas/membership.go
@@ -42,15 +42,15 @@
 
 // Reasons of membership changes.
 const (
-	Joined            MembershipReason = "joined"               // a daemon asked to become a member
-	SeatFree          MembershipReason = "seat-free"            // a learner is promoted because there are too few voters
-	VoterSurplus      MembershipReason = "voter-surplus"        // a voter is demoted because there are too many
-	VoterStops        MembershipReason = "voter-stops"          // a learner takes the seat of a voter that is about to stop
-	VoterUnresponsive MembershipReason = "voter-unresponsive"   // a learner takes the seat of a silent voter
-	VoterNearby       MembershipReason = "data-centre-has-two"  // a learner in a data centre without a voter takes the seat of one whose data centre has another
-	LearnerLost       MembershipReason = "learner-lost"         // a learner has been silent for long and is removed
-	ExchangeCompleted MembershipReason = "exchange-completed"   // the incoming voter has taken its seat
-	ExchangeReverted  MembershipReason = "outgoing-voter-leads" // the outgoing voter keeps its seat
+	Joined            MembershipReason = "joined"                  // a daemon asked to become a member
+	SeatFree          MembershipReason = "seat-free"               // a learner is promoted because there are too few voters
+	VoterSurplus      MembershipReason = "voter-surplus"           // a voter is demoted because there are too many
+	VoterStops        MembershipReason = "voter-stops"             // a learner takes the seat of a voter that is about to stop
+	VoterUnresponsive MembershipReason = "voter-unresponsive"      // a learner takes the seat of a silent voter
+	DataCentreLacking MembershipReason = "data-centre-lacks-voter" // a learner in a data centre without a voter takes the seat of one whose data centre has another
+	LearnerLost       MembershipReason = "learner-lost"            // a learner has been silent for long and is removed
+	ExchangeCompleted MembershipReason = "exchange-completed"      // the incoming voter has taken its seat
+	ExchangeReverted  MembershipReason = "outgoing-voter-leads"    // the outgoing voter keeps its seat
 )
 
 // MembershipChange is a change of the membership that this node, as the leader,
@@ -265,7 +265,7 @@
 	}
 	if newDataCentre && votersShareDataCentre(members) {
 		if id, ok := r.voterToDemote(members); ok {
-			return id, VoterNearby
+			return id, DataCentreLacking
 		}
 	}
 	return NodeID{}, ""
