--- a/engines/call_error.go
+++ b/engines/call_error.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"syscall"
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/streams"
@@ -52,12 +50,7 @@
 // isConnectionLost reports whether err means that the server closed or reset the
 // connection or has restarted.
 func isConnectionLost(err error) bool {
-	for _, target := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, streams.ErrNoEnd, ErrRestarted} {
-		if errors.Is(err, target) {
-			return true
-		}
-	}
-	return false
+	return streams.IsConnectionLost(err) || errors.Is(err, streams.ErrNoEnd) || errors.Is(err, ErrRestarted)
 }
 
 // callError returns the error of a call that failed after bytes may have been sent.
--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -113,7 +113,7 @@
 			return
 		}
 		if req.forwarder.isQuarantined(req.meta.Parts) {
-			req.finishUnanswered(quarantineCause)
+			req.finishUnanswered(schedules.QuarantineReason)
 			return
 		}
 		pending = submitJob(ctx, req)
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -8,11 +8,9 @@
 	"io"
 	"net/http"
 	"os"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,6 +21,7 @@
 	"gypsumshelf.example/gypsumshelf/catalogs"
 	"gypsumshelf.example/gypsumshelf/logs"
 	"gypsumshelf.example/gypsumshelf/schedules"
+	"gypsumshelf.example/gypsumshelf/streams"
 	"gypsumshelf.example/gypsumshelf/timers"
 )
 
@@ -70,7 +69,7 @@
 	drainDeadline      atomic.Pointer[time.Time] // set while the daemon drains; requests must end before it
 	activeRequests     atomic.Int64
 	pauses             pauseDetector
-	quarantines        atomic.Pointer[map[schedules.PromptPart]time.Time] // end of each
+	quarantines        atomic.Pointer[schedules.QuarantineSet]
 	bodies             *buffers.Budget
 
 	budgetMu    sync.Mutex
@@ -101,17 +100,15 @@
 
 // SetQuarantines replaces the prompt parts whose requests are refused.
 func (f *Forwarder) SetQuarantines(quarantines []schedules.Quarantine) {
-	m := make(map[schedules.PromptPart]time.Time, len(quarantines))
-	for _, q := range quarantines {
-		m[q.Part] = q.Until
-	}
-	f.quarantines.Store(&m)
+	set := schedules.QuarantineSet{}
+	set.Add(quarantines)
+	f.quarantines.Store(&set)
 }
 
 // isQuarantined reports whether any part of a prompt is quarantined.
 func (f *Forwarder) isQuarantined(parts []schedules.PromptPart) bool {
-	m := f.quarantines.Load()
-	return m != nil && slices.ContainsFunc(parts, func(p schedules.PromptPart) bool { return f.cfg.Fleet.now().Before((*m)[p]) })
+	set := f.quarantines.Load()
+	return set != nil && set.ContainsAny(f.cfg.Fleet.now(), parts)
 }
 
 // awaitCatalog returns the current catalog, or nil when none arrives in time. A
@@ -289,7 +286,7 @@
 		}
 	}
 	if req.forwarder.isQuarantined(req.meta.Parts) {
-		return req.refuse(http.StatusServiceUnavailable, quarantineRetryAfter, quarantineCause)
+		return req.refuse(http.StatusServiceUnavailable, quarantineRetryAfter, schedules.QuarantineReason)
 	}
 	h := fnv.New64a()
 	_, _ = io.WriteString(h, string(req.meta.ID))
@@ -318,8 +315,6 @@
 	quarantineRetryAfter = 10 * time.Second
 )
 
-const quarantineCause = "a part of the prompt crashes the engines that answer it"
-
 func (req *proxyRequest) readBody() bool {
 	limit := req.catalog.Limits().BodyBytes
 	if limit <= 0 {
@@ -556,6 +551,5 @@
 // isConnectionLost reports whether the backend server closed or reset the connection
 // before its response was complete.
 func isConnectionLost(err error) bool {
-	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.Is(err, errNoEvent) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	return streams.IsConnectionLost(err) || errors.Is(err, errNoEvent)
 }
--- a/replicas/cluster_test.go
+++ b/replicas/cluster_test.go
@@ -153,9 +153,7 @@
 
 // wipe restarts a host with an empty disk.
 func (c *cluster) wipe(h *host) {
-	c.crash(h)
-	h.disk, h.lostDiskAt = fakeDisk{}, c.now
-	h.member.ID.Incarnation = ""
+	c.loseDisk(h)
 	c.start(h)
 }
 
--- a/replicas/stop_test.go
+++ b/replicas/stop_test.go
@@ -49,7 +49,8 @@
 // loseDisk ends a host, which starts later with an empty disk.
 func (c *cluster) loseDisk(h *host) {
 	c.crash(h)
-	h.disk, h.member.ID.Incarnation = fakeDisk{}, ""
+	h.disk, h.lostDiskAt = fakeDisk{}, c.now
+	h.member.ID.Incarnation = ""
 }
 
 func (c *cluster) assertCommits(when string) {
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -151,7 +151,7 @@
 		return []Decision{{Job: job.ID, RetryAfter: minRetryAfter, Reason: "no engine of the service is known"}}
 	}
 	if s.suspects.isQuarantined(now, job.Parts) {
-		return []Decision{{Job: job.ID, RetryAfter: maxRetryAfter, Reason: quarantineReason}}
+		return []Decision{{Job: job.ID, RetryAfter: maxRetryAfter, Reason: QuarantineReason}}
 	}
 	j := s.addJob(now, p, job)
 	if wait := p.predictWait(j); wait > min(job.Patience, job.Deadline-p.minServiceTime(j)) {
@@ -283,9 +283,6 @@
 	return decisions
 }
 
-// quarantineReason is the reason of refusals of jobs with a quarantined prompt part.
-const quarantineReason = "a part of the prompt crashes the engines that answer it"
-
 // SetQuarantines adds quarantines that are in force for all daemons.
 func (s *Scheduler) SetQuarantines(quarantines []Quarantine) { s.suspects.addQuarantines(quarantines) }
 
@@ -322,7 +319,7 @@
 			refused := s.suspects.isQuarantined(now, j.request.Parts)
 			if refused {
 				delete(s.jobs, j.request.ID)
-				decisions = append(decisions, Decision{Job: j.request.ID, RetryAfter: maxRetryAfter, Reason: quarantineReason, Waited: now.Sub(j.arrived)})
+				decisions = append(decisions, Decision{Job: j.request.ID, RetryAfter: maxRetryAfter, Reason: QuarantineReason, Waited: now.Sub(j.arrived)})
 			}
 			return refused
 		})
--- a/schedules/suspects.go
+++ b/schedules/suspects.go
@@ -17,6 +17,24 @@
 	Until time.Time  `json:"until"`
 }
 
+// QuarantineReason is the reason of refusals of requests with a quarantined part.
+const QuarantineReason = "a part of the prompt crashes the engines that answer it"
+
+// QuarantineSet holds the end of each quarantine by its prompt part.
+type QuarantineSet map[PromptPart]time.Time
+
+// Add adds quarantines, which replace those of the same parts.
+func (s QuarantineSet) Add(quarantines []Quarantine) {
+	for _, q := range quarantines {
+		s[q.Part] = q.Until
+	}
+}
+
+// ContainsAny reports whether any of the parts is quarantined at a time.
+func (s QuarantineSet) ContainsAny(now time.Time, parts []PromptPart) bool {
+	return slices.ContainsFunc(parts, func(p PromptPart) bool { return now.Before(s[p]) })
+}
+
 const (
 	// quarantineTime is far above the time for which callers resend a request. An
 	// engine release that cures the fault gets the part again afterwards.
@@ -64,28 +82,28 @@
 	crashCount  int
 	pending     map[gypsumshelf.ServerID]*engineCrash // not settled yet
 	strikes     map[PromptPart][]strike
-	quarantined map[PromptPart]time.Time // end of the quarantine
-	recent      map[PromptPart]bool      // parts of completed jobs
-	older       map[PromptPart]bool      // those of the period before
+	quarantined QuarantineSet
+	recent      map[PromptPart]bool // parts of completed jobs
+	older       map[PromptPart]bool // those of the period before
 	recentSince time.Time
 }
 
 func newSuspects() *suspects {
 	return &suspects{
 		pending: map[gypsumshelf.ServerID]*engineCrash{}, strikes: map[PromptPart][]strike{},
-		quarantined: map[PromptPart]time.Time{}, recent: map[PromptPart]bool{},
+		quarantined: QuarantineSet{}, recent: map[PromptPart]bool{},
 	}
 }
 
 // isQuarantined reports whether any of the parts is quarantined.
 func (s *suspects) isQuarantined(now time.Time, parts []PromptPart) bool {
-	return slices.ContainsFunc(parts, func(p PromptPart) bool { return now.Before(s.quarantined[p]) })
+	return s.quarantined.ContainsAny(now, parts)
 }
 
 // addQuarantines adds quarantines that other schedulers found.
 func (s *suspects) addQuarantines(quarantines []Quarantine) {
+	s.quarantined.Add(quarantines)
 	for _, q := range quarantines {
-		s.quarantined[q.Part] = q.Until
 		delete(s.strikes, q.Part)
 	}
 }
--- a/schedules/suspects_test.go
+++ b/schedules/suspects_test.go
@@ -166,7 +166,7 @@
 	s.SetQuarantines([]Quarantine{{Part: "bad", Until: l.now.Add(time.Hour)}})
 	s.pools["x"] = &pool{engines: map[gypsumshelf.ServerID]*engine{}}
 	decisions := s.Submit(l.now, Job{ID: "j", Service: "x", Parts: prompt("shared", "bad")})
-	if len(decisions) != 1 || decisions[0].Placement != nil || decisions[0].Reason != quarantineReason {
+	if len(decisions) != 1 || decisions[0].Placement != nil || decisions[0].Reason != QuarantineReason {
 		t.Fatalf("decisions are %+v, want a refusal", decisions)
 	}
 }
