Log what the copies of a lost request have in common

The lines of a lost attempt named the request ID only, which differs for each copy that a caller sends again.

--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -525,10 +525,14 @@
 // completely.
 func (req *proxyRequest) recordFailedAttempt(server gypsumshelf.ServerID, outcome schedules.Outcome, err error) {
 	req.forwarder.cfg.Recorder.Attempt(req.service.Name, outcome.String())
-	req.forwarder.cfg.Log.WithFields(logrus.Fields{
+	entry := req.forwarder.cfg.Log.WithFields(logrus.Fields{
 		logs.KeyRequest: req.meta.ID, logs.KeyServer: server, "outcome": outcome.String(), "sent": req.sentAttempts,
 		"after-ms": req.now().Sub(req.arrived).Milliseconds(), "last-event": req.lastEvent,
-	}).WithError(err).Warn("attempt failed")
+	}).WithError(err)
+	if outcome == schedules.Lost {
+		entry = entry.WithField("request-hash", req.fingerprint())
+	}
+	entry.Warn("attempt failed")
 }
 
 // outcomeOf maps the error of an attempt to its outcome.
