--- a/catalogs/catalog_test.go
+++ b/catalogs/catalog_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"gypsumshelf.example/gypsumshelf/schedules"
+	"gypsumshelf.example/gypsumshelf/crashes"
 )
 
 func spec() Spec {
@@ -110,7 +110,7 @@
 	begin := time.Unix(1_000_000, 0).UTC()
 	quarantine := func(part string, until time.Time) {
 		t.Helper()
-		c := Command{Action: QuarantinePart, Quarantine: schedules.Quarantine{Part: schedules.PromptPart(part), Until: until}}
+		c := Command{Action: QuarantineCause, Quarantine: crashes.Quarantine{Cause: crashes.Cause(part), Until: until}}
 		if changed, err := s.Apply(s.Index+1, c.Encode()); err != nil || !changed {
 			t.Fatalf("changed %v, error %v", changed, err)
 		}
@@ -129,10 +129,10 @@
 		t.Fatal(err)
 	}
 	last := restored.Quarantines[len(restored.Quarantines)-1]
-	if n := len(restored.Quarantines); n != maxQuarantines || last.Part != "part0" || !last.Until.Equal(begin.Add(time.Hour)) {
+	if n := len(restored.Quarantines); n != maxQuarantines || last.Cause != "part0" || !last.Until.Equal(begin.Add(time.Hour)) {
 		t.Errorf("%d quarantines, the last is %+v", n, last)
 	}
-	if restored.Quarantines[0].Part == "first" {
+	if restored.Quarantines[0].Cause == "first" {
 		t.Error("the quarantine that ends first made no room")
 	}
 }
--- a/catalogs/state.go
+++ b/catalogs/state.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"slices"
 
-	"gypsumshelf.example/gypsumshelf/schedules"
+	"gypsumshelf.example/gypsumshelf/crashes"
 )
 
 // Decoder decodes and validates the catalog document that an operator sent.
@@ -16,10 +16,10 @@
 
 // Actions of commands.
 const (
-	Put            Action = "put-catalog"
-	TakeOut        Action = "take-out"
-	BringBack      Action = "bring-back"
-	QuarantinePart Action = "quarantine-prompt-part"
+	Put             Action = "put-catalog"
+	TakeOut         Action = "take-out"
+	BringBack       Action = "bring-back"
+	QuarantineCause Action = "quarantine-prompt-part" // also of requests
 )
 
 // maxQuarantines bounds the quarantines of the state. The one that ends first makes
@@ -32,8 +32,8 @@
 	Version    uint64 `json:"version,omitempty"`     // of the catalog, for Put
 	Document   []byte `json:"document,omitempty"`    // the catalog as it was sent, for Put
 	DataCentre string `json:"data-centre,omitempty"` // for TakeOut and BringBack
-	// Quarantine is that of a prompt part, for QuarantinePart.
-	Quarantine schedules.Quarantine `json:"quarantine,omitzero"`
+	// Quarantine is that of a prompt part or a request, for QuarantineCause.
+	Quarantine crashes.Quarantine `json:"quarantine,omitzero"`
 }
 
 // Encode returns the command as an entry of the replicated log.
@@ -52,9 +52,9 @@
 	Version      uint64   `json:"version"`  // of the document, 0 before the first one
 	Document     []byte   `json:"document"` // as the operator sent it
 	OutOfService []string `json:"out"`      // data centres out of service, sorted
-	// Quarantines are the prompt parts that crash engines, in the order in which their
-	// quarantines end.
-	Quarantines []schedules.Quarantine `json:"quarantines,omitempty"`
+	// Quarantines are the causes that crash backend servers, in the order in which
+	// their quarantines end.
+	Quarantines []crashes.Quarantine `json:"quarantines,omitempty"`
 }
 
 // Apply applies one log entry and reports whether anything other than the index
@@ -84,7 +84,7 @@
 			s.OutOfService = slices.Delete(slices.Clone(s.OutOfService), position, position+1)
 		}
 		return found, nil
-	case QuarantinePart:
+	case QuarantineCause:
 		s.Quarantines = withQuarantine(s.Quarantines, c.Quarantine)
 		return true, nil
 	}
@@ -92,11 +92,11 @@
 }
 
 // withQuarantine returns a copy with a quarantine added, which replaces that of the
-// same part.
-func withQuarantine(old []schedules.Quarantine, q schedules.Quarantine) []schedules.Quarantine {
-	next := slices.DeleteFunc(slices.Clone(old), func(o schedules.Quarantine) bool { return o.Part == q.Part })
+// same cause.
+func withQuarantine(old []crashes.Quarantine, q crashes.Quarantine) []crashes.Quarantine {
+	next := slices.DeleteFunc(slices.Clone(old), func(o crashes.Quarantine) bool { return o.Cause == q.Cause })
 	next = append(next, q)
-	slices.SortStableFunc(next, func(a, b schedules.Quarantine) int { return a.Until.Compare(b.Until) })
+	slices.SortStableFunc(next, func(a, b crashes.Quarantine) int { return a.Until.Compare(b.Until) })
 	return next[max(0, len(next)-maxQuarantines):]
 }
 
--- /dev/null
+++ b/crashes/cause.go
@@ -0,0 +1,73 @@
+// Package crashes finds what ends backend servers: a part of prompts, or a whole
+// request that its caller sends again and again. It has no clock and no I/O.
+package crashes
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+)
+
+// Cause is what requests have in common that may crash a backend server: the ID of a
+// prompt part, or the fingerprint of a whole request.
+type Cause string
+
+// requestPrefix marks the fingerprint of a request. IDs of prompt parts have no colon.
+const requestPrefix = "request:"
+
+// RequestCause returns the cause that all copies of a request have in common.
+func RequestCause(fingerprint string) Cause { return Cause(requestPrefix + fingerprint) }
+
+// IsRequest reports whether the cause is a whole request.
+func (c Cause) IsRequest() bool { return strings.HasPrefix(string(c), requestPrefix) }
+
+// Run is a request that was lost with the connection to its backend server.
+type Run struct {
+	Causes   []Cause
+	Duration time.Duration // from the start of the attempt to the loss of the connection
+}
+
+// request returns the cause of the whole request, empty if it is unknown.
+func (r Run) request() Cause {
+	if i := slices.IndexFunc(r.Causes, Cause.IsRequest); i >= 0 {
+		return r.Causes[i]
+	}
+	return ""
+}
+
+// Report states which runs an entry daemon has lost with one start of a backend server
+// that has ended.
+type Report struct {
+	Server gypsumshelf.ServerID
+	Born   int64         // start of the backend server, in ms since 1970
+	Age    time.Duration // since the loss of the first run
+	Runs   []Run
+}
+
+// Quarantine keeps requests with a cause away from backend servers.
+type Quarantine struct {
+	Cause Cause     `json:"part"` // the key dates from the time when only parts had quarantines
+	Until time.Time `json:"until"`
+}
+
+// QuarantineReason is the reason of refusals of requests with a quarantined cause.
+const QuarantineReason = "the request or a part of its prompt crashes backend servers; it has not run and will not run"
+
+// QuarantineSet holds the end of each quarantine by its cause.
+type QuarantineSet map[Cause]time.Time
+
+// NewQuarantineSet returns a set of quarantines.
+func NewQuarantineSet(quarantines []Quarantine) QuarantineSet {
+	s := QuarantineSet{}
+	for _, q := range quarantines {
+		s[q.Cause] = q.Until
+	}
+	return s
+}
+
+// ContainsAny reports whether any of the causes is quarantined at a time.
+func (s QuarantineSet) ContainsAny(now time.Time, causes []Cause) bool {
+	return len(s) > 0 && slices.ContainsFunc(causes, func(c Cause) bool { return now.Before(s[c]) })
+}
--- /dev/null
+++ b/crashes/detector.go
@@ -0,0 +1,284 @@
+package crashes
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+)
+
+const (
+	// QuarantineTime is far above the time for which callers resend a request. A
+	// release of the backend servers that cures the fault gets it again afterwards.
+	QuarantineTime = time.Hour
+	// settleTime is the time in which all entry daemons report what they have lost with
+	// a backend server.
+	settleTime = 100 * time.Millisecond
+	// simultaneousTime is the time within which backend servers that end count as one
+	// crash, unless the second one was given the request after the end of the first:
+	// something that they share has failed.
+	simultaneousTime = 50 * time.Millisecond
+	// ageTolerance is the error of the ages of two reports, which wait for each other in
+	// queues.
+	ageTolerance = 10 * time.Millisecond
+	// quarantineStrikes is the number of strikes at which a cause is quarantined, and
+	// ambiguousStrikes that at which causes are which occurred in the same crashes.
+	quarantineStrikes = 3
+	ambiguousStrikes  = 5
+	// Retention is the time for which a crash counts against a cause.
+	Retention = 2 * time.Minute
+	// successRetention is the shortest time for which a completed request clears its
+	// causes of later crashes. An answer to a short prompt takes less.
+	successRetention = 5 * time.Second
+	// maxRecentCauses bounds the causes of completed requests that are remembered,
+	// twice.
+	maxRecentCauses = 1 << 16
+)
+
+// start identifies one start of a backend server.
+type start struct {
+	server gypsumshelf.ServerID
+	born   int64
+}
+
+// crash is the end of one start of a backend server.
+type crash struct {
+	id      int
+	at      time.Time // of the first lost run
+	pending []Run     // not evaluated yet
+	dueAt   time.Time // when pending is evaluated
+}
+
+// strike is a crash that counts against a cause.
+type strike struct {
+	crash   int
+	began   time.Time // of the lost run
+	at      time.Time
+	request Cause // of the lost run
+}
+
+// samePeriod reports whether two strikes may stand for one failure that several backend
+// servers share.
+func (s strike) samePeriod(o strike) bool {
+	if o.at.Before(s.at) {
+		s, o = o, s
+	}
+	gap, afterwards := o.at.Sub(s.at), o.began.Sub(s.at) > -ageTolerance
+	return s.crash == o.crash || gap < ageTolerance || gap < simultaneousTime && !afterwards
+}
+
+// Detector finds the causes that crash backend servers. A cause is struck by the crash
+// of a backend server that ran a request with it; backend servers that end at the same
+// moment count once. A completed request clears its causes, before and after a crash.
+// So what sound requests have in common with the crashing ones stays clear. Crashes in
+// which a quarantined cause ran count against no other cause.
+type Detector struct {
+	quarantineTime time.Duration
+	crashCount     int
+	crashes        map[start]*crash
+	strikes        map[Cause][]strike
+	quarantined    QuarantineSet
+	recent         map[Cause]bool // causes of completed requests
+	older          map[Cause]bool // those of the period before
+	recentSince    time.Time
+}
+
+// NewDetector returns a Detector whose quarantines last for a time.
+func NewDetector(quarantineTime time.Duration) *Detector {
+	return &Detector{
+		quarantineTime: quarantineTime, crashes: map[start]*crash{}, strikes: map[Cause][]strike{},
+		quarantined: QuarantineSet{}, recent: map[Cause]bool{},
+	}
+}
+
+// IsQuarantined reports whether any of the causes is quarantined.
+func (d *Detector) IsQuarantined(now time.Time, causes []Cause) bool {
+	return d.quarantined.ContainsAny(now, causes)
+}
+
+// AddQuarantines adds quarantines that other detectors found.
+func (d *Detector) AddQuarantines(quarantines []Quarantine) {
+	for _, q := range quarantines {
+		d.quarantined[q.Cause] = q.Until
+		delete(d.strikes, q.Cause)
+	}
+}
+
+// RecordCompleted clears the causes of a completed request.
+func (d *Detector) RecordCompleted(now time.Time, causes []Cause) {
+	if now.Sub(d.recentSince) > successRetention || len(d.recent) >= maxRecentCauses {
+		d.recent, d.older, d.recentSince = map[Cause]bool{}, d.recent, now
+	}
+	for _, c := range causes {
+		d.recent[c] = true
+		delete(d.strikes, c)
+	}
+}
+
+// RecordCrash records a report of an entry daemon. Several daemons may report the same
+// crash, and each may repeat its report.
+func (d *Detector) RecordCrash(now time.Time, r Report) {
+	key := start{server: r.Server, born: r.Born}
+	at := now.Add(-r.Age)
+	c := d.crashes[key]
+	if c == nil {
+		d.crashCount++
+		c = &crash{id: d.crashCount, at: at}
+		d.crashes[key] = c
+	}
+	if len(c.pending) == 0 {
+		c.dueAt = now.Add(settleTime)
+	}
+	c.pending = append(c.pending, r.Runs...)
+}
+
+// Settle evaluates the crashes whose lost runs are all known, and returns the new
+// quarantines.
+func (d *Detector) Settle(now time.Time) []Quarantine {
+	if len(d.crashes) == 0 {
+		return nil
+	}
+	d.prune(now)
+	var due []*crash
+	for _, c := range d.crashes {
+		if len(c.pending) > 0 && !now.Before(c.dueAt) {
+			due = append(due, c)
+		}
+	}
+	if len(due) == 0 {
+		return nil
+	}
+	slices.SortFunc(due, func(a, b *crash) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.id, b.id)) })
+	for _, c := range due {
+		d.strike(c)
+		c.pending = nil
+	}
+	return d.judge(now)
+}
+
+// strike counts a crash against the causes of its runs.
+func (d *Detector) strike(c *crash) {
+	next := map[Cause]strike{}
+	for _, r := range c.pending {
+		if d.IsQuarantined(c.at, r.Causes) {
+			return
+		}
+		for _, cause := range r.Causes {
+			next[cause] = strike{crash: c.id, began: c.at.Add(-r.Duration), at: c.at, request: r.request()}
+		}
+	}
+	for cause, n := range next {
+		if d.recent[cause] || d.older[cause] || slices.ContainsFunc(d.strikes[cause], n.samePeriod) {
+			continue
+		}
+		d.strikes[cause] = append(d.strikes[cause], n)
+	}
+}
+
+// prune removes crashes, strikes and quarantines that have expired.
+func (d *Detector) prune(now time.Time) {
+	maps.DeleteFunc(d.crashes, func(_ start, c *crash) bool { return len(c.pending) == 0 && now.Sub(c.at) > Retention })
+	for cause, strikes := range d.strikes {
+		d.setStrikes(cause, slices.DeleteFunc(strikes, func(s strike) bool { return now.Sub(s.at) > Retention }))
+	}
+	maps.DeleteFunc(d.quarantined, func(_ Cause, until time.Time) bool { return !now.Before(until) })
+}
+
+// judge quarantines causes until none is left with enough strikes.
+func (d *Detector) judge(now time.Time) []Quarantine {
+	var quarantines []Quarantine
+	for {
+		culprits := d.culprits()
+		if len(culprits) == 0 {
+			return quarantines
+		}
+		for _, c := range culprits {
+			d.quarantined[c] = now.Add(d.quarantineTime)
+			quarantines = append(quarantines, Quarantine{Cause: c, Until: d.quarantined[c]})
+		}
+		explained := slices.Clone(d.strikes[culprits[0]])
+		for _, c := range culprits {
+			delete(d.strikes, c)
+		}
+		d.explain(culprits, explained)
+	}
+}
+
+// culprits returns the cause with the most strikes, together with those that were
+// struck by the same crashes, or none if there are too few strikes to tell. Among the
+// causes of one request, the request itself is preferred to the parts of its prompt,
+// which others may share.
+func (d *Detector) culprits() []Cause {
+	var worst Cause
+	causes := slices.Sorted(maps.Keys(d.strikes))
+	for _, c := range causes {
+		if len(d.strikes[c]) > len(d.strikes[worst]) {
+			worst = c
+		}
+	}
+	most := d.strikes[worst]
+	if len(most) < quarantineStrikes {
+		return nil
+	}
+	culprits := slices.DeleteFunc(causes, func(c Cause) bool {
+		return len(d.strikes[c]) < len(most) || !shareCrash(d.strikes[c], most)
+	})
+	if request := d.onlyRequest(culprits); request != "" {
+		return []Cause{request}
+	}
+	if len(culprits) > 1 && len(most) < ambiguousStrikes {
+		return nil
+	}
+	return culprits
+}
+
+// onlyRequest returns the request among causes whose runs struck all of them, or an
+// empty cause if there is none.
+func (d *Detector) onlyRequest(causes []Cause) Cause {
+	i := slices.IndexFunc(causes, Cause.IsRequest)
+	if i < 0 {
+		return ""
+	}
+	for _, c := range causes {
+		if slices.ContainsFunc(d.strikes[c], func(s strike) bool { return s.request != causes[i] }) {
+			return ""
+		}
+	}
+	return causes[i]
+}
+
+func shareCrash(a, b []strike) bool {
+	return slices.ContainsFunc(a, func(x strike) bool {
+		return slices.ContainsFunc(b, func(y strike) bool { return x.crash == y.crash })
+	})
+}
+
+// explain removes the crashes of culprits from the strikes of all other causes. A part
+// of the prompt of a culprit keeps one of them: if the part is the cause, other requests
+// with it crash too, and two more strikes show it.
+func (d *Detector) explain(culprits []Cause, explained []strike) {
+	for cause, strikes := range d.strikes {
+		kept := 0
+		d.setStrikes(cause, slices.DeleteFunc(strikes, func(s strike) bool {
+			if !shareCrash([]strike{s}, explained) {
+				return false
+			}
+			if slices.Contains(culprits, s.request) {
+				kept++
+				return kept > 1
+			}
+			return true
+		}))
+	}
+}
+
+// setStrikes replaces the strikes of a cause, which is forgotten without any.
+func (d *Detector) setStrikes(c Cause, strikes []strike) {
+	if len(strikes) == 0 {
+		delete(d.strikes, c)
+		return
+	}
+	d.strikes[c] = strikes
+}
--- /dev/null
+++ b/crashes/detector_test.go
@@ -0,0 +1,214 @@
+package crashes
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+)
+
+// crashLog drives a Detector with a clock of its own.
+type crashLog struct {
+	t   *testing.T
+	d   *Detector
+	now time.Time
+	n   int
+}
+
+func newCrashLog(t *testing.T) *crashLog {
+	return &crashLog{t: t, d: NewDetector(QuarantineTime), now: time.Unix(1_000_000, 0)}
+}
+
+// crash ends a backend server that runs requests with the given causes, and returns the
+// quarantines that follow.
+func (l *crashLog) crash(requests ...[]Cause) []Quarantine {
+	l.now = l.now.Add(300 * time.Millisecond)
+	l.lose(0, requests...)
+	return l.settle()
+}
+
+// lose reports the end of another backend server, which happened some time ago.
+func (l *crashLog) lose(age time.Duration, requests ...[]Cause) {
+	l.n++
+	r := Report{Server: gypsumshelf.ServerID(fmt.Sprint("e", l.n)), Age: age}
+	for _, causes := range requests {
+		r.Runs = append(r.Runs, Run{Causes: causes, Duration: runTime})
+	}
+	l.d.RecordCrash(l.now, r)
+}
+
+func (l *crashLog) settle() []Quarantine {
+	l.now = l.now.Add(settleTime)
+	return l.d.Settle(l.now)
+}
+
+func (l *crashLog) assertQuarantined(got []Quarantine, want ...Cause) {
+	l.t.Helper()
+	var causes []Cause
+	for _, q := range got {
+		causes = append(causes, q.Cause)
+	}
+	if slices.Sort(causes); !slices.Equal(causes, want) {
+		l.t.Fatalf("quarantined are %v after %d crashes, want %v", causes, l.n, want)
+	}
+}
+
+// runTime is the time from the start of a request to the end of its backend server.
+const runTime = 200 * time.Millisecond
+
+func prompt(causes ...Cause) []Cause { return causes }
+
+// Guards against a part that keeps crashing engines, and against sound parts that are
+// refused with it.
+func TestCrashingPartIsQuarantined(t *testing.T) {
+	own := func(n int) Cause { return Cause(fmt.Sprint("own", n)) }
+	t.Run("third crash", func(t *testing.T) {
+		l := newCrashLog(t)
+		l.d.RecordCompleted(l.now, prompt("shared", "caller", "own"))
+		l.assertQuarantined(l.crash(prompt("shared", "caller", "bad", own(1)), prompt("shared", "caller", own(91))))
+		l.assertQuarantined(l.crash(prompt("shared", "caller", "bad", own(2)), prompt("shared", "caller", own(92))))
+		l.assertQuarantined(l.crash(prompt("shared", "caller", "bad", own(3)), prompt("shared", "caller", own(93))), "bad")
+		if !l.d.IsQuarantined(l.now, prompt("shared", "bad", own(4))) || l.d.IsQuarantined(l.now, prompt("shared", "caller", own(5))) {
+			t.Error("another part than the crashing one is refused")
+		}
+		if l.d.IsQuarantined(l.now.Add(QuarantineTime), prompt("bad")) {
+			t.Error("the quarantine does not end")
+		}
+	})
+	t.Run("resent request", func(t *testing.T) {
+		l := newCrashLog(t)
+		l.d.RecordCompleted(l.now, prompt("shared"))
+		l.crash(prompt("shared", "own"))
+		l.crash(prompt("shared", "own"))
+		l.assertQuarantined(l.crash(prompt("shared", "own")), "own")
+	})
+	t.Run("sound request retried into the same crashes", func(t *testing.T) {
+		l := newCrashLog(t)
+		l.crash(prompt("bad", own(1)), prompt("sound"))
+		l.crash(prompt("bad", own(2)), prompt("sound"))
+		l.assertQuarantined(l.crash(prompt("bad", own(3)), prompt("sound")))
+		l.assertQuarantined(l.crash(prompt("bad", own(4))), "bad")
+		if len(l.d.strikes["sound"]) > 0 {
+			t.Error("explained crashes count against a sound part")
+		}
+	})
+	t.Run("copies of a request whose parts no sound request has", func(t *testing.T) {
+		l := newCrashLog(t)
+		l.crash(prompt("rare", "own", "request:r"))
+		l.crash(prompt("rare", "own", "request:r"))
+		l.assertQuarantined(l.crash(prompt("rare", "own", "request:r")), "request:r")
+		if l.d.IsQuarantined(l.now, prompt("rare", "own", "request:s")) {
+			t.Error("a part of the crashing request is refused")
+		}
+	})
+	t.Run("crashing part in copies of a request and then in others", func(t *testing.T) {
+		l := newCrashLog(t)
+		for range quarantineStrikes {
+			l.crash(prompt("bad", "request:r"))
+		}
+		l.assertQuarantined(l.crash(prompt("bad", "request:s")))
+		l.assertQuarantined(l.crash(prompt("bad", "request:t")), "bad")
+	})
+	t.Run("two requests in the same crashes", func(t *testing.T) {
+		l := newCrashLog(t)
+		for range quarantineStrikes {
+			l.assertQuarantined(l.crash(prompt("request:bad"), prompt("request:sound")))
+		}
+		l.assertQuarantined(l.crash(prompt("request:bad")), "request:bad")
+		if l.d.IsQuarantined(l.now, prompt("request:sound")) {
+			t.Error("the sound request is refused")
+		}
+	})
+	t.Run("retries that follow each other at once", func(t *testing.T) {
+		l := newCrashLog(t)
+		for n := range quarantineStrikes {
+			l.n++
+			r := Report{Server: gypsumshelf.ServerID(fmt.Sprint("e", l.n)), Age: time.Duration(quarantineStrikes-n) * 31 * time.Millisecond}
+			r.Runs = []Run{{Causes: prompt("request:bad"), Duration: 30 * time.Millisecond}}
+			l.d.RecordCrash(l.now, r)
+		}
+		l.assertQuarantined(l.settle(), "request:bad")
+	})
+	t.Run("parts that always come together", func(t *testing.T) {
+		l := newCrashLog(t)
+		for range ambiguousStrikes - 1 {
+			l.assertQuarantined(l.crash(prompt("bad", "twin", own(l.n))))
+		}
+		l.assertQuarantined(l.crash(prompt("bad", "twin", own(l.n))), "bad", "twin")
+	})
+	t.Run("two crashing parts", func(t *testing.T) {
+		l := newCrashLog(t)
+		for range quarantineStrikes - 1 {
+			l.assertQuarantined(l.crash(prompt("bad1", own(l.n))))
+			l.assertQuarantined(l.crash(prompt("bad2", own(l.n))))
+		}
+		l.assertQuarantined(l.crash(prompt("bad1", own(l.n))), "bad1")
+		l.assertQuarantined(l.crash(prompt("bad2", own(l.n))), "bad2")
+	})
+}
+
+// Guards against parts that are refused although something else ended the engines.
+func TestOtherFaultsCountAgainstNoPart(t *testing.T) {
+	t.Run("engines that fail together", func(t *testing.T) {
+		l := newCrashLog(t)
+		for range 6 {
+			l.lose(0, prompt("rare"))
+		}
+		l.assertQuarantined(l.settle())
+		if n := len(l.d.strikes["rare"]); n != 1 {
+			t.Errorf("%d strikes, want 1", n)
+		}
+	})
+	t.Run("a crash that is reported twice", func(t *testing.T) {
+		l := newCrashLog(t)
+		for range 2 * ambiguousStrikes {
+			l.n = 0 // the same backend server
+			l.assertQuarantined(l.crash(prompt("rare")))
+		}
+	})
+	t.Run("a crash that several daemons report", func(t *testing.T) {
+		l := newCrashLog(t)
+		for range 6 {
+			l.n = 0
+			l.lose(0, prompt("lookup"))
+		}
+		l.assertQuarantined(l.settle())
+		if n := len(l.d.strikes["lookup"]); n != 1 {
+			t.Errorf("%d strikes, want 1", n)
+		}
+	})
+	t.Run("requests that are all alike and answered elsewhere", func(t *testing.T) {
+		l := newCrashLog(t)
+		for range 2 * ambiguousStrikes {
+			l.d.RecordCompleted(l.now, prompt("request:lookup"))
+			l.assertQuarantined(l.crash(prompt("request:lookup")))
+		}
+	})
+	t.Run("a completed job in between", func(t *testing.T) {
+		l := newCrashLog(t)
+		l.crash(prompt("rare"))
+		l.crash(prompt("rare"))
+		l.d.RecordCompleted(l.now, prompt("rare"))
+		l.assertQuarantined(l.crash(prompt("rare")))
+	})
+	t.Run("crashes far apart", func(t *testing.T) {
+		l := newCrashLog(t)
+		for range 2 * ambiguousStrikes {
+			l.assertQuarantined(l.crash(prompt("rare")))
+			l.now = l.now.Add(Retention + time.Second)
+		}
+	})
+}
+
+// Guards against memory that grows with the number of prompts.
+func TestRememberedPartsAreBounded(t *testing.T) {
+	l := newCrashLog(t)
+	for n := range 3 * maxRecentCauses {
+		l.d.RecordCompleted(l.now, prompt(Cause(fmt.Sprint(n))))
+	}
+	if n := len(l.d.recent) + len(l.d.older); n > 2*maxRecentCauses {
+		t.Errorf("%d parts are remembered, want at most %d", n, 2*maxRecentCauses)
+	}
+}
--- a/dispatchers/client.go
+++ b/dispatchers/client.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/crashes"
 	"gypsumshelf.example/gypsumshelf/directories"
 	"gypsumshelf.example/gypsumshelf/peers"
 	"gypsumshelf.example/gypsumshelf/schedules"
@@ -38,6 +39,8 @@
 	// is harmless after the deadline of its job, when the scheduler removes the
 	// job.
 	updateQueueSize = 1024
+	// handOverRetryDelay is the time in which a connection to a new leader is made.
+	handOverRetryDelay = 200 * time.Millisecond
 	// updateBatchDelay is the time for which updates are collected into one call.
 	updateBatchDelay = 5 * time.Millisecond
 )
@@ -74,6 +77,7 @@
 	suspectUntil   time.Time // the leader is avoided until this time
 	informedLeader string    // leader that the active jobs were handed over to
 	jobs           map[schedules.JobID]*activeJob
+	evidence       evidence
 }
 
 // NewClient returns a running Client.
@@ -100,16 +104,15 @@
 		return
 	}
 	c.leader, c.term, c.suspectUntil = address, term, time.Time{}
+	c.requestHandOver()
 	c.cfg.Log.WithFields(logrus.Fields{"leader": address, "term": term}).Info("engine work is scheduled by another daemon")
 }
 
 // connection returns the connection to the leader and its address, or nil if
 // there is no usable one.
 func (c *Client) connection() (*rpc.Client, string) {
-	c.mu.Lock()
-	leader, suspectUntil := c.leader, c.suspectUntil
-	c.mu.Unlock()
-	if leader == "" || time.Now().Before(suspectUntil) {
+	leader := c.usableLeader()
+	if leader == "" {
 		return nil, ""
 	}
 	client, alive := c.cfg.Feeds.Client(leader)
@@ -122,8 +125,29 @@
 	return client, leader
 }
 
-// handOverJobs sends the placed jobs to a new leader, once, and reports whether the
-// leader knows them. A call that runs meanwhile waits, since the leader must know of the
+// HasLeader reports whether there is a connection to a leader that answers.
+func (c *Client) HasLeader() bool {
+	leader := c.usableLeader()
+	if leader == "" {
+		return false
+	}
+	_, alive := c.cfg.Feeds.Client(leader)
+	return alive
+}
+
+// usableLeader returns the address of the leader, empty if there is none or it is
+// avoided.
+func (c *Client) usableLeader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Now().Before(c.suspectUntil) {
+		return ""
+	}
+	return c.leader
+}
+
+// handOverJobs sends the placed jobs and the known crashes to a new leader, once, and
+// reports whether the leader knows them. A call that runs meanwhile waits, since the leader must know of the
 // jobs before it places others.
 func (c *Client) handOverJobs(client *rpc.Client, leader string) bool {
 	c.handOverMu.Lock()
@@ -141,8 +165,13 @@
 			jobs = append(jobs, AdoptedJob{Job: p.job, Placement: *p.placement, Started: p.started})
 		}
 	}
+	evidence := c.evidence.updates(time.Now())
 	c.mu.Unlock()
-	if err := peers.Call(client, ServiceName+".Adopt", jobs, &struct{}{}, placeTimeout); err != nil {
+	err := peers.Call(client, ServiceName+".Adopt", jobs, &struct{}{}, placeTimeout)
+	if err == nil && len(evidence) > 0 {
+		err = peers.Call(client, ServiceName+".Tell", evidence, &struct{}{}, placeTimeout)
+	}
+	if err != nil {
 		c.suspectLeader(leader, err)
 		return false
 	}
@@ -259,14 +288,19 @@
 		delete(c.jobs, p.job.ID)
 	} else if c.informedLeader != "" && c.informedLeader != d.Scheduler {
 		c.informedLeader = ""
-		select {
-		case c.handOverDue <- struct{}{}:
-		default: // one is due already
-		}
+		c.requestHandOver()
 	}
 	return d
 }
 
+// requestHandOver makes sendUpdates hand over the jobs.
+func (c *Client) requestHandOver() {
+	select {
+	case c.handOverDue <- struct{}{}:
+	default: // one is due already
+	}
+}
+
 // placeLocally submits a job to the local scheduler. The time that the job
 // waited for a leader counts against its durations.
 func (c *Client) placeLocally(ctx context.Context, p *activeJob, elapsed time.Duration) (schedules.Decision, error) {
@@ -307,19 +341,27 @@
 		local = p.local
 	}
 	delete(c.jobs, id)
+	var unreported []crashes.Cause
+	if p != nil && outcome == schedules.Completed {
+		unreported = c.evidence.addCompleted(time.Now(), p.job.Causes)
+	}
 	c.mu.Unlock()
-	if p != nil {
-		c.queueUpdate(JobUpdate{Job: id, Outcome: outcome, Blamed: blamed}, local)
+	if p == nil {
+		return
+	}
+	c.queueUpdate(JobUpdate{Job: id, Outcome: outcome, Blamed: blamed}, local)
+	if !local && len(unreported) > 0 {
+		c.cfg.Local.RecordCompleted(unreported)
 	}
 }
 
+// notLocal is the local parameter of queueUpdate for updates that are not about a job
+// of the local scheduler.
+const notLocal = false
+
 func (c *Client) queueUpdate(u JobUpdate, local bool) {
 	if local {
-		if u.Started {
-			c.cfg.Local.Started(u.Job)
-		} else {
-			c.cfg.Local.End(u.Job, u.Outcome, u.Blamed)
-		}
+		c.cfg.Local.apply(u)
 	}
 	select {
 	case c.updates <- u:
@@ -328,17 +370,30 @@
 	}
 }
 
+// handOver hands over what the leader does not know. It returns nil, or a channel that
+// receives the time to try again.
+func (c *Client) handOver() <-chan time.Time {
+	if client, _ := c.connection(); client != nil {
+		return nil
+	}
+	return time.After(handOverRetryDelay)
+}
+
 // sendUpdates sends queued updates to the leader. It also sends those of jobs
 // that were placed locally, since the leader may have adopted them.
 func (c *Client) sendUpdates() {
 	defer c.wg.Done()
+	var retry <-chan time.Time
 	for {
 		var updates []JobUpdate
 		select {
 		case <-c.stop:
 			return
 		case <-c.handOverDue:
-			c.connection() // hands the jobs over
+			retry = c.handOver()
+			continue
+		case <-retry:
+			retry = c.handOver()
 			continue
 		case u := <-c.updates:
 			updates = append(updates, u)
--- a/dispatchers/dispatcher.go
+++ b/dispatchers/dispatcher.go
@@ -13,6 +13,7 @@
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/costs"
+	"gypsumshelf.example/gypsumshelf/crashes"
 	"gypsumshelf.example/gypsumshelf/schedules"
 	"gypsumshelf.example/gypsumshelf/timers"
 )
@@ -44,6 +45,9 @@
 	// reportTimeout is the time after which an engine without an answer is treated
 	// as failed.
 	reportTimeout = 600 * time.Millisecond
+	// localQuarantineTime is far above the time without a leader, and short, since a
+	// daemon alone does not know which requests are answered elsewhere.
+	localQuarantineTime = 30 * time.Second
 )
 
 // ErrInactive is returned while the scheduler is not active, and by Await also
@@ -67,9 +71,9 @@
 	Log      *logrus.Entry
 	Reporter Reporter // nil if engines are not polled
 	Local    bool     // one of several schedulers that do not know of each other's jobs
-	// HandleQuarantines is called with the prompt parts that this scheduler finds to
-	// crash engines, and must not block; nil if nothing is to be done.
-	HandleQuarantines func([]schedules.Quarantine)
+	// HandleQuarantines is called with what this scheduler finds to crash backend
+	// servers, and must not block; nil if nothing is to be done.
+	HandleQuarantines func([]crashes.Quarantine)
 	Timers            *timers.Service
 }
 
@@ -95,7 +99,7 @@
 	reportsInFlight map[gypsumshelf.ServerID]bool        // engines with a poll in flight
 	nextReport      int                                  // index in engines of the next one to poll
 	localSchedulers int                                  // in the deployment
-	quarantines     []schedules.Quarantine               // in force for all daemons
+	quarantines     []crashes.Quarantine                 // in force for all daemons
 	lastJobAt       time.Time
 }
 
@@ -121,7 +125,7 @@
 	if !d.cfg.Local {
 		return schedules.New(schedules.Config{})
 	}
-	return schedules.New(schedules.Config{ColdShare: 1 / float64(d.localSchedulers)})
+	return schedules.New(schedules.Config{ColdShare: 1 / float64(d.localSchedulers), QuarantineTime: localQuarantineTime})
 }
 
 // SetLocalSchedulers sets the number of local schedulers. It takes effect for
@@ -170,7 +174,7 @@
 }
 
 // SetQuarantines replaces the quarantines that are in force for all daemons.
-func (d *Dispatcher) SetQuarantines(quarantines []schedules.Quarantine) {
+func (d *Dispatcher) SetQuarantines(quarantines []crashes.Quarantine) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.quarantines = quarantines
@@ -243,6 +247,24 @@
 	}
 }
 
+// RecordCrash records which requests were lost with a backend server that has ended.
+func (d *Dispatcher) RecordCrash(r crashes.Report) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.active {
+		d.scheduler.RecordCrash(d.cfg.Timers.Now(), r)
+	}
+}
+
+// RecordCompleted records that a request with the causes was answered without a job.
+func (d *Dispatcher) RecordCompleted(causes []crashes.Cause) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.active {
+		d.scheduler.RecordCompleted(d.cfg.Timers.Now(), causes)
+	}
+}
+
 // Adopt takes over a job that another scheduler placed.
 func (d *Dispatcher) Adopt(job schedules.Job, placement schedules.Placement, started bool) {
 	d.mu.Lock()
--- /dev/null
+++ b/dispatchers/evidence.go
@@ -0,0 +1,102 @@
+package dispatchers
+
+import (
+	"slices"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf/crashes"
+)
+
+const (
+	// completionPeriod is the period in which each cause is reported once as
+	// completed. It is far below the time for which a completion counts.
+	completionPeriod = time.Second
+	// maxCompletions bounds the causes that are remembered within one period.
+	maxCompletions = 1 << 14
+	// maxKeptCrashes bounds the crashes that are handed over to a new leader.
+	maxKeptCrashes = 256
+)
+
+// keptCrash is a crash that this daemon has reported.
+type keptCrash struct {
+	report crashes.Report
+	at     time.Time // when it became known
+}
+
+// evidence is what a daemon knows about crashes. It keeps its reports, so that a leader
+// that is lost takes none of them with it. It is not safe for concurrent use.
+type evidence struct {
+	crashes        []keptCrash
+	completed      map[crashes.Cause]bool // reported in the current period
+	completedSince time.Time
+}
+
+// keep stores a report for later leaders.
+func (e *evidence) keep(now time.Time, r crashes.Report) {
+	e.crashes = append(e.crashes, keptCrash{report: r, at: now.Add(-r.Age)})
+	e.crashes = e.crashes[max(0, len(e.crashes)-maxKeptCrashes):]
+}
+
+// updates returns the reports that still count, with their present age.
+func (e *evidence) updates(now time.Time) []JobUpdate {
+	e.crashes = slices.DeleteFunc(e.crashes, func(k keptCrash) bool { return now.Sub(k.at) > crashes.Retention })
+	var updates []JobUpdate
+	for _, k := range e.crashes {
+		r := k.report
+		r.Age = now.Sub(k.at)
+		updates = append(updates, JobUpdate{Crash: &r})
+	}
+	return updates
+}
+
+// addCompleted returns the causes that have not been reported in the current period. A
+// completed cause is no evidence any more.
+func (e *evidence) addCompleted(now time.Time, causes []crashes.Cause) []crashes.Cause {
+	if now.Sub(e.completedSince) > completionPeriod || len(e.completed) >= maxCompletions {
+		e.completed, e.completedSince = map[crashes.Cause]bool{}, now
+	}
+	var unreported []crashes.Cause
+	for _, c := range causes {
+		if !e.completed[c] {
+			e.completed[c] = true
+			unreported = append(unreported, c)
+		}
+	}
+	if len(e.crashes) > 0 {
+		e.clear(causes)
+	}
+	return unreported
+}
+
+// clear removes completed causes from the kept reports.
+func (e *evidence) clear(causes []crashes.Cause) {
+	for _, k := range e.crashes {
+		for i, run := range k.report.Runs {
+			k.report.Runs[i].Causes = slices.DeleteFunc(slices.Clone(run.Causes), func(c crashes.Cause) bool { return slices.Contains(causes, c) })
+		}
+	}
+}
+
+// ReportCrash reports which requests were lost with a backend server that has ended.
+func (c *Client) ReportCrash(r crashes.Report) {
+	now := time.Now()
+	kept := r
+	kept.Runs = slices.Clone(r.Runs)
+	c.mu.Lock()
+	c.evidence.keep(now, kept)
+	c.mu.Unlock()
+	c.cfg.Local.RecordCrash(r)
+	c.queueUpdate(JobUpdate{Crash: &r}, notLocal)
+}
+
+// ReportCompleted reports that a request with the causes was answered without a job.
+func (c *Client) ReportCompleted(causes []crashes.Cause) {
+	c.mu.Lock()
+	unreported := c.evidence.addCompleted(time.Now(), causes)
+	c.mu.Unlock()
+	if len(unreported) == 0 {
+		return
+	}
+	c.cfg.Local.RecordCompleted(unreported)
+	c.queueUpdate(JobUpdate{Completed: unreported}, notLocal)
+}
--- /dev/null
+++ b/dispatchers/evidence_test.go
@@ -0,0 +1,106 @@
+package dispatchers
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/crashes"
+	"gypsumshelf.example/gypsumshelf/timers"
+)
+
+// leader is a dispatcher that another daemon reaches, with what it has found.
+type leader struct {
+	*Dispatcher
+	address string
+	found   chan []crashes.Quarantine
+}
+
+func newLeader(t *testing.T) *leader {
+	t.Helper()
+	service := timers.New(timers.Config{})
+	t.Cleanup(service.Close)
+	l := &leader{found: make(chan []crashes.Quarantine, 16)}
+	l.Dispatcher = New(Config{Log: discardLog(), Timers: service, HandleQuarantines: func(q []crashes.Quarantine) { l.found <- q }})
+	l.SetActive(true)
+	l.address, _ = serveDispatcher(t, l.Dispatcher)
+	return l
+}
+
+func (l *leader) assertFinds(t *testing.T, cause crashes.Cause) {
+	t.Helper()
+	select {
+	case q := <-l.found:
+		if len(q) != 1 || q[0].Cause != cause {
+			t.Errorf("found %+v, want %s", q, cause)
+		}
+	case <-time.After(5 * time.Second):
+		t.Errorf("%s was not found", cause)
+	}
+}
+
+func (l *leader) assertFindsNothing(t *testing.T) {
+	t.Helper()
+	select {
+	case q := <-l.found:
+		t.Errorf("found %+v, want nothing", q)
+	case <-time.After(500 * time.Millisecond):
+	}
+}
+
+var crashedServers int
+
+// reportCrash reports the end of another backend server under a request.
+func reportCrash(c *Client, cause crashes.Cause) {
+	time.Sleep(100 * time.Millisecond) // separate crashes, not a common failure
+	crashedServers++
+	c.ReportCrash(crashes.Report{
+		Server: gypsumshelf.ServerID(fmt.Sprint("p", crashedServers)), Runs: []crashes.Run{{Causes: []crashes.Cause{cause}, Duration: 30 * time.Millisecond}},
+	})
+}
+
+// Guards against evidence that is lost with a leader: with the third crash after a
+// change of leaders, the new leader knows the first two, also from daemons that lose
+// nothing any more.
+func TestChangeOfLeadersKeepsCrashes(t *testing.T) {
+	const cause = crashes.Cause("request:r")
+	t.Run("another leader", func(t *testing.T) {
+		first, second := newLeader(t), newLeader(t)
+		one, two := newClient(t, first.address, second.address), newClient(t, first.address, second.address)
+		for _, c := range []*Client{one, two} {
+			c.SetLeader(first.address, 1)
+			reportCrash(c, cause)
+		}
+		first.assertFindsNothing(t)
+		for _, c := range []*Client{one, two} {
+			c.SetLeader(second.address, 2)
+		}
+		second.assertFindsNothing(t)
+		reportCrash(two, cause)
+		second.assertFinds(t, cause)
+	})
+	t.Run("a completed copy in between", func(t *testing.T) {
+		first, second := newLeader(t), newLeader(t)
+		c := newClient(t, first.address, second.address)
+		c.SetLeader(first.address, 1)
+		reportCrash(c, cause)
+		reportCrash(c, cause)
+		c.ReportCompleted([]crashes.Cause{cause})
+		c.SetLeader(second.address, 2)
+		reportCrash(c, cause)
+		second.assertFindsNothing(t)
+	})
+}
+
+// Guards against a request that goes on crashing backend servers while there is no
+// leader.
+func TestCrashesAreFoundWithoutLeader(t *testing.T) {
+	local := newLeader(t)
+	c := NewClient(ClientConfig{Feeds: newClient(t).cfg.Feeds, Local: local.Dispatcher, Log: discardLog()})
+	t.Cleanup(c.Close)
+	for range 3 {
+		reportCrash(c, "request:r")
+	}
+	local.assertFinds(t, "request:r")
+}
--- a/dispatchers/service.go
+++ b/dispatchers/service.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/crashes"
 	"gypsumshelf.example/gypsumshelf/faults"
 	"gypsumshelf.example/gypsumshelf/schedules"
 )
@@ -20,12 +21,29 @@
 // Reply carries a decision, or nil while the job waits.
 type Reply struct{ Decision *schedules.Decision }
 
-// JobUpdate reports the first event or the end of a job.
+// JobUpdate reports the first event or the end of a job. Instead of a job, it may carry
+// a crash or the causes of a request that was answered without a job.
 type JobUpdate struct {
-	Job     schedules.JobID
-	Started bool // true for the first event, false for the end of the job
-	Outcome schedules.Outcome
-	Blamed  gypsumshelf.ServerID // engine at fault, empty for the primary
+	Job       schedules.JobID
+	Started   bool // true for the first event, false for the end of the job
+	Outcome   schedules.Outcome
+	Blamed    gypsumshelf.ServerID // engine at fault, empty for the primary
+	Crash     *crashes.Report
+	Completed []crashes.Cause
+}
+
+// apply applies an update.
+func (d *Dispatcher) apply(u JobUpdate) {
+	switch {
+	case u.Crash != nil:
+		d.RecordCrash(*u.Crash)
+	case u.Completed != nil:
+		d.RecordCompleted(u.Completed)
+	case u.Started:
+		d.Started(u.Job)
+	default:
+		d.End(u.Job, u.Outcome, u.Blamed)
+	}
 }
 
 // AdoptedJob is an active job that a new leader takes over.
@@ -61,11 +79,7 @@
 func (s *Service) Tell(updates []JobUpdate, _ *struct{}) (err error) {
 	defer faults.Recover(s.dispatcher.cfg.Log, ServiceName+".Tell", &err)
 	for _, u := range updates {
-		if u.Started {
-			s.dispatcher.Started(u.Job)
-		} else {
-			s.dispatcher.End(u.Job, u.Outcome, u.Blamed)
-		}
+		s.dispatcher.apply(u)
 	}
 	return nil
 }
--- /dev/null
+++ b/forwards/crash_check_test.go
@@ -0,0 +1,157 @@
+package forwards
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf/crashes"
+	"gypsumshelf.example/gypsumshelf/rosters"
+)
+
+// crashRecorder collects what a forwarder reports about crashes.
+type crashRecorder struct {
+	mu        sync.Mutex
+	reports   []crashes.Report
+	completed [][]crashes.Cause
+}
+
+func (c *crashRecorder) ReportCrash(r crashes.Report) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reports = append(c.reports, r)
+}
+
+func (c *crashRecorder) ReportCompleted(causes []crashes.Cause) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.completed = append(c.completed, causes)
+}
+
+func (c *crashRecorder) count() (reports, completed int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.reports), len(c.completed)
+}
+
+// losingServer loses the first connection. Then it ends, or answers with a status.
+type losingServer struct {
+	listener net.Listener
+	status   int // 0 if it ends
+}
+
+func newLosingServer(t *testing.T, status int) (*losingServer, rosters.Record) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &losingServer{listener: l, status: status}
+	go s.run()
+	return s, rosters.Record{ID: "p1", Born: 7, Sequence: 1, Service: "plain", Address: l.Addr().String(), DataCentre: "a", Slots: 4}
+}
+
+func (s *losingServer) run() {
+	for first := true; ; first = false {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		// The request has arrived once its header has.
+		if _, err := conn.Read(make([]byte, 4096)); err != nil && err != io.EOF {
+			return
+		}
+		switch {
+		case first:
+			if s.status == 0 {
+				s.listener.Close()
+			}
+			resetConnection(conn)
+		case s.status > 0:
+			fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n", s.status)
+			conn.Close()
+		}
+	}
+}
+
+// Guards against backend servers that count as crashed although they live, and against
+// crashes that are overlooked.
+func TestLostConnectionIsACrashOnlyIfTheServerHasEnded(t *testing.T) {
+	const silent = -1 // neither answers nor closes
+	for _, c := range []struct {
+		name    string
+		status  int
+		leaving bool
+		crashed bool
+	}{
+		{name: "refuses connections", status: 0, crashed: true},
+		{name: "another start at its address", status: http.StatusMisdirectedRequest, crashed: true},
+		{name: "is healthy", status: http.StatusOK},
+		{name: "is full", status: http.StatusServiceUnavailable},
+		{name: "does not answer", status: silent},
+		{name: "announced its end", status: 0, leaving: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newStartedFixture(t)
+			recorder := &crashRecorder{}
+			f.forwarder.cfg.Crashes = recorder
+			_, record := newLosingServer(t, c.status)
+			f.forwarder.cfg.Fleet.Merge([]rosters.Record{record})
+			if c.leaving {
+				// The announcement arrives while the request runs.
+				f.forwarder.crashChecks.recordLost(&proxyRequest{forwarder: f.forwarder}, leavingEntry(f, record), time.Now())
+			} else {
+				assertAnswer(t, f.send("POST", "/unsafe/x", "body"), http.StatusBadGateway, "")
+			}
+			time.Sleep(probeTimeout + 200*time.Millisecond)
+			reports, _ := recorder.count()
+			if got := reports > 0; got != c.crashed {
+				t.Fatalf("%d crashes reported, want any: %v", reports, c.crashed)
+			}
+			if !c.crashed {
+				return
+			}
+			if r := recorder.reports[0]; r.Server != "p1" || r.Born != 7 || len(r.Runs) != 1 || !r.Runs[0].Causes[0].IsRequest() {
+				t.Errorf("report is %+v", r)
+			}
+		})
+	}
+}
+
+// leavingEntry announces the end of a backend server and returns its earlier record.
+func leavingEntry(f *fixture, record rosters.Record) rosters.Entry {
+	entry, _ := f.forwarder.cfg.Fleet.Get(record.ID)
+	record.Leaving, record.Sequence = true, record.Sequence+1
+	f.forwarder.cfg.Fleet.Merge([]rosters.Record{record})
+	return entry
+}
+
+// Guards against a quarantined request that reaches a backend server, and against
+// refusals that do not say that it has not run.
+func TestQuarantinedRequestIsRefused(t *testing.T) {
+	b := newFakeBackend(t, "p1", "plain", respondWith(http.StatusOK, "answer"))
+	f := newStartedFixture(t, b)
+	recorder := &crashRecorder{}
+	f.forwarder.cfg.Crashes = recorder
+	assertAnswer(t, f.send("POST", "/safe/x", "body"), http.StatusOK, "answer")
+	if len(recorder.completed) != 1 {
+		t.Fatalf("%d completed requests reported, want 1", len(recorder.completed))
+	}
+	q := []crashes.Quarantine{{Cause: recorder.completed[0][0], Until: time.Now().Add(time.Hour)}}
+	for name, quarantine := range map[string]func([]crashes.Quarantine){"by all daemons": f.forwarder.SetQuarantines, "by this daemon": f.forwarder.AddLocalQuarantines} {
+		t.Run(name, func(t *testing.T) {
+			quarantine(q)
+			response := f.send("POST", "/safe/x", "body", "Id", "r2")
+			assertAnswer(t, response, http.StatusServiceUnavailable, crashes.QuarantineReason+"\n")
+			if response.header.Get("Retry-After") == "" {
+				t.Error("the refusal has no Retry-After")
+			}
+			assertAnswer(t, f.send("POST", "/safe/x", "another body"), http.StatusOK, "answer")
+			f.forwarder.SetQuarantines(nil)
+		})
+	}
+}
--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -64,7 +64,7 @@
 		Service: req.service.Name, Daemon: req.forwarder.cfg.Daemon, DataCentre: req.forwarder.cfg.DataCentre,
 		Prompt: prompt, Answer: answer, Expected: min(expected, answer), Priority: req.route.Priority,
 		Target: req.arrived.Add(req.route.Target).Sub(now), Patience: req.arrived.Add(req.patience()).Sub(now),
-		Deadline: req.remaining(), Gap: req.route.GapTarget, Parts: req.meta.Parts,
+		Deadline: req.remaining(), Gap: req.route.GapTarget, Causes: req.causes,
 		Avoid: append(req.forwarder.cfg.Fleet.Avoided(req.service.Name), req.triedServers...),
 	}
 	if req.headerWritten {
@@ -112,10 +112,6 @@
 			req.finishUnanswered(fmt.Sprintf("%v; %s", err, reason))
 			return
 		}
-		if req.forwarder.isQuarantined(req.meta.Parts) {
-			req.finishUnanswered(schedules.QuarantineReason)
-			return
-		}
 		pending = submitJob(ctx, req)
 	}
 }
@@ -161,7 +157,7 @@
 	req := p.request
 	req.forwarder.cfg.Log.WithFields(logrus.Fields{
 		logs.KeyRequest: req.meta.ID, "job": p.job.ID, logs.KeyServer: decision.Placement.Server, "helpers": decision.Placement.Helpers,
-		"holds": decision.Placement.Holds, "prompt-tokens": p.job.Prompt, "prompt-parts": p.job.Parts, "avoid": p.job.Avoid, "scheduler": decision.Scheduler,
+		"holds": decision.Placement.Holds, "prompt-tokens": p.job.Prompt, "prompt-parts": req.meta.Parts, "avoid": p.job.Avoid, "scheduler": decision.Scheduler,
 		"waited-ms": decision.Waited.Milliseconds(), "waiting": decision.Waiting, "predicted-first-ms": decision.Placement.First.Milliseconds(),
 	}).Info("request placed")
 }
@@ -215,6 +211,9 @@
 		e.verdict = e.attempt.verdict
 		e.blamed = e.attempt.reply.Blamed
 	}
+	if e.outcome == schedules.Lost && (e.blamed == "" || e.blamed == e.server.ID) {
+		e.request.forwarder.crashChecks.recordLost(e.request, e.server, e.startedAt)
+	}
 	return err
 }
 
--- a/forwards/exchange.go
+++ b/forwards/exchange.go
@@ -152,13 +152,17 @@
 
 // mapTimeout replaces a network timeout by errNoProgress.
 func (x *exchange) mapTimeout(err error) error {
-	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() {
+	if isTimeout(err) {
 		return errNoProgress
 	}
 	return err
 }
 
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // readBody reads the complete response body within the memory that a reservation
 // can get.
 func (x *exchange) readBody(timeout time.Duration, memory *buffers.Reservation) (buffers.Chunks, error) {
--- a/forwards/fingerprint.go
+++ b/forwards/fingerprint.go
@@ -5,6 +5,9 @@
 	"encoding/binary"
 	"encoding/hex"
 	"hash"
+	"slices"
+
+	"gypsumshelf.example/gypsumshelf/crashes"
 )
 
 // fingerprintBytes is the length of a fingerprint: with 16 bytes, two of a billion
@@ -30,6 +33,12 @@
 	return hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
 }
 
+// identifyCauses sets what the request has in common with others that may crash
+// backend servers.
+func (req *proxyRequest) identifyCauses() {
+	req.causes = append(slices.Clone(req.meta.Parts), crashes.RequestCause(req.fingerprint()))
+}
+
 // writeField adds a field with its length, so that no two lists of fields are alike.
 func writeField(h hash.Hash, s string) {
 	var length [8]byte
--- a/forwards/fingerprint_test.go
+++ b/forwards/fingerprint_test.go
@@ -5,14 +5,14 @@
 	"testing"
 
 	"gypsumshelf.example/gypsumshelf/catalogs"
-	"gypsumshelf.example/gypsumshelf/schedules"
+	"gypsumshelf.example/gypsumshelf/crashes"
 )
 
 // fingerprintOf returns the fingerprint of a request after a change.
 func fingerprintOf(change func(*proxyRequest)) string {
 	req := &proxyRequest{
 		r: httptest.NewRequest("POST", "http://x.example/a/b?c=1", nil), body: []byte("body"), workspace: &catalogs.Workspace{Name: "w"},
-		meta: RequestMeta{ID: "r1", Key: "k1", Parts: []schedules.PromptPart{"aa", "bb"}},
+		meta: RequestMeta{ID: "r1", Key: "k1", Parts: []crashes.Cause{"aa", "bb"}},
 	}
 	change(req)
 	return req.fingerprint()
@@ -41,8 +41,8 @@
 		"path":          func(req *proxyRequest) { req.r.RequestURI = "/a/c?c=1" },
 		"query":         func(req *proxyRequest) { req.r.RequestURI = "/a/b?c=2" },
 		"body":          func(req *proxyRequest) { req.body = []byte("Body") },
-		"parts":         func(req *proxyRequest) { req.meta.Parts = []schedules.PromptPart{"aa"} },
-		"part and body": func(req *proxyRequest) { req.meta.Parts, req.body = []schedules.PromptPart{"aa"}, []byte("bbbody") },
+		"parts":         func(req *proxyRequest) { req.meta.Parts = []crashes.Cause{"aa"} },
+		"part and body": func(req *proxyRequest) { req.meta.Parts, req.body = []crashes.Cause{"aa"}, []byte("bbbody") },
 	} {
 		t.Run("request with another "+name, func(t *testing.T) {
 			if fingerprintOf(change) == original {
--- a/forwards/fleet.go
+++ b/forwards/fleet.go
@@ -94,6 +94,13 @@
 	return entry, ok && entry.Usable() && !f.outOfService[entry.DataCentre]
 }
 
+// Get returns the record of a backend server.
+func (f *Fleet) Get(id gypsumshelf.ServerID) (rosters.Entry, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.Get(id)
+}
+
 // MarkGone marks a record as gone, because another backend server responded at its
 // address.
 func (f *Fleet) MarkGone(entry rosters.Entry) {
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -19,6 +19,7 @@
 	"gypsumshelf.example/gypsumshelf/attempts"
 	"gypsumshelf.example/gypsumshelf/buffers"
 	"gypsumshelf.example/gypsumshelf/catalogs"
+	"gypsumshelf.example/gypsumshelf/crashes"
 	"gypsumshelf.example/gypsumshelf/logs"
 	"gypsumshelf.example/gypsumshelf/schedules"
 	"gypsumshelf.example/gypsumshelf/streams"
@@ -50,6 +51,7 @@
 	Protocol   Protocol
 	Fleet      *Fleet
 	Placer     Placer
+	Crashes    CrashReporter // nil if nothing is to be reported
 	Retries    RetryBudget
 	BodyBudget int64 // memory for the bodies of requests and responses in bytes, 0 for no limit
 	// MemoryBound is the time within which engine memory reserved for a request must
@@ -69,7 +71,9 @@
 	drainDeadline      atomic.Pointer[time.Time] // set while the daemon drains; requests must end before it
 	activeRequests     atomic.Int64
 	pauses             pauseDetector
-	quarantines        atomic.Pointer[schedules.QuarantineSet]
+	quarantines        atomic.Pointer[crashes.QuarantineSet]
+	localQuarantines   atomic.Pointer[crashes.QuarantineSet] // found by this daemon while there was no leader
+	crashChecks        crashChecks
 	bodies             *buffers.Budget
 
 	budgetMu    sync.Mutex
@@ -80,6 +84,7 @@
 func New(cfg Config) *Forwarder {
 	f := &Forwarder{cfg: cfg, catalogReady: make(chan struct{}), bodies: buffers.NewBudget(cfg.BodyBudget)}
 	f.retryBudget = attempts.NewBudget(cfg.Retries.daemonBudget(1))
+	f.crashChecks = crashChecks{forwarder: f, pending: map[serverStart]*crashCheck{}}
 	return f
 }
 
@@ -98,17 +103,36 @@
 	}
 }
 
-// SetQuarantines replaces the prompt parts whose requests are refused.
-func (f *Forwarder) SetQuarantines(quarantines []schedules.Quarantine) {
-	set := schedules.QuarantineSet{}
-	set.Add(quarantines)
+// SetQuarantines replaces the quarantines that all daemons observe.
+func (f *Forwarder) SetQuarantines(quarantines []crashes.Quarantine) {
+	set := crashes.NewQuarantineSet(quarantines)
 	f.quarantines.Store(&set)
 }
 
-// isQuarantined reports whether any part of a prompt is quarantined.
-func (f *Forwarder) isQuarantined(parts []schedules.PromptPart) bool {
-	set := f.quarantines.Load()
-	return set != nil && set.ContainsAny(f.cfg.Fleet.now(), parts)
+// AddLocalQuarantines adds quarantines that this daemon has found by itself. It must
+// not be called concurrently.
+func (f *Forwarder) AddLocalQuarantines(quarantines []crashes.Quarantine) {
+	set := crashes.NewQuarantineSet(quarantines)
+	if old := f.localQuarantines.Load(); old != nil {
+		now := f.cfg.Fleet.now()
+		for cause, until := range *old {
+			if _, renewed := set[cause]; !renewed && now.Before(until) {
+				set[cause] = until
+			}
+		}
+	}
+	f.localQuarantines.Store(&set)
+}
+
+// isQuarantined reports whether any of the causes is quarantined.
+func (f *Forwarder) isQuarantined(causes []crashes.Cause) bool {
+	now := f.cfg.Fleet.now()
+	for _, set := range []*crashes.QuarantineSet{f.quarantines.Load(), f.localQuarantines.Load()} {
+		if set != nil && set.ContainsAny(now, causes) {
+			return true
+		}
+	}
+	return false
 }
 
 // awaitCatalog returns the current catalog, or nil when none arrives in time. A
@@ -204,6 +228,7 @@
 	service   *catalogs.Service
 	workspace *catalogs.Workspace
 	body      []byte
+	causes    []crashes.Cause // what it has in common with others that may crash backend servers
 	arrived   time.Time
 	deadline  time.Time
 
@@ -250,6 +275,10 @@
 		return
 	}
 	f := req.forwarder
+	if req.identifyCauses(); f.isQuarantined(req.causes) {
+		req.refuse(http.StatusServiceUnavailable, quarantineRetryAfter, crashes.QuarantineReason)
+		return
+	}
 	if f.pauses.recentlyPaused(req.now()) && !timers.Sleep(req.r.Context(), callerCloseWait) {
 		req.finishUnanswered("the caller disconnected while the process was paused")
 		return
@@ -285,9 +314,6 @@
 			return req.refuse(http.StatusUnauthorized, 0, "the key is unknown")
 		}
 	}
-	if req.forwarder.isQuarantined(req.meta.Parts) {
-		return req.refuse(http.StatusServiceUnavailable, quarantineRetryAfter, schedules.QuarantineReason)
-	}
 	h := fnv.New64a()
 	_, _ = io.WriteString(h, string(req.meta.ID))
 	req.service = req.catalog.Service(req.route.SelectService(h.Sum64()))
@@ -479,6 +505,8 @@
 		return false, "all attempts are used"
 	case len(req.triedServers) >= maxTriedServers:
 		return false, "too many backend servers failed"
+	case req.forwarder.isQuarantined(req.causes):
+		return false, crashes.QuarantineReason
 	}
 	return true, ""
 }
@@ -530,7 +558,7 @@
 		"after-ms": req.now().Sub(req.arrived).Milliseconds(), "last-event": req.lastEvent,
 	}).WithError(err)
 	if outcome == schedules.Lost {
-		entry = entry.WithField("request-hash", req.fingerprint())
+		entry = entry.WithField("request-hash", req.causes[len(req.causes)-1])
 	}
 	entry.Warn("attempt failed")
 }
--- a/forwards/plain.go
+++ b/forwards/plain.go
@@ -55,6 +55,7 @@
 // 5xx status.
 func (req *proxyRequest) plainAttempt(ctx context.Context, server rosters.Entry) (*bufferedResponse, gypsumshelf.Verdict, error) {
 	fleet := req.forwarder.cfg.Fleet
+	began := req.now()
 	fleet.Begin(server)
 	a, err := req.sendAndReadHeader(ctx, server, req.newCall(server.ID), req.plainTimeout())
 	defer a.close()
@@ -65,6 +66,9 @@
 	if err != nil {
 		outcome := outcomeOf(ctx, err)
 		fleet.End(server, outcome, a.reply)
+		if outcome == schedules.Lost {
+			req.forwarder.crashChecks.recordLost(req, server, began)
+		}
 		req.recordFailedAttempt(server.ID, outcome, err)
 		return nil, a.verdict, err
 	}
@@ -74,6 +78,9 @@
 		req.recordFailedAttempt(server.ID, outcome, fmt.Errorf("the backend server responded with status %d", response.status))
 	}
 	fleet.End(server, outcome, a.reply)
+	if reporter := req.forwarder.cfg.Crashes; reporter != nil {
+		reporter.ReportCompleted(req.causes) // also with a 5xx status: the backend server lives
+	}
 	return response, a.verdict, nil
 }
 
--- a/forwards/protocol.go
+++ b/forwards/protocol.go
@@ -8,20 +8,20 @@
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/crashes"
 	"gypsumshelf.example/gypsumshelf/dispatchers"
-	"gypsumshelf.example/gypsumshelf/schedules"
 )
 
 // RequestMeta is the metadata in the headers of a caller's request.
 type RequestMeta struct {
 	ID                   gypsumshelf.RequestID
-	Key                  string        // key of a workspace, empty when none is given
-	Deadline             time.Duration // how long the caller waits, 0 when not stated
-	PromptTokens         int           // tokens of the prompt, 0 when unknown
-	MaxAnswerTokens      int           // maximum number of tokens of the answer, 0 when unknown
-	ExpectedAnswerTokens int           // the caller's estimate of the answer's tokens, 0 when unknown
-	LastEvent            int           // ID of the last event that the caller has, 0 for none
-	Parts                []schedules.PromptPart
+	Key                  string          // key of a workspace, empty when none is given
+	Deadline             time.Duration   // how long the caller waits, 0 when not stated
+	PromptTokens         int             // tokens of the prompt, 0 when unknown
+	MaxAnswerTokens      int             // maximum number of tokens of the answer, 0 when unknown
+	ExpectedAnswerTokens int             // the caller's estimate of the answer's tokens, 0 when unknown
+	LastEvent            int             // ID of the last event that the caller has, 0 for none
+	Parts                []crashes.Cause // IDs of the prompt's parts
 }
 
 // Call is the metadata that is sent to a backend server with a request.
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -14,6 +14,7 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/catalogs"
 	"gypsumshelf.example/gypsumshelf/controls"
+	"gypsumshelf.example/gypsumshelf/crashes"
 	"gypsumshelf.example/gypsumshelf/directories"
 	"gypsumshelf.example/gypsumshelf/dispatchers"
 	"gypsumshelf.example/gypsumshelf/forwards"
@@ -86,14 +87,14 @@
 // Start starts an entry daemon.
 func Start(cfg Config) *Gateway {
 	g := &Gateway{cfg: cfg, started: time.Now(), fleet: forwards.NewFleet(cfg.DataCentre, cfg.Timers.Now)}
-	g.localDispatcher = dispatchers.New(dispatchers.Config{Daemon: cfg.Daemon, Log: cfg.Log, Timers: cfg.Timers, Reporter: cfg.Protocol, Local: true})
+	g.localDispatcher = dispatchers.New(dispatchers.Config{Daemon: cfg.Daemon, Log: cfg.Log, Timers: cfg.Timers, Reporter: cfg.Protocol, Local: true, HandleQuarantines: g.quarantineLocally})
 	g.subscriber = directories.NewSubscriber(directories.SubscriberConfig{
 		Daemon: cfg.Daemon, AcceptsRequests: true, Seeds: cfg.Seeds, Log: cfg.Log,
 		StateIndex: g.stateIndex, InstallState: g.installState, HandleView: g.receiveView,
 	})
 	g.dispatchClient = dispatchers.NewClient(dispatchers.ClientConfig{Feeds: g.subscriber, Local: g.localDispatcher, Log: cfg.Log})
 	g.forwarder = forwards.New(forwards.Config{
-		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: cfg.Protocol, Fleet: g.fleet, Placer: g.dispatchClient,
+		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: cfg.Protocol, Fleet: g.fleet, Placer: g.dispatchClient, Crashes: g.dispatchClient,
 		Retries: cfg.Retries, StateFresh: g.stateFresh, Log: cfg.Log, Recorder: cfg.Recorder, BodyBudget: cfg.Memory / bodyMemoryDivisor,
 		MemoryBound: cfg.FreeMemory,
 	})
@@ -137,6 +138,18 @@
 	g.cfg.Log.WithFields(logrus.Fields{"index": s.Index, "version": s.Version, "out": s.OutOfService, "quarantines": len(s.Quarantines)}).Info("state in force")
 }
 
+// quarantineLocally puts what the local scheduler finds into force on this daemon while
+// there is no leader. A leader knows more, as it hears of the answers of all daemons.
+func (g *Gateway) quarantineLocally(found []crashes.Quarantine) {
+	log := g.cfg.Log.WithField("quarantines", found)
+	if g.dispatchClient.HasLeader() {
+		log.Info("a request or a prompt part seems to crash backend servers; the leader decides")
+		return
+	}
+	log.Warn("a request or a prompt part crashes backend servers; without a leader, this daemon alone refuses requests with it")
+	g.forwarder.AddLocalQuarantines(found)
+}
+
 // receiveView processes a view received from a control daemon.
 func (g *Gateway) receiveView(_ string, v directories.View) {
 	g.lastViewNanos.Store(int64(time.Since(g.started)))
--- a/schedules/job.go
+++ b/schedules/job.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/crashes"
 )
 
 // JobID identifies a job, which stands for one attempt of a request.
@@ -19,11 +20,11 @@
 	Daemon     gypsumshelf.DaemonID // entry daemon that holds the request
 	DataCentre string               // of the entry daemon
 	Workspace  string
-	Prompt     int          // tokens
-	Answer     int          // maximum tokens of the answer
-	Expected   int          // expected tokens of the answer
-	Parts      []PromptPart // of the prompt, if known
-	Priority   int          // 0 is the most urgent
+	Prompt     int             // tokens
+	Answer     int             // maximum tokens of the answer
+	Expected   int             // expected tokens of the answer
+	Causes     []crashes.Cause // prompt parts and fingerprint, which may crash engines
+	Priority   int             // 0 is the most urgent
 
 	// Durations are relative to the arrival of the job at the scheduler.
 	Target   time.Duration // until the first event is due
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -8,6 +8,7 @@
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/costs"
+	"gypsumshelf.example/gypsumshelf/crashes"
 )
 
 const (
@@ -86,6 +87,9 @@
 	// scheduler places jobs on the engines. Schedulers that do not know of each
 	// other's jobs use equal shares.
 	ColdShare float64
+	// QuarantineTime is the time for which the quarantines found here last; 0 stands
+	// for crashes.QuarantineTime.
+	QuarantineTime time.Duration
 }
 
 // Scheduler places jobs on engines.
@@ -94,13 +98,14 @@
 	firstJobAt time.Time
 	pools      map[string]*pool
 	jobs       map[JobID]*jobState
-	suspects   *suspects
-	found      []Quarantine // not returned by TakeQuarantines yet
+	crashes    *crashes.Detector
+	found      []crashes.Quarantine // not returned by TakeQuarantines yet
 }
 
 // New returns a Scheduler that knows no engines.
 func New(cfg Config) *Scheduler {
-	return &Scheduler{cfg: cfg, pools: map[string]*pool{}, jobs: map[JobID]*jobState{}, suspects: newSuspects()}
+	detector := crashes.NewDetector(cmp.Or(cfg.QuarantineTime, crashes.QuarantineTime))
+	return &Scheduler{cfg: cfg, pools: map[string]*pool{}, jobs: map[JobID]*jobState{}, crashes: detector}
 }
 
 // SetColdShare changes Config.ColdShare for engines that turn cold from now on.
@@ -150,8 +155,8 @@
 	if p == nil || len(p.engines) == 0 && now.Sub(s.firstJobAt) > startupGrace {
 		return []Decision{{Job: job.ID, RetryAfter: minRetryAfter, Reason: "no engine of the service is known"}}
 	}
-	if s.suspects.isQuarantined(now, job.Parts) {
-		return []Decision{{Job: job.ID, RetryAfter: maxRetryAfter, Reason: QuarantineReason}}
+	if s.crashes.IsQuarantined(now, job.Causes) {
+		return []Decision{{Job: job.ID, RetryAfter: maxRetryAfter, Reason: crashes.QuarantineReason}}
 	}
 	j := s.addJob(now, p, job)
 	if wait := p.predictWait(j); wait > min(job.Patience, job.Deadline-p.minServiceTime(j)) {
@@ -213,7 +218,9 @@
 		return nil
 	}
 	delete(s.jobs, id)
-	s.recordEvidence(now, j, outcome, blamed)
+	if outcome == Completed {
+		s.crashes.RecordCompleted(now, j.request.Causes)
+	}
 	p := s.pools[j.request.Service]
 	if j.placement == nil {
 		p.queue = slices.DeleteFunc(p.queue, func(o *jobState) bool { return o == j })
@@ -284,31 +291,30 @@
 }
 
 // SetQuarantines adds quarantines that are in force for all daemons.
-func (s *Scheduler) SetQuarantines(quarantines []Quarantine) { s.suspects.addQuarantines(quarantines) }
+func (s *Scheduler) SetQuarantines(quarantines []crashes.Quarantine) {
+	s.crashes.AddQuarantines(quarantines)
+}
+
+// RecordCrash records which requests were lost with a backend server that has ended.
+func (s *Scheduler) RecordCrash(now time.Time, r crashes.Report) { s.crashes.RecordCrash(now, r) }
+
+// RecordCompleted clears the causes of a request that was answered without a job.
+func (s *Scheduler) RecordCompleted(now time.Time, causes []crashes.Cause) {
+	s.crashes.RecordCompleted(now, causes)
+}
 
 // TakeQuarantines returns the quarantines that this scheduler has found. Each is
 // returned once.
-func (s *Scheduler) TakeQuarantines() []Quarantine {
+func (s *Scheduler) TakeQuarantines() []crashes.Quarantine {
 	found := s.found
 	s.found = nil
 	return found
 }
 
-// recordEvidence records what the end of a job says about the parts of its prompt.
-func (s *Scheduler) recordEvidence(now time.Time, j *jobState, outcome Outcome, blamed gypsumshelf.ServerID) {
-	switch {
-	case j.placement == nil || len(j.request.Parts) == 0:
-	case outcome == Completed:
-		s.suspects.recordCompleted(now, j.request.Parts)
-	case outcome == Lost && (blamed == "" || blamed == j.placement.Server):
-		s.suspects.recordLost(now, j.placement.Server, lostJob{parts: j.request.Parts, placedAt: j.placedAt})
-	}
-}
-
-// judgeCrashes looks for prompt parts that crash engines, and refuses waiting jobs
-// with such parts.
+// judgeCrashes looks for causes that crash backend servers, and refuses waiting jobs
+// with such causes.
 func (s *Scheduler) judgeCrashes(now time.Time) []Decision {
-	found := s.suspects.settle(now, s.runsJob)
+	found := s.crashes.Settle(now)
 	if len(found) == 0 {
 		return nil
 	}
@@ -316,10 +322,10 @@
 	var decisions []Decision
 	for _, p := range s.pools {
 		p.queue = slices.DeleteFunc(p.queue, func(j *jobState) bool {
-			refused := s.suspects.isQuarantined(now, j.request.Parts)
+			refused := s.crashes.IsQuarantined(now, j.request.Causes)
 			if refused {
 				delete(s.jobs, j.request.ID)
-				decisions = append(decisions, Decision{Job: j.request.ID, RetryAfter: maxRetryAfter, Reason: QuarantineReason, Waited: now.Sub(j.arrived)})
+				decisions = append(decisions, Decision{Job: j.request.ID, RetryAfter: maxRetryAfter, Reason: crashes.QuarantineReason, Waited: now.Sub(j.arrived)})
 			}
 			return refused
 		})
@@ -327,21 +333,6 @@
 	return decisions
 }
 
-// runsJob reports whether an engine runs a job as its primary that was placed before a
-// time.
-func (s *Scheduler) runsJob(server gypsumshelf.ServerID, before time.Time) bool {
-	for _, p := range s.pools {
-		if e := p.engines[server]; e != nil {
-			for _, a := range e.assignments {
-				if a.primary && a.job.placedAt.Before(before) {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
-
 // Values of the includeLong parameter of processQueue. Long jobs are left out
 // when a single answer ends: they are costly to place and need several engines.
 const (
