Hand jobs and crashes over to a leader that is elected again

A leader that lost and regained the lead starts with an empty scheduler, but entry daemons took it for informed, because its address had not changed: it assigned slots that were in use, and lost the crashes that it knew. Its news could also arrive before it scheduled; a hand-over at that moment was dropped without an error.

Each change of leader or term now leads to a hand-over, a scheduler that is not active refuses it, so that it is repeated, and a leader is published after its scheduler has started.

--- a/controls/daemon.go
+++ b/controls/daemon.go
@@ -216,8 +216,9 @@
 	if l.Leader != "" {
 		address = directoryAddress(l.Leader)
 	}
-	d.publisher.SetLeader(address, l.Term, controls)
+	// Entry daemons hand over their jobs as soon as they hear of the leader.
 	d.dispatcher.SetActive(l.IsLeader)
+	d.publisher.SetLeader(address, l.Term, controls)
 	d.cfg.Log.WithFields(logrus.Fields{"leader": l.Leader, "term": l.Term, "voters": len(l.Members.Voters()), "members": len(l.Members)}).Info("leader or members changed")
 }
 
--- a/dispatchers/client.go
+++ b/dispatchers/client.go
@@ -104,6 +104,7 @@
 		return
 	}
 	c.leader, c.term, c.suspectUntil = address, term, time.Time{}
+	c.informedLeader = "" // also a leader that is elected again has lost what it knew
 	c.requestHandOver()
 	c.cfg.Log.WithFields(logrus.Fields{"leader": address, "term": term}).Info("engine work is scheduled by another daemon")
 }
--- a/dispatchers/dispatcher.go
+++ b/dispatchers/dispatcher.go
@@ -265,13 +265,18 @@
 	}
 }
 
-// Adopt takes over a job that another scheduler placed.
-func (d *Dispatcher) Adopt(job schedules.Job, placement schedules.Placement, started bool) {
+// Adopt takes over jobs that other schedulers placed. It returns ErrInactive while the
+// scheduler is not active, since it would forget them with its start.
+func (d *Dispatcher) Adopt(jobs []AdoptedJob) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.active {
-		d.scheduler.Adopt(d.cfg.Timers.Now(), job, placement, started)
+	if !d.active {
+		return ErrInactive
+	}
+	for _, j := range jobs {
+		d.scheduler.Adopt(d.cfg.Timers.Now(), j.Job, j.Placement, j.Started)
 	}
+	return nil
 }
 
 // EndDaemonJobs ends all jobs of an entry daemon that is not reachable any more.
--- a/dispatchers/dispatchers_test.go
+++ b/dispatchers/dispatchers_test.go
@@ -145,6 +145,27 @@
 	}
 }
 
+// Guards against slots that are assigned twice by a leader which has lost and regained
+// the lead.
+func TestReelectedLeaderAdoptsActiveJobs(t *testing.T) {
+	dispatcher := newDispatcher(t, 1)
+	dispatcher.SetActive(true)
+	address, _ := serveDispatcher(t, dispatcher)
+	c := newClient(t, address)
+	c.SetLeader(address, 1)
+	assertPlacedBy(t, c, "a", address)
+	dispatcher.SetActive(false)
+	c.SetLeader(address, 2) // the news arrives before the leader schedules again
+	time.Sleep(100 * time.Millisecond)
+	dispatcher.SetActive(true)
+	time.Sleep(suspectDuration)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	if d, err := c.Place(ctx, job("b")); err == nil {
+		t.Errorf("the only slot is assigned twice: %+v", d)
+	}
+}
+
 // delayedService delays answers of Await beyond the timeout of their callers,
 // as a link with packet loss does.
 type delayedService struct {
--- a/dispatchers/service.go
+++ b/dispatchers/service.go
@@ -84,11 +84,8 @@
 	return nil
 }
 
-// Adopt takes over active jobs.
+// Adopt takes over active jobs. It fails while the scheduler is not active.
 func (s *Service) Adopt(jobs []AdoptedJob, _ *struct{}) (err error) {
 	defer faults.Recover(s.dispatcher.cfg.Log, ServiceName+".Adopt", &err)
-	for _, j := range jobs {
-		s.dispatcher.Adopt(j.Job, j.Placement, j.Started)
-	}
-	return nil
+	return s.dispatcher.Adopt(jobs)
 }
