Let at most two backend servers end under one request

With three attempts, a safe request ended three servers before any other daemon knew of the first. A request whose servers ended by themselves has had its second chance then. Servers that live, as after a reset, do not count.

Before: TestRequestEndsAtMostTwoServers reached the third server.

--- a/forwards/crash_check.go
+++ b/forwards/crash_check.go
@@ -63,6 +63,8 @@
 	path   string // of the health check of its service
 	lostAt time.Time
 	runs   []crashes.Run // guarded by mu of checks
+	done   chan struct{} // closed when ended is known
+	ended  bool
 }
 
 // recordLost starts a check of a backend server, or adds a lost request to the one that
@@ -77,11 +79,36 @@
 	key := serverStart{id: server.ID, born: server.Born}
 	check := c.pending[key]
 	if check == nil {
-		check = &crashCheck{checks: c, server: server, path: cmp.Or(req.service.HealthPath, "/"), lostAt: req.now()}
+		check = &crashCheck{checks: c, server: server, path: cmp.Or(req.service.HealthPath, "/"), lostAt: req.now(), done: make(chan struct{})}
 		c.pending[key] = check
 		go check.run()
 	}
 	check.runs = append(check.runs, crashes.Run{Causes: req.causes, Duration: req.now().Sub(began)})
+	req.lostServers = append(req.lostServers, check)
+}
+
+// maxEndedServers is the number of backend servers that may end under one request. A
+// second one decides for nearly all requests whose server ended by itself.
+const maxEndedServers = 2
+
+// crashesServers reports whether maxEndedServers backend servers have ended under the
+// request. With fewer lost connections it does not wait for the checks.
+func (req *proxyRequest) crashesServers() bool {
+	if len(req.lostServers) < maxEndedServers {
+		return false
+	}
+	ended := 0
+	for _, check := range req.lostServers {
+		select {
+		case <-check.done:
+		case <-req.r.Context().Done():
+			return false
+		}
+		if check.ended {
+			ended++
+		}
+	}
+	return ended >= maxEndedServers
 }
 
 func (k *crashCheck) run() {
@@ -90,6 +117,8 @@
 	f := k.checks.forwarder
 	timers.Sleep(ctx, lossCollectTime)
 	ended, err := k.hasEnded(ctx)
+	k.ended = ended
+	close(k.done)
 	k.checks.mu.Lock()
 	delete(k.checks.pending, serverStart{id: k.server.ID, born: k.server.Born})
 	runs := k.runs
--- a/forwards/crash_check_test.go
+++ b/forwards/crash_check_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/crashes"
 	"gypsumshelf.example/gypsumshelf/rosters"
 )
@@ -155,3 +156,33 @@
 		})
 	}
 }
+
+// Guards against a request that ends all backend servers of a service before any other
+// daemon knows of it, and against attempts that are withheld after lost connections to
+// servers that live.
+func TestRequestEndsAtMostTwoServers(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		status       int // of the first two servers after the loss
+		wantStatus   int
+		wantAttempts int
+	}{
+		{name: "servers end", status: 0, wantStatus: http.StatusBadGateway},
+		{name: "servers live", status: http.StatusOK, wantStatus: http.StatusOK, wantAttempts: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			third := newFakeBackend(t, "p3", "plain", respondWith(http.StatusOK, "answer"))
+			f := newFixture(t)
+			f.forwarder.SetCatalog(newCatalogWith(t, 3))
+			f.forwarder.cfg.Crashes = &crashRecorder{}
+			for _, id := range []gypsumshelf.ServerID{"p1", "p2"} {
+				_, record := newLosingServer(t, c.status)
+				record.ID = id
+				f.forwarder.cfg.Fleet.Merge([]rosters.Record{record})
+			}
+			f.forwarder.cfg.Fleet.Merge([]rosters.Record{third.record})
+			assertAnswer(t, f.send("POST", "/safe/x", "body"), c.wantStatus, "")
+			assertCount(t, third, c.wantAttempts)
+		})
+	}
+}
--- a/forwards/fake_test.go
+++ b/forwards/fake_test.go
@@ -239,7 +239,11 @@
 	return f
 }
 
-func newCatalog(t *testing.T) *catalogs.Catalog {
+func newCatalog(t *testing.T) *catalogs.Catalog { return newCatalogWith(t, 2) }
+
+// newCatalogWith returns a catalog whose routes for requests that may be repeated allow
+// a number of attempts.
+func newCatalogWith(t *testing.T, attempts int) *catalogs.Catalog {
 	route := func(prefix, service string, kind catalogs.RouteKind, attempts int) catalogs.Route {
 		return catalogs.Route{
 			Name: prefix, Host: "127.0.0.1", Prefix: prefix, Kind: kind, Timeout: 5 * time.Second, Target: 100 * time.Millisecond,
@@ -250,8 +254,8 @@
 	c, err := catalogs.New(catalogs.Spec{
 		Version: 1,
 		Routes: []catalogs.Route{
-			route("/safe/", "plain", catalogs.Safe, 2), route("/unsafe/", "plain", catalogs.Unsafe, 1),
-			route("/stream/", "engines", catalogs.Stream, 2),
+			route("/safe/", "plain", catalogs.Safe, attempts), route("/unsafe/", "plain", catalogs.Unsafe, 1),
+			route("/stream/", "engines", catalogs.Stream, attempts),
 		},
 		Services:   []catalogs.Service{{Name: "plain"}, {Name: "engines", Engine: &costs.Profile{Slots: 4, MemoryTokens: 1000, PrefillRate: 1000}}},
 		Workspaces: []catalogs.Workspace{{Name: "w", Keys: []string{"k"}}},
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -235,6 +235,7 @@
 	requestMemory  *buffers.Reservation // of the body
 	responseMemory *buffers.Reservation // of the buffered response
 
+	lostServers     []*crashCheck          // of attempts whose connection was lost
 	submittedJobs   int                    // number of jobs submitted to the scheduler
 	sentAttempts    int                    // number of attempts sent to a backend server
 	triedServers    []gypsumshelf.ServerID // servers of all attempts, including those not reached
@@ -507,6 +508,8 @@
 		return false, "too many backend servers failed"
 	case req.forwarder.isQuarantined(req.causes):
 		return false, crashes.QuarantineReason
+	case req.crashesServers():
+		return false, "backend servers have ended under the request"
 	}
 	return true, ""
 }
