--- a/catalogs/catalog_test.go
+++ b/catalogs/catalog_test.go
@@ -136,3 +136,33 @@
 		t.Error("the quarantine that ends first made no room")
 	}
 }
+
+// Guards against lifted quarantines that stay in force, or whose lift is lost with a
+// restart.
+func TestLiftedQuarantineIsRemoved(t *testing.T) {
+	var s State
+	until := time.Unix(1_000_000, 0).UTC()
+	for _, c := range []Command{
+		{Action: QuarantineCause, Quarantine: crashes.Quarantine{Cause: "aa", Until: until}},
+		{Action: QuarantineCause, Quarantine: crashes.Quarantine{Cause: "request:bb", Until: until}},
+		{Action: LiftQuarantine, Lift: crashes.Lift{Cause: "request:bb", At: until.Add(-time.Minute)}},
+	} {
+		if changed, err := s.Apply(s.Index+1, c.Encode()); err != nil || !changed {
+			t.Fatalf("%s: changed %v, error %v", c.Action, changed, err)
+		}
+	}
+	data, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var restored State
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	if len(restored.Quarantines) != 1 || restored.Quarantines[0].Cause != "aa" {
+		t.Errorf("quarantines are %+v, want that of aa", restored.Quarantines)
+	}
+	if len(restored.Lifts) != 1 || restored.Lifts[0].Cause != "request:bb" {
+		t.Errorf("lifts are %+v, want that of request:bb", restored.Lifts)
+	}
+}
--- a/catalogs/state.go
+++ b/catalogs/state.go
@@ -20,6 +20,7 @@
 	TakeOut         Action = "take-out"
 	BringBack       Action = "bring-back"
 	QuarantineCause Action = "quarantine-prompt-part" // also of requests
+	LiftQuarantine  Action = "lift-quarantine"
 )
 
 // maxQuarantines bounds the quarantines of the state. The one that ends first makes
@@ -34,6 +35,8 @@
 	DataCentre string `json:"data-centre,omitempty"` // for TakeOut and BringBack
 	// Quarantine is that of a prompt part or a request, for QuarantineCause.
 	Quarantine crashes.Quarantine `json:"quarantine,omitzero"`
+	// Lift is the lift of a quarantine, for LiftQuarantine.
+	Lift crashes.Lift `json:"lift,omitzero"`
 }
 
 // Encode returns the command as an entry of the replicated log.
@@ -55,6 +58,8 @@
 	// Quarantines are the causes that crash backend servers, in the order in which
 	// their quarantines end.
 	Quarantines []crashes.Quarantine `json:"quarantines,omitempty"`
+	// Lifts are the quarantines that operators have lifted, the latest last.
+	Lifts []crashes.Lift `json:"lifts,omitempty"`
 }
 
 // Apply applies one log entry and reports whether anything other than the index
@@ -87,6 +92,11 @@
 	case QuarantineCause:
 		s.Quarantines = withQuarantine(s.Quarantines, c.Quarantine)
 		return true, nil
+	case LiftQuarantine:
+		s.Quarantines = without(s.Quarantines, c.Lift.Cause)
+		s.Lifts = append(slices.DeleteFunc(slices.Clone(s.Lifts), func(l crashes.Lift) bool { return l.Cause == c.Lift.Cause }), c.Lift)
+		s.Lifts = s.Lifts[max(0, len(s.Lifts)-maxQuarantines):]
+		return true, nil
 	}
 	return false, fmt.Errorf("entry %d: unknown action %q", index, c.Action)
 }
@@ -94,12 +104,16 @@
 // withQuarantine returns a copy with a quarantine added, which replaces that of the
 // same cause.
 func withQuarantine(old []crashes.Quarantine, q crashes.Quarantine) []crashes.Quarantine {
-	next := slices.DeleteFunc(slices.Clone(old), func(o crashes.Quarantine) bool { return o.Cause == q.Cause })
-	next = append(next, q)
+	next := append(without(old, q.Cause), q)
 	slices.SortStableFunc(next, func(a, b crashes.Quarantine) int { return a.Until.Compare(b.Until) })
 	return next[max(0, len(next)-maxQuarantines):]
 }
 
+// without returns a copy without the quarantine of a cause.
+func without(old []crashes.Quarantine, cause crashes.Cause) []crashes.Quarantine {
+	return slices.DeleteFunc(slices.Clone(old), func(q crashes.Quarantine) bool { return q.Cause == cause })
+}
+
 // Snapshot returns the encoded state.
 func (s *State) Snapshot() ([]byte, error) { return json.Marshal(s) }
 
--- a/controls/registry.go
+++ b/controls/registry.go
@@ -75,7 +75,7 @@
 	for _, dc := range s.OutOfService {
 		g.outOfService[dc] = true
 	}
-	g.dispatcher.SetQuarantines(s.Quarantines)
+	g.dispatcher.SetQuarantines(s.Quarantines, s.Lifts)
 	g.updateDispatcher()
 }
 
--- a/crashes/cause.go
+++ b/crashes/cause.go
@@ -52,6 +52,12 @@
 	Until time.Time `json:"until"`
 }
 
+// Lift ends the quarantine of a cause. Crashes before it do not count any more.
+type Lift struct {
+	Cause Cause     `json:"cause"`
+	At    time.Time `json:"at"`
+}
+
 // QuarantineReason is the reason of refusals of requests with a quarantined cause.
 const QuarantineReason = "the request or a part of its prompt crashes backend servers; it has not run and will not run"
 
--- a/crashes/detector.go
+++ b/crashes/detector.go
@@ -80,6 +80,7 @@
 	crashes        map[start]*crash
 	strikes        map[Cause][]strike
 	quarantined    QuarantineSet
+	lifted         map[Cause]time.Time
 	recent         map[Cause]bool // causes of completed requests
 	older          map[Cause]bool // those of the period before
 	recentSince    time.Time
@@ -98,8 +99,15 @@
 	return d.quarantined.ContainsAny(now, causes)
 }
 
-// AddQuarantines adds quarantines that other detectors found.
-func (d *Detector) AddQuarantines(quarantines []Quarantine) {
+// SetQuarantines adds quarantines that are in force on all daemons, and ends those that
+// an operator has lifted.
+func (d *Detector) SetQuarantines(quarantines []Quarantine, lifts []Lift) {
+	d.lifted = map[Cause]time.Time{}
+	for _, l := range lifts {
+		d.lifted[l.Cause] = l.At
+		delete(d.quarantined, l.Cause)
+		d.setStrikes(l.Cause, slices.DeleteFunc(d.strikes[l.Cause], func(s strike) bool { return !s.at.After(l.At) }))
+	}
 	for _, q := range quarantines {
 		d.quarantined[q.Cause] = q.Until
 		delete(d.strikes, q.Cause)
@@ -170,7 +178,7 @@
 		}
 	}
 	for cause, n := range next {
-		if d.recent[cause] || d.older[cause] || slices.ContainsFunc(d.strikes[cause], n.samePeriod) {
+		if d.recent[cause] || d.older[cause] || !n.at.After(d.lifted[cause]) || slices.ContainsFunc(d.strikes[cause], n.samePeriod) {
 			continue
 		}
 		d.strikes[cause] = append(d.strikes[cause], n)
--- a/crashes/detector_test.go
+++ b/crashes/detector_test.go
@@ -149,6 +149,34 @@
 	})
 }
 
+// Guards against a lifted quarantine that the evidence from before brings back, and
+// against one that cannot be found again.
+func TestLiftedQuarantine(t *testing.T) {
+	l := newCrashLog(t)
+	for range quarantineStrikes {
+		l.crash(prompt("request:r"))
+	}
+	reported := l.now.Add(-settleTime)
+	lifts := []Lift{{Cause: "request:r", At: l.now}}
+	l.d.SetQuarantines(nil, lifts)
+	if l.d.IsQuarantined(l.now, prompt("request:r")) {
+		t.Fatal("the lifted request is refused")
+	}
+	next := newCrashLog(t) // the detector of the next leader, to which the crashes are handed over
+	next.now = l.now
+	next.d.SetQuarantines(nil, lifts)
+	for range quarantineStrikes {
+		next.lose(next.now.Sub(reported)+time.Duration(next.n)*300*time.Millisecond, prompt("request:r"))
+	}
+	next.assertQuarantined(next.settle())
+	for _, c := range []*crashLog{l, next} {
+		for range quarantineStrikes - 1 {
+			c.assertQuarantined(c.crash(prompt("request:r")))
+		}
+		c.assertQuarantined(c.crash(prompt("request:r")), "request:r")
+	}
+}
+
 // Guards against parts that are refused although something else ended the engines.
 func TestOtherFaultsCountAgainstNoPart(t *testing.T) {
 	t.Run("engines that fail together", func(t *testing.T) {
--- a/dispatchers/dispatcher.go
+++ b/dispatchers/dispatcher.go
@@ -100,6 +100,7 @@
 	nextReport      int                                  // index in engines of the next one to poll
 	localSchedulers int                                  // in the deployment
 	quarantines     []crashes.Quarantine                 // in force for all daemons
+	lifts           []crashes.Lift                       // of quarantines
 	lastJobAt       time.Time
 }
 
@@ -154,7 +155,7 @@
 		delete(d.pending, id)
 	}
 	d.scheduler.UpdateEngines(d.cfg.Timers.Now(), d.profiles, d.states())
-	d.scheduler.SetQuarantines(d.quarantines)
+	d.scheduler.SetQuarantines(d.quarantines, d.lifts)
 	if active && d.cfg.Reporter != nil {
 		d.pollEngines(maxFirstReports)
 	}
@@ -173,12 +174,13 @@
 	d.scheduler.UpdateEngines(d.cfg.Timers.Now(), profiles, d.states())
 }
 
-// SetQuarantines replaces the quarantines that are in force for all daemons.
-func (d *Dispatcher) SetQuarantines(quarantines []crashes.Quarantine) {
+// SetQuarantines replaces the quarantines that are in force for all daemons, and the
+// lifts of earlier ones.
+func (d *Dispatcher) SetQuarantines(quarantines []crashes.Quarantine, lifts []crashes.Lift) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.quarantines = quarantines
-	d.scheduler.SetQuarantines(quarantines)
+	d.quarantines, d.lifts = quarantines, lifts
+	d.scheduler.SetQuarantines(quarantines, lifts)
 }
 
 func (d *Dispatcher) states() []schedules.EngineState {
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -103,14 +103,16 @@
 	}
 }
 
-// SetQuarantines replaces the quarantines that all daemons observe.
+// SetQuarantines replaces the quarantines that all daemons observe. Those that this
+// daemon found by itself end: the state may have lifted them.
 func (f *Forwarder) SetQuarantines(quarantines []crashes.Quarantine) {
 	set := crashes.NewQuarantineSet(quarantines)
 	f.quarantines.Store(&set)
+	f.localQuarantines.Store(nil)
 }
 
-// AddLocalQuarantines adds quarantines that this daemon has found by itself. It must
-// not be called concurrently.
+// AddLocalQuarantines adds quarantines that this daemon has found by itself. They hold
+// until the next SetQuarantines. It must not be called concurrently.
 func (f *Forwarder) AddLocalQuarantines(quarantines []crashes.Quarantine) {
 	set := crashes.NewQuarantineSet(quarantines)
 	if old := f.localQuarantines.Load(); old != nil {
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -134,6 +134,7 @@
 	}
 	g.fleet.SetOutOfService(s.OutOfService)
 	g.forwarder.SetQuarantines(s.Quarantines)
+	g.localDispatcher.SetQuarantines(s.Quarantines, s.Lifts)
 	g.updateLocalDispatcher()
 	g.cfg.Log.WithFields(logrus.Fields{"index": s.Index, "version": s.Version, "out": s.OutOfService, "quarantines": len(s.Quarantines)}).Info("state in force")
 }
--- a/schedules/quarantine_test.go
+++ b/schedules/quarantine_test.go
@@ -13,7 +13,7 @@
 func TestQuarantinedJobsAreRefused(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	s := New(Config{})
-	s.SetQuarantines([]crashes.Quarantine{{Cause: "bad", Until: now.Add(time.Hour)}})
+	s.SetQuarantines([]crashes.Quarantine{{Cause: "bad", Until: now.Add(time.Hour)}}, nil)
 	s.pools["x"] = &pool{engines: map[gypsumshelf.ServerID]*engine{}}
 	decisions := s.Submit(now, Job{ID: "j", Service: "x", Causes: []crashes.Cause{"shared", "bad"}})
 	if len(decisions) != 1 || decisions[0].Placement != nil || decisions[0].Reason != crashes.QuarantineReason {
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -290,9 +290,10 @@
 	return decisions
 }
 
-// SetQuarantines adds quarantines that are in force for all daemons.
-func (s *Scheduler) SetQuarantines(quarantines []crashes.Quarantine) {
-	s.crashes.AddQuarantines(quarantines)
+// SetQuarantines adds quarantines that are in force for all daemons, and ends those
+// that were lifted.
+func (s *Scheduler) SetQuarantines(quarantines []crashes.Quarantine, lifts []crashes.Lift) {
+	s.crashes.SetQuarantines(quarantines, lifts)
 }
 
 // RecordCrash records which requests were lost with a backend server that has ended.
