Keep the limits that backend servers name

Cause: the header was read nowhere. Class: a statement of a server that decides where work goes is dropped at the boundary.

Each entry daemon reads the limit from every answer of the server, failures and refusals too, and reports it. The leader divides it: its scheduler counts engine jobs and requests to plain services, which entry daemons ask for, against one rate per start of a server, with the library limiter that cold engines use. Without a leader each daemon has the share that it has of a cold engine. A limit of 0 leaves one trial in 5 s, which notices its end.

--- a/controls/registry.go
+++ b/controls/registry.go
@@ -222,7 +222,7 @@
 			continue
 		}
 		engines = append(engines, dispatchers.Engine{Address: entry.Address, State: schedules.EngineState{
-			ID: entry.ID, Service: entry.Service, DataCentre: entry.DataCentre, ColdUntil: entry.ColdUntil, ColdRequestsPerSecond: c.Service(entry.Service).ColdRequestsPerSecond,
+			ID: entry.ID, Born: entry.Born, Service: entry.Service, DataCentre: entry.DataCentre, ColdUntil: entry.ColdUntil, ColdRequestsPerSecond: c.Service(entry.Service).ColdRequestsPerSecond,
 		}})
 	}
 	return profiles, engines
--- a/dispatchers/client.go
+++ b/dispatchers/client.go
@@ -78,11 +78,12 @@
 	informedLeader string    // leader that the active jobs were handed over to
 	jobs           map[schedules.JobID]*activeJob
 	evidence       evidence
+	limits         knownLimits
 }
 
 // NewClient returns a running Client.
 func NewClient(cfg ClientConfig) *Client {
-	c := &Client{cfg: cfg, updates: make(chan JobUpdate, updateQueueSize), handOverDue: make(chan struct{}, 1), stop: make(chan struct{}), jobs: map[schedules.JobID]*activeJob{}}
+	c := &Client{cfg: cfg, updates: make(chan JobUpdate, updateQueueSize), handOverDue: make(chan struct{}, 1), stop: make(chan struct{}), jobs: map[schedules.JobID]*activeJob{}, limits: knownLimits{}}
 	cfg.Local.SetActive(true)
 	c.wg.Add(1)
 	go c.sendUpdates()
@@ -147,7 +148,7 @@
 	return c.leader
 }
 
-// handOverJobs sends the placed jobs and the known crashes to a new leader, once, and
+// handOverJobs sends the placed jobs and the known crashes and limits to a new leader, once, and
 // reports whether the leader knows them. A call that runs meanwhile waits, since the leader must know of the
 // jobs before it places others.
 func (c *Client) handOverJobs(client *rpc.Client, leader string) bool {
@@ -166,11 +167,11 @@
 			jobs = append(jobs, AdoptedJob{Job: p.job, Placement: *p.placement, Started: p.started})
 		}
 	}
-	evidence := c.evidence.updates(time.Now())
+	known := append(c.evidence.updates(time.Now()), c.limits.updates(time.Now())...)
 	c.mu.Unlock()
 	err := peers.Call(client, ServiceName+".Adopt", jobs, &struct{}{}, placeTimeout)
-	if err == nil && len(evidence) > 0 {
-		err = peers.Call(client, ServiceName+".Tell", evidence, &struct{}{}, placeTimeout)
+	if err == nil && len(known) > 0 {
+		err = peers.Call(client, ServiceName+".Tell", known, &struct{}{}, placeTimeout)
 	}
 	if err != nil {
 		c.suspectLeader(leader, err)
--- a/dispatchers/dispatcher.go
+++ b/dispatchers/dispatcher.go
@@ -267,6 +267,25 @@
 	}
 }
 
+// RecordLimit records what an answer of a backend server said about its limit.
+func (d *Dispatcher) RecordLimit(l schedules.ServerLimit) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.active {
+		d.scheduler.RecordLimit(d.cfg.Timers.Now(), l)
+	}
+}
+
+// Admit chooses a server among those that have named limits.
+func (d *Dispatcher) Admit(r schedules.AdmissionRequest) (schedules.Admission, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.active {
+		return schedules.Admission{}, ErrInactive
+	}
+	return d.scheduler.Admit(d.cfg.Timers.Now(), r), nil
+}
+
 // Adopt takes over jobs that other schedulers placed. It returns ErrInactive while the
 // scheduler is not active, since it would forget them with its start.
 func (d *Dispatcher) Adopt(jobs []AdoptedJob) error {
--- a/dispatchers/service.go
+++ b/dispatchers/service.go
@@ -22,7 +22,8 @@
 type Reply struct{ Decision *schedules.Decision }
 
 // JobUpdate reports the first event or the end of a job. Instead of a job, it may carry
-// a crash or the causes of a request that was answered without a job.
+// a crash, the causes of a request that was answered without a job, or what an answer
+// said about the limit of its server.
 type JobUpdate struct {
 	Job       schedules.JobID
 	Started   bool // true for the first event, false for the end of the job
@@ -30,6 +31,7 @@
 	Blamed    gypsumshelf.ServerID // engine at fault, empty for the primary
 	Crash     *crashes.Report
 	Completed []crashes.Cause
+	Limit     *schedules.ServerLimit
 }
 
 // apply applies an update.
@@ -39,6 +41,8 @@
 		d.RecordCrash(*u.Crash)
 	case u.Completed != nil:
 		d.RecordCompleted(u.Completed)
+	case u.Limit != nil:
+		d.RecordLimit(*u.Limit)
 	case u.Started:
 		d.Started(u.Job)
 	default:
@@ -75,6 +79,13 @@
 	return err
 }
 
+// Admit chooses a server among those that have named limits.
+func (s *Service) Admit(r schedules.AdmissionRequest, reply *schedules.Admission) (err error) {
+	defer faults.Recover(s.dispatcher.cfg.Log, ServiceName+".Admit", &err)
+	*reply, err = s.dispatcher.Admit(r)
+	return err
+}
+
 // Tell records updates of jobs.
 func (s *Service) Tell(updates []JobUpdate, _ *struct{}) (err error) {
 	defer faults.Recover(s.dispatcher.cfg.Log, ServiceName+".Tell", &err)
--- a/forwards/attempt.go
+++ b/forwards/attempt.go
@@ -33,6 +33,7 @@
 	response *http.Response
 	reply    ResponseMeta
 	verdict  gypsumshelf.Verdict
+	sentAt   time.Time
 }
 
 // sendAndReadHeader sends the request to a backend server and reads the response
@@ -70,6 +71,7 @@
 		return a, nil, errServerUnavailable // it started to drain while the connection was opened
 	}
 	req.sentAttempts++
+	a.sentAt = req.now()
 	a.verdict = gypsumshelf.MayHaveRun
 	x.send(data)
 	return a, out, nil
@@ -79,6 +81,7 @@
 // from the intended backend server.
 func (req *proxyRequest) validateHeader(a *attempt) error {
 	a.reply = req.forwarder.cfg.Protocol.ParseResponse(a.response.Header, a.response.StatusCode)
+	req.recordLimit(a)
 	switch {
 	case a.reply.WrongServer:
 		a.verdict = gypsumshelf.NotRun
--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -95,6 +95,7 @@
 			return
 		}
 		req.timing.recordPlacement(result.decision)
+		req.placedOnLimited = result.decision.Placement.Limited
 		pending.logPlacement(result.decision)
 		attempt := &engineAttempt{request: req, pending: pending, placement: *result.decision.Placement, startedAt: req.now()}
 		err := attempt.run(ctx)
--- a/forwards/fake_test.go
+++ b/forwards/fake_test.go
@@ -48,10 +48,18 @@
 }
 
 func (fakeProtocol) ParseResponse(h http.Header, status int) ResponseMeta {
-	return ResponseMeta{
+	meta := ResponseMeta{
 		Request: gypsumshelf.RequestID(h.Get("Id")), FromBackendServer: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "",
 		WrongServer: status == http.StatusMisdirectedRequest,
 	}
+	if limit := h.Get("Limit"); limit != "" {
+		var err error
+		meta.Limit, err = strconv.ParseFloat(limit, 64)
+		if meta.HasLimit = err == nil; err != nil {
+			meta.UnreadableLimit = limit
+		}
+	}
+	return meta
 }
 
 func (fakeProtocol) EventID(event []byte) (int, bool) {
--- a/forwards/fleet.go
+++ b/forwards/fleet.go
@@ -1,6 +1,7 @@
 package forwards
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -33,6 +34,7 @@
 	backoffUntil        time.Time
 	reportedLoad        int // reported by the backend server, for all daemons
 	reportedAt          time.Time
+	limit               *namedLimit // nil if it names none
 }
 
 // Fleet is an entry daemon's view of the backend servers.
@@ -120,28 +122,48 @@
 	return h
 }
 
-// Choose returns the backend server of a service with the lowest score among those
-// that may get new work and were not tried. Servers in backoff or silent ones are
-// chosen only when there is no other.
-func (f *Fleet) Choose(service string, tried []gypsumshelf.ServerID) (rosters.Entry, bool) {
+// candidate is a backend server that may get a request.
+type candidate struct {
+	rosters.Entry
+	score float64
+	limit *namedLimit // a copy, nil if the server names none
+}
+
+// candidates returns the backend servers of a service that may get new work and were not
+// tried, the one with the lowest score first. Servers in backoff or silent ones come
+// after all others.
+func (f *Fleet) candidates(service string, tried []gypsumshelf.ServerID) []candidate {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	var best rosters.Entry
-	lowestScore, found := 0.0, false
+	var candidates []candidate
 	for _, entry := range f.roster.All() {
 		if entry.Service != service || !entry.Usable() || f.outOfService[entry.DataCentre] || slices.Contains(tried, entry.ID) {
 			continue
 		}
-		score := f.score(now, entry)
-		if !found || score < lowestScore {
-			best, lowestScore, found = entry, score, true
+		c := candidate{Entry: entry, score: f.score(now, entry)}
+		if limit := f.healthOf(entry).limit; limit != nil {
+			copied := *limit
+			c.limit = &copied
+		}
+		candidates = append(candidates, c)
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	return candidates
+}
+
+// setNoRoom records that the limits of backend servers are used up for a time.
+func (f *Fleet) setNoRoom(servers []schedules.ServerLimit, now time.Time, wait time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range servers {
+		if h := f.health[s.Server]; h != nil && h.serverStart == s.Born && h.limit != nil {
+			h.limit.noRoomUntil, h.limit.askedAt = now.Add(wait), now
 		}
 	}
-	return best, found
 }
 
-// Score penalties of Choose; each is larger than the sum of those below it.
+// Score penalties of candidates; each is larger than the sum of those below it.
 const (
 	penaltyBackoff = 10000.0
 	penaltySilent  = 1000.0
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -52,6 +52,7 @@
 	Fleet      *Fleet
 	Placer     Placer
 	Crashes    CrashReporter // nil if nothing is to be reported
+	Limits     LimitKeeper   // nil if backend servers name no limits
 	Retries    RetryBudget
 	BodyBudget int64 // memory for the bodies of requests and responses in bytes, 0 for no limit
 	// MemoryBound is the time within which engine memory reserved for a request must
@@ -238,6 +239,7 @@
 	responseMemory *buffers.Reservation // of the buffered response
 
 	lostServers     []*crashCheck          // of attempts whose connection was lost
+	placedOnLimited bool                   // the scheduler knows of a limit of the engine in use
 	submittedJobs   int                    // number of jobs submitted to the scheduler
 	sentAttempts    int                    // number of attempts sent to a backend server
 	triedServers    []gypsumshelf.ServerID // servers of all attempts, including those not reached
--- a/forwards/plain.go
+++ b/forwards/plain.go
@@ -26,7 +26,11 @@
 // serveFromPlainService serves a request of a service without engines.
 func (req *proxyRequest) serveFromPlainService(ctx context.Context) {
 	for {
-		server, found := req.forwarder.cfg.Fleet.Choose(req.service.Name, req.triedServers)
+		server, retryAfter, found := req.choosePlain(ctx)
+		if !found && retryAfter > 0 {
+			req.refuseLimited(retryAfter)
+			return
+		}
 		if !found && len(req.triedServers) == 0 && req.now().Sub(req.arrived) < announcementWait && timers.Sleep(ctx, announcementPollPeriod) {
 			continue
 		}
--- a/forwards/protocol.go
+++ b/forwards/protocol.go
@@ -52,6 +52,9 @@
 	Queued            int                   // requests waiting on the server, if HasLoad
 	Slots             int                   // requests that the server can run at once, if HasLoad
 	HasLoad           bool                  // the response states the load
+	Limit             float64               // requests per second that the server takes from all daemons, if HasLimit
+	HasLimit          bool                  // the response names a limit
+	UnreadableLimit   string                // what the response names instead of a limit, empty for nothing
 }
 
 // Protocol reads and writes the headers that carry metadata on a platform. It also
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -94,7 +94,7 @@
 	})
 	g.dispatchClient = dispatchers.NewClient(dispatchers.ClientConfig{Feeds: g.subscriber, Local: g.localDispatcher, Log: cfg.Log})
 	g.forwarder = forwards.New(forwards.Config{
-		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: cfg.Protocol, Fleet: g.fleet, Placer: g.dispatchClient, Crashes: g.dispatchClient,
+		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: cfg.Protocol, Fleet: g.fleet, Placer: g.dispatchClient, Crashes: g.dispatchClient, Limits: g.dispatchClient,
 		Retries: cfg.Retries, StateFresh: g.stateFresh, Log: cfg.Log, Recorder: cfg.Recorder, BodyBudget: cfg.Memory / bodyMemoryDivisor,
 		MemoryBound: cfg.FreeMemory,
 	})
--- /dev/null
+++ b/schedules/crashes.go
@@ -0,0 +1,52 @@
+package schedules
+
+import (
+	"slices"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf/crashes"
+)
+
+// SetQuarantines adds quarantines that are in force for all daemons, and ends those
+// that were lifted.
+func (s *Scheduler) SetQuarantines(quarantines []crashes.Quarantine, lifts []crashes.Lift) {
+	s.crashes.SetQuarantines(quarantines, lifts)
+}
+
+// RecordCrash records which requests were lost with a backend server that has ended.
+func (s *Scheduler) RecordCrash(now time.Time, r crashes.Report) { s.crashes.RecordCrash(now, r) }
+
+// RecordCompleted clears the causes of a request that was answered without a job.
+func (s *Scheduler) RecordCompleted(now time.Time, causes []crashes.Cause) {
+	s.crashes.RecordCompleted(now, causes)
+}
+
+// TakeQuarantines returns the quarantines that this scheduler has found. Each is
+// returned once.
+func (s *Scheduler) TakeQuarantines() []crashes.Quarantine {
+	found := s.found
+	s.found = nil
+	return found
+}
+
+// judgeCrashes looks for causes that crash backend servers, and refuses waiting jobs
+// with such causes.
+func (s *Scheduler) judgeCrashes(now time.Time) []Decision {
+	found := s.crashes.Settle(now)
+	if len(found) == 0 {
+		return nil
+	}
+	s.found = append(s.found, found...)
+	var decisions []Decision
+	for _, p := range s.pools {
+		p.queue = slices.DeleteFunc(p.queue, func(j *jobState) bool {
+			refused := s.crashes.IsQuarantined(now, j.request.Causes)
+			if refused {
+				delete(s.jobs, j.request.ID)
+				decisions = append(decisions, Decision{Job: j.request.ID, RetryAfter: maxRetryAfter, Reason: crashes.QuarantineReason, Waited: now.Sub(j.arrived)})
+			}
+			return refused
+		})
+	}
+	return decisions
+}
--- a/schedules/engine.go
+++ b/schedules/engine.go
@@ -71,17 +71,19 @@
 	loadAt              time.Time
 	externalRequests    int // requests that other schedulers placed, as of loadAt
 	coldLimiter         *rate.Limiter
-	shared              bool // other schedulers place jobs here too
+	limits              *limits // that engines have named; shared by all of them
+	shared              bool    // other schedulers place jobs here too
 }
 
-func newEngine(state EngineState, profile *costs.Profile) *engine {
-	return &engine{state: state, profile: profile, assignments: map[JobID]*assignment{}, load: Load{Slowdown: 1}}
+func newEngine(state EngineState, profile *costs.Profile, limits *limits) *engine {
+	return &engine{state: state, profile: profile, limits: limits, assignments: map[JobID]*assignment{}, load: Load{Slowdown: 1}}
 }
 
 // update sets the state of the engine. Each cold period begins with a new request
 // limiter.
 func (e *engine) update(now time.Time, state EngineState, profile *costs.Profile, share float64) {
 	e.state, e.profile, e.shared = state, profile, share > 0
+	e.limits.restarted(state.ID, state.Born)
 	if !e.isCold(now) {
 		e.coldLimiter = nil
 	}
@@ -104,12 +106,24 @@
 
 // usable reports whether the engine may get new work.
 func (e *engine) usable(now time.Time) bool {
-	if now.Before(e.avoidUntil) {
+	if now.Before(e.avoidUntil) || !e.hasRoom(now) {
 		return false
 	}
 	return !e.isCold(now) || e.coldLimiter.TokensAt(now) >= 1
 }
 
+// hasRoom reports whether the engine has named no limit, or one that a further request
+// keeps.
+func (e *engine) hasRoom(now time.Time) bool { return e.limits.allows(now, e.id()) }
+
+// countRequest counts a request that the engine gets now against its rates.
+func (e *engine) countRequest(now time.Time) {
+	if e.isCold(now) {
+		e.coldLimiter.AllowN(now, 1)
+	}
+	e.limits.take(now, e.id())
+}
+
 // slowdown returns the factor by which the engine is slower than its profile.
 func (e *engine) slowdown(now time.Time) float64 {
 	if e.load.Slowdown <= 1 || now.Sub(e.loadAt) > slowdownTTL {
--- a/schedules/job.go
+++ b/schedules/job.go
@@ -48,6 +48,7 @@
 	Helpers []gypsumshelf.ServerID // prefill the other parts
 	Holds   []Hold                 // memory reservations on helpers, in the order in which they are filled
 	First   time.Duration          // predicted time to the first event
+	Limited bool                   // the primary engine has named a limit, as far as the scheduler knows
 }
 
 // engines returns all engines of the placement, the primary first.
@@ -98,6 +99,7 @@
 // EngineState is the state of an engine that the scheduler needs.
 type EngineState struct {
 	ID                    gypsumshelf.ServerID
+	Born                  int64 // start of the engine, in ms since 1970
 	Service               string
 	DataCentre            string
 	ColdUntil             time.Time // zero when warm
--- a/schedules/placement.go
+++ b/schedules/placement.go
@@ -107,7 +107,7 @@
 	var usable, suspects []*engine
 	for _, e := range p.sorted {
 		switch {
-		case slices.Contains(avoid, e.id()):
+		case slices.Contains(avoid, e.id()), !e.hasRoom(now):
 		case e.usable(now):
 			usable = append(usable, e)
 		case !e.isCold(now):
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -99,17 +99,19 @@
 	pools      map[string]*pool
 	jobs       map[JobID]*jobState
 	crashes    *crashes.Detector
+	limits     *limits
 	found      []crashes.Quarantine // not returned by TakeQuarantines yet
 }
 
 // New returns a Scheduler that knows no engines.
 func New(cfg Config) *Scheduler {
 	detector := crashes.NewDetector(cmp.Or(cfg.QuarantineTime, crashes.QuarantineTime))
-	return &Scheduler{cfg: cfg, pools: map[string]*pool{}, jobs: map[JobID]*jobState{}, crashes: detector}
+	return &Scheduler{cfg: cfg, pools: map[string]*pool{}, jobs: map[JobID]*jobState{}, crashes: detector, limits: newLimits(cfg.ColdShare)}
 }
 
-// SetColdShare changes Config.ColdShare for engines that turn cold from now on.
-func (s *Scheduler) SetColdShare(share float64) { s.cfg.ColdShare = share }
+// SetColdShare changes Config.ColdShare for engines that turn cold or name another
+// limit from now on.
+func (s *Scheduler) SetColdShare(share float64) { s.cfg.ColdShare, s.limits.share = share, share }
 
 // UpdateEngines sets the profiles of all services and the states of all
 // engines. Engines that are missing from the states get no new work.
@@ -128,7 +130,7 @@
 		}
 		listed[state.ID] = true
 		if p.engines[state.ID] == nil {
-			p.engines[state.ID] = newEngine(state, p.profile)
+			p.engines[state.ID] = newEngine(state, p.profile, s.limits)
 		}
 		p.engines[state.ID].update(now, state, p.profile, s.cfg.ColdShare)
 	}
@@ -163,6 +165,12 @@
 		delete(s.jobs, job.ID)
 		return []Decision{p.refuse(now, j, "the queue is longer than the caller waits")}
 	}
+	if wait := p.limitedWait(now); wait > job.Target {
+		delete(s.jobs, job.ID)
+		d := p.refuse(now, j, "all engines have named limits that are used up")
+		d.RetryAfter = min(maxRetryAfter, max(d.RetryAfter, wait))
+		return []Decision{d}
+	}
 	p.queue = append(p.queue, j)
 	return s.processQueue(now, p, j.long)
 }
@@ -290,50 +298,6 @@
 	return decisions
 }
 
-// SetQuarantines adds quarantines that are in force for all daemons, and ends those
-// that were lifted.
-func (s *Scheduler) SetQuarantines(quarantines []crashes.Quarantine, lifts []crashes.Lift) {
-	s.crashes.SetQuarantines(quarantines, lifts)
-}
-
-// RecordCrash records which requests were lost with a backend server that has ended.
-func (s *Scheduler) RecordCrash(now time.Time, r crashes.Report) { s.crashes.RecordCrash(now, r) }
-
-// RecordCompleted clears the causes of a request that was answered without a job.
-func (s *Scheduler) RecordCompleted(now time.Time, causes []crashes.Cause) {
-	s.crashes.RecordCompleted(now, causes)
-}
-
-// TakeQuarantines returns the quarantines that this scheduler has found. Each is
-// returned once.
-func (s *Scheduler) TakeQuarantines() []crashes.Quarantine {
-	found := s.found
-	s.found = nil
-	return found
-}
-
-// judgeCrashes looks for causes that crash backend servers, and refuses waiting jobs
-// with such causes.
-func (s *Scheduler) judgeCrashes(now time.Time) []Decision {
-	found := s.crashes.Settle(now)
-	if len(found) == 0 {
-		return nil
-	}
-	s.found = append(s.found, found...)
-	var decisions []Decision
-	for _, p := range s.pools {
-		p.queue = slices.DeleteFunc(p.queue, func(j *jobState) bool {
-			refused := s.crashes.IsQuarantined(now, j.request.Causes)
-			if refused {
-				delete(s.jobs, j.request.ID)
-				decisions = append(decisions, Decision{Job: j.request.ID, RetryAfter: maxRetryAfter, Reason: crashes.QuarantineReason, Waited: now.Sub(j.arrived)})
-			}
-			return refused
-		})
-	}
-	return decisions
-}
-
 // Values of the includeLong parameter of processQueue. Long jobs are left out
 // when a single answer ends: they are costly to place and need several engines.
 const (
@@ -369,6 +333,7 @@
 		}
 		switch {
 		case placement != nil:
+			placement.Limited = s.limits.get(now, placement.Server) != nil
 			p.assign(now, j, placement)
 			d.Placement = placement
 			defaultCandidates = p.candidateSet(now, nil)
@@ -468,6 +433,24 @@
 	return time.Duration(shortJobs) * p.profile.DecodeTime(p.profile.MeanAnswerTokens, p.profile.Slots/2, 0) / time.Duration(slots)
 }
 
+// limitedWait returns the time until the limits of the engines leave room for the
+// waiting jobs and another one. It is 0 if an engine has named no limit.
+func (p *pool) limitedWait(now time.Time) time.Duration {
+	perSecond, room := 0.0, 0.0
+	for _, e := range p.sorted {
+		l := e.limits.get(now, e.id())
+		if l == nil {
+			return 0
+		}
+		perSecond += l.rate
+		room += max(0, l.limiter.TokensAt(now))
+	}
+	if perSecond == 0 {
+		return 0
+	}
+	return time.Duration(max(0, float64(len(p.queue)+1)-room) / perSecond * float64(time.Second))
+}
+
 // refuse returns the decision that refuses a job. The retry time is the time
 // until the active answers have ended, or for a long job until the waiting long
 // prompts have been prefilled. It varies between refused callers so that they do
@@ -561,8 +544,8 @@
 		}
 		e.addAssignment(a)
 		e.addPrefill(now, partTime)
-		if i == 0 && e.isCold(now) {
-			e.coldLimiter.AllowN(now, 1)
+		if i == 0 {
+			e.countRequest(now)
 		}
 	}
 }
