Send cold plain servers no more than they bear

A plain server that had just started got its whole share of the requests: only engines had a rate while they were cold.

--- a/forwards/fleet.go
+++ b/forwards/fleet.go
@@ -35,6 +35,8 @@
 	reportedLoad        int // reported by the backend server, for all daemons
 	reportedAt          time.Time
 	limit               *namedLimit // nil if it names none
+	noRoomUntil         time.Time   // its rate is used up until this time, as of askedAt
+	askedAt             time.Time
 }
 
 // Fleet is an entry daemon's view of the backend servers.
@@ -125,14 +127,17 @@
 // candidate is a backend server that may get a request.
 type candidate struct {
 	rosters.Entry
-	score float64
-	limit *namedLimit // a copy, nil if the server names none
+	score   float64
+	limited bool                  // it takes requests at a limited rate only
+	limit   schedules.ServerLimit // the rate, if limited
+	noRoom  time.Duration         // for which the rate is used up, as far as known
 }
 
 // candidates returns the backend servers of a service that may get new work and were not
 // tried, the one with the lowest score first. Servers in backoff or silent ones come
-// after all others.
-func (f *Fleet) candidates(service string, tried []gypsumshelf.ServerID) []candidate {
+// after all others. coldRate is what a cold one takes in requests per second, 0 for no
+// limit.
+func (f *Fleet) candidates(service string, coldRate float64, tried []gypsumshelf.ServerID) []candidate {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
@@ -141,10 +146,16 @@
 		if entry.Service != service || !entry.Usable() || f.outOfService[entry.DataCentre] || slices.Contains(tried, entry.ID) {
 			continue
 		}
-		c := candidate{Entry: entry, score: f.score(now, entry)}
-		if limit := f.healthOf(entry).limit; limit != nil {
-			copied := *limit
-			c.limit = &copied
+		h := f.healthOf(entry)
+		c := candidate{Entry: entry, score: f.score(now, entry), limit: schedules.ServerLimit{Server: entry.ID, Born: entry.Born, Named: true}}
+		if h.limit != nil {
+			c.limited, c.limit.PerSecond, c.limit.Age = true, h.limit.perSecond, now.Sub(h.limit.namedAt)
+		}
+		if coldRate > 0 && now.Before(entry.ColdUntil) && (!c.limited || coldRate < c.limit.PerSecond) {
+			c.limited, c.limit.PerSecond, c.limit.Age = true, coldRate, 0
+		}
+		if now.Sub(h.askedAt) < noRoomTTL {
+			c.noRoom = max(0, h.noRoomUntil.Sub(now))
 		}
 		candidates = append(candidates, c)
 	}
@@ -152,13 +163,13 @@
 	return candidates
 }
 
-// setNoRoom records that the limits of backend servers are used up for a time.
+// setNoRoom records that the rates of backend servers are used up for a time.
 func (f *Fleet) setNoRoom(servers []schedules.ServerLimit, now time.Time, wait time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range servers {
-		if h := f.health[s.Server]; h != nil && h.serverStart == s.Born && h.limit != nil {
-			h.limit.noRoomUntil, h.limit.askedAt = now.Add(wait), now
+		if h := f.health[s.Server]; h != nil && h.serverStart == s.Born {
+			h.noRoomUntil, h.askedAt = now.Add(wait), now
 		}
 	}
 }
--- a/forwards/limits.go
+++ b/forwards/limits.go
@@ -41,16 +41,9 @@
 
 // namedLimit is the limit that a backend server named in its last answer.
 type namedLimit struct {
-	perSecond   float64
-	namedAt     time.Time
-	reportedAt  time.Time
-	noRoomUntil time.Time // the limit is used up until this time, as of askedAt
-	askedAt     time.Time
-}
-
-// hasNoRoom reports whether the limit is known to be used up for longer than a wait.
-func (l *namedLimit) hasNoRoom(now time.Time, maxWait time.Duration) bool {
-	return l.noRoomUntil.Sub(now) > maxWait && now.Sub(l.askedAt) < noRoomTTL
+	perSecond  float64
+	namedAt    time.Time
+	reportedAt time.Time
 }
 
 // recordLimit updates the limit of a backend server from the header of an answer to a
@@ -112,12 +105,16 @@
 }
 
 // choosePlain chooses a backend server of the request's service, within the limits that
-// servers have named. It waits for room where the request can still be answered in
+// servers have named and the rates that cold ones take. It waits for room where the request can still be answered in
 // time. If no server is left it returns false, with the time until one has room if it is
 // for its limit.
 func (req *proxyRequest) choosePlain(ctx context.Context) (server rosters.Entry, retryAfter time.Duration, found bool) {
 	fleet := req.forwarder.cfg.Fleet
-	candidates := fleet.candidates(req.service.Name, req.triedServers)
+	coldRate := schedules.ColdRate(req.service.ColdRequestsPerSecond)
+	if req.forwarder.cfg.Limits == nil {
+		coldRate = 0
+	}
+	candidates := fleet.candidates(req.service.Name, coldRate, req.triedServers)
 	limited, unlimited := splitLimited(candidates)
 	if len(limited) == 0 {
 		return unlimited.Entry, 0, unlimited.ID != ""
@@ -126,13 +123,12 @@
 	if unlimited.ID != "" {
 		r.MaxWait = 0
 	}
-	now := req.now()
 	for _, c := range limited {
-		if c.limit.hasNoRoom(now, r.MaxWait) {
-			retryAfter = shorterWait(retryAfter, c.limit.noRoomUntil.Sub(now))
+		if c.noRoom > r.MaxWait {
+			retryAfter = shorterWait(retryAfter, c.noRoom)
 			continue
 		}
-		r.Servers = append(r.Servers, schedules.ServerLimit{Server: c.ID, Born: c.Born, Named: true, PerSecond: c.limit.perSecond, Age: now.Sub(c.limit.namedAt)})
+		r.Servers = append(r.Servers, c.limit)
 	}
 	if len(r.Servers) > 0 {
 		admission, err := req.forwarder.cfg.Limits.Admit(ctx, r)
@@ -162,7 +158,7 @@
 // better.
 func splitLimited(candidates []candidate) (limited []candidate, unlimited candidate) {
 	for i, c := range candidates {
-		if c.limit == nil {
+		if !c.limited {
 			return candidates[:i], c
 		}
 	}
--- a/forwards/limits_test.go
+++ b/forwards/limits_test.go
@@ -146,7 +146,7 @@
 	now := time.Unix(1_000_000, 0)
 	fleet := NewFleet("a", func() time.Time { return now })
 	record := rosters.Record{ID: "p1", Born: 1, Sequence: 1, Service: "plain", Address: "127.0.0.1:1", DataCentre: "a", Slots: 4}
-	limited := func() bool { return fleet.candidates("plain", nil)[0].limit != nil }
+	limited := func() bool { return fleet.candidates("plain", 0, nil)[0].limited }
 	fleet.Merge([]rosters.Record{record})
 	entry, _ := fleet.Get("p1")
 	name := func() {
--- a/schedules/engine.go
+++ b/schedules/engine.go
@@ -90,7 +90,7 @@
 	if !e.isCold(now) || e.coldLimiter != nil {
 		return
 	}
-	perSecond := state.ColdRequestsPerSecond * coldRateFraction
+	perSecond := ColdRate(state.ColdRequestsPerSecond)
 	if share == 0 {
 		e.coldLimiter = rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond/2)))
 		return
@@ -100,6 +100,10 @@
 	e.coldLimiter.AllowN(now, 1)
 }
 
+// ColdRate returns the requests per second that all daemons together send to a cold
+// backend server that accepts a rate.
+func ColdRate(perSecond float64) float64 { return perSecond * coldRateFraction }
+
 func (e *engine) isCold(now time.Time) bool {
 	return e.state.ColdRequestsPerSecond > 0 && now.Before(e.state.ColdUntil)
 }
