Do not avoid a leader whose scheduler is about to start

Daemons that hear of a new leader from others hand over to it at once, and the refusal of a scheduler that is not active yet made them schedule by themselves for half a second. They now ask again after 50 ms. A server that has left by a DELETE alone has announced its end too, and is not probed.

--- a/dispatchers/client.go
+++ b/dispatchers/client.go
@@ -39,8 +39,9 @@
 	// is harmless after the deadline of its job, when the scheduler removes the
 	// job.
 	updateQueueSize = 1024
-	// handOverRetryDelay is the time in which a connection to a new leader is made.
-	handOverRetryDelay = 200 * time.Millisecond
+	// handOverRetryDelay is a part of the time in which a connection to a new leader is
+	// made.
+	handOverRetryDelay = 50 * time.Millisecond
 	// updateBatchDelay is the time for which updates are collected into one call.
 	updateBatchDelay = 5 * time.Millisecond
 )
@@ -173,11 +174,29 @@
 	if err == nil && len(known) > 0 {
 		err = peers.Call(client, ServiceName+".Tell", known, &struct{}{}, placeTimeout)
 	}
-	if err != nil {
+	switch {
+	case err == nil:
+		return true
+	case isInactive(err):
+		c.forgetHandOver()
+	default:
 		c.suspectLeader(leader, err)
-		return false
 	}
-	return true
+	return false
+}
+
+// isInactive reports whether a call failed because the scheduler is not active. A new
+// leader starts it within milliseconds of its election, of which others tell too.
+func isInactive(err error) bool {
+	var serverError rpc.ServerError
+	return errors.As(err, &serverError) && string(serverError) == ErrInactive.Error()
+}
+
+// forgetHandOver makes the next call hand everything over again.
+func (c *Client) forgetHandOver() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.informedLeader = ""
 }
 
 // suspectLeader avoids a leader for suspectDuration after a failed call. The
--- a/dispatchers/limits.go
+++ b/dispatchers/limits.go
@@ -64,11 +64,11 @@
 		if err == nil {
 			return *reply, nil
 		}
-		// A leader of an older build does not know the call.
 		var serverError rpc.ServerError
-		if !errors.As(err, &serverError) || err.Error() == ErrInactive.Error() {
+		if !errors.As(err, &serverError) {
 			c.suspectLeader(leader, err)
 		} else {
+			// It does not schedule yet, or is of an older build that lacks the call.
 			c.cfg.Log.WithField("leader", leader).WithError(err).Warn("the scheduling daemon does not divide limits; this daemon uses its share")
 		}
 	}
--- a/forwards/crash_check.go
+++ b/forwards/crash_check.go
@@ -71,7 +71,7 @@
 // has begun. A backend server that has announced its end is not checked.
 func (c *crashChecks) recordLost(req *proxyRequest, server rosters.Entry, began time.Time) {
 	current, known := c.forwarder.cfg.Fleet.Get(server.ID)
-	if c.forwarder.cfg.Crashes == nil || known && current.Born == server.Born && current.Leaving {
+	if c.forwarder.cfg.Crashes == nil || known && current.Born == server.Born && !current.Usable() {
 		return
 	}
 	c.mu.Lock()
