Ignore limits that are no number

A malformed message with a rate of NaN made a limiter that admits nothing, and one with an infinite rate one that admits everything. Platform headers are checked already; messages between daemons were not.

--- a/schedules/limits.go
+++ b/schedules/limits.go
@@ -1,6 +1,7 @@
 package schedules
 
 import (
+	"math"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -83,6 +84,9 @@
 	if s != nil && (r.Born < s.born || r.Born == s.born && !at.After(s.known)) {
 		return
 	}
+	if r.Named && (math.IsNaN(r.PerSecond) || math.IsInf(r.PerSecond, 0)) {
+		return // a malformed message
+	}
 	if !r.Named {
 		if s != nil {
 			s.born, s.known, s.ended = r.Born, at, true
--- a/schedules/limits_test.go
+++ b/schedules/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -48,6 +49,7 @@
 		{name: "zero leaves trials", limits: []ServerLimit{named("s", 1, 0)}, low: 1, high: 2},
 		{name: "share of a daemon without a leader", share: 0.1, limits: []ServerLimit{named("s", 1, 10)}, low: 9, high: 11},
 		{name: "lower than before", limits: []ServerLimit{named("s", 1, 40), named("s", 1, 2)}, low: 19, high: 22},
+		{name: "malformed", limits: []ServerLimit{named("s", 1, 2), named("s", 1, math.NaN()), named("s", 1, math.Inf(1))}, low: 19, high: 21},
 		{name: "another server", limits: []ServerLimit{named("other", 1, 1)}, low: unlimited, high: unlimited},
 		{name: "answer of an earlier start", limits: []ServerLimit{named("s", 2, 2), named("s", 1, 40)}, low: 19, high: 21},
 		{name: "late answer without a limit", limits: []ServerLimit{named("s", 1, 2), {Server: "s", Born: 1, Age: time.Second}}, low: 19, high: 21},
