Probe servers without a health check by a connection only

Such a server is now asked by a connection alone; one that accepts it counts as alive. The soak's services have a health check now, so that it plays the other way too.

--- a/forwards/crash_check.go
+++ b/forwards/crash_check.go
@@ -1,7 +1,6 @@
 package forwards
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -60,7 +59,7 @@
 type crashCheck struct {
 	checks *crashChecks
 	server rosters.Entry
-	path   string // of the health check of its service
+	path   string // of the health check of its service, empty if it has none
 	lostAt time.Time
 	runs   []crashes.Run // guarded by mu of checks
 	done   chan struct{} // closed when ended is known
@@ -79,7 +78,7 @@
 	key := serverStart{id: server.ID, born: server.Born}
 	check := c.pending[key]
 	if check == nil {
-		check = &crashCheck{checks: c, server: server, path: cmp.Or(req.service.HealthPath, "/"), lostAt: req.now(), done: make(chan struct{})}
+		check = &crashCheck{checks: c, server: server, path: req.service.HealthPath, lostAt: req.now(), done: make(chan struct{})}
 		c.pending[key] = check
 		go check.run()
 	}
@@ -154,13 +153,17 @@
 }
 
 // probe asks the backend server for its health. Any other one at its address says that
-// it is not the intended one.
+// it is not the intended one. Without a health check it only connects, since a backend
+// server could run anything else as a request.
 func (k *crashCheck) probe(ctx context.Context) (ResponseMeta, error) {
 	x, err := dial(ctx, k.server.Address)
 	if err != nil {
 		return ResponseMeta{}, err
 	}
 	defer x.close()
+	if k.path == "" {
+		return ResponseMeta{}, nil
+	}
 	protocol := k.checks.forwarder.cfg.Protocol
 	header := http.Header{}
 	protocol.SetHeaders(header, Call{Server: k.server.ID, Remaining: probeTimeout, Urgency: -1})
--- a/forwards/crash_check_test.go
+++ b/forwards/crash_check_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,8 +42,9 @@
 
 // losingServer loses the first connection. Then it ends, or answers with a status.
 type losingServer struct {
-	listener net.Listener
-	status   int // 0 if it ends
+	listener       net.Listener
+	status         int // 0 if it ends
+	bytesAfterLoss atomic.Int64
 }
 
 func newLosingServer(t *testing.T, status int) (*losingServer, rosters.Record) {
@@ -63,9 +65,13 @@
 			return
 		}
 		// The request has arrived once its header has.
-		if _, err := conn.Read(make([]byte, 4096)); err != nil && err != io.EOF {
+		n, err := conn.Read(make([]byte, 4096))
+		if err != nil && err != io.EOF {
 			return
 		}
+		if !first {
+			s.bytesAfterLoss.Add(int64(n))
+		}
 		switch {
 		case first:
 			if s.status == 0 {
@@ -84,10 +90,11 @@
 func TestLostConnectionIsACrashOnlyIfTheServerHasEnded(t *testing.T) {
 	const silent = -1 // neither answers nor closes
 	for _, c := range []struct {
-		name    string
-		status  int
-		leaving bool
-		crashed bool
+		name     string
+		status   int
+		leaving  bool
+		noHealth bool // the service has no health check
+		crashed  bool
 	}{
 		{name: "refuses connections", status: 0, crashed: true},
 		{name: "another start at its address", status: http.StatusMisdirectedRequest, crashed: true},
@@ -95,13 +102,18 @@
 		{name: "is full", status: http.StatusServiceUnavailable},
 		{name: "does not answer", status: silent},
 		{name: "announced its end", status: 0, leaving: true},
+		{name: "refuses connections and has no health check", status: 0, noHealth: true, crashed: true},
+		{name: "accepts connections and has no health check", status: http.StatusMisdirectedRequest, noHealth: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newStartedFixture(t)
 			recorder := &crashRecorder{}
 			f.forwarder.cfg.Crashes = recorder
-			_, record := newLosingServer(t, c.status)
+			server, record := newLosingServer(t, c.status)
 			f.forwarder.cfg.Fleet.Merge([]rosters.Record{record})
+			if c.noHealth {
+				f.forwarder.Catalog().Service("plain").HealthPath = ""
+			}
 			if c.leaving {
 				// The announcement arrives while the request runs.
 				f.forwarder.crashChecks.recordLost(&proxyRequest{forwarder: f.forwarder}, leavingEntry(f, record), time.Now())
@@ -110,6 +122,9 @@
 			}
 			time.Sleep(probeTimeout + 200*time.Millisecond)
 			reports, _ := recorder.count()
+			if n := server.bytesAfterLoss.Load(); c.noHealth && n > 0 {
+				t.Errorf("a server without a health check got %d bytes, which it could run as a request", n)
+			}
 			if got := reports > 0; got != c.crashed {
 				t.Fatalf("%d crashes reported, want any: %v", reports, c.crashed)
 			}
--- a/forwards/fake_test.go
+++ b/forwards/fake_test.go
@@ -265,7 +265,7 @@
 			route("/safe/", "plain", catalogs.Safe, attempts), route("/unsafe/", "plain", catalogs.Unsafe, 1),
 			route("/stream/", "engines", catalogs.Stream, attempts),
 		},
-		Services:   []catalogs.Service{{Name: "plain"}, {Name: "engines", Engine: &costs.Profile{Slots: 4, MemoryTokens: 1000, PrefillRate: 1000}}},
+		Services:   []catalogs.Service{{Name: "plain", HealthPath: "/health"}, {Name: "engines", HealthPath: "/health", Engine: &costs.Profile{Slots: 4, MemoryTokens: 1000, PrefillRate: 1000}}},
 		Workspaces: []catalogs.Workspace{{Name: "w", Keys: []string{"k"}}},
 	})
 	if err != nil {
