--- a/forwards/limits.go
+++ b/forwards/limits.go
@@ -105,9 +105,9 @@
 }
 
 // choosePlain chooses a backend server of the request's service, within the limits that
-// servers have named and the rates that cold ones take. It waits for room where the request can still be answered in
-// time. If no server is left it returns false, with the time until one has room if it is
-// for its limit.
+// servers have named and the rates that cold ones take. It waits for room where the
+// request can still be answered in time. If no server is left it returns false, with the
+// time until one has room if it is for its limit.
 func (req *proxyRequest) choosePlain(ctx context.Context) (server rosters.Entry, retryAfter time.Duration, found bool) {
 	fleet := req.forwarder.cfg.Fleet
 	coldRate := schedules.ColdRate(req.service.ColdRequestsPerSecond)
