Do not refuse late jobs for limits that nobody has named

The wait for room on engines, 0 without limits, was compared with the time left until the target. That time is negative for a retry or a resumed stream whose target has passed, so that it was refused with 'all engines have named limits that are used up'.

TestLateJobsAreNotRefusedForLimits was refused before.

--- a/schedules/limits_test.go
+++ b/schedules/limits_test.go
@@ -147,3 +147,22 @@
 		t.Errorf("%d placed in 10 s on a cold engine with a limit of 0.5 a second", placed)
 	}
 }
+
+// Guards against jobs whose target has passed, such as resumed streams, that are refused
+// for a limit that nobody has named, or that is not used up.
+func TestLateJobsAreNotRefusedForLimits(t *testing.T) {
+	for _, limited := range []bool{false, true} {
+		s := New(Config{})
+		s.UpdateEngines(origin, map[string]*costs.Profile{"llm": testProfile()}, []EngineState{{ID: "e", Service: "llm", Born: 1}})
+		now := origin
+		if limited {
+			s.RecordLimit(now, named("e", 1, 1))
+			now = now.Add(1500 * time.Millisecond) // there is room for one request
+		}
+		j := newJob("late", 1000, -time.Second)
+		j.Patience = 2 * time.Second
+		if p := requirePlacement(t, s.Submit(now, j)); p.Limited != limited {
+			t.Errorf("the placement says that the engine is limited: %v, want %v", p.Limited, limited)
+		}
+	}
+}
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -165,7 +165,7 @@
 		delete(s.jobs, job.ID)
 		return []Decision{p.refuse(now, j, "the queue is longer than the caller waits")}
 	}
-	if wait := p.limitedWait(now); wait > job.Target {
+	if wait := p.limitedWait(now); wait > max(0, job.Target) {
 		delete(s.jobs, job.ID)
 		d := p.refuse(now, j, "all engines have named limits that are used up")
 		d.RetryAfter = min(maxRetryAfter, max(d.RetryAfter, wait))
