--- a/dispatchers/client.go
+++ b/dispatchers/client.go
@@ -149,9 +149,9 @@
 	return c.leader
 }
 
-// handOverJobs sends the placed jobs and the known crashes and limits to a new leader, once, and
-// reports whether the leader knows them. A call that runs meanwhile waits, since the leader must know of the
-// jobs before it places others.
+// handOverJobs sends the placed jobs and the known crashes and limits to a new leader,
+// once, and reports whether the leader knows them. A call that runs meanwhile waits,
+// since the leader must know of the jobs before it places others.
 func (c *Client) handOverJobs(client *rpc.Client, leader string) bool {
 	c.handOverMu.Lock()
 	defer c.handOverMu.Unlock()
