--- a/cmd/gypsumshelf/host.go
+++ b/cmd/gypsumshelf/host.go
@@ -50,7 +50,7 @@
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	host, err := platform.Start(s, log, logWriter.Dropped)
+	host, err := platform.Start(platform.Config{Settings: s, Log: log, DroppedLines: logWriter.Dropped})
 	if err != nil {
 		log.WithError(err).Error("the daemon could not start")
 		return err
--- a/forwards/crash_check.go
+++ b/forwards/crash_check.go
@@ -156,7 +156,7 @@
 // it is not the intended one. Without a health check it only connects, since a backend
 // server could run anything else as a request.
 func (k *crashCheck) probe(ctx context.Context) (ResponseMeta, error) {
-	x, err := dial(ctx, k.server.Address)
+	x, err := k.checks.forwarder.dial(ctx, k.server.Address)
 	if err != nil {
 		return ResponseMeta{}, err
 	}
--- a/forwards/exchange.go
+++ b/forwards/exchange.go
@@ -104,11 +104,15 @@
 	stopContextWatch func() bool // stops closing conn when the context ends
 }
 
+// Dial opens a connection, like the method DialContext of a net.Dialer.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // dial opens the connection of an exchange, which is closed when ctx ends. If dial
 // fails, the request has not run.
-func dial(ctx context.Context, address string) (*exchange, error) {
-	dialer := net.Dialer{Timeout: connectTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+func (f *Forwarder) dial(ctx context.Context, address string) (*exchange, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	conn, err := f.cfg.Dial(dialCtx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errConnect, err)
 	}
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -6,6 +6,7 @@
 	"errors"
 	"hash/fnv"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -49,6 +50,7 @@
 	Daemon     gypsumshelf.DaemonID
 	DataCentre string
 	Protocol   Protocol
+	Dial       Dial // connects to backend servers, nil for the network
 	Fleet      *Fleet
 	Placer     Placer
 	Crashes    CrashReporter // nil if nothing is to be reported
@@ -83,6 +85,9 @@
 
 // New returns a Forwarder, which refuses requests until SetCatalog is called.
 func New(cfg Config) *Forwarder {
+	if cfg.Dial == nil {
+		cfg.Dial = new(net.Dialer).DialContext
+	}
 	f := &Forwarder{cfg: cfg, catalogReady: make(chan struct{}), bodies: buffers.NewBudget(cfg.BodyBudget)}
 	f.retryBudget = attempts.NewBudget(cfg.Retries.daemonBudget(1))
 	f.crashChecks = crashChecks{forwarder: f, pending: map[serverStart]*crashCheck{}}
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -55,6 +55,7 @@
 	Seeds      []string     // addresses of directories that are always polled
 	Decode     catalogs.Decoder
 	Protocol   forwards.Protocol
+	Dial       forwards.Dial // connects to backend servers
 	Retries    forwards.RetryBudget
 	Recorder   forwards.Recorder
 	Memory     int64         // memory that the process may use in bytes, 0 when unknown
@@ -94,7 +95,7 @@
 	})
 	g.dispatchClient = dispatchers.NewClient(dispatchers.ClientConfig{Feeds: g.subscriber, Local: g.localDispatcher, Log: cfg.Log})
 	g.forwarder = forwards.New(forwards.Config{
-		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: cfg.Protocol, Fleet: g.fleet, Placer: g.dispatchClient, Crashes: g.dispatchClient, Limits: g.dispatchClient,
+		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: cfg.Protocol, Dial: cfg.Dial, Fleet: g.fleet, Placer: g.dispatchClient, Crashes: g.dispatchClient, Limits: g.dispatchClient,
 		Retries: cfg.Retries, StateFresh: g.stateFresh, Log: cfg.Log, Recorder: cfg.Recorder, BodyBudget: cfg.Memory / bodyMemoryDivisor,
 		MemoryBound: cfg.FreeMemory,
 	})
