Connect to backend servers through another entry daemon when the own path is lost

Cause: an entry daemon had no other way to a server than its own connection, did not know that its path was lost, and tried server after server, each for 0.35 s or until all had refused. Its crash checks took the refusals for ended servers.

Change: the new package relays. A daemon without a direct connection after 0.1 s, or with a refused one, has another entry daemon connect as well; the first connection carries the request. Both only connect, so that attempts, budgets, limits and quarantines stay with the daemon that holds the request, and a request is sent once. Two servers in a row that only others reach mean that the path to the service is lost; probes without a request find it again. What another daemon says of a server decides whether it has ended.

--- a/directories/publisher.go
+++ b/directories/publisher.go
@@ -3,7 +3,10 @@
 import (
 	"cmp"
 	"context"
+	"hash/fnv"
+	"io"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -42,6 +45,7 @@
 
 // poller is a daemon that polls this publisher.
 type poller struct {
+	dataCentre      string
 	acceptsRequests bool   // of callers
 	cursor          uint64 // cursor of its last poll
 	lastPoll        time.Time
@@ -64,6 +68,7 @@
 	changes    []change                        // ascending by cursor, with changes that later ones have replaced
 	newest     map[gypsumshelf.ServerID]uint64 // cursor of the newest change of each backend server
 	pollers    map[gypsumshelf.DaemonID]poller
+	peersIndex uint64                 // see View
 	expired    []gypsumshelf.DaemonID // daemons that stopped polling, until TakeExpired returns them
 	changed    chan struct{}          // closed at the next change
 	hurried    chan struct{}          // closed at the next urgent change
@@ -131,6 +136,9 @@
 		case now.Sub(poller.lastPoll) > pollerExpiry:
 			delete(p.pollers, id)
 			p.expired = append(p.expired, id)
+			if poller.acceptsRequests {
+				p.peersIndex++
+			}
 		case poller.acceptsRequests:
 			n++
 		}
@@ -186,13 +194,16 @@
 func (p *Publisher) registerPoll(q PollRequest, now time.Time) (<-chan struct{}, time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	answeredAt := p.pollers[q.Daemon].answeredAt
-	p.pollers[q.Daemon] = poller{acceptsRequests: q.Entry, cursor: q.Cursor, lastPoll: now, answeredAt: answeredAt}
+	old, known := p.pollers[q.Daemon]
+	p.pollers[q.Daemon] = poller{dataCentre: q.DataCentre, acceptsRequests: q.Entry, cursor: q.Cursor, lastPoll: now, answeredAt: old.answeredAt}
+	if q.Entry && !known {
+		p.peersIndex++
+	}
 	if p.cursor <= q.Cursor {
 		return p.changed, 0
 	}
 	spacing := min(maxViewSpacing, viewSpacingPerDaemon*time.Duration(len(p.pollers)))
-	if delay := answeredAt.Add(spacing).Sub(now); delay > 0 && p.urgent <= q.Cursor {
+	if delay := old.answeredAt.Add(spacing).Sub(now); delay > 0 && p.urgent <= q.Cursor {
 		return p.hurried, delay
 	}
 	return nil, 0
@@ -227,6 +238,12 @@
 		poller.answeredAt = now
 		p.pollers[q.Daemon] = poller
 	}
+	if q.Epoch == p.epoch {
+		v.KnownPeersIndex = q.PeersIndex
+	}
+	if v.PeersIndex = p.peersIndex; q.Entry && v.PeersIndex != v.KnownPeersIndex {
+		v.Peers = p.peersOf(q)
+	}
 	last := q.Cursor // of the records in v
 	first, _ := slices.BinarySearchFunc(p.changes, q.Cursor+1, func(c change, cursor uint64) int { return cmp.Compare(c.cursor, cursor) })
 	for _, c := range p.changes[first:] {
@@ -241,6 +258,51 @@
 	}
 }
 
+const (
+	// maxPeers and maxPeersPerDataCentre bound the peers of one view. Each daemon gets
+	// others, so that the work of many spreads.
+	maxPeers              = 12
+	maxPeersPerDataCentre = 4
+)
+
+// peersOf returns the peers for a daemon, by rendezvous hashing. The caller holds mu.
+func (p *Publisher) peersOf(q PollRequest) []Peer {
+	type ranked struct {
+		peer Peer
+		rank uint64
+	}
+	var all []ranked
+	for id, poller := range p.pollers {
+		if poller.acceptsRequests && id != q.Daemon {
+			h := fnv.New64a()
+			_, _ = io.WriteString(h, string(q.Daemon)+" "+string(id)) // a hash.Hash never returns an error
+			all = append(all, ranked{peer: Peer{Daemon: id, DataCentre: poller.dataCentre}, rank: h.Sum64()})
+		}
+	}
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+	var peers []Peer
+	perDataCentre := map[string]int{}
+	for _, r := range all {
+		if perDataCentre[r.peer.DataCentre]++; perDataCentre[r.peer.DataCentre] <= maxPeersPerDataCentre && len(peers) < maxPeers {
+			peers = append(peers, r.peer)
+		}
+	}
+	return peers
+}
+
+// IsEntryHost reports whether a daemon that accepts requests polls from an IP address.
+func (p *Publisher) IsEntryHost(ip netip.Addr, reply *bool) (err error) {
+	defer faults.Recover(p.log, ServiceName+".IsEntryHost", &err)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, poller := range p.pollers {
+		if address, err := netip.ParseAddrPort(string(id)); err == nil && poller.acceptsRequests && address.Addr() == ip {
+			*reply = true
+		}
+	}
+	return nil
+}
+
 // AwaitDelivery waits until all polling daemons have received everything
 // published before the call, or until ctx ends. It reports whether all have. A
 // daemon confirms the receipt by the cursor of its next poll.
--- a/directories/subscriber.go
+++ b/directories/subscriber.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"net/rpc"
 	"slices"
 	"sync"
@@ -37,6 +38,7 @@
 // SubscriberConfig configures a Subscriber.
 type SubscriberConfig struct {
 	Daemon          gypsumshelf.DaemonID
+	DataCentre      string
 	AcceptsRequests bool     // the daemon accepts requests of callers
 	OwnAddress      string   // directory address of this daemon, which is not polled
 	Seeds           []string // directory addresses that are always polled
@@ -70,7 +72,7 @@
 	address    string
 	// Position up to which views were handled. It outlives connections, so that a
 	// publisher which was late does not have to send everything again.
-	epoch, cursor uint64
+	epoch, cursor, peersIndex uint64
 
 	mu         sync.Mutex
 	client     *rpc.Client
@@ -146,6 +148,32 @@
 	return addresses
 }
 
+const (
+	// askTimeout bounds a question to a control daemon, and maxAsked the number of those
+	// that are asked.
+	askTimeout = 150 * time.Millisecond
+	maxAsked   = 2
+)
+
+// IsEntryHost asks control daemons whether a daemon that accepts requests runs at an IP
+// address.
+func (s *Subscriber) IsEntryHost(ip netip.Addr) bool {
+	reachable := s.Reachable()
+	for _, address := range reachable[:min(maxAsked, len(reachable))] {
+		client, _ := s.Client(address)
+		if client == nil {
+			continue
+		}
+		is := new(bool)
+		if err := peers.Call(client, ServiceName+".IsEntryHost", ip, is, askTimeout); err != nil {
+			s.cfg.Log.WithField("control-daemon", address).WithError(err).Warn("cannot ask whether another daemon belongs to the deployment")
+		} else if *is {
+			return true
+		}
+	}
+	return false
+}
+
 // Close closes all connections and waits until polling has ended.
 func (s *Subscriber) Close() {
 	s.mu.Lock()
@@ -223,7 +251,7 @@
 	cfg := l.subscriber.cfg
 	for {
 		var v View
-		q := PollRequest{Daemon: cfg.Daemon, Entry: cfg.AcceptsRequests, Epoch: l.epoch, Cursor: l.cursor}
+		q := PollRequest{Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Entry: cfg.AcceptsRequests, PeersIndex: l.peersIndex, Epoch: l.epoch, Cursor: l.cursor}
 		if err := peers.Call(client, ServiceName+".Poll", q, &v, pollTimeout); err != nil {
 			return err
 		}
@@ -235,7 +263,7 @@
 			return err
 		}
 		cfg.HandleView(l.address, v)
-		l.epoch, l.cursor = v.Epoch, v.Cursor
+		l.epoch, l.cursor, l.peersIndex = v.Epoch, v.Cursor, v.PeersIndex
 		select {
 		case <-l.subscriber.stop:
 			return net.ErrClosed
--- a/directories/view.go
+++ b/directories/view.go
@@ -17,10 +17,12 @@
 
 // PollRequest requests the changes after a cursor.
 type PollRequest struct {
-	Daemon gypsumshelf.DaemonID
-	Entry  bool   // the polling daemon accepts requests of callers
-	Epoch  uint64 // of the last view received, 0 at first; differs for each publisher process
-	Cursor uint64 // of the last view received, valid within its epoch
+	Daemon     gypsumshelf.DaemonID
+	DataCentre string
+	Entry      bool   // the polling daemon accepts requests of callers
+	PeersIndex uint64 // of the last view received, 0 at first
+	Epoch      uint64 // of the last view received, 0 at first; differs for each publisher process
+	Cursor     uint64 // of the last view received, valid within its epoch
 }
 
 // View is the answer to a PollRequest.
@@ -33,4 +35,15 @@
 	Entries  int      // number of daemons that accept requests and poll this publisher
 	Index    uint64   // of the replicated state, which Fetch returns
 	Records  []rosters.Record
+	// Peers are some of the other daemons that accept requests, for one that does. They
+	// are left out if PeersIndex is KnownPeersIndex, that of the request.
+	Peers           []Peer
+	PeersIndex      uint64 // grows when a daemon that accepts requests comes or goes
+	KnownPeersIndex uint64
+}
+
+// Peer is a daemon that accepts requests.
+type Peer struct {
+	Daemon     gypsumshelf.DaemonID
+	DataCentre string
 }
--- a/forwards/attempt.go
+++ b/forwards/attempt.go
@@ -54,7 +54,7 @@
 func (req *proxyRequest) startAttempt(ctx context.Context, server rosters.Entry, call Call) (*attempt, *outgoingRequest, error) {
 	a := &attempt{server: server}
 	req.triedServers = append(req.triedServers, server.ID)
-	x, err := req.forwarder.dial(ctx, server.Address)
+	x, err := req.forwarder.dial(ctx, req.target(server))
 	if err != nil {
 		return a, nil, err
 	}
--- a/forwards/crash_check.go
+++ b/forwards/crash_check.go
@@ -13,6 +13,7 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/crashes"
 	"gypsumshelf.example/gypsumshelf/logs"
+	"gypsumshelf.example/gypsumshelf/relays"
 	"gypsumshelf.example/gypsumshelf/rosters"
 	"gypsumshelf.example/gypsumshelf/timers"
 )
@@ -142,7 +143,7 @@
 		switch {
 		case err == nil:
 			return reply.WrongServer, nil
-		case ctx.Err() != nil, errors.Is(err, errNoProgress), errors.Is(err, os.ErrDeadlineExceeded):
+		case ctx.Err() != nil, errors.Is(err, relays.ErrNoPath), errors.Is(err, errNoProgress), errors.Is(err, os.ErrDeadlineExceeded):
 			return false, err
 		case errors.Is(err, errConnect):
 			return !isTimeout(err), err
@@ -156,7 +157,7 @@
 // it is not the intended one. Without a health check it only connects, since a backend
 // server could run anything else as a request.
 func (k *crashCheck) probe(ctx context.Context) (ResponseMeta, error) {
-	x, err := k.checks.forwarder.dial(ctx, k.server.Address)
+	x, err := k.checks.forwarder.dial(ctx, relays.Target{Address: k.server.Address, Service: k.server.Service})
 	if err != nil {
 		return ResponseMeta{}, err
 	}
--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -200,20 +200,22 @@
 // run sends the request and relays the response. It returns nil when the caller
 // has received the complete response.
 func (e *engineAttempt) run(ctx context.Context) error {
+	req := e.request
 	defer e.endReservations()
 	err := e.sendAndRelay(ctx)
 	e.outcome = schedules.Completed
 	if err != nil {
 		e.outcome = outcomeOf(ctx, err)
 	}
+	e.outcome = req.attributed(ctx, e.attempt, e.outcome)
 	if e.attempt != nil {
 		e.attempt.close()
-		e.request.forwarder.cfg.Fleet.End(e.server, e.outcome, e.attempt.reply)
+		req.forwarder.cfg.Fleet.End(e.server, e.outcome, e.attempt.reply)
 		e.verdict = e.attempt.verdict
 		e.blamed = e.attempt.reply.Blamed
 	}
 	if e.outcome == schedules.Lost && (e.blamed == "" || e.blamed == e.server.ID) {
-		e.request.forwarder.crashChecks.recordLost(e.request, e.server, e.startedAt)
+		req.forwarder.crashChecks.recordLost(req, e.server, e.startedAt)
 	}
 	return err
 }
--- a/forwards/exchange.go
+++ b/forwards/exchange.go
@@ -15,12 +15,13 @@
 	"time"
 
 	"gypsumshelf.example/gypsumshelf/buffers"
+	"gypsumshelf.example/gypsumshelf/relays"
 )
 
 const (
-	// connectTimeout is far above the round trip between data centres, a few ms,
-	// and below the 1 s after which TCP resends a lost first packet.
-	connectTimeout  = 350 * time.Millisecond
+	// connectTimeout bounds the time for a connection, which a relays.Dialer tries to
+	// make in several ways.
+	connectTimeout  = 700 * time.Millisecond
 	readBufferBytes = 8 << 10
 	// maxResponseHeaderBytes limits the status line and the header of a response. It
 	// is several times the limit that is usual for requests, 16 KB.
@@ -104,15 +105,12 @@
 	stopContextWatch func() bool // stops closing conn when the context ends
 }
 
-// Dial opens a connection, like the method DialContext of a net.Dialer.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
-
 // dial opens the connection of an exchange, which is closed when ctx ends. If dial
 // fails, the request has not run.
-func (f *Forwarder) dial(ctx context.Context, address string) (*exchange, error) {
+func (f *Forwarder) dial(ctx context.Context, t relays.Target) (*exchange, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	conn, err := f.cfg.Dial(dialCtx, "tcp", address)
+	conn, err := f.cfg.Dialer.Dial(dialCtx, t)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errConnect, err)
 	}
--- a/forwards/fleet.go
+++ b/forwards/fleet.go
@@ -105,6 +105,35 @@
 	return f.roster.Get(id)
 }
 
+// ServiceAt implements relays.Servers.
+func (f *Fleet) ServiceAt(address string) (service string, known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	entry, known := f.roster.At(address)
+	return entry.Service, known
+}
+
+// UsableAt implements relays.Servers.
+func (f *Fleet) UsableAt(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	entry, known := f.roster.At(address)
+	return known && entry.Usable() && !f.outOfService[entry.DataCentre]
+}
+
+// AddressesOf implements relays.Servers.
+func (f *Fleet) AddressesOf(service string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var addresses []string
+	for _, entry := range f.roster.All() {
+		if entry.Service == service && entry.Usable() && !entry.Silent && !f.outOfService[entry.DataCentre] {
+			addresses = append(addresses, entry.Address)
+		}
+	}
+	return addresses
+}
+
 // MarkGone marks a record as gone, because another backend server responded at its
 // address.
 func (f *Fleet) MarkGone(entry rosters.Entry) {
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -6,7 +6,6 @@
 	"errors"
 	"hash/fnv"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -22,6 +21,7 @@
 	"gypsumshelf.example/gypsumshelf/catalogs"
 	"gypsumshelf.example/gypsumshelf/crashes"
 	"gypsumshelf.example/gypsumshelf/logs"
+	"gypsumshelf.example/gypsumshelf/relays"
 	"gypsumshelf.example/gypsumshelf/schedules"
 	"gypsumshelf.example/gypsumshelf/streams"
 	"gypsumshelf.example/gypsumshelf/timers"
@@ -50,7 +50,7 @@
 	Daemon     gypsumshelf.DaemonID
 	DataCentre string
 	Protocol   Protocol
-	Dial       Dial // connects to backend servers, nil for the network
+	Dialer     Dialer // connects to backend servers, nil for direct connections
 	Fleet      *Fleet
 	Placer     Placer
 	Crashes    CrashReporter // nil if nothing is to be reported
@@ -85,8 +85,8 @@
 
 // New returns a Forwarder, which refuses requests until SetCatalog is called.
 func New(cfg Config) *Forwarder {
-	if cfg.Dial == nil {
-		cfg.Dial = new(net.Dialer).DialContext
+	if cfg.Dialer == nil {
+		cfg.Dialer = directDialer{}
 	}
 	f := &Forwarder{cfg: cfg, catalogReady: make(chan struct{}), bodies: buffers.NewBudget(cfg.BodyBudget)}
 	f.retryBudget = attempts.NewBudget(cfg.Retries.daemonBudget(1))
@@ -293,6 +293,10 @@
 		req.finishUnanswered("the caller disconnected while the process was paused")
 		return
 	}
+	if f.cfg.Dialer.HasNoWay(req.service.Name) {
+		req.refuse(http.StatusServiceUnavailable, failedRetryAfter, noWayReason)
+		return
+	}
 	f.earnRetry(req.service.Name)
 	req.lastEvent = req.meta.LastEvent
 	ctx, cancel := context.WithDeadline(req.r.Context(), req.deadline)
@@ -517,6 +521,8 @@
 		return false, "too many backend servers failed"
 	case req.forwarder.isQuarantined(req.causes):
 		return false, crashes.QuarantineReason
+	case req.forwarder.cfg.Dialer.HasNoWay(req.service.Name):
+		return false, noWayReason
 	case req.crashesServers():
 		return false, "backend servers have ended under the request"
 	}
@@ -578,8 +584,8 @@
 // outcomeOf maps the error of an attempt to its outcome.
 func outcomeOf(ctx context.Context, err error) schedules.Outcome {
 	switch {
-	case ctx.Err() != nil:
-		return schedules.Cancelled
+	case ctx.Err() != nil, errors.Is(err, relays.ErrNoPath), relays.IsRelayLost(err):
+		return schedules.Cancelled // not the fault of the backend server
 	case errors.Is(err, errConnect):
 		return schedules.Unreachable
 	case errors.Is(err, errNoProgress), errors.Is(err, errEngineLost):
--- a/forwards/plain.go
+++ b/forwards/plain.go
@@ -68,7 +68,7 @@
 		response, err = a.bufferResponse(req.remaining(), req.responseMemory)
 	}
 	if err != nil {
-		outcome := outcomeOf(ctx, err)
+		outcome := req.attributed(ctx, a, outcomeOf(ctx, err))
 		fleet.End(server, outcome, a.reply)
 		if outcome == schedules.Lost {
 			req.forwarder.crashChecks.recordLost(req, server, began)
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	"gypsumshelf.example/gypsumshelf/directories"
 	"gypsumshelf.example/gypsumshelf/dispatchers"
 	"gypsumshelf.example/gypsumshelf/forwards"
+	"gypsumshelf.example/gypsumshelf/relays"
 	"gypsumshelf.example/gypsumshelf/timers"
 )
 
@@ -54,8 +56,10 @@
 	Callers    net.Listener // accepts callers' connections
 	Seeds      []string     // addresses of directories that are always polled
 	Decode     catalogs.Decoder
-	Protocol   forwards.Protocol
-	Dial       forwards.Dial // connects to backend servers
+	// Protocol returns the protocol, which calls engines over connections made by dial.
+	Protocol   func(dial relays.Dial) forwards.Protocol
+	Dial       relays.Dial  // connects to backend servers
+	Relay      net.Listener // accepts connections of other entry daemons, at the address of Daemon
 	Retries    forwards.RetryBudget
 	Recorder   forwards.Recorder
 	Memory     int64         // memory that the process may use in bytes, 0 when unknown
@@ -73,6 +77,8 @@
 	localDispatcher *dispatchers.Dispatcher
 	dispatchClient  *dispatchers.Client
 	subscriber      *directories.Subscriber
+	dialer          *relays.Dialer
+	relay           *relays.Relay
 	callers         *callerServer
 	stopping        atomic.Bool
 	enginesChanged  atomic.Bool  // since the last update of the local dispatcher
@@ -88,20 +94,25 @@
 // Start starts an entry daemon.
 func Start(cfg Config) *Gateway {
 	g := &Gateway{cfg: cfg, started: time.Now(), fleet: forwards.NewFleet(cfg.DataCentre, cfg.Timers.Now)}
-	g.localDispatcher = dispatchers.New(dispatchers.Config{Daemon: cfg.Daemon, Log: cfg.Log, Timers: cfg.Timers, Reporter: cfg.Protocol, Local: true, HandleQuarantines: g.quarantineLocally})
+	g.dialer = relays.NewDialer(relays.DialerConfig{Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Servers: g.fleet, Dial: cfg.Dial, Log: cfg.Log, Timers: cfg.Timers})
+	protocol := cfg.Protocol(g.dialer.DialContext)
+	g.localDispatcher = dispatchers.New(dispatchers.Config{Daemon: cfg.Daemon, Log: cfg.Log, Timers: cfg.Timers, Reporter: protocol, Local: true, HandleQuarantines: g.quarantineLocally})
 	g.subscriber = directories.NewSubscriber(directories.SubscriberConfig{
-		Daemon: cfg.Daemon, AcceptsRequests: true, Seeds: cfg.Seeds, Log: cfg.Log,
+		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, AcceptsRequests: true, Seeds: cfg.Seeds, Log: cfg.Log,
 		StateIndex: g.stateIndex, InstallState: g.installState, HandleView: g.receiveView,
 	})
 	g.dispatchClient = dispatchers.NewClient(dispatchers.ClientConfig{Feeds: g.subscriber, Local: g.localDispatcher, Log: cfg.Log})
 	g.forwarder = forwards.New(forwards.Config{
-		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: cfg.Protocol, Dial: cfg.Dial, Fleet: g.fleet, Placer: g.dispatchClient, Crashes: g.dispatchClient, Limits: g.dispatchClient,
+		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: protocol, Dialer: g.dialer, Fleet: g.fleet, Placer: g.dispatchClient, Crashes: g.dispatchClient, Limits: g.dispatchClient,
 		Retries: cfg.Retries, StateFresh: g.stateFresh, Log: cfg.Log, Recorder: cfg.Recorder, BodyBudget: cfg.Memory / bodyMemoryDivisor,
 		MemoryBound: cfg.FreeMemory,
 	})
 	cfg.Timers.Subscribe(forwards.PauseCheckPeriod, g.forwarder.CheckPause)
 	cfg.Timers.Subscribe(dispatcherUpdatePeriod, g.refreshLocalDispatcher)
 	g.callers = newCallerServer(g.forwarder, cfg.Callers, cfg.Log)
+	g.relay = relays.NewRelay(relays.RelayConfig{
+		Listener: cfg.Relay, Servers: g.fleet, Dial: cfg.Dial, Admits: g.isEntryDaemon, IsServiceLost: g.dialer.IsServiceLost, Log: cfg.Log,
+	})
 	g.subscriber.Run()
 	return g
 }
@@ -153,7 +164,8 @@
 }
 
 // receiveView processes a view received from a control daemon.
-func (g *Gateway) receiveView(_ string, v directories.View) {
+func (g *Gateway) receiveView(from string, v directories.View) {
+	g.updatePeers(from, v)
 	g.lastViewNanos.Store(int64(time.Since(g.started)))
 	g.dispatchClient.SetLeader(v.Leader, v.Term)
 	g.updateEntryCount(v.Entries)
@@ -162,6 +174,36 @@
 	}
 }
 
+// updatePeers passes on which entry daemons may relay connections to backend servers.
+func (g *Gateway) updatePeers(from string, v directories.View) {
+	if v.PeersIndex == v.KnownPeersIndex {
+		g.dialer.KeepPeers(from)
+		return
+	}
+	peers := make([]relays.Peer, 0, len(v.Peers))
+	for _, p := range v.Peers {
+		peers = append(peers, relays.Peer{Daemon: p.Daemon, DataCentre: p.DataCentre})
+	}
+	g.dialer.SetPeers(from, peers)
+}
+
+// isEntryDaemon reports whether an entry daemon of the deployment runs at an IP address.
+// In a large deployment a daemon knows some of the others only.
+func (g *Gateway) isEntryDaemon(ip netip.Addr) bool {
+	return g.dialer.KnowsPeer(ip) || g.subscriber.IsEntryHost(ip)
+}
+
+// LostPaths returns the number of services whose backend servers this daemon cannot
+// reach by itself.
+func (g *Gateway) LostPaths() int { return g.dialer.LostServices() }
+
+// RelayedConnections returns the number of connections that other daemons have made for
+// this one.
+func (g *Gateway) RelayedConnections() uint64 { return g.dialer.Relayed() }
+
+// RelayingConnections returns the number of connections that are open for others.
+func (g *Gateway) RelayingConnections() int { return g.relay.Active() }
+
 // refreshLocalDispatcher updates the local dispatcher if engines have changed.
 func (g *Gateway) refreshLocalDispatcher(time.Time) {
 	if g.enginesChanged.Swap(false) {
@@ -217,18 +259,20 @@
 func (g *Gateway) Stop(grace time.Duration) {
 	start := time.Now()
 	g.stopping.Store(true)
+	g.relay.Drain()
 	g.forwarder.DisableKeepAlives()
 	time.Sleep(min(acceptAfterStop, grace/2))
 	g.forwarder.DrainUntil(start.Add(grace - stopMargin))
-	for time.Since(start) < grace-stopMargin && g.forwarder.ActiveRequests() > 0 {
+	for time.Since(start) < grace-stopMargin && (g.forwarder.ActiveRequests() > 0 || g.relay.Active() > 0) {
 		time.Sleep(drainPollPeriod)
 	}
-	g.cfg.Log.WithField("in-progress", g.forwarder.ActiveRequests()).Info("the drain has ended; closing connections")
+	g.cfg.Log.WithFields(logrus.Fields{"in-progress": g.forwarder.ActiveRequests(), "relaying": g.relay.Active()}).Info("the drain has ended; closing connections")
 	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
 	defer cancel()
 	if err := g.callers.shutdown(ctx); err != nil {
 		g.cfg.Log.WithError(err).Warn("requests still in progress were aborted at the end of the grace period")
 	}
+	g.relay.Close()
 	g.subscriber.Close()
 	g.dispatchClient.Close()
 }
--- a/rosters/roster.go
+++ b/rosters/roster.go
@@ -106,6 +106,15 @@
 	return e, ok
 }
 
+// At returns the record of the last backend server that was usable at an address.
+func (o *Roster) At(address string) (Entry, bool) {
+	id, ok := o.byAddress[address]
+	if !ok {
+		return Entry{}, false
+	}
+	return o.Get(id)
+}
+
 // All returns all records, sorted by ID.
 func (o *Roster) All() []Entry {
 	all := make([]Entry, 0, len(o.byID))
