Ask daemons of other data centres before a backend server counts as unreachable

Cause: two entry hosts of one data centre had lost the same path by refusal. Each asked the other first, took its refusal for the word on the server and asked nobody else, so that neither found out.

--- a/relays/dialer.go
+++ b/relays/dialer.go
@@ -214,6 +214,16 @@
 	}
 }
 
+// recordMisjudged records relays that could not connect to a backend server which
+// another one reached: they have lost the path too and may not know it yet.
+func (d *Dialer) recordMisjudged(judges []Peer, t Target) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, peer := range judges {
+		d.peers.recordFailure(d.cfg.Timers.Now(), peer, t.Service)
+	}
+}
+
 // dialResult is the result of one way of a race.
 type dialResult struct {
 	conn    net.Conn
@@ -236,7 +246,8 @@
 	direct    error       // of the direct way
 	tried     bool        // the direct way
 	reached   atomic.Bool // another daemon reached the backend server
-	judgement error       // what a relay said of the backend server
+	judgement error       // what relays said of the backend server
+	judges    []Peer      // relays that could not connect
 	noPath    bool        // a relay has lost its path too
 }
 
@@ -269,9 +280,6 @@
 				return r.use(result), nil
 			}
 			r.recordFailure(result)
-			if r.direct != nil && r.judgement != nil {
-				return nil, r.failure()
-			}
 			r.startRelay(relayCtx)
 			next.Reset(relayStagger)
 		case <-ctx.Done():
@@ -309,6 +317,7 @@
 	}
 	r.dialer.relayed.Add(1)
 	r.reached.Store(true)
+	r.dialer.recordMisjudged(r.judges, r.target)
 	if r.direct != nil {
 		r.dialer.recordDirect(r.target, r.direct)
 	}
@@ -319,15 +328,18 @@
 	switch {
 	case result.relay == nil:
 		r.direct = result.err
-	case result.verdict == refused, result.verdict == unreachable && r.judgement == nil:
-		r.judgement = result.err
+	case result.verdict == refused, result.verdict == unreachable:
+		r.judges = append(r.judges, *result.relay)
+		if r.judgement == nil || result.verdict == refused {
+			r.judgement = result.err
+		}
 	case result.verdict == pathLost:
 		r.noPath = true
 	}
 }
 
-// failure returns the error of a race without a connection. What another daemon says of
-// the backend server goes before what was seen here.
+// failure returns the error of a race without a connection. What other daemons say of the
+// backend server goes before what was seen here, once all that are asked have answered.
 func (r *race) failure() error {
 	switch {
 	case r.judgement != nil:
