Send nothing new to servers that say in an answer that they leave

Callers of the platform's rule saw: a server that says in its answers that it leaves got 20 requests later than 2 s after it from each entry daemon (plain) or from two of them (engine).

Cause: nothing read the header.

It belongs to the start: later announcements do not end it, a restart does. Control daemons publish the merged record, so that a daemon that joins later knows it too.

--- a/controls/daemon.go
+++ b/controls/daemon.go
@@ -352,6 +352,19 @@
 // ServiceName is the name of the net/rpc service.
 const ServiceName = "Control"
 
+// LeaveReport says which start of a backend server has said in an answer that it leaves.
+type LeaveReport struct {
+	Server gypsumshelf.ServerID
+	Born   int64
+}
+
+// ReportLeave records a leave and tells all daemons.
+func (s *Service) ReportLeave(r LeaveReport, _ *struct{}) (err error) {
+	defer faults.Recover(s.daemon.cfg.Log, ServiceName+".ReportLeave", &err)
+	s.daemon.registry.recordLeave(r.Server, r.Born)
+	return nil
+}
+
 // Propose commits a command on this daemon, which must be the leader.
 func (s *Service) Propose(c catalogs.Command, _ *struct{}) (err error) {
 	defer faults.Recover(s.daemon.cfg.Log, ServiceName+".Propose", &err)
--- a/controls/registry.go
+++ b/controls/registry.go
@@ -88,6 +88,7 @@
 	if !g.roster.Merge(now, r) {
 		return
 	}
+	r = g.merged(r.ID)
 	g.lastAnnounced[r.ID] = now
 	if known && isRedundant(now, old, r) {
 		return
@@ -97,6 +98,27 @@
 	g.publisher.Publish(r)
 }
 
+// merged returns the record of a backend server after a merge. The caller holds mu.
+func (g *registry) merged(id gypsumshelf.ServerID) rosters.Record {
+	entry, _ := g.roster.Get(id)
+	return entry.Record
+}
+
+// recordLeave records that a start of a backend server has said in an answer that it
+// leaves.
+func (g *registry) recordLeave(id gypsumshelf.ServerID, born int64) {
+	g.mu.Lock()
+	entry, known := g.roster.Get(id)
+	g.mu.Unlock()
+	if !known || entry.Born != born || entry.SaidLeaving {
+		return
+	}
+	r := entry.Record
+	r.SaidLeaving = true
+	g.log.WithFields(logrus.Fields{"backend-server": id, "born": born}).Info("an entry daemon reports that a backend server says it leaves")
+	g.merge([]rosters.Record{r})
+}
+
 // dispatcherOutdated notes that the dispatcher does not know a record yet. The caller
 // holds mu.
 func (g *registry) dispatcherOutdated(r rosters.Record) {
@@ -154,7 +176,7 @@
 			}
 			continue
 		}
-		if !known || !isRedundant(now, old, r) {
+		if r = g.merged(r.ID); !known || !isRedundant(now, old, r) {
 			g.publisher.Publish(r)
 			g.dispatcherOutdated(r)
 		}
--- a/controls/registry_test.go
+++ b/controls/registry_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"gypsumshelf.example/gypsumshelf/directories"
 	"gypsumshelf.example/gypsumshelf/rosters"
 )
 
@@ -34,3 +35,34 @@
 		})
 	}
 }
+
+// Guards against a leave that only the daemon knows which saw the answer, and against
+// announcements that publish the server as usable again.
+func TestReportedLeaveReachesAllDaemons(t *testing.T) {
+	g := newTestRegistry(t)
+	g.announce(time.Now(), engineRecord(1))
+	g.recordLeave("e-00001", 0) // an earlier start
+	assertPublished(t, g, true)
+	g.recordLeave("e-00001", 1)
+	assertPublished(t, g, false)
+	if g.outdated {
+		t.Error("the dispatcher does not know that the engine leaves")
+	}
+	r := engineRecord(1)
+	r.Sequence, r.Slots = 2, 20 // not redundant
+	g.announce(time.Now(), r)
+	assertPublished(t, g, false)
+}
+
+// assertPublished checks whether a daemon that polls for the first time gets the only
+// engine as usable.
+func assertPublished(t *testing.T, g *registry, usable bool) {
+	t.Helper()
+	var v directories.View
+	if err := g.publisher.Poll(directories.PollRequest{Daemon: "d"}, &v); err != nil {
+		t.Fatal(err)
+	}
+	if len(v.Records) != 1 || v.Records[0].Usable() != usable {
+		t.Errorf("published are %+v, want one record with usable %v", v.Records, usable)
+	}
+}
--- a/forwards/attempt.go
+++ b/forwards/attempt.go
@@ -7,8 +7,11 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/buffers"
+	"gypsumshelf.example/gypsumshelf/logs"
 	"gypsumshelf.example/gypsumshelf/rosters"
 )
 
@@ -81,7 +84,10 @@
 // from the intended backend server.
 func (req *proxyRequest) validateHeader(a *attempt) error {
 	a.reply = req.forwarder.cfg.Protocol.ParseResponse(a.response.Header, a.response.StatusCode)
-	req.recordLimit(a)
+	if isAnswer := !a.reply.WrongServer && (a.reply.FromBackendServer || a.reply.NotRun); isAnswer {
+		req.recordLimit(a)
+		req.recordLeave(a)
+	}
 	switch {
 	case a.reply.WrongServer:
 		a.verdict = gypsumshelf.NotRun
@@ -98,6 +104,19 @@
 	return nil
 }
 
+// recordLeave keeps new work off a backend server that says in an answer that it leaves,
+// here and at all other daemons.
+func (req *proxyRequest) recordLeave(a *attempt) {
+	f := req.forwarder
+	if !a.reply.Leaving || !f.cfg.Fleet.markLeaving(a.server) {
+		return
+	}
+	f.cfg.Log.WithFields(logrus.Fields{logs.KeyServer: a.server.ID, logs.KeyRequest: req.meta.ID}).Info("a backend server says that it leaves; it gets no new work")
+	if f.cfg.Leaves != nil {
+		f.cfg.Leaves.ReportLeave(a.server.ID, a.server.Born)
+	}
+}
+
 func (a *attempt) close() {
 	if a.exchange != nil {
 		a.exchange.close()
--- a/forwards/fleet.go
+++ b/forwards/fleet.go
@@ -144,6 +144,20 @@
 	f.roster.Merge(f.now(), r)
 }
 
+// markLeaving records that a start of a backend server has said that it leaves. It
+// returns false if that was known, or the backend server has started again.
+func (f *Fleet) markLeaving(entry rosters.Entry) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	current, known := f.roster.Get(entry.ID)
+	if !known || current.Born != entry.Born || current.SaidLeaving {
+		return false
+	}
+	r := current.Record
+	r.SaidLeaving = true
+	return f.roster.Merge(f.now(), r)
+}
+
 func (f *Fleet) healthOf(entry rosters.Entry) *serverHealth {
 	h := f.health[entry.ID]
 	if h == nil || h.serverStart != entry.Born {
--- a/forwards/limits.go
+++ b/forwards/limits.go
@@ -86,8 +86,8 @@
 // recordLimit passes on what the header of an answer says about the limit of its server.
 func (req *proxyRequest) recordLimit(a *attempt) {
 	f := req.forwarder
-	if a.reply.WrongServer || !a.reply.FromBackendServer && !a.reply.NotRun || f.cfg.Limits == nil {
-		return // not an answer of this server
+	if f.cfg.Limits == nil {
+		return
 	}
 	log := f.cfg.Log.WithFields(logrus.Fields{logs.KeyServer: a.server.ID, logs.KeyRequest: req.meta.ID})
 	report, changed := f.cfg.Fleet.recordLimit(a.server, a.reply, a.sentAt, req.placedOnLimited)
--- a/forwards/protocol.go
+++ b/forwards/protocol.go
@@ -54,9 +54,17 @@
 	HasLoad           bool                  // the response states the load
 	Limit             float64               // requests per second that the server takes from all daemons, if HasLimit
 	HasLimit          bool                  // the response names a limit
+	Leaving           bool                  // the server leaves and wants no new work
 	UnreadableLimit   string                // what the response names instead of a limit, empty for nothing
 }
 
+// LeaveReporter tells other daemons about backend servers that leave.
+type LeaveReporter interface {
+	// ReportLeave reports that a start of a backend server has said that it leaves. It
+	// does not wait.
+	ReportLeave(server gypsumshelf.ServerID, born int64)
+}
+
 // Protocol reads and writes the headers that carry metadata on a platform. It also
 // makes the calls to engines for memory reservations and load reports.
 type Protocol interface {
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -103,7 +103,7 @@
 	})
 	g.dispatchClient = dispatchers.NewClient(dispatchers.ClientConfig{Feeds: g.subscriber, Local: g.localDispatcher, Log: cfg.Log})
 	g.forwarder = forwards.New(forwards.Config{
-		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: protocol, Dialer: g.dialer, Fleet: g.fleet, Placer: g.dispatchClient, Crashes: g.dispatchClient, Limits: g.dispatchClient,
+		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: protocol, Dialer: g.dialer, Fleet: g.fleet, Placer: g.dispatchClient, Crashes: g.dispatchClient, Limits: g.dispatchClient, Leaves: g,
 		Retries: cfg.Retries, StateFresh: g.stateFresh, Log: cfg.Log, Recorder: cfg.Recorder, BodyBudget: cfg.Memory / bodyMemoryDivisor,
 		MemoryBound: cfg.FreeMemory,
 	})
--- a/rosters/roster.go
+++ b/rosters/roster.go
@@ -14,17 +14,18 @@
 // Record describes the state of one start of a backend server. It comes from an
 // announcement of the backend server, or from a daemon that noticed a change.
 type Record struct {
-	ID         gypsumshelf.ServerID
-	Born       int64  // start of the backend server, in ms since 1970
-	Sequence   uint64 // grows with each announcement of one start
-	Service    string
-	Address    string // IP:PORT
-	DataCentre string
-	Slots      int
-	Leaving    bool          // takes no new work
-	Gone       bool          // has ended, or is about to
-	Cold       time.Duration // remaining time until it is warm, from the arrival of the record
-	Silent     bool          // has sent no announcement for longer than the limit of a daemon
+	ID          gypsumshelf.ServerID
+	Born        int64  // start of the backend server, in ms since 1970
+	Sequence    uint64 // grows with each announcement of one start
+	Service     string
+	Address     string // IP:PORT
+	DataCentre  string
+	Slots       int
+	Leaving     bool          // takes no new work
+	Gone        bool          // has ended, or is about to
+	SaidLeaving bool          // has said in an answer that it leaves; later announcements of this start do not end it
+	Cold        time.Duration // remaining time until it is warm, from the arrival of the record
+	Silent      bool          // has sent no announcement for longer than the limit of a daemon
 }
 
 // newer reports whether r replaces old, a record with the same ID.
@@ -35,6 +36,9 @@
 	if old.Gone != r.Gone {
 		return r.Gone // a start that has ended sends nothing new, so other records of it are late
 	}
+	if r.SaidLeaving && !old.SaidLeaving {
+		return true
+	}
 	if r.Sequence != old.Sequence {
 		return r.Sequence > old.Sequence
 	}
@@ -42,7 +46,7 @@
 }
 
 // Usable reports whether the backend server may get new work.
-func (r Record) Usable() bool { return !r.Leaving && !r.Gone }
+func (r Record) Usable() bool { return !r.Leaving && !r.SaidLeaving && !r.Gone }
 
 // Entry is a record with the time of its last update on this daemon.
 type Entry struct {
@@ -77,6 +81,9 @@
 	if known && !r.newer(old.Record) {
 		return false
 	}
+	if known && old.Born == r.Born {
+		r.SaidLeaving = r.SaidLeaving || old.SaidLeaving
+	}
 	if otherID, occupied := o.byAddress[r.Address]; occupied && otherID != r.ID && r.Usable() {
 		other := o.byID[otherID]
 		if other.Born >= r.Born && other.Usable() {
--- a/rosters/roster_test.go
+++ b/rosters/roster_test.go
@@ -76,3 +76,33 @@
 		})
 	}
 }
+
+// Guards against a late announcement that makes a backend server usable again which has
+// said in an answer that it leaves, and against a leave that outlives its start.
+func TestLeaveSaidInAnAnswerBelongsToOneStart(t *testing.T) {
+	now := time.Unix(100, 0)
+	ready := Record{ID: "s1", Born: 10, Sequence: 5, Address: "a:1", Service: "x"}
+	o := New()
+	assertUsable := func(step string, want bool) {
+		t.Helper()
+		if entry, _ := o.Get("s1"); entry.Usable() != want {
+			t.Errorf("%s: usable is %v, want %v", step, entry.Usable(), want)
+		}
+	}
+	o.Merge(now, ready)
+	left := ready
+	left.SaidLeaving = true
+	if !o.Merge(now, left) {
+		t.Error("the leave is not merged")
+	}
+	assertUsable("left", false)
+	later := ready
+	later.Sequence = 9
+	o.Merge(now, later)
+	assertUsable("a later announcement", false)
+	restarted := Record{ID: "s1", Born: 11, Sequence: 1, Address: "a:1", Service: "x"}
+	o.Merge(now, restarted)
+	assertUsable("a later start", true)
+	o.Merge(now, left)
+	assertUsable("a late report of the earlier leave", true)
+}
