Send servers that refuse with Retry-After nothing until that time has passed

What was seen: all plain servers or all engines of a service that answer 503 with Retry-After: 4 got up to 21 requests from each entry daemon in that time; two are allowed. Callers waited for retries that could not succeed.

Cause: nothing read the header; a refusal led to a backoff of 0.1 s only.

Change: the time belongs to the start of the server and to the daemon that got the answer. Plain servers in it are no candidates, engines are avoided by jobs, and a request that was placed before is not sent. When all servers of a service are in it, requests are refused at once with the shortest time that is left.

--- a/forwards/attempt.go
+++ b/forwards/attempt.go
@@ -73,6 +73,9 @@
 	if _, usable := req.forwarder.cfg.Fleet.Usable(server.ID); !usable {
 		return a, nil, errServerUnavailable // it started to drain while the connection was opened
 	}
+	if req.forwarder.cfg.Fleet.isPaused(server) {
+		return a, nil, errPaused // it refused another request meanwhile
+	}
 	req.sentAttempts++
 	a.sentAt = req.now()
 	a.verdict = gypsumshelf.MayHaveRun
@@ -87,6 +90,7 @@
 	if isAnswer := !a.reply.WrongServer && (a.reply.FromBackendServer || a.reply.NotRun); isAnswer {
 		req.recordLimit(a)
 		req.recordLeave(a)
+		req.recordPause(a)
 	}
 	switch {
 	case a.reply.WrongServer:
--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -82,6 +82,11 @@
 // serveFromEngines serves a request with the engines of its service. It retries
 // on other engines and resumes broken streams there.
 func (req *proxyRequest) serveFromEngines(ctx context.Context) {
+	fleet := req.forwarder.cfg.Fleet
+	if pause := fleet.shortestPause(req.service.Name); pause > 0 {
+		req.refusePaused(pause)
+		return
+	}
 	pending := submitJob(ctx, req)
 	for {
 		result := pending.wait(ctx)
@@ -113,6 +118,10 @@
 			req.finishUnanswered(fmt.Sprintf("%v; %s", err, reason))
 			return
 		}
+		if pause := fleet.shortestPause(req.service.Name); pause > 0 {
+			req.refusePaused(pause)
+			return
+		}
 		pending = submitJob(ctx, req)
 	}
 }
--- a/forwards/fleet.go
+++ b/forwards/fleet.go
@@ -37,6 +37,7 @@
 	limit               *namedLimit // nil if it names none
 	noRoomUntil         time.Time   // its rate is used up until this time, as of askedAt
 	askedAt             time.Time
+	pausedUntil         time.Time // it wants nothing from this daemon until this time
 }
 
 // Fleet is an entry daemon's view of the backend servers.
@@ -48,6 +49,7 @@
 	roster       *rosters.Roster
 	outOfService map[string]bool
 	health       map[gypsumshelf.ServerID]*serverHealth
+	pausesEnd    time.Time // end of the last pause that a backend server has asked for
 }
 
 // NewFleet returns an empty Fleet of a daemon in dataCentre.
@@ -190,6 +192,9 @@
 			continue
 		}
 		h := f.healthOf(entry)
+		if now.Before(h.pausedUntil) {
+			continue
+		}
 		c := candidate{Entry: entry, score: f.score(now, entry), limit: schedules.ServerLimit{Server: entry.ID, Born: entry.Born, Named: true}}
 		if h.limit != nil {
 			c.limited, c.limit.PerSecond, c.limit.Age = true, h.limit.perSecond, now.Sub(h.limit.namedAt)
@@ -244,14 +249,15 @@
 	return score
 }
 
-// Avoided returns the backend servers of a service that are in backoff.
+// Avoided returns the backend servers of a service that are in backoff or have asked this
+// daemon for a pause.
 func (f *Fleet) Avoided(service string) []gypsumshelf.ServerID {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
 	var avoided []gypsumshelf.ServerID
 	for _, entry := range f.roster.All() {
-		if entry.Service == service && f.health[entry.ID] != nil && now.Before(f.health[entry.ID].backoffUntil) {
+		if entry.Service == service && f.health[entry.ID] != nil && (now.Before(f.health[entry.ID].backoffUntil) || now.Before(f.healthOf(entry).pausedUntil)) {
 			avoided = append(avoided, entry.ID)
 		}
 	}
--- a/forwards/plain.go
+++ b/forwards/plain.go
@@ -31,6 +31,10 @@
 			req.refuseLimited(retryAfter)
 			return
 		}
+		if pause := req.forwarder.cfg.Fleet.shortestPause(req.service.Name); !found && pause > 0 {
+			req.refusePaused(pause)
+			return
+		}
 		if !found && len(req.triedServers) == 0 && req.now().Sub(req.arrived) < announcementWait && timers.Sleep(ctx, announcementPollPeriod) {
 			continue
 		}
--- a/forwards/protocol.go
+++ b/forwards/protocol.go
@@ -54,6 +54,7 @@
 	HasLoad           bool                  // the response states the load
 	Limit             float64               // requests per second that the server takes from all daemons, if HasLimit
 	HasLimit          bool                  // the response names a limit
+	RetryAfter        time.Duration         // for which a server that refused wants nothing from this daemon, 0 for no such time
 	Leaving           bool                  // the server leaves and wants no new work
 	UnreadableLimit   string                // what the response names instead of a limit, empty for nothing
 }
