Do not take the loss of a relay for the end of a stream

Cause: the error of the lost relay wrapped the io.EOF that its kernel's FIN had caused, and the reader of the stream looks for io.EOF in the chain.

Change: the error keeps the text only. The test of a relay that ends checked which error came, not that it is no regular end; it does now, and failed before.

--- a/relays/relays_test.go
+++ b/relays/relays_test.go
@@ -198,6 +198,9 @@
 			if !bytes.Equal(got, body) || !errors.Is(err, c.want) {
 				t.Errorf("got %d bytes and error %v, want %d and %v", len(got), err, len(body), c.want)
 			}
+			if err != nil && errors.Is(err, io.EOF) {
+				t.Errorf("error %v counts as a regular end", err)
+			}
 		})
 	}
 }
--- a/relays/tunnel.go
+++ b/relays/tunnel.go
@@ -110,10 +110,10 @@
 }
 
 // lost returns the error of a read that failed. A timeout stays one: the reader has set
-// it.
+// it. It does not wrap io.EOF, which readers of streams take for a regular end.
 func lost(err error) error {
 	if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
 		return err
 	}
-	return fmt.Errorf("%w: %w", errRelayLost, err)
+	return fmt.Errorf("%w: %v", errRelayLost, err)
 }
