Go on trying while some connections to backend servers are made

Callers saw, in a trial with 30% of the packets lost between all entry hosts and all servers: 436 requests were refused as without any way, though about every second connection could be made.

Cause: a service counted as out of reach as soon as three other daemons could not connect, whatever the own probes brought.

Change: it takes two rounds in a row in which neither a probe nor another daemon connects. The new case of TestOtherDaemonsDecideWhatAFailureMeans failed before.

--- a/relays/dialer.go
+++ b/relays/dialer.go
@@ -63,18 +63,20 @@
 	relayed  atomic.Uint64 // connections through relays
 	round    atomic.Bool   // a round of probes runs
 
-	mu         sync.Mutex
-	paths      *Paths
-	peers      *peerTable
-	noWay      map[string]bool // services that cannot be reached through others either
-	lastStatus time.Time
-	rotation   int // of the probed backend servers
+	mu    sync.Mutex
+	paths *Paths
+	peers *peerTable
+	// failedRounds counts the rounds of probes in a row in which a service was reached
+	// in no way.
+	failedRounds map[string]int
+	lastStatus   time.Time
+	rotation     int // of the probed backend servers
 }
 
 // NewDialer returns a running Dialer.
 func NewDialer(cfg DialerConfig) *Dialer {
 	d := &Dialer{
-		cfg: cfg, paths: NewPaths(), noWay: map[string]bool{},
+		cfg: cfg, paths: NewPaths(), failedRounds: map[string]int{},
 		peers: newPeerTable(cfg.Daemon, cfg.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	dialer := &net.Dialer{}
@@ -131,7 +133,7 @@
 func (d *Dialer) HasNoWay(service string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.noWay[service]
+	return d.failedRounds[service] >= noWayRounds
 }
 
 // LostServices returns the number of services to which the path is lost.
@@ -156,7 +158,7 @@
 // first. The error is ErrNoPath if nobody could say anything about the backend server.
 func (d *Dialer) Dial(ctx context.Context, t Target) (net.Conn, error) {
 	d.mu.Lock()
-	lost, suspect, noWay := d.paths.IsLost(t), d.paths.IsSuspect(t), d.noWay[t.Service]
+	lost, suspect, noWay := d.paths.IsLost(t), d.paths.IsSuspect(t), d.failedRounds[t.Service] >= noWayRounds
 	relays := d.peers.pick(d.cfg.Timers.Now(), t.Service, maxRelaysAsked)
 	d.mu.Unlock()
 	if noWay {
--- a/relays/probe.go
+++ b/relays/probe.go
@@ -60,20 +60,19 @@
 	for _, address := range r.servers {
 		start("", address)
 	}
-	unsound := map[string]bool{}
-	probed := map[string]bool{}
+	failed, reached := map[string]bool{}, map[string]bool{} // by service
 	for ; pending > 0; pending-- {
 		p := <-results
 		if p.service == "" {
 			d.recordServerProbe(p.address, p.sound)
 			continue
 		}
-		probed[p.service] = true
-		unsound[p.service] = unsound[p.service] || !p.sound
+		failed[p.service] = failed[p.service] || !p.sound
+		reached[p.service] = reached[p.service] || p.sound
 	}
 	for _, service := range r.services {
-		d.recordServiceProbes(service, probed[service] && !unsound[service])
-		d.checkRelays(service)
+		d.recordServiceProbes(service, reached[service] && !failed[service])
+		d.recordWay(service, reached[service] || d.reachThroughOthers(service))
 	}
 }
 
@@ -121,39 +120,47 @@
 	now := d.cfg.Timers.Now()
 	log := d.cfg.Log.WithFields(logrus.Fields{"service": service, "relayed": d.relayed.Load()})
 	if regained, lostFor := d.paths.RecordServiceRound(now, service, sound); regained {
-		delete(d.noWay, service)
 		log.WithField("lost-ms", lostFor.Milliseconds()).Warn("the path to the backend servers of a service is back")
 	} else if now.Sub(d.lastStatus) > statusPeriod {
 		d.lastStatus = now
-		log.WithField("no-way", d.noWay[service]).Warn("the path to the backend servers of a service is still lost")
+		log.WithField("no-way", d.failedRounds[service] >= noWayRounds).Warn("the path to the backend servers of a service is still lost")
 	}
 }
 
-// checkRelays finds out whether any daemon can connect to a service for this one. While
-// none can, requests are refused at once and hold no engine.
-func (d *Dialer) checkRelays(service string) {
-	if !d.IsServiceLost(service) {
-		return
-	}
+// reachThroughOthers reports whether any daemon can connect to a service for this one.
+func (d *Dialer) reachThroughOthers(service string) bool {
 	addresses := d.probedAddresses(service)
 	d.mu.Lock()
 	peers := d.peers.pick(d.cfg.Timers.Now(), service, maxRelaysAsked)
 	d.mu.Unlock()
-	reached := len(addresses) == 0 // nothing is known
-	for i := 0; i < len(peers) && !reached; i++ {
+	for i := 0; i < len(peers) && len(addresses) > 0; i++ {
 		ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
 		t := Target{Address: addresses[i%len(addresses)], Service: service}
 		n, v, err := openTunnel(ctx, d.dialPeer, string(peers[i].Daemon), t)
 		cancel()
 		d.recordRelay(peers[i], t, v)
-		if reached = err == nil; reached {
+		if err == nil {
 			n.Close()
+			return true
 		}
 	}
+	return len(addresses) == 0 // nothing is known
+}
+
+// noWayRounds is the number of rounds in a row in which a service was reached neither
+// directly nor through others, after which requests are refused at once and hold no
+// engine. While packets are lost on the way, one round may fail by chance.
+const noWayRounds = 2
+
+// recordWay records whether a service to which the path is lost was reached in any way.
+func (d *Dialer) recordWay(service string, reached bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if was := d.noWay[service]; was == reached {
-		d.cfg.Log.WithFields(logrus.Fields{"service": service, "reached": reached}).Warn("whether other daemons reach the backend servers of a service has changed")
+	had := d.failedRounds[service] < noWayRounds
+	if d.failedRounds[service]++; reached || !d.paths.IsServiceLost(service) {
+		delete(d.failedRounds, service)
+	}
+	if has := d.failedRounds[service] < noWayRounds; has != had {
+		d.cfg.Log.WithFields(logrus.Fields{"service": service, "reached": has}).Warn("whether the backend servers of a service are reached in any way has changed")
 	}
-	d.noWay[service] = !reached
 }
--- a/relays/relays_test.go
+++ b/relays/relays_test.go
@@ -83,8 +83,10 @@
 
 	mu         sync.Mutex
 	cut        error // of direct connections, nil if they are made
-	relayCut   bool  // the relay has lost the path too
-	foreigners bool  // the relay admits nobody
+	lossy      bool  // every second direct connection is made all the same
+	dials      int
+	relayCut   bool // the relay has lost the path too
+	foreigners bool // the relay admits nobody
 }
 
 func newPair(t *testing.T, addresses ...string) *pair {
@@ -113,6 +115,9 @@
 func (p *pair) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	p.mu.Lock()
 	cut := p.cut
+	if p.dials++; p.lossy && p.dials%2 == 0 {
+		cut = nil
+	}
 	p.mu.Unlock()
 	if cut == nil {
 		return new(net.Dialer).DialContext(ctx, network, address)
@@ -289,6 +294,24 @@
 			t.Error("connections are still relayed")
 		}
 	})
+	t.Run("the path is lossy everywhere", func(t *testing.T) {
+		b, other := newBackend(t, idle), newBackend(t, idle)
+		p := newPair(t, b.address(), other.address())
+		p.setCut(syscall.ECONNREFUSED)
+		p.connect(t, b)
+		p.connect(t, other)
+		if !p.dialer.IsServiceLost("s") {
+			t.Fatal("the path does not count as lost")
+		}
+		p.mu.Lock()
+		p.relayCut, p.lossy = true, true
+		p.mu.Unlock()
+		for end := time.Now().Add((noWayRounds + 2) * probePeriod); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			if p.dialer.HasNoWay("s") {
+				t.Fatal("requests are refused although every second connection is made")
+			}
+		}
+	})
 	t.Run("the path is cut everywhere", func(t *testing.T) {
 		b := newBackend(t, idle)
 		p := newPair(t, b.address())
