Blame no relay for a connection that another way made faster

The cancelled one counted as failed and was asked last for a second. The log has a line only for connections that a relay rejects, not for each of a lost path.

--- a/relays/dialer.go
+++ b/relays/dialer.go
@@ -169,7 +169,7 @@
 	if suspect {
 		hedge = 0
 	}
-	return r.run(ctx, hedge)
+	return r.connect(ctx, hedge)
 }
 
 // Check connects and closes the connection at once. It returns true if the path to a
@@ -253,8 +253,8 @@
 	noPath    bool        // a relay has lost its path too
 }
 
-// run returns the first connection that is made.
-func (r *race) run(ctx context.Context, hedge time.Duration) (net.Conn, error) {
+// connect returns the first connection that is made.
+func (r *race) connect(ctx context.Context, hedge time.Duration) (net.Conn, error) {
 	defer close(r.done)
 	relayCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -387,12 +387,12 @@
 	peer Peer
 }
 
-func (w *relayWay) run(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+func (w *relayWay) run(raceCtx context.Context) {
+	ctx, cancel := context.WithTimeout(raceCtx, relayTimeout)
 	defer cancel()
 	r := w.race
 	n, v, err := openTunnel(ctx, r.dialer.dialPeer, string(w.peer.Daemon), r.target)
-	if err == nil || !errors.Is(err, context.Canceled) {
+	if err == nil || raceCtx.Err() == nil { // not ended by a faster way
 		r.dialer.recordRelay(w.peer, r.target, v)
 	}
 	result := dialResult{relay: &w.peer, verdict: v, err: err}
--- a/relays/relay.go
+++ b/relays/relay.go
@@ -168,8 +168,8 @@
 	if c.server != nil {
 		defer c.server.Close()
 	}
-	if a.Verdict != connected {
-		c.relay.cfg.Log.WithFields(logrus.Fields{"from": c.from, "verdict": a.Verdict, "reason": a.Reason}).Info("a connection is not relayed")
+	if a.Verdict == rejected {
+		c.relay.cfg.Log.WithFields(logrus.Fields{"from": c.from, "reason": a.Reason}).Info("a connection is not relayed")
 	}
 	if err := writeLine(c.conn, a); err != nil || a.Verdict != connected {
 		return // the other daemon closes the connection without waiting longer than it wants
--- a/relays/relays_test.go
+++ b/relays/relays_test.go
@@ -85,8 +85,9 @@
 	cut        error // of direct connections, nil if they are made
 	lossy      bool  // every second direct connection is made all the same
 	dials      int
-	relayCut   bool // the relay has lost the path too
-	foreigners bool // the relay admits nobody
+	delay      time.Duration // of direct connections
+	relayCut   bool          // the relay has lost the path too
+	foreigners bool          // the relay admits nobody
 }
 
 func newPair(t *testing.T, addresses ...string) *pair {
@@ -118,7 +119,9 @@
 	if p.dials++; p.lossy && p.dials%2 == 0 {
 		cut = nil
 	}
+	delay := p.delay
 	p.mu.Unlock()
+	time.Sleep(delay)
 	if cut == nil {
 		return new(net.Dialer).DialContext(ctx, network, address)
 	}
@@ -210,6 +213,30 @@
 	}
 }
 
+// Guards against relays that count as failed because the direct way was faster.
+func TestFasterWayDoesNotBlameTheRelay(t *testing.T) {
+	b := newBackend(t, func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+	p := newPair(t, b.address())
+	silent := newBackend(t, func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }) // never answers
+	peer := Peer{Daemon: gypsumshelf.DaemonID(silent.address()), DataCentre: "a"}
+	p.dialer.SetPeers("control", []Peer{peer})
+	p.dialer.mu.Lock()
+	p.dialer.paths.RecordLoss(time.Now(), Target{Address: b.address(), Service: "s"}) // suspect: both ways start at once
+	p.dialer.mu.Unlock()
+	p.mu.Lock()
+	p.delay = 50 * time.Millisecond
+	p.mu.Unlock()
+	if IsRelayed(p.connect(t, b)) {
+		t.Fatal("the connection is relayed")
+	}
+	time.Sleep(100 * time.Millisecond)
+	p.dialer.mu.Lock()
+	defer p.dialer.mu.Unlock()
+	if p.dialer.peers.inBackoff(time.Now(), peer, "s") {
+		t.Error("the relay is in backoff")
+	}
+}
+
 // Guards against work that goes on at a server after its caller has left.
 func TestClosingARelayedConnectionReachesTheServer(t *testing.T) {
 	closed := make(chan struct{})
