Keep the connection of a test's backend server from the garbage collector

Trace: the fake server does not use its connection any more while it waits, a collection in that time closes it, and the end that the relay passes on is a regular one. With two calls of runtime.GC in that place it failed 5 times of 5, with the connection kept it passed 20 times of 20.

--- a/relays/relays_test.go
+++ b/relays/relays_test.go
@@ -168,6 +168,7 @@
 	body := bytes.Repeat([]byte("0123456789abcdef"), 1<<14)
 	respond := func(end func(net.Conn)) func(net.Conn) {
 		return func(conn net.Conn) {
+			defer conn.Close() // also keeps it from being closed by the garbage collector
 			if _, err := io.ReadFull(conn, make([]byte, 4)); err != nil {
 				return
 			}
