Choose relays only for connections that need one

Each connection to a backend server listed, shuffled and sorted the known daemons under the dialer's lock, also when it was made directly. No other behaviour changes: the choice is now made when the first relay is started.

--- a/relays/dialer.go
+++ b/relays/dialer.go
@@ -159,12 +159,11 @@
 func (d *Dialer) Dial(ctx context.Context, t Target) (net.Conn, error) {
 	d.mu.Lock()
 	lost, suspect, noWay := d.paths.IsLost(t), d.paths.IsSuspect(t), d.failedRounds[t.Service] >= noWayRounds
-	relays := d.peers.pick(d.cfg.Timers.Now(), t.Service, maxRelaysAsked)
 	d.mu.Unlock()
 	if noWay {
 		return nil, ErrNoPath
 	}
-	r := &race{dialer: d, target: t, relays: relays, pathLost: lost, results: make(chan dialResult), done: make(chan struct{})}
+	r := &race{dialer: d, target: t, pathLost: lost, results: make(chan dialResult), done: make(chan struct{})}
 	hedge := hedgeDelay
 	if suspect {
 		hedge = 0
@@ -187,6 +186,13 @@
 	return IsRelayed(conn)
 }
 
+// pickRelays returns the daemons that may be asked for a connection to a service.
+func (d *Dialer) pickRelays(service string) []Peer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.peers.pick(d.cfg.Timers.Now(), service, maxRelaysAsked)
+}
+
 // recordDirect records the result of a direct connection while another daemon could
 // connect, or a successful one.
 func (d *Dialer) recordDirect(t Target, err error) {
@@ -240,6 +246,7 @@
 	dialer   *Dialer
 	target   Target
 	relays   []Peer // that were not asked yet
+	chosen   bool   // relays
 	pathLost bool
 	results  chan dialResult
 	done     chan struct{} // closed when a result is no longer waited for
@@ -258,7 +265,7 @@
 	defer close(r.done)
 	relayCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if r.pathLost && len(r.relays) > 0 {
+	if r.pathLost && r.hasRelays() {
 		hedge = 0
 	} else {
 		r.startDirect(ctx)
@@ -266,7 +273,7 @@
 	next := time.NewTimer(hedge)
 	defer next.Stop()
 	for {
-		if r.pending == 0 && len(r.relays) == 0 {
+		if r.pending == 0 && !r.hasRelays() {
 			if r.tried {
 				return nil, r.failure()
 			}
@@ -301,8 +308,18 @@
 	go way.run(context.WithoutCancel(ctx))
 }
 
+// hasRelays reports whether there is a daemon that was not asked yet. Most connections
+// are made directly, so that the daemons are chosen for those only that need one.
+func (r *race) hasRelays() bool {
+	if !r.chosen {
+		r.chosen = true
+		r.relays = r.dialer.pickRelays(r.target.Service)
+	}
+	return len(r.relays) > 0
+}
+
 func (r *race) startRelay(ctx context.Context) {
-	if len(r.relays) == 0 {
+	if !r.hasRelays() {
 		return
 	}
 	way := &relayWay{race: r, peer: r.relays[0]}
--- a/relays/probe.go
+++ b/relays/probe.go
@@ -130,9 +130,7 @@
 // reachThroughOthers reports whether any daemon can connect to a service for this one.
 func (d *Dialer) reachThroughOthers(service string) bool {
 	addresses := d.probedAddresses(service)
-	d.mu.Lock()
-	peers := d.peers.pick(d.cfg.Timers.Now(), service, maxRelaysAsked)
-	d.mu.Unlock()
+	peers := d.pickRelays(service)
 	for i := 0; i < len(peers) && len(addresses) > 0; i++ {
 		ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
 		t := Target{Address: addresses[i%len(addresses)], Service: service}
