Let one function mark leaves, and one decide who takes new work

The check for a leave said in an answer stood in forwards and in controls; it is Roster.MarkLeaving now, under one lock in the registry. Fleet wrote the condition for new work five times. A field of tunnels that nobody read goes. No behaviour changes.

--- a/controls/registry.go
+++ b/controls/registry.go
@@ -108,15 +108,14 @@
 // leaves.
 func (g *registry) recordLeave(id gypsumshelf.ServerID, born int64) {
 	g.mu.Lock()
-	entry, known := g.roster.Get(id)
-	g.mu.Unlock()
-	if !known || entry.Born != born || entry.SaidLeaving {
+	defer g.mu.Unlock()
+	r, marked := g.roster.MarkLeaving(time.Now(), id, born)
+	if !marked {
 		return
 	}
-	r := entry.Record
-	r.SaidLeaving = true
 	g.log.WithFields(logrus.Fields{"backend-server": id, "born": born}).Info("an entry daemon reports that a backend server says it leaves")
-	g.merge([]rosters.Record{r})
+	g.publisher.Publish(r)
+	g.dispatcherOutdated(r)
 }
 
 // dispatcherOutdated notes that the dispatcher does not know a record yet. The caller
--- a/forwards/fleet.go
+++ b/forwards/fleet.go
@@ -97,7 +97,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	entry, ok := f.roster.Get(id)
-	return entry, ok && entry.Usable() && !f.outOfService[entry.DataCentre]
+	return entry, ok && f.takesNewWork(entry)
+}
+
+// takesNewWork reports whether a backend server may get new work. The caller holds mu.
+func (f *Fleet) takesNewWork(entry rosters.Entry) bool {
+	return entry.Usable() && !f.outOfService[entry.DataCentre]
 }
 
 // Get returns the record of a backend server.
@@ -120,7 +125,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	entry, known := f.roster.At(address)
-	return known && entry.Usable() && !f.outOfService[entry.DataCentre]
+	return known && f.takesNewWork(entry)
 }
 
 // AddressesOf implements relays.Servers.
@@ -129,7 +134,7 @@
 	defer f.mu.Unlock()
 	var addresses []string
 	for _, entry := range f.roster.All() {
-		if entry.Service == service && entry.Usable() && !entry.Silent && !f.outOfService[entry.DataCentre] {
+		if entry.Service == service && f.takesNewWork(entry) && !entry.Silent {
 			addresses = append(addresses, entry.Address)
 		}
 	}
@@ -151,13 +156,8 @@
 func (f *Fleet) markLeaving(entry rosters.Entry) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	current, known := f.roster.Get(entry.ID)
-	if !known || current.Born != entry.Born || current.SaidLeaving {
-		return false
-	}
-	r := current.Record
-	r.SaidLeaving = true
-	return f.roster.Merge(f.now(), r)
+	_, marked := f.roster.MarkLeaving(f.now(), entry.ID, entry.Born)
+	return marked
 }
 
 func (f *Fleet) healthOf(entry rosters.Entry) *serverHealth {
@@ -188,7 +188,7 @@
 	now := f.now()
 	var candidates []candidate
 	for _, entry := range f.roster.All() {
-		if entry.Service != service || !entry.Usable() || f.outOfService[entry.DataCentre] || slices.Contains(tried, entry.ID) {
+		if entry.Service != service || !f.takesNewWork(entry) || slices.Contains(tried, entry.ID) {
 			continue
 		}
 		h := f.healthOf(entry)
--- a/forwards/server_pause.go
+++ b/forwards/server_pause.go
@@ -65,7 +65,7 @@
 	}
 	shortest := time.Duration(0)
 	for _, entry := range f.roster.All() {
-		if entry.Service != service || !entry.Usable() || f.outOfService[entry.DataCentre] {
+		if entry.Service != service || !f.takesNewWork(entry) {
 			continue
 		}
 		pause := f.healthOf(entry).pausedUntil.Sub(now)
--- a/relays/tunnel.go
+++ b/relays/tunnel.go
@@ -17,7 +17,6 @@
 // that has sent everything.
 type tunnel struct {
 	net.Conn
-	relay  string // address of the relaying daemon
 	reader *bufio.Reader
 	left   int   // bytes of the current frame
 	ended  error // set after the last frame
@@ -41,7 +40,7 @@
 		return nil, "", err
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	n := &tunnel{Conn: conn, relay: relay, reader: bufio.NewReaderSize(conn, maxFrameBytes)}
+	n := &tunnel{Conn: conn, reader: bufio.NewReaderSize(conn, maxFrameBytes)}
 	a, err := n.open(t)
 	if !stop() && err == nil {
 		err = ctx.Err()
--- a/rosters/roster.go
+++ b/rosters/roster.go
@@ -113,6 +113,19 @@
 	return e, ok
 }
 
+// MarkLeaving records that a start of a backend server has said that it leaves, and
+// returns its record. It returns false if that was known, or if the backend server is
+// unknown or has started again.
+func (o *Roster) MarkLeaving(now time.Time, id gypsumshelf.ServerID, born int64) (Record, bool) {
+	current, known := o.byID[id]
+	if !known || current.Born != born || current.SaidLeaving {
+		return Record{}, false
+	}
+	r := current.Record
+	r.SaidLeaving = true
+	return r, o.Merge(now, r)
+}
+
 // At returns the record of the last backend server that was usable at an address.
 func (o *Roster) At(address string) (Entry, bool) {
 	id, ok := o.byAddress[address]
