Acknowledge a term only once it is synced

What callers saw: on machines that lost only their power, a control daemon logged that its folder was older than what its peers saw, erased it and joined again as an empty one. Together with as many lost disks as have to be borne, no majority was left and no configuration came any more.

Cause: a voter that received a request of a later term without new entries responded at once, since all entries that the response confirms were synced. The later term in the response was not. The leader recorded Mark{Term: new}; the voter lost power before the sync, came back in the earlier term, was told the mark and took its storage for outdated.

Fix: storageState tracks the term of the last synced HardState. Responses to the leader of a term (AppendResponse, accepted or not, and SnapshotResponse) leave once this term and the confirmed entries are synced. Only the first responses of a term wait: in a synced term a heartbeat does not wait for entries that are being written, so that a slow disk does not make its voter silent. The other messages that lead to a mark (VoteRequest, granted VoteResponse, AppendRequest of a leader, which has synced its own vote) already waited for the sync of their term.

While both builds run: a leader of the build before records every accepted response of a voter of this build, and each of these is now synced. A voter of the build before still responds too early. Therefore a leader of this build records the entry that is confirmed together with that entry's own term, which are synced together; the term of a heartbeat is no proof. A mark that the build before already recorded of a voter of its own kind can still be returned to it once.

Evidence: before the change TestPromisesWaitForSync/term: 1 messages of replicas.AppendResponse before the sync, want 0 TestMarkHoldsOnlySyncedState: mark is {Term:2 Index:1}, want {Term:1 Index:1}; mark is {Term:2 Index:0}, want {Term:0 Index:0} TestHeartbeatDoesNotWaitForOtherWrites passed before and guards the second half.

--- a/replicas/output.go
+++ b/replicas/output.go
@@ -10,6 +10,7 @@
 type storageState struct {
 	nextIndex      uint64 // first entry not yet in a Persist
 	stableIndex    uint64 // last entry that is synced
+	stableTerm     uint64 // term of the last HardState that is synced
 	hardDirty      bool
 	replaceAll     bool   // the next Persist replaces everything stored
 	lastSequence   uint64 // sequence of the last Persist
@@ -23,6 +24,7 @@
 	sequence  uint64
 	lastIndex uint64 // index of its last entry or else of its snapshot, 0 without both
 	lastTerm  uint64
+	term      uint64 // term of its HardState
 	startedAt time.Time
 }
 
@@ -55,6 +57,17 @@
 	r.storage.deferred = append(r.storage.deferred, deferredMessage{afterSequence: sequence, message: r.newMessage(to, body)})
 }
 
+// acknowledge queues a response to the leader of the current term, which must be sent
+// only after the term and the entries up to index are synced. Other writes do not delay
+// it, so that a slow disk does not delay responses to heartbeats.
+func (r *Replica) acknowledge(leader NodeID, index uint64, resp any) {
+	if r.storage.stableTerm == r.hardState.Term && index <= r.storage.stableIndex {
+		r.send(leader, resp)
+	} else {
+		r.sendAfterSync(leader, resp)
+	}
+}
+
 func (r *Replica) newMessage(to NodeID, body any) Message {
 	return Message{
 		From: r.cfg.ID, To: to, Session: r.cfg.Session,
@@ -86,7 +99,7 @@
 	}
 	s.lastSequence++
 	p := &Persist{Sequence: s.lastSequence, HardState: r.hardState}
-	w := pendingWrite{sequence: s.lastSequence, startedAt: r.now}
+	w := pendingWrite{sequence: s.lastSequence, term: r.hardState.Term, startedAt: r.now}
 	if s.replaceAll {
 		p.Snapshot = r.snapshot
 		s.nextIndex = r.snapshot.Index + 1
@@ -116,6 +129,7 @@
 	for len(s.pendingWrites) > 0 && s.pendingWrites[0].sequence <= sequence {
 		w := s.pendingWrites[0]
 		s.pendingWrites = s.pendingWrites[1:]
+		s.stableTerm = w.term
 		// If the entry was truncated since, the log now holds another one,
 		// which is not synced.
 		if term, ok := r.log.term(w.lastIndex); ok && term == w.lastTerm && w.lastIndex > s.stableIndex {
--- a/replicas/replica.go
+++ b/replicas/replica.go
@@ -125,7 +125,7 @@
 	for _, e := range cfg.Recovered.Entries {
 		r.appendEntry(e)
 	}
-	r.storage = storageState{nextIndex: r.log.lastIndex() + 1, stableIndex: r.log.lastIndex()}
+	r.storage = storageState{nextIndex: r.log.lastIndex() + 1, stableIndex: r.log.lastIndex(), stableTerm: r.hardState.Term}
 	r.verification.pending = r.hardState.Group != ""
 	return r
 }
--- a/replicas/replication.go
+++ b/replicas/replication.go
@@ -190,7 +190,7 @@
 	if term, ok := r.log.term(req.Prev); req.Prev > r.log.base && (!ok || term != req.PrevTerm) {
 		resp.OK = false
 		resp.Hint = r.conflictHint(req.Prev)
-		r.send(message.From, resp)
+		r.acknowledge(message.From, 0, resp)
 		return
 	}
 	last := req.Prev + uint64(len(req.Entries))
@@ -199,11 +199,7 @@
 		r.setCommit(commit)
 	}
 	resp.Match = last
-	if last <= r.storage.stableIndex {
-		r.send(message.From, resp)
-	} else {
-		r.sendAfterSync(message.From, resp)
-	}
+	r.acknowledge(message.From, last, resp)
 }
 
 // acceptLeader does the processing common to all messages from a leader. It
@@ -311,9 +307,6 @@
 }
 
 func (r *Replica) receiveAppendResponse(message Message, resp AppendResponse) {
-	if resp.OK {
-		r.recordMark(message.From, Mark{Term: message.Term, Index: resp.Match})
-	}
 	p := r.acceptResponse(message, resp.Sent, resp.Stamp)
 	if p == nil {
 		return
@@ -328,6 +321,11 @@
 	if resp.Match > r.log.lastIndex() {
 		invariantViolated("%s acknowledged entry %d, but the leader's last entry is %d", message.From, resp.Match, r.log.lastIndex())
 	}
+	// An entry is synced together with its term. The term of the message proves less:
+	// voters of an older build respond to a heartbeat before that is synced.
+	if term, ok := r.log.term(resp.Match); ok {
+		r.recordMark(message.From, Mark{Term: term, Index: resp.Match})
+	}
 	if resp.Match > p.match {
 		p.match = resp.Match
 		p.next = max(p.next, p.match+1)
--- a/replicas/rules_test.go
+++ b/replicas/rules_test.go
@@ -84,6 +84,14 @@
 		r.Synced(now, out.Persist.Sequence)
 		assertSent[AppendResponse](t, r.TakeOutput(), 1, "after the sync")
 	})
+	t.Run("term", func(t *testing.T) {
+		r, now, others := newTestVoter(t)
+		receive(r, now, others[0], 5, AppendRequest{Prev: 1, PrevTerm: 1})
+		out := r.TakeOutput()
+		assertSent[AppendResponse](t, out, 0, "before the sync")
+		r.Synced(now, out.Persist.Sequence)
+		assertSent[AppendResponse](t, r.TakeOutput(), 1, "after the sync")
+	})
 	t.Run("candidacy", func(t *testing.T) {
 		r, now, others := newTestVoter(t)
 		now = now.Add(2 * testElectionTimeout)
@@ -112,6 +120,18 @@
 	})
 }
 
+// Guards against a voter with a slow disk that counts as silent: only the first
+// heartbeat of a term waits for a sync.
+func TestHeartbeatDoesNotWaitForOtherWrites(t *testing.T) {
+	r, now, others := newTestVoter(t)
+	receive(r, now, others[0], 5, AppendRequest{Prev: 1, PrevTerm: 1})
+	r.Synced(now, r.TakeOutput().Persist.Sequence)
+	r.TakeOutput()
+	receiveEntry(r, now, others[0], 5, 1, 1)
+	receive(r, now, others[0], 5, AppendRequest{Prev: 1, PrevTerm: 1})
+	assertSent[AppendResponse](t, r.TakeOutput(), 1, "while an entry is written")
+}
+
 // Guards against low throughput from a separate sync for each proposal.
 func TestProposalsShareOneSync(t *testing.T) {
 	r, now, _ := newTestLeader(t)
--- a/replicas/storage_test.go
+++ b/replicas/storage_test.go
@@ -232,3 +232,24 @@
 		})
 	}
 }
+
+// Guards against a voter that discards its storage after a power loss, because a leader
+// took the term of a response for synced. Voters of the build before respond too early.
+func TestMarkHoldsOnlySyncedState(t *testing.T) {
+	for name, tc := range map[string]struct {
+		match uint64
+		want  Mark
+	}{
+		"entry of the term":        {match: 2, want: Mark{Term: 2, Index: 2}},
+		"entry of the term before": {match: 1, want: Mark{Term: 1, Index: 1}},
+		"no entry":                 {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, now, others := newTestLeader(t)
+			receive(r, now, others[1], 2, AppendResponse{OK: true, Match: tc.match})
+			if got := r.peerMarks[others[1]]; got != tc.want {
+				t.Fatalf("mark is %+v, want %+v", got, tc.want)
+			}
+		})
+	}
+}
