Say why a control daemon knows no leader

A control daemon now logs when no leader was heard for 3 s: its state in the replicated log, the voters and when each was heard, and the age of the oldest unsynced write; again each 30 s, and once when a leader is heard again. Elections and the loss of the lead are logged with their reasons. The same facts are metrics: gypsumshelf_leader_missing_seconds, gypsumshelf_log_state, gypsumshelf_members_heard and gypsumshelf_elections_total.

The replica only gives facts (Condition, LastLeaderContact, UnsyncedFor); the observer of the reducer turns them into effects, the daemon into lines.

--- a/controls/daemon.go
+++ b/controls/daemon.go
@@ -74,6 +74,7 @@
 
 	lastTicket     atomic.Uint64
 	leadership     atomic.Pointer[Leadership]
+	status         atomic.Pointer[Status]
 	mu             sync.Mutex
 	pendingReplies map[Ticket]chan Reply
 }
@@ -92,6 +93,7 @@
 	d.id = replicaConfig.ID
 	d.reducer = NewReducer(replicaConfig)
 	d.leadership.Store(&Leadership{})
+	d.status.Store(&Status{Condition: replicas.NotMember, LeaderHeard: cfg.Timers.Now()})
 	d.dispatcher = dispatchers.New(dispatchers.Config{Log: cfg.Log, Reporter: cfg.Reporter, Timers: cfg.Timers, HandleQuarantines: d.quarantine})
 	d.registry = newRegistry(cfg, d.publisher, d.dispatcher)
 	d.links = peers.New(peers.Config{Daemon: cfg.Daemon, AllowUnlisted: true, Receive: d.handleEnvelope, Log: cfg.Log}, cfg.Peers)
@@ -191,6 +193,8 @@
 	case Halted:
 		faults.Report(d.cfg.Log.WithField("event", fmt.Sprintf("%T", e.Event)), "replicated log", e.Panic)
 		d.storage.reopen(d.replicaConfig())
+	case Status, LeaderMissing, LeaderHeard, ElectionStarted, LeadLost:
+		d.observe(effect)
 	default:
 		panic(fmt.Sprintf("unknown effect %T", effect))
 	}
--- a/controls/reducer.go
+++ b/controls/reducer.go
@@ -124,6 +124,7 @@
 	leadership           Leadership
 	stopping             bool
 	stopGranted          bool
+	observer             observer
 	effects              []any
 }
 
@@ -148,6 +149,7 @@
 			r.replica.Resign(now)
 		}
 	case MessageReceived:
+		r.observer.heard(now, e.Message.From)
 		r.replica.Receive(now, e.Message)
 	case LogSynced:
 		r.replica.Synced(now, e.Sequence)
@@ -173,7 +175,7 @@
 		panic(fmt.Sprintf("unknown event %T", event))
 	}
 	r.drainReplica()
-	return r.effects
+	return append(r.effects, r.observer.observe(now, r.replica)...)
 }
 
 // halt stops the replica and returns the effects of doing so.
--- a/metrics/recorder_test.go
+++ b/metrics/recorder_test.go
@@ -53,3 +53,21 @@
 		t.Errorf("recorder still holds %d requests and %d attempts, want none", len(r.openRequests), len(r.requestByAttempt))
 	}
 }
+
+// leaderless is a member that has heard no leader for a while.
+type leaderless struct{}
+
+func (leaderless) IsLeader() bool                  { return false }
+func (leaderless) Voters() int                     { return 5 }
+func (leaderless) Condition() string               { return "halted" }
+func (leaderless) LeaderMissingFor() time.Duration { return 4 * time.Second }
+func (leaderless) MembersHeard() int               { return 3 }
+func (leaderless) Elections() uint64               { return 7 }
+
+// Guards against a missing leader that no metric shows.
+func TestReplicationIsScraped(t *testing.T) {
+	r := New()
+	RegisterReplication(r, leaderless{})
+	assertScraped(t, r, "gypsumshelf_leader 0", "gypsumshelf_voters 5", "gypsumshelf_leader_missing_seconds 4", "gypsumshelf_members_heard 3",
+		"gypsumshelf_elections_total 7", `gypsumshelf_log_state{state="halted"} 1`)
+}
