Do not take a pause of this daemon for the silence of an engine with reserved memory

Cause: the watch on the primary engine took all time since its last sign for silence, also the time in which the daemon was paused and asked nothing.

TestPausedDaemonKeepsLiveEngines (a pause within a load report, on the clock of a synctest bubble) fails on the code as it was: response is 502 "no engine is free; waited 0 ms among 0\n" with error <nil>, want 200 "the primary engine counts as dead ...", "silent-ms":3250 and "silent-ms":4500

Change: of the time between two checks, at most what a check and a probe take counts as silence, so after a pause the engine is asked first. Memory still ends by the bound: a reservation never reaches beyond the bound after the last sign, pause or not (TestPausedDaemonReleasesMemoryOfDeadEngines, which passes before and after).

TestSomeLostReportsChangeNothing now decides by the time of each report which ones are lost; a goroutine of the test that was late could lose reports for longer than it says. Its bounds are the same.

--- a/forwards/fake_test.go
+++ b/forwards/fake_test.go
@@ -97,6 +97,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return newFakeBackendAt(t, l, id, service, handler)
+}
+
+func newFakeBackendAt(t *testing.T, l net.Listener, id, service string, handler func(r *http.Request, body string, conn net.Conn)) *fakeBackend {
 	t.Cleanup(func() { l.Close() })
 	b := &fakeBackend{t: t, handler: handler, disconnected: make(chan struct{}, 16), record: rosters.Record{
 		ID: gypsumshelf.ServerID(id), Born: 1, Sequence: 1, Service: service, Address: l.Addr().String(), DataCentre: "a", Slots: 4,
@@ -203,6 +207,7 @@
 	t         *testing.T
 	forwarder *Forwarder
 	server    *httptest.Server
+	client    *http.Client
 	metrics   *metrics.Recorder
 	placer    *fakePlacer
 	log       *bytes.Buffer
@@ -221,6 +226,34 @@
 }
 
 func newFixtureWith(t *testing.T, protocol Protocol, backends ...*fakeBackend) *fixture {
+	f := newForwarderFixture(t, protocol, nil, backends...)
+	f.server, f.client = httptest.NewServer(f.forwarder), http.DefaultClient
+	f.closeAtEnd()
+	return f
+}
+
+// newPipeFixture returns a fixture whose connections are those of a pipeNetwork.
+func newPipeFixture(t *testing.T, protocol Protocol, n *pipeNetwork, backends ...*fakeBackend) *fixture {
+	t.Cleanup(func() { time.Sleep(time.Minute) }) // until the handlers of the backend servers have returned
+	f := newForwarderFixture(t, protocol, n, backends...)
+	f.server = &httptest.Server{Listener: n.listen(), Config: &http.Server{Handler: f.forwarder}}
+	f.server.Start()
+	f.client = &http.Client{Transport: &http.Transport{DialContext: n.dialContext, DisableKeepAlives: true}}
+	f.closeAtEnd()
+	f.forwarder.SetCatalog(newCatalog(t))
+	return f
+}
+
+func (f *fixture) closeAtEnd() {
+	f.t.Cleanup(func() {
+		f.server.Close()
+		if f.t.Failed() {
+			f.t.Logf("log of the forwarder:\n%s", f.log)
+		}
+	})
+}
+
+func newForwarderFixture(t *testing.T, protocol Protocol, dialer Dialer, backends ...*fakeBackend) *fixture {
 	f := &fixture{t: t, placer: &fakePlacer{}, metrics: metrics.New(), log: &bytes.Buffer{}}
 	fleet := NewFleet("a", time.Now)
 	for _, b := range backends {
@@ -233,17 +266,10 @@
 	log.SetOutput(f.log)
 	log.SetFormatter(&logrus.JSONFormatter{})
 	f.forwarder = New(Config{
-		DataCentre: "a", Protocol: protocol, Fleet: fleet, Placer: f.placer, Recorder: metrics.NewForwardMetrics(f.metrics),
+		DataCentre: "a", Protocol: protocol, Dialer: dialer, Fleet: fleet, Placer: f.placer, Recorder: metrics.NewForwardMetrics(f.metrics),
 		Log: logrus.NewEntry(log), Retries: RetryBudget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 		BodyBudget: testBodyBudget, MemoryBound: testMemoryBound,
 	})
-	f.server = httptest.NewServer(f.forwarder)
-	t.Cleanup(func() {
-		f.server.Close()
-		if t.Failed() {
-			t.Logf("log of the forwarder:\n%s", f.log)
-		}
-	})
 	return f
 }
 
@@ -299,7 +325,7 @@
 	for i := 0; i+1 < len(header); i += 2 {
 		r.Header.Set(header[i], header[i+1])
 	}
-	response, err := http.DefaultClient.Do(r)
+	response, err := f.client.Do(r)
 	if err != nil {
 		return callerResponse{err: err}
 	}
--- a/forwards/reservation_test.go
+++ b/forwards/reservation_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
@@ -18,8 +19,7 @@
 // ends when it is released or when its time is over.
 type memoryProtocol struct {
 	fakeProtocol
-	reportErr atomic.Pointer[error]
-	reports   atomic.Int64
+	report func() error // the error of a load report; nil if all are answered
 
 	mu     sync.Mutex
 	expiry map[string]time.Time // by reservation ID
@@ -44,13 +44,16 @@
 }
 
 func (p *memoryProtocol) Report(context.Context, string) (schedules.Load, error) {
-	p.reports.Add(1)
-	if err := p.reportErr.Load(); err != nil {
-		return schedules.Load{}, *err
+	if p.report != nil {
+		if err := p.report(); err != nil {
+			return schedules.Load{}, err
+		}
 	}
 	return schedules.Load{Slowdown: 1}, nil
 }
 
+var errNoReport = errors.New("no answer")
+
 // held reports whether any memory is reserved.
 func (p *memoryProtocol) held() bool {
 	p.mu.Lock()
@@ -89,6 +92,15 @@
 	return f, p
 }
 
+// pipeMemoryFixture is memoryFixture on a pipeNetwork.
+func pipeMemoryFixture(t *testing.T, primary func(*http.Request, string, net.Conn)) (*fixture, *memoryProtocol) {
+	t.Helper()
+	p, n := newMemoryProtocol(), newPipeNetwork()
+	f := newPipeFixture(t, p, n, newFakeBackendAt(t, n.listen(), "e1", "engines", primary), newFakeBackendAt(t, n.listen(), "e2", "engines", primary))
+	f.forwarder.cfg.Placer = &reservingPlacer{fakePlacer{engines: f.placer.engines[:1]}}
+	return f, p
+}
+
 // silent is the handler of an engine that never answers.
 func silent(_ *http.Request, _ string, _ net.Conn) {}
 
@@ -97,8 +109,7 @@
 // the primary engine went dark in its prefill, and no other engine was free.
 func TestDeadPrimaryReleasesMemory(t *testing.T) {
 	f, p := memoryFixture(t, silent)
-	dark := errors.New("no answer")
-	p.reportErr.Store(&dark)
+	p.report = func() error { return errNoReport }
 	died := time.Now()
 	answer := make(chan callerResponse, 1)
 	go func() { answer <- f.send("POST", "/stream/", "x", "Wait", "15000") }()
@@ -161,19 +172,72 @@
 		writeEvents(r, conn, 1, 3)
 		endChunkedBody(conn)
 	})
-	lost := errors.New("no answer")
-	stop := make(chan struct{})
-	defer close(stop)
-	go func() {
+	begin := time.Now()
+	p.report = func() error {
 		// Silent for a little over half of the bound, then heard again.
-		for _, err := range []*error{&lost, nil, &lost, nil} {
-			p.reportErr.Store(err)
-			select {
-			case <-stop:
-				return
-			case <-time.After(testMemoryBound * 6 / 10):
-			}
+		if phase := time.Since(begin) / (testMemoryBound * 6 / 10); phase == 0 || phase == 2 {
+			return errNoReport
 		}
-	}()
+		return nil
+	}
 	assertAnswer(t, f.send("POST", "/stream/", "x", "Wait", "15000"), http.StatusOK, eventText(1, 3))
 }
+
+// Guards against a live engine that is given up because this daemon did not run for a
+// time: the engine was not asked then.
+func TestPausedDaemonKeepsLiveEngines(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		lost  time.Duration // at the beginning no load report is answered
+		pause time.Duration // of this daemon, after that
+	}{
+		{"some lost reports, then a pause", testMemoryBound * 6 / 10, time.Second},
+		{"a pause only", 0, testMemoryBound},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, p := pipeMemoryFixture(t, func(r *http.Request, _ string, conn net.Conn) {
+					time.Sleep(testMemoryBound * 12 / 10)
+					writeEvents(r, conn, 1, 3)
+					endChunkedBody(conn)
+				})
+				begin, paused := time.Now(), false
+				p.report = func() error {
+					switch since := time.Since(begin); {
+					case since < test.lost-livenessProbePeriod/2:
+						return errNoReport
+					case !paused:
+						paused = true
+						time.Sleep(test.pause)
+						return context.DeadlineExceeded
+					}
+					return nil
+				}
+				assertAnswer(t, f.send("POST", "/stream/", "x", "Wait", "15000"), http.StatusOK, eventText(1, 3))
+			})
+		})
+	}
+}
+
+// Guards against memory that stays reserved after the bound because this daemon did not
+// run for a time: the reservations end by themselves.
+func TestPausedDaemonReleasesMemoryOfDeadEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, p := pipeMemoryFixture(t, silent)
+		begin, paused := time.Now(), false
+		p.report = func() error {
+			if time.Since(begin) > testMemoryBound/2 && !paused {
+				paused = true
+				time.Sleep(time.Second)
+			}
+			return context.DeadlineExceeded
+		}
+		answer := make(chan callerResponse, 1)
+		go func() { answer <- f.send("POST", "/stream/", "x", "Wait", "15000") }()
+		time.Sleep(testMemoryBound)
+		if p.held() {
+			t.Errorf("memory is reserved %v after the engine had died", testMemoryBound)
+		}
+		assertAnswer(t, <-answer, http.StatusBadGateway, "")
+	})
+}
--- a/forwards/watch.go
+++ b/forwards/watch.go
@@ -19,6 +19,9 @@
 	livenessProbePeriod = 500 * time.Millisecond
 	// livenessProbeTimeout is the timeout of one probe.
 	livenessProbeTimeout = 400 * time.Millisecond
+	// maxCheckGap is the longest time between two checks of a process that runs. What
+	// is longer is a pause of this process, in which nothing was asked.
+	maxCheckGap = livenessProbePeriod/2 + livenessProbeTimeout
 	// releaseMargin is the part of the memory bound that is left for the last probe
 	// and for the release of the reservations.
 	releaseMargin = 2 * livenessProbeTimeout
@@ -37,13 +40,17 @@
 	stop    chan struct{}
 	lost    chan struct{} // closed when the engine counts as dead
 
-	mu       sync.Mutex
-	lastSign time.Time // of life
+	mu             sync.Mutex
+	lastSign       time.Time // of life
+	lastCheck      time.Time
+	observed       time.Duration // since the start of the watch, without pauses of this process
+	observedAtSign time.Duration // observed as of lastSign
 }
 
 // newPrimaryWatch returns a watch that is already running.
 func newPrimaryWatch(req *proxyRequest, server rosters.Entry) *primaryWatch {
-	w := &primaryWatch{request: req, server: server, stop: make(chan struct{}), lost: make(chan struct{}), lastSign: req.now()}
+	now := req.now()
+	w := &primaryWatch{request: req, server: server, stop: make(chan struct{}), lost: make(chan struct{}), lastSign: now, lastCheck: now}
 	go w.run()
 	return w
 }
@@ -55,7 +62,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if at.After(w.lastSign) {
-		w.lastSign = at
+		w.lastSign, w.observedAtSign = at, w.observed
 	}
 }
 
@@ -71,6 +78,18 @@
 	return min(reservationTTL, w.request.forwarder.memoryBound()-w.silence())
 }
 
+// observedSilence returns the time since the last sign of life without pauses of this
+// process. Memory at helpers is free within the bound all the same, since each
+// reservation ends by the bound after the last sign.
+func (w *primaryWatch) observedSilence() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.request.now()
+	w.observed += min(now.Sub(w.lastCheck), maxCheckGap)
+	w.lastCheck = now
+	return min(now.Sub(w.lastSign), w.observed-w.observedAtSign)
+}
+
 func (w *primaryWatch) run() {
 	maxSilence := w.request.forwarder.memoryBound() - releaseMargin
 	ticker := time.NewTicker(livenessProbePeriod / 2)
@@ -81,7 +100,7 @@
 			return
 		case <-ticker.C:
 		}
-		switch silence := w.silence(); {
+		switch silence := w.observedSilence(); {
 		case silence > maxSilence:
 			w.request.forwarder.cfg.Log.WithFields(logrus.Fields{
 				logs.KeyRequest: w.request.meta.ID, logs.KeyServer: w.server.ID, "silent-ms": silence.Milliseconds(),
