Forget that a service has no way together with its lost path

Callers saw 503 for every request to a service ("neither this daemon nor others reach the backend servers"), for ever, after the process had been paused for longer than a minute while nobody reached the service.

Cause: lost paths are forgotten when nothing was heard of them for a minute (Paths.Prune), and probes run for lost paths only. The count of rounds in which nobody reached the service was kept beside them. After the pause there was no lost path, hence no probe, and the kept count refused each connection that could have shown that there is a way. Only a restart left that state.

Evidence: TestServiceIsReachedAfterALongPause fails before ("timed out waiting until the service is reached again", 10 s).

Fix: the count is dropped with the path, so that connections are tried again.

--- a/relays/probe.go
+++ b/relays/probe.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -27,6 +29,8 @@
 	d.mu.Lock()
 	d.paths.Prune(now)
 	services, servers := d.paths.LostServices(), d.paths.LostServers()
+	// Only the probes of a lost path find out that there is a way again.
+	maps.DeleteFunc(d.failedRounds, func(service string, _ int) bool { return !slices.Contains(services, service) })
 	d.rotation += probedServers
 	d.mu.Unlock()
 	if len(services)+len(servers) == 0 || d.round.Swap(true) {
--- a/relays/relays_test.go
+++ b/relays/relays_test.go
@@ -88,6 +88,13 @@
 	delay      time.Duration // of direct connections
 	relayCut   bool          // the relay has lost the path too
 	foreigners bool          // the relay admits nobody
+	paused     time.Duration // time for which the process was paused
+}
+
+func (p *pair) now() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Add(p.paused)
 }
 
 func newPair(t *testing.T, addresses ...string) *pair {
@@ -95,9 +102,9 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	log := logrus.NewEntry(logger)
-	service := timers.New(timers.Config{})
-	t.Cleanup(service.Close)
 	p := &pair{servers: &fakeServers{known: addresses}}
+	service := timers.New(timers.Config{Now: p.now})
+	t.Cleanup(service.Close)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -353,6 +360,37 @@
 	})
 }
 
+// Guards against a service that is refused for ever after a pause of the process, in which
+// the lost path was forgotten but not that nobody reaches the service.
+func TestServiceIsReachedAfterALongPause(t *testing.T) {
+	idle := func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }
+	b, other := newBackend(t, idle), newBackend(t, idle)
+	p := newPair(t, b.address(), other.address())
+	p.setCut(syscall.ECONNREFUSED)
+	p.connect(t, b)
+	p.connect(t, other)
+	p.mu.Lock()
+	p.relayCut = true
+	p.mu.Unlock()
+	awaitTrue(t, "the service counts as unreachable", func() bool { return p.dialer.HasNoWay("s") })
+	awaitTrue(t, "no round of probes runs", func() bool { return !p.dialer.round.Swap(true) })
+	p.mu.Lock()
+	p.relayCut, p.cut, p.paused = false, nil, 2*pathRetention
+	p.mu.Unlock()
+	p.dialer.probePaths(p.now())
+	p.dialer.round.Store(false)
+	awaitTrue(t, "the service is reached again", func() bool { return !p.dialer.HasNoWay("s") && p.connectError(b) == nil })
+}
+
+func awaitTrue(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !ok(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("timed out waiting until %s", what)
+		}
+	}
+}
+
 // Guards against hosts outside the deployment that connect to anything through a daemon,
 // and against new work for servers that take none.
 func TestRelayRejects(t *testing.T) {
