--- a/soaks/process.go
+++ b/soaks/process.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 )
 
 // ProcessConfig configures a Process.
@@ -31,6 +32,8 @@
 	noRestart  bool
 	diskLostAt time.Time
 	downAt     time.Time
+	limits     map[Limit]unix.Rlimit // limits of cmd before Limit lowered them
+	limitedAt  time.Time             // start or end of the last Limit
 }
 
 // NewProcess returns a Process that is not started yet.
@@ -50,10 +53,8 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	if output, ok := cmd.Stdout.(io.Closer); ok {
-		output.Close() // the process has its own copy
-	}
 	p.cmd = cmd
+	p.limits = map[Limit]unix.Rlimit{}
 	p.starts++
 	s := &supervisor{process: p, cmd: cmd}
 	go s.run()
@@ -68,6 +69,9 @@
 
 func (s *supervisor) run() {
 	err := s.cmd.Wait()
+	if output, ok := s.cmd.Stdout.(io.Closer); ok {
+		output.Close()
+	}
 	p := s.process
 	p.mu.Lock()
 	if p.cmd == s.cmd {
@@ -108,6 +112,20 @@
 // Terminate asks the process to stop.
 func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
 
+// IsDown reports whether no process runs.
+func (p *Process) IsDown() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd == nil
+}
+
+// Starts returns how often the process has been started.
+func (p *Process) Starts() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.starts
+}
+
 // RecordDiskLoss records that the disk of the process was lost now.
 func (p *Process) RecordDiskLoss() {
 	p.mu.Lock()
