Assert in the random test that a power loss erases no storage

A host whose disk kept everything that was synced must never be told to discard it. The test counted such hosts as "older disk found" and gave them an empty disk. It now fails unless the test itself put an older image in place. Power losses are aimed at changes of term: a host alone, with some others or all hosts lose power and every unsynced write while a new term or vote is not synced, beside a disk that hangs. Slower syncs are drawn too. No check is removed.

--- a/replicas/cluster_test.go
+++ b/replicas/cluster_test.go
@@ -22,8 +22,15 @@
 
 // fakeDisk simulates a host's storage, which can lose writes that are not synced.
 type fakeDisk struct {
-	synced   Recovered
-	unsynced []*Persist
+	synced     Recovered
+	unsynced   []*Persist
+	older      bool // synced lacks writes that were reported as synced
+	hangsUntil time.Time
+}
+
+// hasUnsyncedVote reports whether a term or vote is written and not synced.
+func (d *fakeDisk) hasUnsyncedVote() bool {
+	return len(d.unsynced) > 0 && d.unsynced[len(d.unsynced)-1].HardState != d.synced.HardState
 }
 
 func applyPersist(image Recovered, p *Persist) Recovered {
@@ -50,6 +57,11 @@
 	applied     uint64
 	stateHash   uint64 // state machine: hash over all applied entries
 	starts      int
+
+	// Hosts that lose power together soon after this host has changed its term or vote.
+	powerLossOf []*host
+	powerLossAt time.Time
+	startAt     time.Time // zero unless the host starts by itself
 }
 
 // delayedMessage is a message in transit.
@@ -122,6 +134,7 @@
 func (c *cluster) start(h *host) {
 	h.starts++
 	h.stopping = false
+	h.startAt = time.Time{}
 	if h.member.ID.Incarnation == "" || !h.member.Durable {
 		h.member.ID.Incarnation = fmt.Sprint(h.starts)
 		h.disk = fakeDisk{}
@@ -151,6 +164,40 @@
 	h.disk.unsynced, h.replica = nil, nil
 }
 
+// losePower ends a process, whose unsynced writes are lost. The host starts again soon.
+func (c *cluster) losePower(h *host) {
+	if h.replica == nil {
+		return
+	}
+	c.eventCounts["power loss"]++
+	if h.disk.hasUnsyncedVote() {
+		c.eventCounts["power loss before a term or vote was synced"]++
+	}
+	h.disk.unsynced, h.disk.hangsUntil, h.replica = nil, time.Time{}, nil
+	h.startAt = c.now.Add(time.Duration(c.rng.Int64N(int64(time.Second))))
+}
+
+// carryOutPowerLoss ends hosts whose power loss is due.
+func (c *cluster) carryOutPowerLoss(h *host) {
+	if h.powerLossAt.IsZero() || c.now.Before(h.powerLossAt) {
+		return
+	}
+	for _, o := range h.powerLossOf {
+		c.losePower(o)
+	}
+	h.powerLossOf, h.powerLossAt = nil, time.Time{}
+}
+
+// completesSync reports whether a disk completes its writes now. A host that is about
+// to lose power has a slow one.
+func (c *cluster) completesSync(h *host) bool {
+	if len(h.powerLossOf) > 0 && h.powerLossAt.IsZero() && h.disk.hasUnsyncedVote() {
+		h.powerLossAt = c.now.Add(time.Duration(c.rng.Int64N(5 * int64(testElectionTimeout))))
+		h.disk.hangsUntil = c.now.Add(time.Duration(c.rng.Int64N(10 * int64(testElectionTimeout))))
+	}
+	return !c.now.Before(h.disk.hangsUntil) && c.rng.Float64() < c.syncProbability
+}
+
 // wipe restarts a host with an empty disk.
 func (c *cluster) wipe(h *host) {
 	c.loseDisk(h)
@@ -183,6 +230,10 @@
 		}
 	}
 	for _, h := range c.hosts {
+		c.carryOutPowerLoss(h)
+		if !h.startAt.IsZero() && !c.now.Before(h.startAt) {
+			c.start(h)
+		}
 		if c.isRunning(h) {
 			h.replica.Tick(c.clockOf(h))
 			c.processOutput(h)
@@ -207,6 +258,9 @@
 	for {
 		out := h.replica.TakeOutput()
 		if out.Renew {
+			if !h.disk.older {
+				c.t.Fatalf("%s discards its storage, although the disk kept everything that was synced", h.member.ID)
+			}
 			c.eventCounts["older disk found"]++
 			c.wipe(h)
 			return
@@ -219,7 +273,7 @@
 		}
 		c.apply(h, out)
 		c.assertLeadership(h)
-		if len(h.disk.unsynced) == 0 || c.rng.Float64() >= c.syncProbability {
+		if len(h.disk.unsynced) == 0 || !c.completesSync(h) {
 			return
 		}
 		for _, p := range h.disk.unsynced {
@@ -375,12 +429,13 @@
 	}
 }
 
-// heal restores all links and restarts all frozen, crashed or stopping hosts. The
-// faults of single messages continue.
+// heal restores all links and disks and restarts all frozen, crashed or stopping hosts.
+// The faults of single messages continue.
 func (c *cluster) heal() {
 	clear(c.cutLinks)
 	for _, h := range c.hosts {
-		h.frozenUntil = time.Time{}
+		h.frozenUntil, h.disk.hangsUntil = time.Time{}, time.Time{}
+		h.powerLossOf, h.powerLossAt = nil, time.Time{}
 		if h.stopping {
 			c.crash(h)
 		}
--- a/replicas/random_test.go
+++ b/replicas/random_test.go
@@ -70,7 +70,7 @@
 		c.dropProbability = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "drop")
 		c.duplicateProbability = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "duplicate")
 		c.delayProbability = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "slow")
-		c.syncProbability = rapid.SampledFrom([]float64{0.2, 0.7, 1}).Draw(t, "sync")
+		c.syncProbability = rapid.SampledFrom([]float64{0.05, 0.2, 0.7, 1}).Draw(t, "sync")
 		maxAction := rapid.SampledFrom([]int{20, 40, 100}).Draw(t, "actions") // numbers without a fault propose commands
 		for c.steps < stepsPerCheck {
 			c.injectFault(rapid.IntRange(0, maxAction).Draw(t, "action"), rapid.IntRange(0, n-1).Draw(t, "host"))
@@ -141,6 +141,12 @@
 		}
 	case 12, 13:
 		h.stopping = h.replica != nil
+	case 14:
+		h.powerLossOf = c.hostsAround(h)
+		c.endTerm(h)
+	case 15:
+		c.letFallBehind(h)
+		h.powerLossOf = c.hostsAround(h)
 	default:
 		if h := c.confirmedLeader(); h != nil {
 			for range 1 + c.rng.IntN(5) {
@@ -150,6 +156,37 @@
 	}
 }
 
+// endTerm freezes the leader, unless it is the host h, so that another one is elected.
+func (c *cluster) endTerm(h *host) {
+	if l := c.confirmedLeader(); l != nil && l != h {
+		l.frozenUntil = c.now.Add(3 * testElectionTimeout)
+	}
+}
+
+// letFallBehind isolates a host until another leader has compacted entries that the host
+// lacks.
+func (c *cluster) letFallBehind(h *host) {
+	c.isolate(h)
+	c.endTerm(h)
+	for range 6 * testElectionTimeout / testStep {
+		c.step()
+		if l := c.confirmedLeader(); l != nil {
+			c.propose(l)
+		}
+	}
+	for _, o := range c.hosts {
+		c.compact(o)
+	}
+	clear(c.cutLinks)
+}
+
+// hostsAround returns a host alone, it together with some others, or all hosts.
+func (c *cluster) hostsAround(h *host) []*host {
+	others := slices.DeleteFunc(slices.Clone(c.hosts), func(o *host) bool { return o == h })
+	c.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return append(others[:[]int{0, c.rng.IntN(len(c.hosts)), len(others)}[c.rng.IntN(3)]], h)
+}
+
 // unnoticedLoss is the time for which a leader may take a lost disk for sound: the
 // longest delay of a message and the timeout after it.
 const unnoticedLoss = time.Second + testElectionTimeout
--- a/replicas/rules_test.go
+++ b/replicas/rules_test.go
@@ -337,7 +337,7 @@
 				c.step() // the leader's next heartbeats report what it has stored
 			}
 			c.crash(h)
-			h.disk.synced = image
+			h.disk.synced, h.disk.older = image, true
 			c.start(h)
 			c.waitUntil("new incarnation", func() bool { return h.member.ID != old })
 			c.waitUntil("a settled cluster", c.isSettled)
