Give the seat of a voter that answers and stores nothing to a learner

With two more voters lost there is no majority until the disk comes back.

Cause: only silence counts against a voter.

Fix: the leader notes when a member last stored something new. One that catches up over a slow link or whose disk hangs for a shorter time keeps its seat, and so does one after a pause of the leader, which interrupts the contact. A stalled voter does not count towards the quorum that must remain when another voter stops, and a stop does not wait for a stalled learner.

--- a/replicas/cluster_test.go
+++ b/replicas/cluster_test.go
@@ -412,6 +412,16 @@
 	c.processOutput(h)
 }
 
+// proposeFor proposes a command in each step for a duration.
+func (c *cluster) proposeFor(d time.Duration) {
+	for range d / testStep {
+		c.step()
+		if l := c.confirmedLeader(); l != nil {
+			c.propose(l)
+		}
+	}
+}
+
 func (c *cluster) compact(h *host) {
 	if h.applied == 0 || h.replica == nil {
 		return
--- a/replicas/membership.go
+++ b/replicas/membership.go
@@ -47,6 +47,7 @@
 	VoterSurplus      MembershipReason = "voter-surplus"           // a voter is demoted because there are too many
 	VoterStops        MembershipReason = "voter-stops"             // a learner takes the seat of a voter that is about to stop
 	VoterUnresponsive MembershipReason = "voter-unresponsive"      // a learner takes the seat of a silent voter
+	VoterStalled      MembershipReason = "voter-stalled"           // a learner takes the seat of a voter that answers and stores nothing
 	DataCentreLacking MembershipReason = "data-centre-lacks-voter" // a learner in a data centre without a voter takes the seat of one whose data centre has another
 	LearnerLost       MembershipReason = "learner-lost"            // a learner has been silent for long and is removed
 	ExchangeCompleted MembershipReason = "exchange-completed"      // the incoming voter has taken its seat
@@ -263,6 +264,9 @@
 	if id, ok := r.unresponsiveVoter(members); ok {
 		return id, VoterUnresponsive
 	}
+	if id, ok := r.stalledVoter(members); ok {
+		return id, VoterStalled
+	}
 	if newDataCentre && votersShareDataCentre(members) {
 		if id, ok := r.voterToDemote(members); ok {
 			return id, DataCentreLacking
@@ -298,8 +302,18 @@
 	return NodeID{}, false
 }
 
+// stalledVoter returns a voter that is in contact and stores nothing.
+func (r *Replica) stalledVoter(members Members) (NodeID, bool) {
+	for _, member := range sortedByDaemon(members) {
+		if member.Role == Voter && r.isStalled(member.ID) {
+			return member.ID, true
+		}
+	}
+	return NodeID{}, false
+}
+
 // voterToDemote returns the voter that is needed least: preferably one without
-// contact, then one that shares its data centre with another voter, then any but
+// contact or that stores nothing, then one that shares its data centre with another voter, then any but
 // this node. The remaining voters must have a quorum in contact.
 func (r *Replica) voterToDemote(members Members) (NodeID, bool) {
 	var choice NodeID
@@ -312,7 +326,7 @@
 		if votersInDataCentre(members, member.DataCentre) > 1 {
 			score = 2
 		}
-		if !r.isAlive(member.ID) {
+		if !r.isAlive(member.ID) || r.isStalled(member.ID) {
 			score = 3
 		}
 		if score > bestScore && r.hasAliveQuorum(members.withRole(member.ID, Learner)) {
@@ -337,6 +351,17 @@
 	return r.isAlive(id) && r.now.Sub(r.progress[id].contactSince) >= d
 }
 
+// isStalled reports whether a member has been in contact for ReplaceAfter and lacks
+// committed entries, but has stored none of them and no part of a snapshot in that time:
+// its disk hangs. One that catches up slowly is not stalled.
+func (r *Replica) isStalled(id NodeID) bool {
+	if id == r.cfg.ID || !r.inContactFor(id, r.cfg.ReplaceAfter) {
+		return false
+	}
+	p := r.progress[id]
+	return p.match < r.commit && r.now.Sub(p.advancedAt) >= r.cfg.ReplaceAfter
+}
+
 // hasAliveQuorum reports whether a quorum of a membership is in contact.
 func (r *Replica) hasAliveQuorum(members Members) bool { return members.HasQuorum(r.isAlive) }
 
--- a/replicas/random_test.go
+++ b/replicas/random_test.go
@@ -147,6 +147,9 @@
 	case 15:
 		c.letFallBehind(h)
 		h.powerLossOf = c.hostsAround(h)
+	case 16:
+		c.eventCounts["hanging disk"]++
+		h.disk.hangsUntil = c.now.Add(time.Duration(c.rng.Int64N(3 * int64(testReplaceAfter))))
 	default:
 		if h := c.confirmedLeader(); h != nil {
 			for range 1 + c.rng.IntN(5) {
@@ -168,12 +171,7 @@
 func (c *cluster) letFallBehind(h *host) {
 	c.isolate(h)
 	c.endTerm(h)
-	for range 6 * testElectionTimeout / testStep {
-		c.step()
-		if l := c.confirmedLeader(); l != nil {
-			c.propose(l)
-		}
-	}
+	c.proposeFor(6 * testElectionTimeout)
 	for _, o := range c.hosts {
 		c.compact(o)
 	}
--- a/replicas/replication.go
+++ b/replicas/replication.go
@@ -21,6 +21,7 @@
 	ackedSendTime  time.Time    // send time of the latest request that was answered
 	lastContact    time.Time    // last message from the member in this term
 	contactSince   time.Time    // start of the current period of uninterrupted contact
+	advancedAt     time.Time    // last time at which the member stored something new or lacked nothing
 	catchUpTarget  uint64       // commit index at the last heartbeat
 	caughtUp       bool         // at the last heartbeat, match had reached the catchUpTarget of the one before
 	snapshotOffset int          // offset of the next chunk of the snapshot
@@ -38,7 +39,7 @@
 	members := r.Members()
 	for _, m := range members {
 		if _, ok := r.progress[m.ID]; !ok && m.ID != r.cfg.ID {
-			r.progress[m.ID] = &progress{next: r.log.lastIndex() + 1, probing: true, lastContact: r.now, contactSince: r.now}
+			r.progress[m.ID] = &progress{next: r.log.lastIndex() + 1, probing: true, lastContact: r.now, contactSince: r.now, advancedAt: r.now}
 		}
 	}
 	for id := range r.progress {
@@ -156,6 +157,9 @@
 		p := r.progress[id]
 		p.paused = false
 		p.caughtUp, p.catchUpTarget = p.catchUpTarget > 0 && p.match >= p.catchUpTarget, r.commit
+		if p.match >= r.commit {
+			p.advancedAt = r.now
+		}
 		req := AppendRequest{Prev: p.next - 1}
 		term, ok := r.log.term(req.Prev)
 		switch {
@@ -290,7 +294,7 @@
 	}
 	if p.session != message.Session {
 		// A restarted member may have lost entries that it had not acknowledged.
-		*p = progress{session: message.Session, next: max(p.next, 1), probing: true, ackedSendTime: p.ackedSendTime, contactSince: r.now}
+		*p = progress{session: message.Session, next: max(p.next, 1), probing: true, ackedSendTime: p.ackedSendTime, contactSince: r.now, advancedAt: r.now}
 	}
 	if r.now.Sub(p.lastContact) > r.cfg.ElectionTimeout {
 		p.contactSince = r.now
@@ -327,7 +331,7 @@
 		r.recordMark(message.From, Mark{Term: term, Index: resp.Match})
 	}
 	if resp.Match > p.match {
-		p.match = resp.Match
+		p.match, p.advancedAt = resp.Match, r.now
 		p.next = max(p.next, p.match+1)
 	}
 	switch {
--- a/replicas/snapshot.go
+++ b/replicas/snapshot.go
@@ -139,13 +139,16 @@
 	}
 	switch {
 	case resp.Done:
-		p.match = max(p.match, resp.Index)
+		if resp.Index > p.match {
+			p.match, p.advancedAt = resp.Index, r.now
+		}
 		if p.snapshotIndex == resp.Index {
 			p.snapshotIndex, p.snapshotOffset, p.paused = 0, 0, false
 		}
 		p.next = max(p.next, p.match+1)
 		r.advanceCommit()
 	case p.snapshotIndex == resp.Index && resp.Next > p.snapshotOffset:
+		p.advancedAt = r.now
 		p.snapshotOffset = min(resp.Next, len(r.snapshot.Data))
 		r.sendChunk(message.From, p)
 	case p.snapshotIndex == resp.Index && resp.Next < p.snapshotOffset:
--- a/replicas/stop.go
+++ b/replicas/stop.go
@@ -127,7 +127,9 @@
 	if r.stopsWithAll() {
 		return true
 	}
-	if members.IsJoint() || slices.ContainsFunc(members, func(m Member) bool { return m.Role == Learner && m.Durable && r.isAvailable(m.ID) }) {
+	if members.IsJoint() || slices.ContainsFunc(members, func(m Member) bool {
+		return m.Role == Learner && m.Durable && r.isAvailable(m.ID) && !r.isStalled(m.ID)
+	}) {
 		return false
 	}
 	return members.HasQuorum(func(voter NodeID) bool {
@@ -138,7 +140,7 @@
 			return !r.stop.resigned
 		}
 		p := r.progress[voter]
-		return !p.stopGranted && p.ackedSendTime.After(announced)
+		return !p.stopGranted && p.ackedSendTime.After(announced) && !r.isStalled(voter)
 	})
 }
 
