Keep HTTP ports open after an accept that failed for want of memory

Callers saw connections refused at the control API, the readiness check or the metrics of a daemon that lived: net/http ends Serve, and closes the listener, at each error of accept that it does not know to be temporary, such as ENOMEM, ENOBUFS and EPROTO. The daemon logged "HTTP server stopped unexpectedly" and nothing opened the port again; gypsumshelf serve panicked instead.

Fix: a listener that retries each error but net.ErrClosed, after a delay, and logs the first of a series and its end. The accept loops of our own already do that.

--- a/daemons/daemon.go
+++ b/daemons/daemon.go
@@ -21,6 +21,7 @@
 	"gypsumshelf.example/gypsumshelf/engines"
 	"gypsumshelf.example/gypsumshelf/entries"
 	"gypsumshelf.example/gypsumshelf/leases"
+	"gypsumshelf.example/gypsumshelf/listeners"
 	"gypsumshelf.example/gypsumshelf/logs"
 	"gypsumshelf.example/gypsumshelf/metrics"
 	"gypsumshelf.example/gypsumshelf/peers"
@@ -176,7 +177,7 @@
 		if err != nil {
 			return merry.Prependf(err, "listener for %s", l.name)
 		}
-		server := &httpServer{server: &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout}, listener: listener}
+		server := &httpServer{server: &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout}, listener: listeners.New(listener, d.log)}
 		d.servers = append(d.servers, server.server)
 		go server.run()
 	}
