--- a/listeners/listener_test.go
+++ b/listeners/listener_test.go
@@ -66,3 +66,27 @@
 		})
 	}
 }
+
+// Guards against a stop that waits for an address which stays in use.
+func TestLateListenerIsClosedWhileItWaits(t *testing.T) {
+	occupied, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer occupied.Close()
+	l := NewLate(occupied.Addr().String(), quiet())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := l.Accept()
+		ended <- err
+	}()
+	l.Close()
+	select {
+	case err := <-ended:
+		if !errors.Is(err, net.ErrClosed) {
+			t.Errorf("Accept returns %v, want %v", err, net.ErrClosed)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("Accept does not return after Close")
+	}
+}
