Load changed settings that could not be read at first

Operators saw a daemon that kept its old seeds: the settings file was replaced while the process had no free descriptor (or the platform was still writing it), the load failed, and the watcher had already noted the new state of the file. Only another change, SIGHUP or a restart loaded it. After a replacement of the control hosts such a daemon knows none of them.

Fix: a failed load makes the watcher report the change again at its next tick. The error is logged once for each cause. The watcher now begins before the first load, so that a change in between is not missed either.

--- a/cmd/gypsumshelf/host.go
+++ b/cmd/gypsumshelf/host.go
@@ -35,6 +35,7 @@
 // runHost runs a daemon until SIGTERM or SIGINT. It reloads the settings on
 // SIGHUP and when the settings file changes.
 func runHost(path string) error {
+	watch := settings.NewWatcher(path) // before the first load, so that no change is missed
 	s, err := settings.LoadHost(path)
 	if err != nil {
 		return err
@@ -55,7 +56,7 @@
 		log.WithError(err).Error("the daemon could not start")
 		return err
 	}
-	watch := settings.NewWatcher(path)
+	lastError := ""
 	for {
 		select {
 		case sig := <-signals:
@@ -72,9 +73,13 @@
 		}
 		next, err := settings.LoadHost(path)
 		if err != nil {
-			log.WithError(err).Error("changed settings cannot be loaded; the previous settings stay in force")
+			if watch.Retry(); err.Error() != lastError {
+				log.WithError(err).Error("changed settings cannot be loaded; the previous settings stay in force until they can")
+			}
+			lastError = err.Error()
 			continue
 		}
+		lastError = ""
 		host.Reload(next)
 		log.WithField("seeds", next.Seeds).Info("settings reloaded")
 	}
--- a/settings/host_test.go
+++ b/settings/host_test.go
@@ -156,4 +156,8 @@
 	if !w.Changed() || w.Changed() {
 		t.Error("Changed did not report a change exactly once")
 	}
+	w.Retry()
+	if !w.Changed() || w.Changed() {
+		t.Error("Changed did not report a change that could not be loaded exactly once again")
+	}
 }
--- a/settings/watcher.go
+++ b/settings/watcher.go
@@ -16,6 +16,7 @@
 	ticker  *time.Ticker
 	size    int64
 	modTime time.Time
+	retry   bool
 }
 
 // NewWatcher returns a Watcher that compares the file with its present state.
@@ -36,7 +37,11 @@
 	if err != nil {
 		return false
 	}
-	changed := info.Size() != w.size || !info.ModTime().Equal(w.modTime)
-	w.size, w.modTime = info.Size(), info.ModTime()
+	changed := w.retry || info.Size() != w.size || !info.ModTime().Equal(w.modTime)
+	w.size, w.modTime, w.retry = info.Size(), info.ModTime(), false
 	return changed
 }
+
+// Retry makes the next call of Changed report a change, because the present one could not
+// be loaded.
+func (w *Watcher) Retry() { w.retry = true }
