Show a failed data folder: log lines, metrics and the answers of the API

The record could not tell a failed disk from a lost majority.

One error line names the cause (a full disk, no descriptors, other) and the operation when a data folder fails, one line with the duration when it serves again. gypsumshelf_data_folder_serves and gypsumshelf_data_folder_failures_total{cause} are on the metrics address of control daemons and of serve. A control daemon whose replica is halted answers reads and changes at once with the cause, also those that were pending. It also announces that it knows no leader when its folder is outdated.

No logic of storage or replication changes. TestCallsNameAFailedDataFolderAtOnce failed before: "a read fails after 701.115412ms with context deadline exceeded", "a proposal fails with this daemon does not lead the replicated log".

--- a/controls/daemon.go
+++ b/controls/daemon.go
@@ -13,6 +13,7 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/catalogs"
 	"gypsumshelf.example/gypsumshelf/directories"
+	"gypsumshelf.example/gypsumshelf/disks"
 	"gypsumshelf.example/gypsumshelf/dispatchers"
 	"gypsumshelf.example/gypsumshelf/faults"
 	"gypsumshelf.example/gypsumshelf/peers"
@@ -84,7 +85,7 @@
 		cfg: cfg, publisher: directories.NewPublisher(cfg.Log), events: make(chan any, eventQueueSize),
 		stop: make(chan struct{}), stopGranted: make(chan struct{}), pendingReplies: map[Ticket]chan Reply{},
 	}
-	d.storage = &storage{folder: cfg.DataFolder, log: cfg.Log, submit: d.submit}
+	d.storage = &storage{folder: cfg.DataFolder, log: cfg.Log, health: disks.NewHealth(cfg.Log), submit: d.submit}
 	replicaConfig, err := d.storage.open(d.replicaConfig())
 	if err != nil {
 		return nil, err
@@ -142,6 +143,9 @@
 // Voters returns the number of voters in the membership that this daemon knows.
 func (d *Daemon) Voters() int { return len(d.leadership.Load().Members.Voters()) }
 
+// DataFolder returns whether the data folder serves, and its failures.
+func (d *Daemon) DataFolder() *disks.Health { return d.storage.health }
+
 // SetSeeds replaces the directory addresses that are always contacted.
 func (d *Daemon) SetSeeds(seeds []string) { d.subscriber.SetSeeds(seeds) }
 
--- a/controls/reducer.go
+++ b/controls/reducer.go
@@ -26,7 +26,9 @@
 var (
 	ErrNotLeader  = errors.New("this daemon does not lead the replicated log")
 	ErrOverridden = errors.New("the leader changed before the command was committed; it may have been lost")
-	ErrStorage    = errors.New("the data folder accepts no writes")
+	ErrStorage    = errors.New("the data folder of this daemon accepts no writes; it takes no part in the replicated log")
+	ErrOutdated   = errors.New("the data folder of this daemon is older than what peers saw of it and is replaced")
+	ErrRestarting = errors.New("the replicated log of this daemon starts again after an unexpected error")
 )
 
 // Ticket identifies a pending proposal or read of one daemon.
@@ -121,6 +123,7 @@
 	bytesSinceSnapshot   int                        // of entry data
 	pendingProposals     map[uint64]pendingProposal // by index
 	pendingReads         []pendingRead
+	unavailable          error // why the replica is halted, nil while it runs
 	leadership           Leadership
 	stopping             bool
 	stopGranted          bool
@@ -153,15 +156,16 @@
 		r.replica.Synced(now, e.Sequence)
 	case StorageFailed:
 		r.replica.Halt()
-		r.failProposals(ErrStorage)
+		r.becomeUnavailable(ErrStorage)
 	case StorageRenewed:
+		r.unavailable = nil
 		r.cfg = e.Config
 		r.replica = replicas.New(e.Config)
 		r.appliedIndex = 0
 	case CommandProposed:
 		r.propose(now, e)
 	case ReadRequested:
-		r.pendingReads = append(r.pendingReads, pendingRead{ticket: e.Ticket, requestedAt: now})
+		r.read(now, e)
 	case ReadCancelled:
 		r.pendingReads = slices.DeleteFunc(r.pendingReads, func(p pendingRead) bool { return p.ticket == e.Ticket })
 	case PeersDiscovered:
@@ -180,7 +184,7 @@
 func (r *Reducer) halt(event, cause any) []any {
 	r.effects = nil
 	r.replica.Halt()
-	r.failProposals(ErrStorage)
+	r.becomeUnavailable(ErrRestarting)
 	r.leadership = Leadership{Term: r.leadership.Term, Members: r.leadership.Members}
 	r.emit(r.leadership)
 	r.emit(Halted{Event: event, Panic: cause})
@@ -189,7 +193,19 @@
 
 func (r *Reducer) emit(effect any) { r.effects = append(r.effects, effect) }
 
+func (r *Reducer) read(now time.Time, e ReadRequested) {
+	if r.unavailable != nil {
+		r.emit(Reply{Ticket: e.Ticket, Err: r.unavailable})
+		return
+	}
+	r.pendingReads = append(r.pendingReads, pendingRead{ticket: e.Ticket, requestedAt: now})
+}
+
 func (r *Reducer) propose(now time.Time, e CommandProposed) {
+	if r.unavailable != nil {
+		r.emit(Reply{Ticket: e.Ticket, Err: r.unavailable})
+		return
+	}
 	index, term, err := r.replica.Propose(now, e.Command.Encode())
 	if err != nil {
 		r.emit(Reply{Ticket: e.Ticket, Err: ErrNotLeader})
@@ -205,8 +221,8 @@
 		out := r.replica.TakeOutput()
 		if out.Renew {
 			r.emit(Renew{})
-			r.failProposals(ErrStorage)
-			return
+			r.becomeUnavailable(ErrOutdated)
+			break
 		}
 		for _, m := range out.Messages {
 			r.emit(Send{Message: m})
@@ -305,6 +321,16 @@
 	r.emit(next)
 }
 
+// becomeUnavailable fails all pending calls, and later ones until StorageRenewed.
+func (r *Reducer) becomeUnavailable(cause error) {
+	r.unavailable = cause
+	r.failProposals(cause)
+	for _, p := range r.pendingReads {
+		r.emit(Reply{Ticket: p.ticket, Err: cause})
+	}
+	r.pendingReads = nil
+}
+
 // failProposals fails every pending proposal. Their commands may still be
 // committed; the operator has to send them again.
 func (r *Reducer) failProposals(err error) {
--- a/controls/storage.go
+++ b/controls/storage.go
@@ -34,6 +34,7 @@
 type storage struct {
 	folder string
 	log    *logrus.Entry
+	health *disks.Health
 	submit func(any)
 
 	mu     sync.Mutex
@@ -57,6 +58,7 @@
 		s.log.Warn("an incomplete write was removed from the end of the log")
 	}
 	s.store = store
+	s.health.RecordService()
 	cfg.ID.Incarnation = store.Incarnation()
 	cfg.Recovered = store.Recovered()
 	cfg.Session, cfg.Seed = rand.Uint64(), rand.Uint64()
@@ -66,7 +68,7 @@
 func (s *storage) synced(sequence uint64) { s.submit(LogSynced{Sequence: sequence}) }
 
 func (s *storage) failed(err error) {
-	s.log.WithError(err).Error("the data folder accepts no writes; the daemon no longer takes part in the replicated log")
+	s.health.RecordFailure(err)
 	s.submit(StorageFailed{})
 }
 
--- a/daemons/daemon.go
+++ b/daemons/daemon.go
@@ -18,6 +18,7 @@
 	"gypsumshelf.example/gypsumshelf/announcements"
 	"gypsumshelf.example/gypsumshelf/attempts"
 	"gypsumshelf.example/gypsumshelf/configs"
+	"gypsumshelf.example/gypsumshelf/disks"
 	"gypsumshelf.example/gypsumshelf/engines"
 	"gypsumshelf.example/gypsumshelf/entries"
 	"gypsumshelf.example/gypsumshelf/leases"
@@ -92,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d.storage = &storage{settings: s, log: log, submit: func(ev gypsumshelf.Event) { d.loop.Submit(ev) }}
+	d.storage = &storage{settings: s, log: log, health: disks.NewHealth(log), submit: func(ev gypsumshelf.Event) { d.loop.Submit(ev) }}
 	node, recovered, err := d.storage.open()
 	if err != nil {
 		return nil, err
@@ -113,6 +114,9 @@
 		Observers: []Observer{d.metrics, logs.NewObserver(logs.ObserverConfig{Log: log, Revision: d.revision})},
 	})
 	d.registerGauges()
+	if s.DataFolder != "" {
+		d.metrics.RecordDataFolder(d.storage.health)
+	}
 	if err := d.openPeers(); err != nil {
 		d.closeStorage()
 		return nil, err
--- a/daemons/freshness.go
+++ b/daemons/freshness.go
@@ -27,6 +27,10 @@
 	if r.configuration.leaseValid(now) {
 		return nil
 	}
+	if r.log != nil && r.log.failed {
+		return gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeNotReady,
+			"the data folder of daemon %s accepts no writes, and its freshness lease has ended", r.cfg.Daemon)
+	}
 	return gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeNotReady,
 		"daemon %s has had no contact with a leader within its freshness lease", r.cfg.Daemon)
 }
--- a/daemons/log.go
+++ b/daemons/log.go
@@ -22,6 +22,7 @@
 type replicaLog struct {
 	replica              *replicas.Replica
 	cfg                  replicas.Config
+	failed               bool   // the storage accepts no writes
 	appliedIndex         uint64 // index of the last applied entry of any kind
 	entriesSinceSnapshot int    // applied since the last snapshot
 	bytesSinceSnapshot   int
@@ -95,7 +96,10 @@
 func (r *Reducer) registerLogHandlers() {
 	registerHandler(r, func(now time.Time, e LogReceived) { r.log.replica.Receive(now, e.Message) })
 	registerHandler(r, func(now time.Time, e LogSynced) { r.log.replica.Synced(now, e.Sequence) })
-	registerHandler(r, func(time.Time, LogFailed) { r.log.replica.Halt() })
+	registerHandler(r, func(time.Time, LogFailed) {
+		r.log.replica.Halt()
+		r.log.failed = true
+	})
 	registerHandler(r, r.handleLogRenewed)
 }
 
--- a/daemons/storage.go
+++ b/daemons/storage.go
@@ -33,6 +33,7 @@
 type storage struct {
 	settings settings.Settings
 	log      *logrus.Entry
+	health   *disks.Health
 	submit   func(gypsumshelf.Event)
 	store    *disks.Store
 }
@@ -56,6 +57,7 @@
 	if s.store.Torn() {
 		s.log.Warn("an incomplete write was removed from the end of the log")
 	}
+	s.health.RecordService()
 	id.Incarnation = s.store.Incarnation()
 	return id, s.store.Recovered(), nil
 }
@@ -63,7 +65,7 @@
 func (s *storage) synced(sequence uint64) { s.submit(LogSynced{Sequence: sequence}) }
 
 func (s *storage) failed(err error) {
-	s.log.WithError(err).Error("the data folder accepts no writes; the daemon no longer takes part in the log")
+	s.health.RecordFailure(err)
 	s.submit(LogFailed{})
 }
 
