Count what a voter has stored across its restarts

What callers see once a replica opens its folder again after a refused write: a voter whose disk stays full answers for some moments of each second, until its next write, and holds its seat for as long as the disk is full, although a learner has caught up.

Cause: silence is counted from the last response, which is never older than reopenDelay, and the rule for stalled voters asked for uninterrupted contact and started anew with each session.

Fix: the furthest that a member has got is kept across its sessions, so that confirming again what it stored before is no advance. A voter is stalled when it lacks committed entries and has stored nothing new for twice ReplaceAfter, in contact or not. The interval is longer than before, since a voter may now have been silent for most of ReplaceAfter and still needs time to catch up. A leader that was paused steps down before it judges, so that the condition on the contact is not needed.

--- a/replicas/membership.go
+++ b/replicas/membership.go
@@ -302,7 +302,7 @@
 	return NodeID{}, false
 }
 
-// stalledVoter returns a voter that is in contact and stores nothing.
+// stalledVoter returns a voter that stores nothing.
 func (r *Replica) stalledVoter(members Members) (NodeID, bool) {
 	for _, member := range sortedByDaemon(members) {
 		if member.Role == Voter && r.isStalled(member.ID) {
@@ -351,15 +351,15 @@
 	return r.isAlive(id) && r.now.Sub(r.progress[id].contactSince) >= d
 }
 
-// isStalled reports whether a member has been in contact for ReplaceAfter and lacks
-// committed entries, but has stored none of them and no part of a snapshot in that time:
-// its disk hangs. One that catches up slowly is not stalled.
+// isStalled reports whether a member lacks committed entries and has stored none of them
+// and no part of a snapshot for twice ReplaceAfter: its disk hangs or refuses writes. One
+// that catches up slowly, or after a silence shorter than ReplaceAfter, is not stalled.
 func (r *Replica) isStalled(id NodeID) bool {
-	if id == r.cfg.ID || !r.inContactFor(id, r.cfg.ReplaceAfter) {
+	if id == r.cfg.ID {
 		return false
 	}
 	p := r.progress[id]
-	return p.match < r.commit && r.now.Sub(p.advancedAt) >= r.cfg.ReplaceAfter
+	return p.match < r.commit && r.now.Sub(p.advance.at) >= 2*r.cfg.ReplaceAfter
 }
 
 // hasAliveQuorum reports whether a quorum of a membership is in contact.
--- a/replicas/replication.go
+++ b/replicas/replication.go
@@ -13,15 +13,15 @@
 // progress is the leader's view of another member.
 type progress struct {
 	session        uint64
-	match          uint64       // index of the last entry known to be synced there
-	next           uint64       // index of the next entry to send
-	probing        bool         // next is not confirmed yet: send one request at a time
-	paused         bool         // send no entries until the outstanding probe or chunk is answered
-	inFlight       int          // requests with entries sent since the member last confirmed all entries sent
-	ackedSendTime  time.Time    // send time of the latest request that was answered
-	lastContact    time.Time    // last message from the member in this term
-	contactSince   time.Time    // start of the current period of uninterrupted contact
-	advancedAt     time.Time    // last time at which the member stored something new or lacked nothing
+	match          uint64    // index of the last entry known to be synced there
+	next           uint64    // index of the next entry to send
+	probing        bool      // next is not confirmed yet: send one request at a time
+	paused         bool      // send no entries until the outstanding probe or chunk is answered
+	inFlight       int       // requests with entries sent since the member last confirmed all entries sent
+	ackedSendTime  time.Time // send time of the latest request that was answered
+	lastContact    time.Time // last message from the member in this term
+	contactSince   time.Time // start of the current period of uninterrupted contact
+	advance        advance
 	catchUpTarget  uint64       // commit index at the last heartbeat
 	caughtUp       bool         // at the last heartbeat, match had reached the catchUpTarget of the one before
 	snapshotOffset int          // offset of the next chunk of the snapshot
@@ -34,12 +34,35 @@
 	stopGranted    bool         // the session was told that it may stop
 }
 
+// advance is the furthest that a member has got, in any of its sessions. What it stored
+// in an earlier one does not count again.
+type advance struct {
+	at             time.Time // last time at which it stored something new or lacked nothing
+	match          uint64
+	snapshotIndex  uint64
+	snapshotOffset int
+}
+
+// recordMatch records that the member has synced the entries up to index.
+func (a *advance) recordMatch(index uint64, now time.Time) {
+	if index > a.match {
+		a.match, a.at = index, now
+	}
+}
+
+// recordChunk records that the member has received a snapshot up to an offset.
+func (a *advance) recordChunk(index uint64, offset int, now time.Time) {
+	if index > a.snapshotIndex || index == a.snapshotIndex && offset > a.snapshotOffset {
+		a.snapshotIndex, a.snapshotOffset, a.at = index, offset, now
+	}
+}
+
 // updateProgress adds progress for new members and removes that of former ones.
 func (r *Replica) updateProgress() {
 	members := r.Members()
 	for _, m := range members {
 		if _, ok := r.progress[m.ID]; !ok && m.ID != r.cfg.ID {
-			r.progress[m.ID] = &progress{next: r.log.lastIndex() + 1, probing: true, lastContact: r.now, contactSince: r.now, advancedAt: r.now}
+			r.progress[m.ID] = &progress{next: r.log.lastIndex() + 1, probing: true, lastContact: r.now, contactSince: r.now, advance: advance{at: r.now}}
 		}
 	}
 	for id := range r.progress {
@@ -158,7 +181,7 @@
 		p.paused = false
 		p.caughtUp, p.catchUpTarget = p.catchUpTarget > 0 && p.match >= p.catchUpTarget, r.commit
 		if p.match >= r.commit {
-			p.advancedAt = r.now
+			p.advance.at = r.now
 		}
 		req := AppendRequest{Prev: p.next - 1}
 		term, ok := r.log.term(req.Prev)
@@ -294,7 +317,7 @@
 	}
 	if p.session != message.Session {
 		// A restarted member may have lost entries that it had not acknowledged.
-		*p = progress{session: message.Session, next: max(p.next, 1), probing: true, ackedSendTime: p.ackedSendTime, contactSince: r.now, advancedAt: r.now}
+		*p = progress{session: message.Session, next: max(p.next, 1), probing: true, ackedSendTime: p.ackedSendTime, contactSince: r.now, advance: p.advance}
 	}
 	if r.now.Sub(p.lastContact) > r.cfg.ElectionTimeout {
 		p.contactSince = r.now
@@ -331,7 +354,8 @@
 		r.recordMark(message.From, Mark{Term: term, Index: resp.Match})
 	}
 	if resp.Match > p.match {
-		p.match, p.advancedAt = resp.Match, r.now
+		p.match = resp.Match
+		p.advance.recordMatch(p.match, r.now)
 		p.next = max(p.next, p.match+1)
 	}
 	switch {
--- a/replicas/snapshot.go
+++ b/replicas/snapshot.go
@@ -139,17 +139,16 @@
 	}
 	switch {
 	case resp.Done:
-		if resp.Index > p.match {
-			p.match, p.advancedAt = resp.Index, r.now
-		}
+		p.match = max(p.match, resp.Index)
+		p.advance.recordMatch(p.match, r.now)
 		if p.snapshotIndex == resp.Index {
 			p.snapshotIndex, p.snapshotOffset, p.paused = 0, 0, false
 		}
 		p.next = max(p.next, p.match+1)
 		r.advanceCommit()
 	case p.snapshotIndex == resp.Index && resp.Next > p.snapshotOffset:
-		p.advancedAt = r.now
 		p.snapshotOffset = min(resp.Next, len(r.snapshot.Data))
+		p.advance.recordChunk(p.snapshotIndex, p.snapshotOffset, r.now)
 		r.sendChunk(message.From, p)
 	case p.snapshotIndex == resp.Index && resp.Next < p.snapshotOffset:
 		p.snapshotOffset = resp.Next // the member restarted; the next heartbeat sends the chunk
