Name a new group to others only once it is synced

What callers would see: all hosts lose power in the moment of their first start, and no configuration can ever be stored.

Cause: the daemon that creates the group asks for pre-votes at once. The others adopt the group of the first message addressed to them and store it. If the creator loses power before its own write is synced, it comes back without a group, hears from the others that a group exists, and neither creates one nor finds one to join.

Fix: a pre-vote, too, leaves only once the current term is synced, with which the group is stored. In a synced term it does not wait.

The disks of this test lose whole writes. A first record that is torn is another matter: the folder then gets a new incarnation, and the daemon never creates a group.

--- a/replicas/election.go
+++ b/replicas/election.go
@@ -101,7 +101,8 @@
 		switch {
 		case id == r.cfg.ID:
 		case isPreVote:
-			r.send(id, req)
+			// Receivers adopt the group, which must not be lost by the node that created it.
+			r.sendInSyncedTerm(id, 0, req)
 		default:
 			// The vote for itself must be synced first: otherwise the node
 			// could restart and vote for another candidate of this term.
--- a/replicas/output.go
+++ b/replicas/output.go
@@ -57,14 +57,14 @@
 	r.storage.deferred = append(r.storage.deferred, deferredMessage{afterSequence: sequence, message: r.newMessage(to, body)})
 }
 
-// acknowledge queues a response to the leader of the current term, which must be sent
-// only after the term and the entries up to index are synced. Other writes do not delay
-// it, so that a slow disk does not delay responses to heartbeats.
-func (r *Replica) acknowledge(leader NodeID, index uint64, resp any) {
+// sendInSyncedTerm queues a message that must be sent only after the current term, the
+// group and the entries up to index are synced. Other writes do not delay it, so that a
+// slow disk does not delay responses to heartbeats.
+func (r *Replica) sendInSyncedTerm(to NodeID, index uint64, body any) {
 	if r.storage.stableTerm == r.hardState.Term && index <= r.storage.stableIndex {
-		r.send(leader, resp)
+		r.send(to, body)
 	} else {
-		r.sendAfterSync(leader, resp)
+		r.sendAfterSync(to, body)
 	}
 }
 
--- a/replicas/powerloss_test.go
+++ b/replicas/powerloss_test.go
@@ -1,6 +1,7 @@
 package replicas
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -79,3 +80,30 @@
 	})
 	t.Logf("%d power losses, %d in an exchange, %d while a change was not committed", checks, joint, pending)
 }
+
+// Guards against a group that is never formed, because its first hosts lost power at the
+// moment of its creation.
+func TestPowerLossWhileTheGroupIsCreated(t *testing.T) {
+	seedRapid(t)
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t, rapid.Uint64().Draw(t, "seed"), fourHostMembers()...)
+		c.syncProbability = rapid.SampledFrom([]float64{0.05, 0.3, 1}).Draw(t, "sync")
+		for range rapid.IntRange(1, 3).Draw(t, "losses") {
+			for range rapid.IntRange(0, 50).Draw(t, "steps") {
+				c.step()
+			}
+			for _, h := range c.hosts {
+				if c.rng.IntN(2) == 0 {
+					c.crash(h) // some writes reach the disk
+					h.startAt = c.now.Add(time.Duration(c.rng.Int64N(int64(time.Second))))
+				}
+				c.losePower(h)
+			}
+			for slices.ContainsFunc(c.hosts, func(h *host) bool { return h.replica == nil }) {
+				c.step()
+			}
+		}
+		c.syncProbability = 1
+		c.waitUntil("a settled cluster", c.isSettled)
+	})
+}
--- a/replicas/replication.go
+++ b/replicas/replication.go
@@ -217,7 +217,7 @@
 	if term, ok := r.log.term(req.Prev); req.Prev > r.log.base && (!ok || term != req.PrevTerm) {
 		resp.OK = false
 		resp.Hint = r.conflictHint(req.Prev)
-		r.acknowledge(message.From, 0, resp)
+		r.sendInSyncedTerm(message.From, 0, resp)
 		return
 	}
 	last := req.Prev + uint64(len(req.Entries))
@@ -226,7 +226,7 @@
 		r.setCommit(commit)
 	}
 	resp.Match = last
-	r.acknowledge(message.From, last, resp)
+	r.sendInSyncedTerm(message.From, last, resp)
 }
 
 // acceptLeader does the processing common to all messages from a leader. It
--- a/replicas/rules_test.go
+++ b/replicas/rules_test.go
@@ -92,6 +92,18 @@
 		r.Synced(now, out.Persist.Sequence)
 		assertSent[AppendResponse](t, r.TakeOutput(), 1, "after the sync")
 	})
+	t.Run("creation of the group", func(t *testing.T) {
+		now := time.Unix(1_000_000, 0)
+		self := NodeID{Daemon: "a", Incarnation: "1"}
+		r := New(Config{ID: self, Durable: true, Session: 1, InitialVoters: []gypsumshelf.DaemonID{"a", "b"}})
+		r.Tick(now)
+		r.Receive(now, Message{From: NodeID{Daemon: "b", Incarnation: "1"}, To: self, Body: JoinResponse{Asked: 1, Fresh: true, Durable: true}})
+		r.Tick(now.Add(time.Second))
+		out := r.TakeOutput()
+		assertSent[VoteRequest](t, out, 0, "before the sync")
+		r.Synced(now, out.Persist.Sequence)
+		assertSent[VoteRequest](t, r.TakeOutput(), 1, "after the sync")
+	})
 	t.Run("candidacy", func(t *testing.T) {
 		r, now, others := newTestVoter(t)
 		now = now.Add(2 * testElectionTimeout)
--- a/replicas/snapshot.go
+++ b/replicas/snapshot.go
@@ -99,7 +99,7 @@
 	}
 	resp.Next = len(in.data)
 	if len(in.data) < chunk.Size {
-		r.acknowledge(message.From, 0, resp)
+		r.sendInSyncedTerm(message.From, 0, resp)
 		return
 	}
 	s.Data = in.data
