--- a/cmd/gypsumshelf/host_test.go
+++ b/cmd/gypsumshelf/host_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -28,19 +29,63 @@
 }
 
 func startHostProcess(t *testing.T) *hostProcess {
+	t.Helper()
+	h := newHostProcess(t)
+	h.cmd.Stdout, h.cmd.Stderr = &h.log, &h.log
+	h.start()
+	h.await("started")
+	return h
+}
+
+// newHostProcess returns a process that is not started yet.
+func newHostProcess(t *testing.T) *hostProcess {
 	t.Helper()
 	_, internal, _ := strings.Cut(freeAddress(t), ":")
 	h := &hostProcess{t: t, settings: filepath.Join(t.TempDir(), "settings"), ports: []any{internal, freeAddress(t), freeAddress(t)}}
 	h.write("127.0.0.1:1")
-	cmd := exec.Command(binary, "host", "--config", h.settings)
-	h.process = &process{cmd: cmd}
-	cmd.Stdout, cmd.Stderr = &h.log, &h.log
-	if err := cmd.Start(); err != nil {
+	h.process = &process{cmd: exec.Command(binary, "host", "--config", h.settings)}
+	return h
+}
+
+func (h *hostProcess) start() {
+	h.t.Helper()
+	if err := h.cmd.Start(); err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(h.kill)
+}
+
+// unreadPipe returns the end to write to of a small pipe that nobody reads.
+func unreadPipe(t *testing.T) *os.File {
+	t.Helper()
+	r, w, err := os.Pipe()
+	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(h.kill)
-	h.await("started")
-	return h
+	if _, _, errno := syscall.Syscall(syscall.SYS_FCNTL, w.Fd(), syscall.F_SETPIPE_SZ, 4096); errno != 0 {
+		t.Fatalf("F_SETPIPE_SZ: %v", errno)
+	}
+	t.Cleanup(func() { r.Close(); w.Close() })
+	return w
+}
+
+// refuse sends a request of a caller that is refused, since the daemon has no catalog.
+func (h *hostProcess) refuse(path string) {
+	h.t.Helper()
+	client := &http.Client{Timeout: 5 * time.Second}
+	waitFor(h.t, "an answer to "+path, func() bool {
+		r, err := http.NewRequest(http.MethodGet, "http://"+h.ports[1].(string)+path, nil)
+		if err != nil {
+			h.t.Fatal(err)
+		}
+		r.Header.Set("X-Gypsumshelf-Deadline-Ms", "50")
+		response, err := client.Do(r)
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return response.StatusCode == http.StatusServiceUnavailable
+	})
 }
 
 // write writes the settings with a control daemon.
@@ -91,3 +136,28 @@
 		t.Errorf("the new seeds are not in force:\n%s", h.log.String())
 	}
 }
+
+// Guards against a planned stop that waits for ever for a log that nobody reads.
+func TestStopWithALogThatNobodyReads(t *testing.T) {
+	h := newHostProcess(t)
+	h.cmd.Stdout, h.cmd.Stderr = unreadPipe(t), &h.log
+	h.start()
+	for n := range 20 { // each logs a line of more than 200 bytes
+		h.refuse(fmt.Sprintf("/refused/%d", n))
+	}
+	if err := h.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- h.cmd.Wait() }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("the process ends with %v", err)
+		}
+	case <-time.After(20 * time.Second):
+		_ = h.cmd.Process.Kill()
+		<-ended
+		t.Fatal("the process has not ended 20 s after the stop signal")
+	}
+}
