Let lines that are logged after the end of the log be lost

A planned stop could end with "panic: send on closed channel" and exit status 2 when a request's clean-up or a probe logged after the log was closed, more likely with an unread pipe, for which Close waits.

Evidence: TestWriteAfterClose panics before.

Fix: the channel of lines is never closed; another one tells the writer to end once it is empty.

--- a/logs/async_writer.go
+++ b/logs/async_writer.go
@@ -21,13 +21,14 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Uint64
+	closed  chan struct{} // closed by Close
 	done    chan struct{} // closed when all lines are written
 	once    sync.Once
 }
 
 // NewAsyncWriter returns a running AsyncWriter that writes to out.
 func NewAsyncWriter(out io.Writer) *AsyncWriter {
-	w := &AsyncWriter{out: out, lines: make(chan []byte, bufferedLines), done: make(chan struct{})}
+	w := &AsyncWriter{out: out, lines: make(chan []byte, bufferedLines), closed: make(chan struct{}), done: make(chan struct{})}
 	go w.loop()
 	return w
 }
@@ -45,10 +46,10 @@
 // Dropped returns the number of lines that were dropped or could not be written.
 func (w *AsyncWriter) Dropped() uint64 { return w.dropped.Load() }
 
-// Close writes the buffered lines, as far as they are taken within closeTimeout. Write
-// must not be called afterwards.
+// Close writes the buffered lines, as far as they are taken within closeTimeout. Lines
+// that are written afterwards are lost.
 func (w *AsyncWriter) Close() {
-	w.once.Do(func() { close(w.lines) })
+	w.once.Do(func() { close(w.closed) })
 	timer := time.NewTimer(closeTimeout)
 	defer timer.Stop()
 	select {
@@ -59,9 +60,24 @@
 
 func (w *AsyncWriter) loop() {
 	defer close(w.done)
-	for line := range w.lines {
-		if _, err := w.out.Write(line); err != nil {
-			w.dropped.Add(1) // cannot be reported anywhere else
+	for {
+		select {
+		case line := <-w.lines:
+			w.write(line)
+			continue
+		case <-w.closed:
 		}
+		select {
+		case line := <-w.lines:
+			w.write(line)
+		default:
+			return
+		}
+	}
+}
+
+func (w *AsyncWriter) write(line []byte) {
+	if _, err := w.out.Write(line); err != nil {
+		w.dropped.Add(1) // cannot be reported anywhere else
 	}
 }
--- a/logs/async_writer_test.go
+++ b/logs/async_writer_test.go
@@ -54,3 +54,19 @@
 		t.Fatal("Close does not return")
 	}
 }
+
+// Guards against a stop that ends with a panic because something logs after the end.
+func TestWriteAfterClose(t *testing.T) {
+	var out bytes.Buffer
+	w := NewAsyncWriter(&out)
+	if _, err := w.Write([]byte("before\n")); err != nil {
+		t.Error(err)
+	}
+	w.Close()
+	if _, err := w.Write([]byte("after\n")); err != nil {
+		t.Error(err)
+	}
+	if got := out.String(); got != "before\n" {
+		t.Errorf("the log is %q, want the line before the end", got)
+	}
+}
