Give back the slots of jobs that end before their placement

Callers saw engines with fewer free slots than they have, for ever: a request may end (its caller leaves, or a silent engine goes on and the search for another one is cancelled) before the goroutine that places it has run, or while the leader decides. End then found no job, or told the leader too early, and the placement that came afterwards belonged to nobody. The entry daemon kept the job and handed it over to each new leader with its whole deadline again, so that only a restart of that daemon freed the slot. After a pause of the process both the timer of a silent engine and its next event are due, so that many streams take this way at once.

Fix: a job whose context has ended is not added, and a decision about a job that End has removed is followed by another End.

--- a/dispatchers/client.go
+++ b/dispatchers/client.go
@@ -209,12 +209,13 @@
 	c.cfg.Log.WithField("leader", leader).WithError(err).Warn("the scheduling daemon does not answer; engine work is scheduled locally")
 }
 
-// Place submits a job and waits for the decision.
+// Place submits a job and waits for the decision. Its caller cancels ctx before it calls
+// End for a job that is no longer to be placed.
 func (c *Client) Place(ctx context.Context, job schedules.Job) (schedules.Decision, error) {
 	p := &activeJob{job: job}
-	c.mu.Lock()
-	c.jobs[job.ID] = p
-	c.mu.Unlock()
+	if err := c.add(ctx, p); err != nil {
+		return schedules.Decision{}, err
+	}
 	arrived := time.Now()
 	lastContact := arrived // with a leader
 	failedLeader := ""     // leader that has lost the job
@@ -240,6 +241,17 @@
 	}
 }
 
+// add adds a job, unless it has ended already: End may run before Place does.
+func (c *Client) add(ctx context.Context, p *activeJob) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	c.jobs[p.job.ID] = p
+	return nil
+}
+
 // withElapsed returns a job whose durations are reduced by the time that has
 // passed.
 func withElapsed(job schedules.Job, elapsed time.Duration) schedules.Job {
@@ -300,18 +312,27 @@
 
 // recordDecision stores a decision. A leader that took over meanwhile, from another
 // one or from the local scheduler, does not know of the placement, so the jobs are
-// handed over to it again.
+// handed over to it again. The placement of a job that has ended is given back.
 func (c *Client) recordDecision(p *activeJob, d schedules.Decision) schedules.Decision {
+	if ended := c.storeDecision(p, d); ended && d.Placement != nil {
+		c.queueUpdate(JobUpdate{Job: p.job.ID, Outcome: schedules.Cancelled}, p.local)
+	}
+	return d
+}
+
+// storeDecision stores a decision and reports whether the job has ended meanwhile.
+func (c *Client) storeDecision(p *activeJob, d schedules.Decision) (ended bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p.placement, p.local = d.Placement, d.Scheduler == ""
+	ended = c.jobs[p.job.ID] == nil
 	if d.Placement == nil {
 		delete(c.jobs, p.job.ID)
 	} else if c.informedLeader != "" && c.informedLeader != d.Scheduler {
 		c.informedLeader = ""
 		c.requestHandOver()
 	}
-	return d
+	return ended
 }
 
 // requestHandOver makes sendUpdates hand over the jobs.
