Do not take a pause of this daemon for the silence of an engine

What callers and engines saw: after the entry daemon had not run for a moment, streams of sound engines were given up and taken over by other engines, though their next event had arrived. All streams of the daemon can look silent at once then, which costs placements, retries and work done twice.

Cause: the timer of the silence and the events that arrived during a pause become ready together, and the timer was often served first. The scheduler's decision was preferred to an event in the same way.

TestPausedDaemonKeepsSoundStreams fails before on the clock of a synctest bubble: e2 got 1 requests, want 0 outcomes reported to the scheduler are [stalled completed], want [completed] outcomes reported to the scheduler are [cancelled completed], want [completed]

Change: what has been read is handled before timers and decisions, and the last 0.1 s of a silence starts only when the process runs, so that it reads what came before. It is part of the silence: a daemon without a pause decides as early as before.

--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -327,13 +327,22 @@
 // reserved for it at others must be released.
 func (e *engineAttempt) relayStream(ctx context.Context, reader *responseReader) error {
 	req := e.request
-	silence := time.NewTimer(2*e.placement.First + firstEventSlack)
+	silence := newSilenceTimer(req.now, 2*e.placement.First+firstEventSlack)
 	defer silence.Stop()
 	var lost chan struct{}
 	if e.watch != nil {
 		lost = e.watch.lost
 	}
 	for {
+		// What has been read counts before any timer, which may be late.
+		select {
+		case part := <-reader.parts:
+			if done, err := e.relayPart(part, silence); done {
+				return err
+			}
+			continue
+		default:
+		}
 		var replacementResult chan placementResult
 		if e.replacement != nil {
 			replacementResult = e.replacement.result
@@ -351,29 +360,37 @@
 				return errNoProgress
 			}
 			e.cancelReplacement() // no other engine is free, so keep waiting for this one
-			silence.Reset(req.maxSilence())
+			silence.restart(req.maxSilence())
 		case <-silence.C:
+			if !silence.expired() {
+				continue
+			}
 			// Keep this stream open until another engine is available.
 			if allowed, _ := req.retryPossible(gypsumshelf.MayHaveRun); allowed {
 				e.replacement = submitJob(ctx, req)
 			}
 		case part := <-reader.parts:
-			if e.watch != nil {
-				e.watch.sign(req.now())
-			}
-			progress, done, err := e.handlePart(part)
-			if done || err != nil {
-				e.cancelReplacement()
+			if done, err := e.relayPart(part, silence); done {
 				return err
 			}
-			if progress {
-				e.cancelReplacement()
-				silence.Reset(req.maxSilence())
-			}
 		}
 	}
 }
 
+// relayPart handles one part of the response and reports whether the attempt has ended.
+func (e *engineAttempt) relayPart(part responsePart, silence *silenceTimer) (ended bool, err error) {
+	if e.watch != nil {
+		e.watch.sign(e.request.now())
+	}
+	progress, done, err := e.handlePart(part)
+	ended = done || err != nil
+	if ended || progress {
+		e.cancelReplacement()
+		silence.restart(e.request.maxSilence())
+	}
+	return ended, err
+}
+
 // maxSilence returns the pause between events after which an engine counts as
 // silent.
 func (req *proxyRequest) maxSilence() time.Duration {
--- a/forwards/fake_test.go
+++ b/forwards/fake_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -347,3 +348,13 @@
 		t.Errorf("%s got %d requests, want %d", b.record.ID, got, n)
 	}
 }
+
+// assertOutcomes checks the outcomes of all jobs submitted to the scheduler.
+func (f *fixture) assertOutcomes(want ...schedules.Outcome) {
+	f.t.Helper()
+	f.placer.mu.Lock()
+	defer f.placer.mu.Unlock()
+	if !slices.Equal(f.placer.outcomes, want) {
+		f.t.Errorf("outcomes reported to the scheduler are %v, want %v", f.placer.outcomes, want)
+	}
+}
--- a/forwards/slow_test.go
+++ b/forwards/slow_test.go
@@ -5,7 +5,10 @@
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"gypsumshelf.example/gypsumshelf/schedules"
 )
 
 // drip returns a handler that sends two events and then text again and again, until
@@ -107,3 +110,51 @@
 	}))
 	assertAnswer(t, f.send("POST", "/safe/", "x"), http.StatusOK, "aaaaaaaa")
 }
+
+const pauseComment = ": the daemon is paused now\n\n"
+
+// pausedProtocol pauses the relaying of a stream when it reads pauseComment, as a pause
+// of the process does.
+type pausedProtocol struct {
+	fakeProtocol
+	pause time.Duration
+}
+
+func (p pausedProtocol) EventID(event []byte) (int, bool) {
+	if string(event) == pauseComment {
+		time.Sleep(p.pause)
+	}
+	return p.fakeProtocol.EventID(event)
+}
+
+// Guards against taking a pause of this daemon for the silence of an engine: the event
+// came in time, or can be read as soon as the daemon runs again.
+func TestPausedDaemonKeepsSoundStreams(t *testing.T) {
+	const untilPause = minSilence * 7 / 10
+	for name, event := range map[string]time.Duration{ // time of the event after the beginning of the pause
+		"event in the pause":       minSilence / 10,
+		"event read at its end":    minSilence,
+		"event read soon after it": minSilence + 20*time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 20 { // which of two channels is read first is random
+				synctest.Test(t, func(t *testing.T) {
+					n := newPipeNetwork()
+					first := newFakeBackendAt(t, n.listen(), "e1", "engines", func(r *http.Request, _ string, conn net.Conn) {
+						writeEvents(r, conn, 1, 2)
+						time.Sleep(untilPause)
+						writeChunk(conn, pauseComment)
+						time.Sleep(event)
+						writeChunk(conn, "id: 3\ndata: x\n\n")
+						endChunkedBody(conn)
+					})
+					second := newFakeBackendAt(t, n.listen(), "e2", "engines", resumeAfterLastEvent(3))
+					f := newPipeFixture(t, pausedProtocol{pause: minSilence}, n, first, second)
+					assertAnswer(t, f.send("POST", "/stream/", "x"), http.StatusOK, eventText(1, 2)+pauseComment+eventText(3, 3))
+					assertCount(t, second, 0)
+					f.assertOutcomes(schedules.Completed)
+				})
+			}
+		})
+	}
+}
