Give back load and slots after an unexpected error in a request

Callers saw a backend server avoided, and an engine slot in use, after a request whose handling had panicked: net/http contains the panic, but the request stayed counted at its server for the life of the process and its job at the scheduler until its deadline. The panic itself was written at the debug level, so that nothing showed.

Fix: the load of an attempt and its job are given back by deferred calls, and the forwarder contains the error itself: it is logged, counted in gypsumshelf_contained_panics_total, and the caller's connection is closed.

--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -201,8 +201,10 @@
 	reservations   []*reservation
 	watch          *primaryWatch // of the primary, while memory is reserved at helpers
 	attempt        *attempt
+	load           *load // nil before the request is sent
 	verdict        gypsumshelf.Verdict
 	outcome        schedules.Outcome
+	ended          bool // run has come to its end
 	blamed         gypsumshelf.ServerID
 }
 
@@ -211,6 +213,7 @@
 func (e *engineAttempt) run(ctx context.Context) error {
 	req := e.request
 	defer e.endReservations()
+	defer e.abandon()
 	err := e.sendAndRelay(ctx)
 	e.outcome = schedules.Completed
 	if err != nil {
@@ -219,16 +222,27 @@
 	e.outcome = req.attributed(ctx, e.attempt, e.outcome)
 	if e.attempt != nil {
 		e.attempt.close()
-		req.forwarder.cfg.Fleet.End(e.server, e.outcome, e.attempt.reply)
+		e.load.end(e.outcome, e.attempt.reply)
 		e.verdict = e.attempt.verdict
 		e.blamed = e.attempt.reply.Blamed
 	}
 	if e.outcome == schedules.Lost && (e.blamed == "" || e.blamed == e.server.ID) {
 		req.forwarder.crashChecks.recordLost(req, e.server, e.startedAt)
 	}
+	e.ended = true
 	return err
 }
 
+// abandon gives back what the attempt holds if an unexpected error has ended it.
+func (e *engineAttempt) abandon() {
+	if e.ended {
+		return
+	}
+	e.load.abandon()
+	e.cancelReplacement()
+	e.pending.end(schedules.Cancelled, "")
+}
+
 // endReservations releases the memory that is reserved at helpers, also when the
 // attempt ends with a panic.
 func (e *engineAttempt) endReservations() {
@@ -257,7 +271,7 @@
 		return err
 	}
 	call.Helpers = helpers
-	fleet.Begin(server)
+	e.load = fleet.track(server)
 	a, out, err := req.startAttempt(ctx, server, call)
 	e.attempt = a
 	if err != nil {
--- a/forwards/fleet.go
+++ b/forwards/fleet.go
@@ -264,6 +264,31 @@
 	return avoided
 }
 
+// load is a request that is counted at a backend server until end is called.
+type load struct {
+	fleet  *Fleet
+	server rosters.Entry
+	ended  bool
+}
+
+// track counts a request that is sent to a backend server.
+func (f *Fleet) track(server rosters.Entry) *load {
+	f.Begin(server)
+	return &load{fleet: f, server: server}
+}
+
+// end records the outcome of the request. Further calls have no effect.
+func (l *load) end(outcome schedules.Outcome, reply ResponseMeta) {
+	if l == nil || l.ended {
+		return
+	}
+	l.ended = true
+	l.fleet.End(l.server, outcome, reply)
+}
+
+// abandon ends the request if an unexpected error has kept end from being called.
+func (l *load) abandon() { l.end(schedules.Cancelled, ResponseMeta{}) }
+
 // Begin counts a request that is sent to a backend server.
 func (f *Fleet) Begin(entry rosters.Entry) {
 	f.mu.Lock()
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -20,6 +20,7 @@
 	"gypsumshelf.example/gypsumshelf/buffers"
 	"gypsumshelf.example/gypsumshelf/catalogs"
 	"gypsumshelf.example/gypsumshelf/crashes"
+	"gypsumshelf.example/gypsumshelf/faults"
 	"gypsumshelf.example/gypsumshelf/logs"
 	"gypsumshelf.example/gypsumshelf/schedules"
 	"gypsumshelf.example/gypsumshelf/timers"
@@ -218,12 +219,18 @@
 	}
 	defer req.requestMemory.Release()
 	defer req.responseMemory.Release()
-	req.serve()
-	if req.abortConnection {
+	if err := req.serveContained(); err != nil || req.abortConnection {
 		panic(http.ErrAbortHandler) // makes the truncated response visible to the caller
 	}
 }
 
+// serveContained is serve with its unexpected errors contained.
+func (req *proxyRequest) serveContained() (err error) {
+	defer faults.Recover(req.forwarder.cfg.Log.WithField(logs.KeyRequest, req.meta.ID), "request", &err)
+	req.serve()
+	return nil
+}
+
 // proxyRequest is the state of one caller's request.
 type proxyRequest struct {
 	forwarder *Forwarder
@@ -538,6 +545,9 @@
 
 // recordEnd logs the end of the request and updates its metrics.
 func (req *proxyRequest) recordEnd() {
+	if req.outcome == "" {
+		req.outcome, req.cause = outcomeFailed, "unexpected error"
+	}
 	took := req.now().Sub(req.arrived)
 	service, route := "", ""
 	var version uint64
--- a/forwards/plain.go
+++ b/forwards/plain.go
@@ -62,9 +62,9 @@
 // plainAttempt returns the complete response of a backend server, which may have a
 // 5xx status.
 func (req *proxyRequest) plainAttempt(ctx context.Context, server rosters.Entry) (*bufferedResponse, gypsumshelf.Verdict, error) {
-	fleet := req.forwarder.cfg.Fleet
 	began := req.now()
-	fleet.Begin(server)
+	load := req.forwarder.cfg.Fleet.track(server)
+	defer load.abandon()
 	a, err := req.sendAndReadHeader(ctx, server, req.newCall(server.ID), req.plainTimeout())
 	defer a.close()
 	var response *bufferedResponse
@@ -73,7 +73,7 @@
 	}
 	if err != nil {
 		outcome := req.attributed(ctx, a, outcomeOf(ctx, err))
-		fleet.End(server, outcome, a.reply)
+		load.end(outcome, a.reply)
 		if outcome == schedules.Lost {
 			req.forwarder.crashChecks.recordLost(req, server, began)
 		}
@@ -85,7 +85,7 @@
 		outcome = schedules.Broken
 		req.recordFailedAttempt(server.ID, outcome, fmt.Errorf("the backend server responded with status %d", response.status))
 	}
-	fleet.End(server, outcome, a.reply)
+	load.end(outcome, a.reply)
 	if reporter := req.forwarder.cfg.Crashes; reporter != nil {
 		reporter.ReportCompleted(req.causes) // also with a 5xx status: the backend server lives
 	}
