Report ends of jobs again that no leader could take

Callers saw engines with fewer free slots than they have for up to the deadline of a request: its end was dropped without a line when there was no connection to the leader at that moment, or when the call timed out. A reset of the connections, or a pause of the leader, left every job that ended meanwhile in the leader's books.

Evidence: TestEndIsReportedAfterALostConnection fails before ("the slot of a job that has ended is not free").

Crashes and limits are handed over already.

--- a/dispatchers/client.go
+++ b/dispatchers/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,6 +43,8 @@
 	// handOverRetryDelay is a part of the time in which a connection to a new leader is
 	// made.
 	handOverRetryDelay = 50 * time.Millisecond
+	// updateRetryDelay is the time after which updates are sent again that no leader took.
+	updateRetryDelay = 50 * time.Millisecond
 	// updateBatchDelay is the time for which updates are collected into one call.
 	updateBatchDelay = 5 * time.Millisecond
 )
@@ -425,9 +428,10 @@
 // that were placed locally, since the leader may have adopted them.
 func (c *Client) sendUpdates() {
 	defer c.wg.Done()
-	var retry <-chan time.Time
+	var retry, resend <-chan time.Time
+	var unsent []JobUpdate
 	for {
-		var updates []JobUpdate
+		updates := unsent
 		select {
 		case <-c.stop:
 			return
@@ -437,6 +441,7 @@
 		case <-retry:
 			retry = c.handOver()
 			continue
+		case <-resend:
 		case u := <-c.updates:
 			updates = append(updates, u)
 		}
@@ -449,10 +454,32 @@
 				more = false
 			}
 		}
-		if client, leader := c.connection(); client != nil {
-			if err := peers.Call(client, ServiceName+".Tell", updates, &struct{}{}, updateTimeout); err != nil && !errors.Is(err, rpc.ErrShutdown) {
-				c.suspectLeader(leader, err)
-			}
+		unsent, resend = c.tell(updates), nil
+		if len(unsent) > 0 {
+			resend = time.After(updateRetryDelay)
+		}
+	}
+}
+
+// tell sends updates to the leader and returns those that are to be sent again: without
+// its end, a job would keep its slots until its deadline. What is known of crashes and
+// limits is handed over anyway.
+func (c *Client) tell(updates []JobUpdate) (unsent []JobUpdate) {
+	client, leader := c.connection()
+	if client != nil {
+		err := peers.Call(client, ServiceName+".Tell", updates, &struct{}{}, updateTimeout)
+		var refused rpc.ServerError
+		if err == nil || errors.As(err, &refused) && !isInactive(err) {
+			return nil
+		}
+		if !errors.Is(err, rpc.ErrShutdown) {
+			c.suspectLeader(leader, err)
 		}
 	}
+	unsent = slices.DeleteFunc(updates, func(u JobUpdate) bool { return u.Job == "" })
+	if excess := len(unsent) - updateQueueSize; excess > 0 {
+		c.cfg.Log.WithField("dropped", excess).Warn("no leader takes updates of jobs; the oldest were dropped")
+		unsent = slices.Delete(unsent, 0, excess)
+	}
+	return unsent
 }
--- a/dispatchers/ended_test.go
+++ b/dispatchers/ended_test.go
@@ -87,3 +87,26 @@
 		assertNothingHeld(t, c, address)
 	})
 }
+
+// Guards against slots that stay assigned until the deadline of a job whose end was
+// reported while there was no connection to the leader.
+func TestEndIsReportedAfterALostConnection(t *testing.T) {
+	leader := newDispatcher(t, 1)
+	leader.SetActive(true)
+	address, _ := serveDispatcher(t, leader)
+	c := newClient(t, address)
+	c.SetLeader(address, 1)
+	assertPlacedBy(t, c, "a", address)
+	client, _ := c.cfg.Feeds.Client(address)
+	client.Close()
+	c.End("a", schedules.Completed, "")
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if next, alive := c.cfg.Feeds.Client(address); alive && next != client {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("no connection is made again")
+		}
+	}
+	assertNothingHeld(t, c, address)
+}
