Answer heartbeats while entries are written

What callers see: while the disks of a majority take half a second or more for a write, the leader steps down, and no election ends as long as each vote takes that long: no configuration is stored and engine work is scheduled locally, although every host is up. A single voter with such a disk counts as silent and loses its seat after 1.5 s.

Cause: a heartbeat refers to the last entry that was sent. As long as this entry is not synced, the response waited for it, and the leader had no contact.

Fix: the response to a heartbeat confirms the entries that are synced and leaves at once, provided that the term is synced; the responses to requests with entries wait as before.

TestHeartbeatDoesNotWaitForOtherWrites is replaced by the first of these tests, which contains its case.

--- a/replicas/replication.go
+++ b/replicas/replication.go
@@ -226,7 +226,11 @@
 		r.setCommit(commit)
 	}
 	resp.Match = last
-	r.sendInSyncedTerm(message.From, last, resp)
+	if len(req.Entries) == 0 {
+		// Answered while entries are written, so that a slow disk does not end the contact.
+		resp.Match = min(last, r.storage.stableIndex)
+	}
+	r.sendInSyncedTerm(message.From, resp.Match, resp)
 }
 
 // acceptLeader does the processing common to all messages from a leader. It
--- a/replicas/rules_test.go
+++ b/replicas/rules_test.go
@@ -134,14 +134,25 @@
 
 // Guards against a voter with a slow disk that counts as silent: only the first
 // heartbeat of a term waits for a sync.
-func TestHeartbeatDoesNotWaitForOtherWrites(t *testing.T) {
+func TestHeartbeatDoesNotWaitForEntries(t *testing.T) {
 	r, now, others := newTestVoter(t)
 	receive(r, now, others[0], 5, AppendRequest{Prev: 1, PrevTerm: 1})
 	r.Synced(now, r.TakeOutput().Persist.Sequence)
 	r.TakeOutput()
 	receiveEntry(r, now, others[0], 5, 1, 1)
-	receive(r, now, others[0], 5, AppendRequest{Prev: 1, PrevTerm: 1})
-	assertSent[AppendResponse](t, r.TakeOutput(), 1, "while an entry is written")
+	out := r.TakeOutput()
+	assertSent[AppendResponse](t, out, 0, "before the entry is synced")
+	for _, prev := range []uint64{1, 2} {
+		receive(r, now, others[0], 5, AppendRequest{Prev: prev, PrevTerm: map[uint64]uint64{1: 1, 2: 5}[prev]})
+		responses := bodiesOfType[AppendResponse](r.TakeOutput().Messages)
+		if len(responses) != 1 || !responses[0].OK || responses[0].Match != 1 {
+			t.Fatalf("responses %+v to a heartbeat at entry %d while entry 2 is written", responses, prev)
+		}
+	}
+	r.Synced(now, out.Persist.Sequence)
+	if responses := bodiesOfType[AppendResponse](r.TakeOutput().Messages); len(responses) != 1 || responses[0].Match != 2 {
+		t.Fatalf("responses %+v after entry 2 is synced", responses)
+	}
 }
 
 // Guards against low throughput from a separate sync for each proposal.
--- a/replicas/stalls_test.go
+++ b/replicas/stalls_test.go
@@ -142,6 +142,25 @@
 	}
 }
 
+// Guards against a leader that steps down, and elections that do not end, while the
+// disks of a majority are slow.
+func TestSlowDisksKeepTheLeader(t *testing.T) {
+	c := fiveVoters(t, sixHostMembers())
+	leader, voters, _ := c.roles()
+	term := leader.replica.Term()
+	for range 3 {
+		until := c.now.Add(2 * testElectionTimeout)
+		for _, h := range voters[:3] {
+			h.disk.hangsUntil = until
+		}
+		c.proposeFor(3 * testElectionTimeout)
+	}
+	c.waitUntil("a settled cluster", c.isSettled)
+	if !leader.replica.IsLeader() || leader.replica.Term() != term {
+		t.Fatalf("%s leads term %d, want %s and term %d", c.confirmedLeader().member.ID, c.confirmedLeader().replica.Term(), leader.member.ID, term)
+	}
+}
+
 // Guards against seats that are lost by a pause of the leader.
 func TestPausedLeaderReplacesNoVoter(t *testing.T) {
 	c := fiveVoters(t, sixHostMembers())
