--- a/controls/daemon.go
+++ b/controls/daemon.go
@@ -39,7 +39,8 @@
 	Daemon     gypsumshelf.DaemonID // address of the peer listener
 	DataCentre string
 	DataFolder string
-	Seeds      []string // directory addresses that are always contacted
+	OpenFile   disks.OpenFile // opens the files of the data folder, nil for os.OpenFile
+	Seeds      []string       // directory addresses that are always contacted
 	// FirstStart is set when the whole deployment starts with empty disks. The
 	// daemons at the seed addresses then become the first voters.
 	FirstStart     bool
@@ -58,9 +59,10 @@
 // Daemon is a running control daemon.
 type Daemon struct {
 	cfg        Config
-	id         replicas.NodeID
+	id         atomic.Pointer[replicas.NodeID]
 	reducer    *Reducer
-	storage    *storage
+	folder     *disks.Folder
+	health     *disks.Health
 	links      *peers.Links
 	publisher  *directories.Publisher
 	server     *directories.Server
@@ -85,12 +87,10 @@
 		cfg: cfg, publisher: directories.NewPublisher(cfg.Log), events: make(chan any, eventQueueSize),
 		stop: make(chan struct{}), stopGranted: make(chan struct{}), pendingReplies: map[Ticket]chan Reply{},
 	}
-	d.storage = &storage{folder: cfg.DataFolder, log: cfg.Log, health: disks.NewHealth(cfg.Log), submit: d.submit}
-	replicaConfig, err := d.storage.open(d.replicaConfig())
+	replicaConfig, err := d.openStorage()
 	if err != nil {
 		return nil, err
 	}
-	d.id = replicaConfig.ID
 	d.reducer = NewReducer(replicaConfig)
 	d.leadership.Store(&Leadership{})
 	d.dispatcher = dispatchers.New(dispatchers.Config{Log: cfg.Log, Reporter: cfg.Reporter, Timers: cfg.Timers, HandleQuarantines: d.quarantine})
@@ -105,7 +105,7 @@
 	d.subscriber = directories.NewSubscriber(directories.SubscriberConfig{
 		Daemon: cfg.Daemon, OwnAddress: cfg.Directory.Addr().String(), Seeds: cfg.Seeds, Log: cfg.Log, HandleView: d.handleView,
 	})
-	d.storage.run()
+	d.folder.Run()
 	d.wg.Add(1)
 	go d.loop()
 	d.subscriber.Run()
@@ -115,27 +115,9 @@
 	return d, nil
 }
 
-// replicaConfig returns the configuration of the replicated log without the
-// values that are recovered from the data folder.
-func (d *Daemon) replicaConfig() replicas.Config {
-	var seeds []gypsumshelf.DaemonID
-	for _, s := range d.cfg.Seeds {
-		seeds = append(seeds, peerID(s))
-	}
-	cfg := replicas.Config{
-		ID: replicas.NodeID{Daemon: d.cfg.Daemon}, DataCentre: d.cfg.DataCentre, Durable: true, Peers: seeds,
-		ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, ReplaceAfter: replaceAfter, ForgetAfter: forgetAfter,
-		TargetVoters: replicas.MaxVoters, RetainEntries: compactEntries,
-	}
-	if d.cfg.FirstStart {
-		cfg.InitialVoters = seeds
-	}
-	return cfg
-}
-
-// ID returns the node ID, including the incarnation, with which the daemon
-// started.
-func (d *Daemon) ID() replicas.NodeID { return d.id }
+// ID returns the node ID, whose incarnation changes when the data folder is replaced.
+// It is empty until the folder could be opened.
+func (d *Daemon) ID() replicas.NodeID { return *d.id.Load() }
 
 // IsLeader reports whether this daemon is the leader of the replicated log.
 func (d *Daemon) IsLeader() bool { return d.leadership.Load().IsLeader }
@@ -144,7 +126,7 @@
 func (d *Daemon) Voters() int { return len(d.leadership.Load().Members.Voters()) }
 
 // DataFolder returns whether the data folder serves, and its failures.
-func (d *Daemon) DataFolder() *disks.Health { return d.storage.health }
+func (d *Daemon) DataFolder() *disks.Health { return d.health }
 
 // SetSeeds replaces the directory addresses that are always contacted.
 func (d *Daemon) SetSeeds(seeds []string) { d.subscriber.SetSeeds(seeds) }
@@ -175,9 +157,9 @@
 	case Send:
 		d.links.Send(e.Message.To.Daemon, e.Message)
 	case Write:
-		d.storage.write(e.Persist)
+		d.folder.Write(e.Session, e.Persist)
 	case Renew:
-		d.storage.renew(d.replicaConfig())
+		d.renewStorage(e.Session)
 	case Publish:
 		d.publishState(e.State)
 	case Leadership:
@@ -194,7 +176,7 @@
 		d.cfg.Log.WithError(e.Err).Error("a committed command cannot be applied; every daemon skips it")
 	case Halted:
 		faults.Report(d.cfg.Log.WithField("event", fmt.Sprintf("%T", e.Event)), "replicated log", e.Panic)
-		d.storage.reopen(d.replicaConfig())
+		d.reopenStorage(e.Session)
 	default:
 		panic(fmt.Sprintf("unknown effect %T", effect))
 	}
@@ -347,7 +329,7 @@
 	d.links.Close()
 	close(d.stop)
 	d.wg.Wait()
-	d.storage.close()
+	d.folder.Close()
 }
 
 // Service is the net/rpc service between control daemons.
--- a/controls/daemon_test.go
+++ b/controls/daemon_test.go
@@ -24,6 +24,7 @@
 	t      *testing.T
 	ip     string
 	folder string
+	disk   *faultyDisk // nil for the disk of the machine
 	daemon *Daemon
 	id     replicas.NodeID
 	timers *timers.Service
@@ -100,11 +101,15 @@
 	log.SetOutput(io.Discard)
 	h.timers = timers.New(timers.Config{})
 	peers, directory := h.listen(c.port), h.listen(c.port+1)
-	d, err := Start(Config{
+	cfg := Config{
 		Daemon: gypsumshelf.DaemonID(peers.Addr().String()), DataCentre: "a", DataFolder: filepath.Join(h.folder, "log"),
 		Seeds: c.seeds, FirstStart: first, Peers: peers, Directory: directory, Decode: decode,
 		SilenceTimeout: 3 * time.Second, StopTimeout: c.stopTimeout, Log: logrus.NewEntry(log), Timers: h.timers,
-	})
+	}
+	if h.disk != nil {
+		cfg.OpenFile = h.disk.open
+	}
+	d, err := Start(cfg)
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/controls/reducer.go
+++ b/controls/reducer.go
@@ -44,8 +44,9 @@
 	LogSynced struct{ Sequence uint64 }
 	// StorageFailed reports that the disk accepts no writes.
 	StorageFailed struct{}
-	// StorageRenewed reports that the data folder was replaced by an empty one.
-	StorageRenewed struct{ Config replicas.Config }
+	// StorageOpened reports that the data folder was opened again, perhaps with a new
+	// incarnation and empty.
+	StorageOpened struct{ Config replicas.Config }
 	// CommandProposed asks to commit a command.
 	CommandProposed struct {
 		Ticket  Ticket
@@ -65,11 +66,15 @@
 type (
 	// Send sends a message of the replicated log to its receiver.
 	Send struct{ Message replicas.Message }
-	// Write writes to the data folder and syncs it.
-	Write struct{ Persist *replicas.Persist }
+	// Write writes to the data folder and syncs it, if the replica of this session is
+	// still the one that was recovered from it.
+	Write struct {
+		Session uint64
+		Persist *replicas.Persist
+	}
 	// Renew replaces a data folder that lacks writes which peers have already
 	// seen from this daemon.
-	Renew struct{}
+	Renew struct{ Session uint64 }
 	// Publish publishes a new replicated state.
 	Publish struct{ State catalogs.State }
 	// Leadership publishes the leader, the term and the members.
@@ -86,8 +91,9 @@
 	// Halted reports that an unexpected error has stopped the replica. What the event
 	// had led to is discarded, so that nothing is acknowledged.
 	Halted struct {
-		Event any
-		Panic any
+		Session uint64
+		Event   any
+		Panic   any
 	}
 	// Skipped reports a committed command that cannot be applied.
 	Skipped struct{ Err error }
@@ -131,12 +137,17 @@
 }
 
 // NewReducer returns a Reducer that continues from the recovered storage of cfg.
+// Without an incarnation its replica is halted until StorageOpened.
 func NewReducer(cfg replicas.Config) *Reducer {
-	return &Reducer{cfg: cfg, replica: replicas.New(cfg), pendingProposals: map[uint64]pendingProposal{}}
+	r := &Reducer{cfg: cfg, replica: replicas.New(cfg), pendingProposals: map[uint64]pendingProposal{}}
+	if cfg.ID.Incarnation == "" {
+		r.failStorage()
+	}
+	return r
 }
 
 // Step handles an event and returns its effects. A panic, be it a broken invariant of
-// the replicated log, stops the replica until StorageRenewed replaces it.
+// the replicated log, stops the replica until StorageOpened replaces it.
 func (r *Reducer) Step(now time.Time, event any) (effects []any) {
 	defer func() {
 		if v := recover(); v != nil {
@@ -155,13 +166,11 @@
 	case LogSynced:
 		r.replica.Synced(now, e.Sequence)
 	case StorageFailed:
-		r.replica.Halt()
-		r.becomeUnavailable(ErrStorage)
-	case StorageRenewed:
-		r.unavailable = nil
-		r.cfg = e.Config
+		r.failStorage()
+	case StorageOpened:
+		r.cfg, r.unavailable = e.Config, nil
 		r.replica = replicas.New(e.Config)
-		r.appliedIndex = 0
+		r.appliedIndex, r.entriesSinceSnapshot, r.bytesSinceSnapshot = 0, 0, 0
 	case CommandProposed:
 		r.propose(now, e)
 	case ReadRequested:
@@ -187,7 +196,7 @@
 	r.becomeUnavailable(ErrRestarting)
 	r.leadership = Leadership{Term: r.leadership.Term, Members: r.leadership.Members}
 	r.emit(r.leadership)
-	r.emit(Halted{Event: event, Panic: cause})
+	r.emit(Halted{Session: r.cfg.Session, Event: event, Panic: cause})
 	return r.effects
 }
 
@@ -220,7 +229,7 @@
 	for {
 		out := r.replica.TakeOutput()
 		if out.Renew {
-			r.emit(Renew{})
+			r.emit(Renew{Session: r.cfg.Session})
 			r.becomeUnavailable(ErrOutdated)
 			break
 		}
@@ -238,7 +247,7 @@
 		if out.Persist == nil {
 			break
 		}
-		r.emit(Write{Persist: out.Persist})
+		r.emit(Write{Session: r.cfg.Session, Persist: out.Persist})
 	}
 	r.emitLeadership()
 	r.answerReads()
@@ -321,7 +330,12 @@
 	r.emit(next)
 }
 
-// becomeUnavailable fails all pending calls, and later ones until StorageRenewed.
+func (r *Reducer) failStorage() {
+	r.replica.Halt()
+	r.becomeUnavailable(ErrStorage)
+}
+
+// becomeUnavailable fails all pending calls, and later ones until StorageOpened.
 func (r *Reducer) becomeUnavailable(cause error) {
 	r.unavailable = cause
 	r.failProposals(cause)
--- a/controls/storage.go
+++ b/controls/storage.go
@@ -2,12 +2,11 @@
 
 import (
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/sirupsen/logrus"
 
+	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/disks"
 	"gypsumshelf.example/gypsumshelf/replicas"
 )
@@ -30,119 +29,54 @@
 	reopenDelay = time.Second
 )
 
-// storage writes the data folder of a control daemon.
-type storage struct {
-	folder string
-	log    *logrus.Entry
-	health *disks.Health
-	submit func(any)
-
-	mu     sync.Mutex
-	store  *disks.Store
-	closed bool
-	wg     sync.WaitGroup
-}
-
-// open opens the data folder and returns cfg with the recovered values filled
-// in. A damaged folder gets a new incarnation: the daemon then joins as a new
-// member and receives the state from the others.
-func (s *storage) open(cfg replicas.Config) (replicas.Config, error) {
-	store, damage, err := disks.OpenOrRenew(disks.Config{Folder: s.folder, Synced: s.synced, Failed: s.failed})
-	if damage != nil {
-		s.log.WithError(damage).Error("the data folder is damaged; the daemon joins with a new incarnation and is repaired from the others")
-	}
+// openStorage opens the data folder. The replica starts halted where the disk does not
+// allow that yet.
+func (d *Daemon) openStorage() (replicas.Config, error) {
+	health := disks.NewHealth(d.cfg.Log)
+	folder, opening, err := disks.StartFolder(disks.FolderConfig{
+		Path: d.cfg.DataFolder, OpenFile: d.cfg.OpenFile, Log: d.cfg.Log, Health: health,
+		Synced: func(sequence uint64) { d.submit(LogSynced{Sequence: sequence}) },
+		Failed: func() { d.submit(StorageFailed{}) },
+		Opened: func(o disks.Opening) { d.submit(StorageOpened{Config: d.replicaConfig(&o)}) },
+	})
 	if err != nil {
-		return cfg, merry.Prepend(err, "data folder")
-	}
-	if store.Torn() {
-		s.log.Warn("an incomplete write was removed from the end of the log")
-	}
-	s.store = store
-	s.health.RecordService()
-	cfg.ID.Incarnation = store.Incarnation()
-	cfg.Recovered = store.Recovered()
-	cfg.Session, cfg.Seed = rand.Uint64(), rand.Uint64()
-	return cfg, nil
-}
-
-func (s *storage) synced(sequence uint64) { s.submit(LogSynced{Sequence: sequence}) }
-
-func (s *storage) failed(err error) {
-	s.health.RecordFailure(err)
-	s.submit(StorageFailed{})
-}
-
-func (s *storage) run() { s.store.Run() }
-
-func (s *storage) write(p *replicas.Persist) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.store != nil {
-		s.store.Write(p)
+		return replicas.Config{}, merry.Prepend(err, "data folder")
 	}
+	d.folder, d.health = folder, health
+	return d.replicaConfig(opening), nil
 }
 
-// renew replaces the data folder by an empty one in the background, without
-// blocking the event loop. StorageRenewed or StorageFailed reports the result.
-func (s *storage) renew(cfg replicas.Config) {
-	s.log.Error("the data folder is older than what peers saw of this daemon; it joins with a new incarnation")
-	s.replace(&replacement{storage: s, cfg: cfg, erase: true})
-}
-
-// reopen opens the data folder again after reopenDelay, in the background. The
-// replica then starts as after a restart of the process.
-func (s *storage) reopen(cfg replicas.Config) {
-	s.log.Warn("the replicated log starts again from the data folder")
-	s.replace(&replacement{storage: s, cfg: cfg, delay: reopenDelay})
-}
-
-func (s *storage) replace(p *replacement) {
-	s.wg.Add(1)
-	go p.run()
-}
-
-// replacement closes the store and opens another one.
-type replacement struct {
-	storage *storage
-	cfg     replicas.Config
-	erase   bool // begin with an empty folder
-	delay   time.Duration
-}
-
-func (p *replacement) run() {
-	s := p.storage
-	defer s.wg.Done()
-	time.Sleep(p.delay)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed || s.store == nil {
-		return
+// replicaConfig returns the configuration of the replicated log, without an identity
+// where the data folder is not open.
+func (d *Daemon) replicaConfig(o *disks.Opening) replicas.Config {
+	var seeds []gypsumshelf.DaemonID
+	for _, s := range d.cfg.Seeds {
+		seeds = append(seeds, peerID(s))
 	}
-	err := s.store.Close()
-	s.store = nil
-	if err == nil && p.erase {
-		err = disks.Renew(s.folder)
+	cfg := replicas.Config{
+		ID: replicas.NodeID{Daemon: d.cfg.Daemon}, DataCentre: d.cfg.DataCentre, Durable: true, Peers: seeds,
+		ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, ReplaceAfter: replaceAfter, ForgetAfter: forgetAfter,
+		TargetVoters: replicas.MaxVoters, RetainEntries: compactEntries, Seed: rand.Uint64(),
 	}
-	var cfg replicas.Config
-	if err == nil {
-		cfg, err = s.open(p.cfg)
+	if d.cfg.FirstStart {
+		cfg.InitialVoters = seeds
 	}
-	if err != nil {
-		s.failed(err)
-		return
+	if o != nil {
+		cfg.ID.Incarnation, cfg.Recovered, cfg.Session = o.Incarnation, o.Recovered, o.Session
 	}
-	s.run()
-	s.submit(StorageRenewed{Config: cfg})
+	d.id.Store(&cfg.ID)
+	return cfg
 }
 
-func (s *storage) close() {
-	s.mu.Lock()
-	s.closed = true
-	if s.store != nil {
-		if err := s.store.Close(); err != nil {
-			s.log.WithError(err).Warn("the data folder could not be closed cleanly")
-		}
-	}
-	s.mu.Unlock()
-	s.wg.Wait()
+// renewStorage replaces the data folder by an empty one.
+func (d *Daemon) renewStorage(session uint64) {
+	d.cfg.Log.Error("the data folder is older than what peers saw of this daemon; it joins with a new incarnation")
+	d.folder.Renew(session)
+}
+
+// reopenStorage opens the data folder again after reopenDelay. The replica then starts
+// as after a restart of the process.
+func (d *Daemon) reopenStorage(session uint64) {
+	d.cfg.Log.Warn("the replicated log starts again from the data folder")
+	d.folder.Reopen(session, reopenDelay)
 }
--- a/daemons/daemon.go
+++ b/daemons/daemon.go
@@ -62,7 +62,6 @@
 	engines   *engines.Client
 	traces    *traces.Provider
 	storage   *storage
-	renewals  []*renewal
 	metrics   *metrics.Recorder
 	decisions pendingReplies[configs.CommandDecided]
 
@@ -77,6 +76,12 @@
 // start is Start with a hook by which tests modify the configuration of the
 // caller handler.
 func start(s settings.Settings, modifyEntries func(*entries.Config)) (*Daemon, error) {
+	return startOn(nil, s, modifyEntries)
+}
+
+// startOn is start with the function that opens the files of the data folder, nil for
+// os.OpenFile.
+func startOn(open disks.OpenFile, s settings.Settings, modifyEntries func(*entries.Config)) (*Daemon, error) {
 	policy, err := routes.New(s.Routing.Policy)
 	if err != nil {
 		return nil, err
@@ -93,8 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d.storage = &storage{settings: s, log: log, health: disks.NewHealth(log), submit: func(ev gypsumshelf.Event) { d.loop.Submit(ev) }}
-	node, recovered, err := d.storage.open()
+	opening, err := d.openStorage(open)
 	if err != nil {
 		return nil, err
 	}
@@ -105,7 +109,7 @@
 			Shares:  d.shareConfig(), Started: d.timers.Now(),
 			Attempts: attempts.Config{MaxAttempts: s.Limits.MaxAttempts, RecordTTL: endedRequestRetention},
 			Session:  uuid.NewString(),
-			Replica:  replicaConfig(s, node, recovered),
+			Replica:  replicaConfig(s, opening),
 			Lease:    leases.Config{Duration: s.Limits.FreshnessLease.Std()},
 
 			LoadsPerMinute: s.Limits.LoadsPerMinute,
@@ -113,10 +117,10 @@
 		Timers: d.timers, TickPeriod: tickPeriod,
 		Observers: []Observer{d.metrics, logs.NewObserver(logs.ObserverConfig{Log: log, Revision: d.revision})},
 	})
-	d.registerGauges()
-	if s.DataFolder != "" {
-		d.metrics.RecordDataFolder(d.storage.health)
+	if opening == nil {
+		d.loop.reducer.log.fail()
 	}
+	d.registerGauges()
 	if err := d.openPeers(); err != nil {
 		d.closeStorage()
 		return nil, err
@@ -130,7 +134,9 @@
 	d.registerLogDrivers()
 	d.registerPlacementDrivers()
 	d.loop.Run()
-	d.storage.run()
+	if d.storage != nil {
+		d.storage.folder.Run()
+	}
 	if err := d.openHTTP(); err != nil {
 		d.Close()
 		return nil, err
--- a/daemons/log.go
+++ b/daemons/log.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/disks"
 	"gypsumshelf.example/gypsumshelf/replicas"
 )
 
@@ -32,6 +33,12 @@
 	return &replicaLog{replica: replicas.New(cfg), cfg: cfg}
 }
 
+// fail stops the replica until LogOpened.
+func (l *replicaLog) fail() {
+	l.replica.Halt()
+	l.failed = true
+}
+
 // Propose implements replicatedLog.
 func (l *replicaLog) Propose(now time.Time, data []byte) (index, term uint64, err error) {
 	return l.replica.Propose(now, data)
@@ -55,22 +62,23 @@
 // LogFailed is the event of storage that accepts no more writes.
 type LogFailed struct{}
 
-// LogRenewed is the event of storage replaced by an empty one with a new incarnation.
-type LogRenewed struct {
-	ID        replicas.NodeID
-	Recovered replicas.Recovered
-	Session   uint64
-}
+// LogOpened is the event of storage that was opened again, perhaps with a new
+// incarnation and empty.
+type LogOpened struct{ Opening disks.Opening }
 
 // LogSend is the effect that sends a log message.
 type LogSend struct{ Message replicas.Message }
 
-// LogWrite is the effect that writes to the storage and syncs it.
-type LogWrite struct{ Persist *replicas.Persist }
+// LogWrite is the effect that writes to the storage and syncs it, if the replica of this
+// session is still the one that was recovered from it.
+type LogWrite struct {
+	Session uint64
+	Persist *replicas.Persist
+}
 
 // LogRenew is the effect that replaces storage that lacks what this daemon has
 // already confirmed to its peers.
-type LogRenew struct{}
+type LogRenew struct{ Session uint64 }
 
 // EventName implements gypsumshelf.Event.
 func (LogReceived) EventName() string { return "log-received" }
@@ -82,7 +90,7 @@
 func (LogFailed) EventName() string { return "log-failed" }
 
 // EventName implements gypsumshelf.Event.
-func (LogRenewed) EventName() string { return "log-renewed" }
+func (LogOpened) EventName() string { return "log-opened" }
 
 // EffectName implements gypsumshelf.Effect.
 func (LogSend) EffectName() string { return "log-send" }
@@ -96,11 +104,8 @@
 func (r *Reducer) registerLogHandlers() {
 	registerHandler(r, func(now time.Time, e LogReceived) { r.log.replica.Receive(now, e.Message) })
 	registerHandler(r, func(now time.Time, e LogSynced) { r.log.replica.Synced(now, e.Sequence) })
-	registerHandler(r, func(time.Time, LogFailed) {
-		r.log.replica.Halt()
-		r.log.failed = true
-	})
-	registerHandler(r, r.handleLogRenewed)
+	registerHandler(r, func(time.Time, LogFailed) { r.log.fail() })
+	registerHandler(r, r.handleLogOpened)
 }
 
 func (r *Reducer) tickLog(now time.Time) {
@@ -112,13 +117,11 @@
 	}
 }
 
-// handleLogRenewed creates a new replica on empty storage; the leader sends it a
-// snapshot. The configuration stays in force, since committed entries never
-// revert.
-func (r *Reducer) handleLogRenewed(now time.Time, e LogRenewed) {
-	cfg := r.log.cfg
-	cfg.ID, cfg.Recovered, cfg.Session = e.ID, e.Recovered, e.Session
-	*r.log = *newReplicaLog(cfg)
+// handleLogOpened creates a new replica on storage that was opened again. On empty
+// storage, the leader sends it a snapshot. The configuration stays in force, since
+// committed entries never revert.
+func (r *Reducer) handleLogOpened(now time.Time, e LogOpened) {
+	*r.log = *newReplicaLog(recoveredConfig(r.log.cfg, e.Opening))
 	r.tickLog(now)
 }
 
@@ -129,7 +132,7 @@
 	for r.log != nil {
 		out := r.log.replica.TakeOutput()
 		if out.Renew {
-			r.emit(LogRenew{})
+			r.emit(LogRenew{Session: r.log.cfg.Session})
 			r.log.replica.Halt()
 			return
 		}
@@ -142,7 +145,7 @@
 			r.configuration.renewLease(now, r.log.appliedIndex)
 			return
 		case r.log.cfg.Durable:
-			r.emit(LogWrite{Persist: out.Persist})
+			r.emit(LogWrite{Session: r.log.cfg.Session, Persist: out.Persist})
 		default:
 			// Without a data folder the daemon never votes, so nothing has to be durable.
 			r.log.replica.Synced(now, out.Persist.Sequence)
--- a/daemons/storage.go
+++ b/daemons/storage.go
@@ -6,7 +6,6 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/google/uuid"
-	"github.com/sirupsen/logrus"
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/disks"
@@ -28,94 +27,39 @@
 	retainedEntries = 1024
 )
 
-// storage owns the data folder of a daemon. Without a data folder, store is
-// nil.
+// storage is the data folder of a daemon, nil in a daemon without one.
 type storage struct {
-	settings settings.Settings
-	log      *logrus.Entry
-	health   *disks.Health
-	submit   func(gypsumshelf.Event)
-	store    *disks.Store
+	folder *disks.Folder
+	health *disks.Health
 }
 
-// open opens the data folder. If it is damaged, its log is discarded and it gets
-// a new incarnation: the daemon then joins as a learner and is repaired from its
-// peers.
-func (s *storage) open() (id replicas.NodeID, recovered replicas.Recovered, err error) {
-	id = replicas.NodeID{Daemon: s.settings.Daemon, Incarnation: uuid.NewString()}
-	if s.settings.DataFolder == "" {
-		return id, replicas.Recovered{}, nil
-	}
-	store, damage, err := disks.OpenOrRenew(disks.Config{Folder: s.settings.DataFolder, Synced: s.synced, Failed: s.failed})
-	s.store = store
-	if damage != nil {
-		s.log.WithError(damage).Error("the data folder is damaged; the daemon does not vote and is repaired from its peers")
-	}
-	if err != nil {
-		return id, recovered, merry.Prepend(err, "data folder")
-	}
-	if s.store.Torn() {
-		s.log.Warn("an incomplete write was removed from the end of the log")
-	}
-	s.health.RecordService()
-	id.Incarnation = s.store.Incarnation()
-	return id, s.store.Recovered(), nil
-}
-
-func (s *storage) synced(sequence uint64) { s.submit(LogSynced{Sequence: sequence}) }
-
-func (s *storage) failed(err error) {
-	s.health.RecordFailure(err)
-	s.submit(LogFailed{})
-}
-
-func (s *storage) run() {
-	if s.store != nil {
-		s.store.Run()
-	}
-}
-
-func (s *storage) close() error {
-	if s.store == nil {
-		return nil
-	}
-	return s.store.Close()
-}
-
-// renewal replaces the data folder while the event loop keeps running.
-type renewal struct {
-	storage *storage
-	done    chan struct{}
-}
-
-// run discards the log, gives the folder a new incarnation and submits LogRenewed.
-func (n *renewal) run() {
-	defer close(n.done)
-	s := n.storage
-	s.log.Error("the data folder is older than what peers saw of this daemon; it joins with a new incarnation")
-	err := s.store.Close()
-	if err == nil {
-		err = disks.Renew(s.settings.DataFolder)
-	}
-	if err != nil {
-		s.store = nil
-		s.failed(err)
-		return
-	}
-	id, recovered, err := s.open()
+// openStorage opens the data folder and returns what was recovered from it. In a daemon
+// whose disk does not allow that yet, opening is nil and the log starts halted. If the
+// folder is damaged, its log is discarded and it gets a new incarnation: the daemon then
+// joins as a learner and is repaired from its peers.
+func (d *Daemon) openStorage(open disks.OpenFile) (opening *disks.Opening, err error) {
+	if d.settings.DataFolder == "" {
+		return &disks.Opening{Session: rand.Uint64(), Incarnation: uuid.NewString()}, nil
+	}
+	health := disks.NewHealth(d.log)
+	folder, opening, err := disks.StartFolder(disks.FolderConfig{
+		Path: d.settings.DataFolder, OpenFile: open, Log: d.log, Health: health,
+		Synced: func(sequence uint64) { d.loop.Submit(LogSynced{Sequence: sequence}) },
+		Failed: func() { d.loop.Submit(LogFailed{}) },
+		Opened: func(o disks.Opening) { d.loop.Submit(LogOpened{Opening: o}) },
+	})
 	if err != nil {
-		s.store = nil
-		s.failed(err)
-		return
+		return nil, merry.Prepend(err, "data folder")
 	}
-	s.run()
-	s.submit(LogRenewed{ID: id, Recovered: recovered, Session: rand.Uint64()})
+	d.storage = &storage{folder: folder, health: health}
+	d.metrics.RecordDataFolder(health)
+	return opening, nil
 }
 
 // replicaConfig returns the configuration of the replicated log. Without voters
 // it is empty, and the daemon's configuration never changes; validated settings
 // always have voters.
-func replicaConfig(s settings.Settings, id replicas.NodeID, recovered replicas.Recovered) replicas.Config {
+func replicaConfig(s settings.Settings, o *disks.Opening) replicas.Config {
 	if len(s.Voters) == 0 {
 		return replicas.Config{}
 	}
@@ -126,31 +70,38 @@
 	for _, v := range s.Voters {
 		initialVoters = append(initialVoters, gypsumshelf.DaemonID(v))
 	}
-	return replicas.Config{
-		ID: id, DataCentre: s.DataCentre, Durable: s.DataFolder != "",
-		Peers: otherDaemons(s.Daemon, daemons), InitialVoters: initialVoters, Recovered: recovered,
-		Session: rand.Uint64(), Seed: rand.Uint64(),
+	cfg := replicas.Config{
+		ID: replicas.NodeID{Daemon: s.Daemon}, DataCentre: s.DataCentre, Durable: s.DataFolder != "",
+		Peers: otherDaemons(s.Daemon, daemons), InitialVoters: initialVoters, Seed: rand.Uint64(),
 		ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval,
 		ReplaceAfter: voterReplacementDelay, TargetVoters: targetVoters, RetainEntries: retainedEntries,
 	}
+	if o == nil {
+		return cfg
+	}
+	return recoveredConfig(cfg, *o)
+}
+
+// recoveredConfig returns cfg for a replica that resumes from an opening of the storage.
+func recoveredConfig(cfg replicas.Config, o disks.Opening) replicas.Config {
+	cfg.ID.Incarnation, cfg.Recovered, cfg.Session = o.Incarnation, o.Recovered, o.Session
+	return cfg
 }
 
 // registerLogDrivers connects the effects of the log to the data folder and the peers.
 func (d *Daemon) registerLogDrivers() {
 	RegisterDriver(d.loop, func(e LogSend) { d.links.Send(e.Message.To.Daemon, e.Message) })
-	RegisterDriver(d.loop, func(e LogWrite) { d.storage.store.Write(e.Persist) })
-	RegisterDriver(d.loop, func(LogRenew) {
-		n := &renewal{storage: d.storage, done: make(chan struct{})}
-		d.renewals = append(d.renewals, n)
-		go n.run()
+	RegisterDriver(d.loop, func(e LogWrite) { d.storage.folder.Write(e.Session, e.Persist) })
+	RegisterDriver(d.loop, func(e LogRenew) {
+		d.log.Error("the data folder is older than what peers saw of this daemon; it joins with a new incarnation")
+		d.storage.folder.Renew(e.Session)
 	})
 }
 
 func (d *Daemon) closeStorage() {
-	for _, n := range d.renewals {
-		<-n.done
+	if d.storage != nil {
+		d.storage.folder.Close()
 	}
-	_ = d.storage.close()
 }
 
 // handleLogMessage submits a log message, unless its sender is not the daemon
--- a/disks/folder.go
+++ b/disks/folder.go
@@ -1,211 +1,277 @@
 package disks
 
 import (
-	"encoding/json"
+	"context"
 	"errors"
-	"fmt"
 	"io/fs"
-	"os"
-	"path/filepath"
-	"slices"
-	"strings"
+	"math/rand/v2"
+	"sync"
 	"syscall"
+	"time"
 
-	"github.com/ansel1/merry/v2"
-	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"gypsumshelf.example/gypsumshelf/replicas"
+	"gypsumshelf.example/gypsumshelf/timers"
 )
 
-// Names of the files in the data folder. Each compaction starts a new generation
-// of the log, whose number is part of its file names.
 const (
-	identityName      = "identity"
-	lockName          = "lock"
-	logPrefix         = "log-"
-	snapshotPrefix    = "snapshot-"
-	temporarySuffix   = ".tmp"
-	damagedFolderName = "damaged"
+	// firstReopenDelay is the time from a failure to the first attempt to open the
+	// folder again. It doubles with each attempt, up to maxReopenDelay.
+	firstReopenDelay = 100 * time.Millisecond
+	// maxReopenDelay is short against the time in which a host has to be back after
+	// its disk has recovered.
+	maxReopenDelay = time.Second
+	// settledAfter is the time of service after which the delay begins anew, so that
+	// a disk which accepts only the first write does not cause a restart of the
+	// replica in quick succession.
+	settledAfter = 10 * time.Second
+	// closeTimeout bounds the wait for an operation of the disk when the process ends.
+	closeTimeout = 2 * time.Second
+	// probeSize is the size of the file that tells at low cost whether a disk that
+	// refused a write accepts writes again.
+	probeSize = 16 << 10
+	probeName = "probe"
 )
 
-// DamagedError reports that stored data is lost or corrupt in a way that a crash
-// during a write cannot cause. The node must not start under its old identity.
-type DamagedError struct {
-	File   string
-	Offset int
-	Reason string
+// FolderConfig configures a Folder. Its functions are called from goroutines of the
+// Folder, and Opened after all calls for the opening before it.
+type FolderConfig struct {
+	Path     string
+	OpenFile OpenFile // nil for os.OpenFile
+	Log      *logrus.Entry
+	Health   *Health
+	Synced   func(sequence uint64) // all writes up to a sequence are synced
+	Failed   func()                // the folder accepts no writes; those that are queued are lost
+	Opened   func(Opening)         // the folder was opened again
 }
 
-// Error implements error.
-func (e *DamagedError) Error() string {
-	return fmt.Sprintf("%s is damaged at byte %d: %s; the daemon must join with a new incarnation", e.File, e.Offset, e.Reason)
+// Opening is what was found when a folder was opened.
+type Opening struct {
+	Session     uint64 // random, identifies the opening
+	Incarnation string // changes when the contents of the folder are discarded
+	Recovered   replicas.Recovered
 }
 
-// identity is the content of the identity file.
-type identity struct {
-	Incarnation  string `json:"incarnation"`
-	FormerMember bool   `json:"former"` // an earlier incarnation in this folder was discarded
+// Folder owns the data folder of a daemon while the process runs. After an error it
+// opens the folder again, as a restart of the process would, and repeats that until the
+// disk allows it: an operation on the same file must not be repeated, since after a
+// failed sync the kernel may have dropped the dirty pages.
+type Folder struct {
+	cfg     FolderConfig
+	ctx     context.Context
+	cancel  context.CancelFunc
+	done    chan struct{}
+	running bool
+	ended   chan ending // at most one for each opening
+
+	mu       sync.Mutex
+	writable *Store // nil while the folder does not serve
+	session  uint64 // of the last opening
+
+	// The following belong to loop once it runs.
+	store    *Store // nil when there is none to close
+	known    Known
+	erase    bool // the contents are to be discarded
+	delay    time.Duration
+	openedAt time.Time
+	lastErr  error
 }
 
-func newIdentity(former bool) identity {
-	return identity{Incarnation: uuid.NewString(), FormerMember: former}
+// ending says why a folder is no longer served from its store.
+type ending struct {
+	err   error // nil when the daemon has asked for it
+	erase bool
+	delay time.Duration // to the first attempt to open the folder again
 }
 
-// lockFolder takes the lock that keeps other processes from using the folder.
-func lockFolder(folder string) (*os.File, error) {
-	file, err := os.OpenFile(filepath.Join(folder, lockName), os.O_CREATE|os.O_RDWR, 0o600)
-	if err != nil {
-		return nil, err
-	}
-	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		file.Close()
-		return nil, merry.Prependf(err, "data folder %s is in use by another process", folder)
+// StartFolder opens a data folder. Where the disk does not allow that, opening is nil,
+// and the folder is opened after Run. It returns an error only if waiting cannot help.
+func StartFolder(cfg FolderConfig) (f *Folder, opening *Opening, err error) {
+	f = &Folder{cfg: cfg, done: make(chan struct{}), ended: make(chan ending, 1)}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	if opening, err = f.open(); isPermanent(err) {
+		f.cancel()
+		return nil, nil, err
 	}
-	return file, nil
+	return f, opening, nil
 }
 
-// readIdentity returns the identity of the folder. It creates one if the folder
-// has neither an identity nor a log.
-func readIdentity(folder string) (identity, error) {
-	path := filepath.Join(folder, identityName)
-	data, err := os.ReadFile(path)
-	if errors.Is(err, fs.ErrNotExist) {
-		if logs, err := logFileNames(folder); err != nil || len(logs) > 0 {
-			return identity{}, errors.Join(err, &DamagedError{File: path, Reason: "identity is missing beside a log"})
-		}
-		id := newIdentity(false)
-		return id, writeFile(path, appendRecord(nil, encodeJSON(id)))
-	}
-	if err != nil {
-		return identity{}, err
-	}
-	var id identity
-	payload, _, err := readRecord(data)
-	if err == nil {
-		err = json.Unmarshal(payload, &id)
-	}
-	if err != nil || id.Incarnation == "" {
-		return identity{}, &DamagedError{File: path, Reason: "identity cannot be read"}
+// isPermanent reports whether an error is due to the settings or another process.
+func isPermanent(err error) bool {
+	return errors.Is(err, errLocked) || errors.Is(err, fs.ErrPermission) || errors.Is(err, syscall.ENOTDIR)
+}
+
+// Run starts to write and, if the folder could not be opened yet, to open it.
+func (f *Folder) Run() {
+	f.running = true
+	if f.store != nil {
+		f.store.Run()
 	}
-	return id, nil
+	go f.loop()
 }
 
-// writeFile replaces a file atomically: after a crash it has either its old or
-// its new content.
-func writeFile(path string, data []byte) error {
-	f, err := os.OpenFile(path+temporarySuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
+// Write queues a write of a replica that was recovered from the opening with the given
+// session. Writes of other sessions are dropped. It does not block.
+func (f *Folder) Write(session uint64, p *replicas.Persist) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.writable != nil && f.session == session {
+		f.writable.Write(p)
 	}
-	_, err = f.Write(data)
-	if err == nil {
-		err = f.Sync()
+}
+
+// Renew discards the contents of the folder and opens it with a new incarnation. It
+// does not block.
+func (f *Folder) Renew(session uint64) { f.end(session, ending{erase: true}) }
+
+// Reopen opens the folder again after a delay. It does not block.
+func (f *Folder) Reopen(session uint64, delay time.Duration) { f.end(session, ending{delay: delay}) }
+
+// end stops the service of an opening. Only the first call for an opening counts.
+func (f *Folder) end(session uint64, e ending) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.writable != nil && f.session == session {
+		f.writable = nil
+		f.ended <- e
 	}
-	if err := errors.Join(err, f.Close()); err != nil {
-		return err
+}
+
+// Close stops writing and unlocks the folder. Queued writes may be lost. It does not
+// wait longer than closeTimeout for a disk that hangs.
+func (f *Folder) Close() {
+	f.cancel()
+	if !f.running {
+		f.closeStore()
+		return
 	}
-	if err := os.Rename(path+temporarySuffix, path); err != nil {
-		return err
+	select {
+	case <-f.done:
+	case <-time.After(closeTimeout):
+		f.cfg.Log.Warn("the disk hangs; the data folder was not closed")
 	}
-	return syncFolder(filepath.Dir(path))
 }
 
-// syncFolder makes the creation, renaming and removal of files in a folder durable.
-func syncFolder(folder string) error {
-	f, err := os.Open(folder)
-	if err != nil {
-		return err
+func (f *Folder) loop() {
+	defer close(f.done)
+	defer f.closeStore()
+	for {
+		if f.store == nil && !f.reopen() {
+			return
+		}
+		select {
+		case <-f.ctx.Done():
+			return
+		case e := <-f.ended:
+			f.giveUp(e)
+		}
 	}
-	return errors.Join(f.Sync(), f.Close())
 }
 
-// logFileNames returns the names of the log files, oldest first.
-func logFileNames(folder string) ([]string, error) {
-	files, err := os.ReadDir(folder)
-	if err != nil {
-		return nil, err
+// giveUp closes the store and plans the next attempt.
+func (f *Folder) giveUp(e ending) {
+	if e.err != nil {
+		f.recordFailure(e.err)
+		f.cfg.Failed()
 	}
-	var logs []string
-	for _, f := range files {
-		if strings.HasPrefix(f.Name(), logPrefix) && !strings.HasSuffix(f.Name(), temporarySuffix) {
-			logs = append(logs, f.Name())
-		}
+	f.closeStore()
+	f.erase = e.erase
+	if time.Since(f.openedAt) >= settledAfter {
+		f.delay = 0
 	}
-	slices.Sort(logs)
-	return logs, nil
+	f.delay = max(f.delay, e.delay)
 }
 
-func logName(generation uint64) string { return fmt.Sprintf("%s%016d", logPrefix, generation) }
-
-func snapshotName(generation uint64) string {
-	return fmt.Sprintf("%s%016d", snapshotPrefix, generation)
+func (f *Folder) closeStore() {
+	if f.store == nil {
+		return
+	}
+	if err := f.store.Close(); err != nil {
+		f.cfg.Log.WithError(err).Warn("the data folder could not be closed cleanly")
+	}
+	f.known = f.store.Known()
+	f.store = nil
 }
 
-// removeOtherGenerations removes temporary files and the files of all other
-// generations.
-func removeOtherGenerations(folder string, generation uint64) error {
-	files, err := os.ReadDir(folder)
-	if err != nil {
-		return err
-	}
-	for _, f := range files {
-		name := f.Name()
-		owned := strings.HasPrefix(name, logPrefix) || strings.HasPrefix(name, snapshotPrefix) || strings.HasSuffix(name, temporarySuffix)
-		if !owned || name == logName(generation) || name == snapshotName(generation) {
-			continue
-		}
-		if err := os.Remove(filepath.Join(folder, name)); err != nil {
-			return err
+// reopen tries to open the folder until it succeeds. It returns false when the folder
+// is closed meanwhile.
+func (f *Folder) reopen() bool {
+	for timers.Sleep(f.ctx, f.delay) {
+		f.delay = min(max(2*f.delay, firstReopenDelay), maxReopenDelay)
+		if opening, err := f.open(); err == nil {
+			f.store.Run()
+			f.cfg.Opened(*opening)
+			return true
 		}
 	}
-	return syncFolder(folder)
+	return false
 }
 
-// OpenOrRenew opens a data folder. A damaged folder is given a new incarnation by
-// Renew and opened again; the damage is then returned along with the store or
-// the error.
-func OpenOrRenew(cfg Config) (store *Store, damage *DamagedError, err error) {
-	store, err = Open(cfg)
-	if !errors.As(err, &damage) {
-		return store, nil, err
+// open makes one attempt to open the folder. A damaged folder gets a new incarnation.
+func (f *Folder) open() (*Opening, error) {
+	if err := f.prepare(); err != nil {
+		return nil, f.recordFailure(err)
 	}
-	if err := Renew(cfg.Folder); err != nil {
-		return nil, damage, merry.Prepend(err, "renew damaged data folder")
+	store, err := f.openStore()
+	var damage *DamagedError
+	if errors.As(err, &damage) {
+		f.cfg.Log.WithError(damage).Error("the data folder is damaged; the daemon joins with a new incarnation and is repaired from the others")
+		f.erase = true
+		store, err = f.openStore()
 	}
-	store, err = Open(cfg)
-	return store, damage, err
-}
-
-// Renew discards the log of a folder and gives the folder a new incarnation. No
-// process may have the folder open. The files discarded by the last Renew are
-// kept in the subfolder "damaged" for inspection.
-func Renew(folder string) error {
-	lockFile, err := lockFolder(folder)
 	if err != nil {
-		return err
-	}
-	defer lockFile.Close()
-	damagedFolder := filepath.Join(folder, damagedFolderName)
-	if err := os.RemoveAll(damagedFolder); err != nil {
-		return err
+		return nil, f.recordFailure(err)
 	}
-	if err := os.Mkdir(damagedFolder, 0o700); err != nil {
-		return err
+	if store.Torn() {
+		f.cfg.Log.Warn("an incomplete write was removed from the end of the log")
 	}
-	// The new identity is written first. A crash before that leaves the folder as
-	// it was; a crash after it leaves a log of another incarnation, which Open
-	// reports as damage.
-	if err := writeFile(filepath.Join(folder, identityName), appendRecord(nil, encodeJSON(newIdentity(true)))); err != nil {
-		return err
+	f.store, f.openedAt, f.lastErr = store, time.Now(), nil
+	f.cfg.Health.RecordService()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.writable, f.session = store, rand.Uint64()
+	return &Opening{Session: f.session, Incarnation: store.Incarnation(), Recovered: store.Recovered()}, nil
+}
+
+// openStore opens the store, after the contents were discarded where that is due.
+func (f *Folder) openStore() (*Store, error) {
+	cfg := Config{Folder: f.cfg.Path, OpenFile: f.cfg.OpenFile}
+	if f.erase {
+		if err := renew(cfg); err != nil {
+			return nil, err
+		}
+		f.erase, f.known = false, Known{former: true}
 	}
-	files, err := os.ReadDir(folder)
-	if err != nil {
-		return err
+	cfg.Known, cfg.Synced, cfg.Failed = f.known, f.cfg.Synced, f.storeFailed
+	return Open(cfg)
+}
+
+// prepare checks, after a failure, that the disk accepts writes at all, before the log
+// is read and written. It frees space on a disk that is full.
+func (f *Folder) prepare() error {
+	if f.lastErr == nil {
+		return nil
 	}
-	for _, f := range files {
-		if strings.HasPrefix(f.Name(), logPrefix) || strings.HasPrefix(f.Name(), snapshotPrefix) {
-			if err := os.Rename(filepath.Join(folder, f.Name()), filepath.Join(damagedFolder, f.Name())); err != nil {
-				return err
-			}
+	files := newFiles(Config{Folder: f.cfg.Path, OpenFile: f.cfg.OpenFile})
+	if CauseOf(f.lastErr) == CauseFull {
+		if err := files.discardDamaged(); err != nil {
+			return err
 		}
 	}
-	return syncFolder(folder)
+	return files.probe()
+}
+
+// storeFailed is called by the writer of the current store.
+func (f *Folder) storeFailed(err error) {
+	f.mu.Lock()
+	session := f.session
+	f.mu.Unlock()
+	f.end(session, ending{err: err, delay: firstReopenDelay})
+}
+
+func (f *Folder) recordFailure(err error) error {
+	f.lastErr = err
+	f.cfg.Health.RecordFailure(err)
+	return err
 }
--- a/disks/recover.go
+++ b/disks/recover.go
@@ -4,8 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"os"
-	"path/filepath"
+	"io/fs"
 
 	"gypsumshelf.example/gypsumshelf/replicas"
 )
@@ -22,13 +21,14 @@
 // readLog reads the newest generation, or returns nil without one. A torn tail is
 // allowed and reported, because the last write may not have been synced; any
 // other invalid data is a DamagedError.
-func readLog(folder string, id identity) (*logContents, error) {
-	logs, err := logFileNames(folder)
+func (f files) readLog(id identity, known Known) (*logContents, error) {
+	logs, err := logFileNames(f.folder)
 	if err != nil || len(logs) == 0 {
 		return nil, err
 	}
-	path := filepath.Join(folder, logs[len(logs)-1])
-	data, err := os.ReadFile(path)
+	name := logs[len(logs)-1]
+	path := f.path(name)
+	data, err := f.read(name)
 	if err != nil {
 		return nil, err
 	}
@@ -44,11 +44,11 @@
 		return nil, &DamagedError{File: path, Reason: fmt.Sprintf("log of incarnation %s, folder of %s", contents.header.Incarnation, id.Incarnation)}
 	}
 	if contents.header.Snapshot {
-		if contents.state.Snapshot, err = readSnapshot(filepath.Join(folder, snapshotName(contents.header.Generation))); err != nil {
+		if contents.state.Snapshot, err = f.readSnapshot(contents.header.Generation); err != nil {
 			return nil, err
 		}
 	}
-	if err := contents.readBatches(path, data); err != nil {
+	if err := contents.readBatches(path, data, known); err != nil {
 		return nil, err
 	}
 	if contents.header.Snapshot && contents.batchCount == 0 {
@@ -57,9 +57,11 @@
 	return contents, nil
 }
 
-func readSnapshot(path string) (*replicas.Snapshot, error) {
-	data, err := os.ReadFile(path)
-	if err != nil && !errors.Is(err, os.ErrNotExist) {
+func (f files) readSnapshot(generation uint64) (*replicas.Snapshot, error) {
+	name := snapshotName(generation)
+	path := f.path(name)
+	data, err := f.read(name)
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return nil, err
 	}
 	payload, _, err := readRecord(data)
@@ -73,7 +75,7 @@
 	return s, nil
 }
 
-func (c *logContents) readBatches(path string, data []byte) error {
+func (c *logContents) readBatches(path string, data []byte, known Known) error {
 	for int(c.validSize) < len(data) {
 		rest := data[c.validSize:]
 		payload, size, err := readRecord(rest)
@@ -83,12 +85,12 @@
 			if containsRecord(rest[1:]) {
 				return &DamagedError{File: path, Offset: int(c.validSize), Reason: "a bad record is followed by a whole one"}
 			}
-			// An invalid first record is always treated as damage. After a
-			// compaction it was synced before the file was renamed into place.
-			// In the first log of a folder it may hold the group and the only
-			// vote, and without the group the node does not verify its storage
-			// with its peers.
-			if c.batchCount == 0 {
+			// An invalid first record is treated as damage, unless this process
+			// knows that nothing was synced. After a compaction it was synced
+			// before the file was renamed into place. In the first log of a
+			// folder it may hold the group and the only vote, and without the
+			// group the node does not verify its storage with its peers.
+			if c.batchCount == 0 && !known.nothingSynced() {
 				return &DamagedError{File: path, Offset: int(c.validSize), Reason: "the first record is bad"}
 			}
 			c.tornTail = true
--- a/disks/store.go
+++ b/disks/store.go
@@ -14,21 +14,66 @@
 
 // Config configures a Store.
 type Config struct {
-	Folder string
-	Synced func(sequence uint64) // called when all writes up to a sequence are synced
-	Failed func(err error)       // called at most once; the store writes nothing afterwards
+	Folder   string
+	OpenFile OpenFile              // nil for os.OpenFile
+	Known    Known                 // what this process knows of the folder
+	Synced   func(sequence uint64) // called when all writes up to a sequence are synced
+	Failed   func(err error)       // called at most once; the store writes nothing afterwards
+}
+
+// Known is what a process that has had a data folder open knows of it. A folder that
+// lacks any of it is damaged.
+type Known struct {
+	incarnation string             // empty at the start of a process
+	former      bool               // an earlier incarnation was discarded
+	hardState   replicas.HardState // of the last sync
+	lastIndex   uint64             // of the last entry or snapshot that was synced
+	lastTerm    uint64
+}
+
+// nothingSynced reports whether the process knows that the folder never held a state.
+func (k Known) nothingSynced() bool {
+	return k.incarnation != "" && k.hardState == replicas.HardState{} && k.lastIndex == 0
+}
+
+// extend adds a state that is synced.
+func (k *Known) extend(h replicas.HardState, s *replicas.Snapshot, entries []replicas.Entry) {
+	k.hardState = h
+	if s != nil {
+		k.lastIndex, k.lastTerm = s.Index, s.Term
+	}
+	if n := len(entries); n > 0 {
+		k.lastIndex, k.lastTerm = entries[n-1].Index, entries[n-1].Term
+	}
+}
+
+// isIn reports whether a recovered state contains everything that is known. It may
+// contain more: a write that failed may have reached the disk as a whole.
+func (k Known) isIn(r replicas.Recovered) bool {
+	found := Known{}
+	found.extend(r.HardState, r.Snapshot, r.Entries)
+	h := found.hardState
+	switch {
+	case k.hardState.Group != "" && h.Group != k.hardState.Group, h.Term < k.hardState.Term:
+		return false
+	case h.Term == k.hardState.Term && k.hardState.Vote != (replicas.NodeID{}) && h.Vote != k.hardState.Vote:
+		return false
+	}
+	return found.lastTerm > k.lastTerm || found.lastTerm == k.lastTerm && found.lastIndex >= k.lastIndex
 }
 
 // Store persists the state of a replica. One goroutine writes and syncs; writes
 // that are queued during a sync share the next sync.
 type Store struct {
 	cfg       Config
+	files     files
 	id        identity
-	lockFile  *os.File
-	logFile   *os.File
+	lockFile  File
+	logFile   File
 	header    header
 	recovered replicas.Recovered
 	tornTail  bool
+	synced    Known // changed by the writer
 
 	mu           sync.Mutex
 	queuedWrites []*replicas.Persist
@@ -38,78 +83,100 @@
 }
 
 // Open opens a data folder and creates it if it is missing. It returns a
-// DamagedError if the folder needs a new incarnation from Renew. Queued writes
+// DamagedError if the folder needs a new incarnation from renew. Queued writes
 // are processed once Run is called.
 func Open(cfg Config) (*Store, error) {
 	if err := os.MkdirAll(cfg.Folder, 0o700); err != nil {
 		return nil, err
 	}
-	if err := syncFolder(filepath.Dir(filepath.Clean(cfg.Folder))); err != nil {
+	s := &Store{cfg: cfg, files: newFiles(cfg), wakeWriter: make(chan struct{}, 1), closing: make(chan struct{})}
+	if err := s.files.sync(filepath.Dir(filepath.Clean(cfg.Folder))); err != nil {
 		return nil, err
 	}
-	lockFile, err := lockFolder(cfg.Folder)
-	if err != nil {
+	var err error
+	if s.lockFile, err = s.files.lock(); err != nil {
 		return nil, err
 	}
-	s := &Store{cfg: cfg, lockFile: lockFile, wakeWriter: make(chan struct{}, 1), closing: make(chan struct{})}
 	if err := s.load(); err != nil {
-		lockFile.Close()
-		return nil, err
+		if s.logFile != nil {
+			err = errors.Join(err, s.logFile.Close())
+		}
+		return nil, errors.Join(err, s.lockFile.Close())
 	}
 	return s, nil
 }
 
 func (s *Store) load() error {
 	var err error
-	if s.id, err = readIdentity(s.cfg.Folder); err != nil {
+	known := s.cfg.Known
+	if s.id, err = s.files.readIdentity(known); err != nil {
 		return err
 	}
-	contents, err := readLog(s.cfg.Folder, s.id)
+	contents, err := s.files.readLog(s.id, known)
 	if err != nil {
 		return err
 	}
 	if contents == nil {
-		s.recovered.FormerMember = s.id.FormerMember
-		return s.startGeneration(header{Incarnation: s.id.Incarnation, Generation: 1}, nil)
+		contents = &logContents{}
 	}
-	s.header, s.recovered, s.tornTail = contents.header, contents.state, contents.tornTail
+	s.recovered, s.tornTail = contents.state, contents.tornTail
 	s.recovered.FormerMember = s.id.FormerMember
-	path := filepath.Join(s.cfg.Folder, logName(contents.header.Generation))
-	if s.logFile, err = os.OpenFile(path, os.O_RDWR, 0o600); err != nil {
-		return err
+	if !known.isIn(s.recovered) {
+		return &DamagedError{File: s.files.folder, Reason: fmt.Sprintf("state that was synced is missing: term %d, entry %d", known.hardState.Term, known.lastIndex)}
 	}
-	if err := s.logFile.Truncate(contents.validSize); err != nil {
+	s.synced = Known{incarnation: s.id.Incarnation, former: s.id.FormerMember}
+	s.synced.extend(s.recovered.HardState, s.recovered.Snapshot, s.recovered.Entries)
+	s.header = contents.header
+	if err := s.files.removeLeftovers(s.header.Generation); err != nil {
 		return err
 	}
-	if _, err := s.logFile.Seek(contents.validSize, 0); err != nil {
-		return err
+	return s.writeRecovered()
+}
+
+// writeRecovered writes the recovered state to a new generation. After a crash of the
+// process or a failed sync, data that was read may be in the page cache only, and a
+// further sync of the same file may succeed without storing it.
+func (s *Store) writeRecovered() error {
+	r := s.recovered
+	if s.synced.nothingSynced() {
+		return s.startGeneration(s.nextHeader(nil), nil)
 	}
-	// After a crash of the process, records that were read may be in the page
-	// cache only. They must be durable before the replica relies on them.
-	if err := s.logFile.Sync(); err != nil {
-		return err
+	return s.writeGeneration(&replicas.Persist{HardState: r.HardState, Snapshot: r.Snapshot, Entries: r.Entries})
+}
+
+func (s *Store) nextHeader(snapshot *replicas.Snapshot) header {
+	return header{Incarnation: s.id.Incarnation, Generation: s.header.Generation + 1, Snapshot: snapshot != nil}
+}
+
+// writeGeneration starts a new generation with a snapshot, if there is one, and the
+// entries after it.
+func (s *Store) writeGeneration(p *replicas.Persist) error {
+	h := s.nextHeader(p.Snapshot)
+	if p.Snapshot != nil {
+		if err := s.files.write(snapshotName(h.Generation), appendRecord(nil, encodeJSON(p.Snapshot))); err != nil {
+			return err
+		}
 	}
-	return removeOtherGenerations(s.cfg.Folder, contents.header.Generation)
+	return s.startGeneration(h, appendRecord(nil, logBatch{hardState: p.HardState, entries: p.Entries}.encode()))
 }
 
 // startGeneration writes the log file of a new generation and makes it the current
 // one. The records in first follow its header.
 func (s *Store) startGeneration(h header, first []byte) error {
-	path := filepath.Join(s.cfg.Folder, logName(h.Generation))
 	data := appendRecord(nil, encodeJSON(h))
 	data = append(data, first...)
-	if err := writeFile(path, data); err != nil {
+	if err := s.files.write(logName(h.Generation), data); err != nil {
 		return err
 	}
-	f, err := os.OpenFile(path, os.O_WRONLY|os.O_APPEND, 0o600)
+	file, err := s.files.open(s.files.path(logName(h.Generation)), os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return err
 	}
 	if s.logFile != nil {
 		s.logFile.Close()
 	}
-	s.logFile, s.header = f, h
-	return removeOtherGenerations(s.cfg.Folder, h.Generation)
+	s.logFile, s.header = file, h
+	return s.files.removeOtherGenerations(h.Generation)
 }
 
 // Incarnation returns the incarnation of the folder, which changes when its
@@ -122,6 +189,9 @@
 // Torn reports whether Open removed an incomplete record from the end of the log.
 func (s *Store) Torn() bool { return s.tornTail }
 
+// Known returns what this process knows of the folder. It may be called after Close.
+func (s *Store) Known() Known { return s.synced }
+
 // Run starts the goroutine that writes and syncs.
 func (s *Store) Run() {
 	s.writer.Add(1)
@@ -177,9 +247,10 @@
 func (s *Store) writeAndSync(pending []*replicas.Persist) error {
 	for i := len(pending) - 1; i >= 0; i-- {
 		if p := pending[i]; p.Snapshot != nil {
-			if err := s.writeSnapshot(p); err != nil {
+			if err := s.writeGeneration(p); err != nil {
 				return err
 			}
+			s.synced.extend(p.HardState, p.Snapshot, p.Entries)
 			pending = pending[i+1:]
 			break
 		}
@@ -187,10 +258,15 @@
 	if len(pending) == 0 {
 		return nil
 	}
-	if _, err := s.logFile.Write(appendRecord(nil, mergeWrites(pending).encode())); err != nil {
+	batch := mergeWrites(pending)
+	if _, err := s.logFile.Write(appendRecord(nil, batch.encode())); err != nil {
 		return err
 	}
-	return s.logFile.Sync()
+	if err := s.logFile.Sync(); err != nil {
+		return err
+	}
+	s.synced.extend(batch.hardState, nil, batch.entries)
+	return nil
 }
 
 // mergeWrites combines several writes into one batch. The entries of a write
@@ -208,13 +284,3 @@
 	}
 	return b
 }
-
-// writeSnapshot starts a new generation with a snapshot and the entries after it.
-func (s *Store) writeSnapshot(p *replicas.Persist) error {
-	h := header{Incarnation: s.id.Incarnation, Generation: s.header.Generation + 1, Snapshot: true}
-	path := filepath.Join(s.cfg.Folder, snapshotName(h.Generation))
-	if err := writeFile(path, appendRecord(nil, encodeJSON(p.Snapshot))); err != nil {
-		return err
-	}
-	return s.startGeneration(h, appendRecord(nil, logBatch{hardState: p.HardState, entries: p.Entries}.encode()))
-}
--- a/disks/store_test.go
+++ b/disks/store_test.go
@@ -136,13 +136,16 @@
 		}
 		h.open()
 		h.assertRecovered(replicas.Recovered{HardState: testHardState, Entries: []replicas.Entry{entry(1, 1)}})
-		if !h.store.Torn() || fileSize(t, path) != before {
-			t.Fatalf("log cut to %d bytes: torn %t, size %d after opening, want torn and size %d", size, h.store.Torn(), fileSize(t, path), before)
+		if !h.store.Torn() || fileSize(t, h.logFile()) != before {
+			t.Fatalf("log cut to %d bytes: torn %t, size %d after opening, want torn and size %d", size, h.store.Torn(), fileSize(t, h.logFile()), before)
 		}
 		h.write(replicas.Persist{HardState: testHardState, Entries: []replicas.Entry{entry(2, 1)}})
 		h.reopen()
 		h.assertRecovered(replicas.Recovered{HardState: testHardState, Entries: []replicas.Entry{entry(1, 1), entry(2, 1)}})
 		h.close()
+		if err := os.Remove(h.logFile()); err != nil {
+			t.Fatal(err)
+		}
 	}
 }
 
@@ -179,7 +182,7 @@
 			t.Fatalf("byte %d changed: error %v, want a DamagedError", i, err)
 		}
 	}
-	if err := Renew(h.folder); err != nil {
+	if err := renew(Config{Folder: h.folder}); err != nil {
 		t.Fatal(err)
 	}
 	h.open()
@@ -253,7 +256,7 @@
 		h.write(replicas.Persist{HardState: testHardState, Entries: []replicas.Entry{entry(1, 1)}})
 		h.close()
 		id := appendRecord(nil, encodeJSON(newIdentity(true)))
-		if err := writeFile(filepath.Join(h.folder, identityName), id); err != nil {
+		if err := newFiles(Config{Folder: h.folder}).write(identityName, id); err != nil {
 			t.Fatal(err)
 		}
 		var damaged *DamagedError
