--- a/controls/observer_test.go
+++ b/controls/observer_test.go
@@ -167,7 +167,7 @@
 		cfg.Session = 100
 		cfg.Recovered.HardState = replicas.HardState{Term: old.replica.Term(), Group: "g"}
 		cfg.Recovered.Entries = []replicas.Entry{{Index: 1, Term: 1, Kind: replicas.Membership, Data: encodedMembers(t, old.replica.Members())}}
-		g.step("d0", StorageRenewed{Config: cfg})
+		g.step("d0", StorageOpened{Config: cfg})
 		g.down["d1"], g.down["d2"] = true, true
 		g.run(10 * time.Second)
 		assertReports(t, observed[LeaderMissing](g, "d0"), 1, replicas.VerifyingStorage, 0)
