--- a/cmd/gypsumshelf/soak.go
+++ b/cmd/gypsumshelf/soak.go
@@ -13,7 +13,7 @@
 
 func newSoak() *cobra.Command {
 	var seed uint64
-	var seconds, runs int
+	var seconds, runs, controls, entries int
 	cmd := &cobra.Command{
 		Use:   "soak",
 		Short: "Run daemons as processes on this machine, inject faults and check what callers see",
@@ -34,6 +34,7 @@
 				}
 				result, err := trials.Run(cmd.Context(), trials.Config{
 					Seed: seed + i, Duration: time.Duration(seconds) * time.Second, Binary: binary, Folder: folder, Log: logrus.NewEntry(log),
+					Controls: controls, Entries: entries,
 				})
 				if err != nil {
 					return err
@@ -56,5 +57,7 @@
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the first run")
 	cmd.Flags().IntVar(&seconds, "seconds", 20, "seconds of fault injection in each run")
 	cmd.Flags().IntVar(&runs, "runs", 1, "number of runs; each uses the next seed")
+	cmd.Flags().IntVar(&controls, "controls", 0, "number of control daemons, up to 5; 0 for 3")
+	cmd.Flags().IntVar(&entries, "entries", 0, "number of entry daemons; 0 for 2")
 	return cmd
 }
--- a/soaks/limit.go
+++ b/soaks/limit.go
@@ -21,10 +21,7 @@
 )
 
 // String returns the kebab-case name used in logs.
-func (l Limit) String() string { return [...]string{"no-writes", "no-descriptors"}[l] }
-
-// RandomLimit returns one of the limits, chosen by n.
-func RandomLimit(n int) Limit { return Limit(n % int(limitKinds)) }
+func (l Limit) String() string { return [...]string{"no-writes", "no-descriptors", "pause"}[l] }
 
 func (l Limit) resource() int {
 	if l == NoWrites {
--- a/soaks/process.go
+++ b/soaks/process.go
@@ -141,6 +141,13 @@
 	return p.cmd == nil || time.Since(p.diskLostAt) < within || time.Since(p.downAt) < within
 }
 
+// LostDiskRecently reports whether the process lost its disk within the given time.
+func (p *Process) LostDiskRecently(within time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.diskLostAt) < within
+}
+
 // StopForGood kills the process and prevents its restart.
 func (p *Process) StopForGood() {
 	p.mu.Lock()
