Replace the build of all hosts in a soak, and run two builds side by side

Nothing played an upgrade: hosts that are replaced one after another by the next build under load, faults and changes.

In the middle half of the faults they are stopped as planned one after another and start this build on the same data folder; then one host gets the earlier build back.

Not covered: relays between builds. On loopback a relay sees the address 127.0.0.1 in place of the entry daemon's and refuses it.

--- a/cmd/gypsumshelf/soak.go
+++ b/cmd/gypsumshelf/soak.go
@@ -13,6 +13,7 @@
 
 func newSoak() *cobra.Command {
 	var seed uint64
+	var previous string
 	var seconds, runs, controls, entries int
 	cmd := &cobra.Command{
 		Use:   "soak",
@@ -34,7 +35,7 @@
 				}
 				result, err := trials.Run(cmd.Context(), trials.Config{
 					Seed: seed + i, Duration: time.Duration(seconds) * time.Second, Binary: binary, Folder: folder, Log: logrus.NewEntry(log),
-					Controls: controls, Entries: entries,
+					Controls: controls, Entries: entries, Previous: previous,
 				})
 				if err != nil {
 					return err
@@ -59,5 +60,6 @@
 	cmd.Flags().IntVar(&runs, "runs", 1, "number of runs; each uses the next seed")
 	cmd.Flags().IntVar(&controls, "controls", 0, "number of control daemons, up to 5; 0 for 3")
 	cmd.Flags().IntVar(&entries, "entries", 0, "number of entry daemons; 0 for 2")
+	cmd.Flags().StringVar(&previous, "previous", "", "program of an earlier build with which all daemons start; they are replaced by this one in the middle of the faults")
 	return cmd
 }
--- a/soaks/deployment.go
+++ b/soaks/deployment.go
@@ -26,6 +26,7 @@
 type DeploymentConfig struct {
 	Seed     uint64
 	Program  string // path of the gypsumshelf program
+	Next     string // path of the program that replaces it, "" for none
 	Folder   string // for settings, data folders and logs of the daemons
 	Controls int    // number of control daemons, 0 for 3
 	Entries  int    // number of entry daemons, 0 for 2, negative for none
@@ -102,7 +103,7 @@
 
 // InjectLimits limits or pauses up to two random processes for up to 4 s, beside other
 // faults. Of the control daemons no more are limited at one time than may lose their
-// disks.
+// disks, and none that is still to be replaced by the next program.
 func (d *Deployment) InjectLimits(diskLossTime time.Duration) {
 	for range d.limitRand.IntN(3) {
 		h := d.hosts[d.limitRand.IntN(len(d.hosts))]
@@ -120,7 +121,9 @@
 		others := d.lost(func(o *Host) bool {
 			return o != h && (o.LostDiskRecently(diskLossTime) || o.RecentlyLimited(catchUpTime))
 		})
-		if h.control && others >= (d.cfg.Controls-1)/2 {
+		// An earlier build may need a restart after a refused write (issue 34).
+		outdated := d.cfg.Next != "" && !h.Runs(d.cfg.Next)
+		if h.control && (outdated || others >= (d.cfg.Controls-1)/2) {
 			continue
 		}
 		log.Info("fault")
--- a/soaks/process.go
+++ b/soaks/process.go
@@ -112,6 +112,19 @@
 // Terminate asks the process to stop.
 func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
 
+// Stop asks the process to stop, and kills it after the grace period.
+func (p *Process) Stop(grace time.Duration) {
+	p.mu.Lock()
+	cmd := p.cmd
+	p.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	// Errors mean that the process has already exited.
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	time.AfterFunc(grace, func() { _ = cmd.Process.Kill() })
+}
+
 // IsDown reports whether no process runs.
 func (p *Process) IsDown() bool {
 	p.mu.Lock()
