--- a/soaks/process.go
+++ b/soaks/process.go
@@ -112,6 +112,19 @@
 // Terminate asks the process to stop.
 func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
 
+// Stop asks the process to stop, and kills it after the grace period.
+func (p *Process) Stop(grace time.Duration) {
+	p.mu.Lock()
+	cmd := p.cmd
+	p.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	// Errors mean that the process has already exited.
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	time.AfterFunc(grace, func() { _ = cmd.Process.Kill() })
+}
+
 // IsDown reports whether no process runs.
 func (p *Process) IsDown() bool {
 	p.mu.Lock()
@@ -141,6 +154,13 @@
 	return p.cmd == nil || time.Since(p.diskLostAt) < within || time.Since(p.downAt) < within
 }
 
+// LostDiskRecently reports whether the process lost its disk within the given time.
+func (p *Process) LostDiskRecently(within time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.diskLostAt) < within
+}
+
 // StopForGood kills the process and prevents its restart.
 func (p *Process) StopForGood() {
 	p.mu.Lock()
