--- a/controls/daemon.go
+++ b/controls/daemon.go
@@ -13,6 +13,7 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/catalogs"
 	"gypsumshelf.example/gypsumshelf/directories"
+	"gypsumshelf.example/gypsumshelf/disks"
 	"gypsumshelf.example/gypsumshelf/dispatchers"
 	"gypsumshelf.example/gypsumshelf/faults"
 	"gypsumshelf.example/gypsumshelf/peers"
@@ -74,6 +75,7 @@
 
 	lastTicket     atomic.Uint64
 	leadership     atomic.Pointer[Leadership]
+	status         atomic.Pointer[Status]
 	mu             sync.Mutex
 	pendingReplies map[Ticket]chan Reply
 }
@@ -84,7 +86,7 @@
 		cfg: cfg, publisher: directories.NewPublisher(cfg.Log), events: make(chan any, eventQueueSize),
 		stop: make(chan struct{}), stopGranted: make(chan struct{}), pendingReplies: map[Ticket]chan Reply{},
 	}
-	d.storage = &storage{folder: cfg.DataFolder, log: cfg.Log, submit: d.submit}
+	d.storage = &storage{folder: cfg.DataFolder, log: cfg.Log, health: disks.NewHealth(cfg.Log), submit: d.submit}
 	replicaConfig, err := d.storage.open(d.replicaConfig())
 	if err != nil {
 		return nil, err
@@ -92,6 +94,7 @@
 	d.id = replicaConfig.ID
 	d.reducer = NewReducer(replicaConfig)
 	d.leadership.Store(&Leadership{})
+	d.status.Store(&Status{Condition: replicas.NotMember, LeaderHeard: cfg.Timers.Now()})
 	d.dispatcher = dispatchers.New(dispatchers.Config{Log: cfg.Log, Reporter: cfg.Reporter, Timers: cfg.Timers, HandleQuarantines: d.quarantine})
 	d.registry = newRegistry(cfg, d.publisher, d.dispatcher)
 	d.links = peers.New(peers.Config{Daemon: cfg.Daemon, AllowUnlisted: true, Receive: d.handleEnvelope, Log: cfg.Log}, cfg.Peers)
@@ -142,6 +145,9 @@
 // Voters returns the number of voters in the membership that this daemon knows.
 func (d *Daemon) Voters() int { return len(d.leadership.Load().Members.Voters()) }
 
+// DataFolder returns whether the data folder serves, and its failures.
+func (d *Daemon) DataFolder() *disks.Health { return d.storage.health }
+
 // SetSeeds replaces the directory addresses that are always contacted.
 func (d *Daemon) SetSeeds(seeds []string) { d.subscriber.SetSeeds(seeds) }
 
@@ -191,6 +197,8 @@
 	case Halted:
 		faults.Report(d.cfg.Log.WithField("event", fmt.Sprintf("%T", e.Event)), "replicated log", e.Panic)
 		d.storage.reopen(d.replicaConfig())
+	case Status, LeaderMissing, LeaderHeard, ElectionStarted, LeadLost:
+		d.observe(effect)
 	default:
 		panic(fmt.Sprintf("unknown effect %T", effect))
 	}
--- a/replicas/rules_test.go
+++ b/replicas/rules_test.go
@@ -84,6 +84,26 @@
 		r.Synced(now, out.Persist.Sequence)
 		assertSent[AppendResponse](t, r.TakeOutput(), 1, "after the sync")
 	})
+	t.Run("term", func(t *testing.T) {
+		r, now, others := newTestVoter(t)
+		receive(r, now, others[0], 5, AppendRequest{Prev: 1, PrevTerm: 1})
+		out := r.TakeOutput()
+		assertSent[AppendResponse](t, out, 0, "before the sync")
+		r.Synced(now, out.Persist.Sequence)
+		assertSent[AppendResponse](t, r.TakeOutput(), 1, "after the sync")
+	})
+	t.Run("creation of the group", func(t *testing.T) {
+		now := time.Unix(1_000_000, 0)
+		self := NodeID{Daemon: "a", Incarnation: "1"}
+		r := New(Config{ID: self, Durable: true, Session: 1, InitialVoters: []gypsumshelf.DaemonID{"a", "b"}})
+		r.Tick(now)
+		r.Receive(now, Message{From: NodeID{Daemon: "b", Incarnation: "1"}, To: self, Body: JoinResponse{Asked: 1, Fresh: true, Durable: true}})
+		r.Tick(now.Add(time.Second))
+		out := r.TakeOutput()
+		assertSent[VoteRequest](t, out, 0, "before the sync")
+		r.Synced(now, out.Persist.Sequence)
+		assertSent[VoteRequest](t, r.TakeOutput(), 1, "after the sync")
+	})
 	t.Run("candidacy", func(t *testing.T) {
 		r, now, others := newTestVoter(t)
 		now = now.Add(2 * testElectionTimeout)
@@ -112,6 +132,18 @@
 	})
 }
 
+// Guards against a voter with a slow disk that counts as silent: only the first
+// heartbeat of a term waits for a sync.
+func TestHeartbeatDoesNotWaitForOtherWrites(t *testing.T) {
+	r, now, others := newTestVoter(t)
+	receive(r, now, others[0], 5, AppendRequest{Prev: 1, PrevTerm: 1})
+	r.Synced(now, r.TakeOutput().Persist.Sequence)
+	r.TakeOutput()
+	receiveEntry(r, now, others[0], 5, 1, 1)
+	receive(r, now, others[0], 5, AppendRequest{Prev: 1, PrevTerm: 1})
+	assertSent[AppendResponse](t, r.TakeOutput(), 1, "while an entry is written")
+}
+
 // Guards against low throughput from a separate sync for each proposal.
 func TestProposalsShareOneSync(t *testing.T) {
 	r, now, _ := newTestLeader(t)
@@ -317,7 +349,7 @@
 				c.step() // the leader's next heartbeats report what it has stored
 			}
 			c.crash(h)
-			h.disk.synced = image
+			h.disk.synced, h.disk.older = image, true
 			c.start(h)
 			c.waitUntil("new incarnation", func() bool { return h.member.ID != old })
 			c.waitUntil("a settled cluster", c.isSettled)
