Assert that no host remembers more of another than its disk holds

What a host remembers of another one (Mark) makes that one discard its storage after a restart, so it must be synced there whenever it is remembered, whatever message it came from. The random tests now check this after each step, for every pair of hosts.

--- a/replicas/cluster_test.go
+++ b/replicas/cluster_test.go
@@ -30,6 +30,17 @@
 	fullUntil  time.Time // refuses writes
 }
 
+// lastIndex returns the index of the last entry that is synced.
+func (d *fakeDisk) lastIndex() uint64 {
+	if n := len(d.synced.Entries); n > 0 {
+		return d.synced.Entries[n-1].Index
+	}
+	if d.synced.Snapshot != nil {
+		return d.synced.Snapshot.Index
+	}
+	return 0
+}
+
 // hasUnsyncedVote reports whether a term or vote is written and not synced.
 func (d *fakeDisk) hasUnsyncedVote() bool {
 	return len(d.unsynced) > 0 && d.unsynced[len(d.unsynced)-1].HardState != d.synced.HardState
@@ -253,6 +264,22 @@
 			c.crash(h)
 		}
 	}
+	c.assertMarks()
+}
+
+// assertMarks asserts that no host remembers more of another one than its disk holds.
+func (c *cluster) assertMarks() {
+	for _, h := range c.hosts {
+		for _, o := range c.hosts {
+			if o.replica == nil || h.disk.older {
+				continue
+			}
+			mark, term, last := o.replica.peerMarks[h.member.ID], h.disk.synced.HardState.Term, h.disk.lastIndex()
+			if mark.Term > term || mark.Term == term && mark.Index > last {
+				c.t.Fatalf("%s remembers mark %+v of %s, whose disk has term %d and entry %d", o.member.ID, mark, h.member.ID, term, last)
+			}
+		}
+	}
 }
 
 func (c *cluster) hostIsFrozen(id gypsumshelf.DaemonID) bool {
--- a/replicas/powerloss_test.go
+++ b/replicas/powerloss_test.go
@@ -14,7 +14,8 @@
 }
 
 // Guards against a group that elects no leader, or loses what it acknowledged, after all
-// hosts have lost power and two of them their disks, at any moment of a membership change.
+// hosts have lost power and two of them their disks, at any moment of a membership change
+// or after disks have refused writes.
 func TestPowerLossOfAllWithTwoLostDisks(t *testing.T) {
 	seedRapid(t)
 	const recoveryTime = 12 * time.Second // bound of the deployments
@@ -29,7 +30,7 @@
 		c.waitUntil("a settled cluster", c.isSettled)
 		c.syncProbability = rapid.SampledFrom([]float64{0.1, 1}).Draw(t, "sync")
 		leader, voters, learners := c.roles()
-		switch rapid.IntRange(0, 4).Draw(t, "change") {
+		switch rapid.IntRange(0, 6).Draw(t, "change") {
 		case 0:
 			c.proposeFor(testElectionTimeout)
 		case 1:
@@ -41,6 +42,14 @@
 			c.proposeFor(testReplaceAfter - testStep)
 		case 4:
 			c.wipe(learners[c.rng.IntN(len(learners))]) // joins again
+		case 5:
+			for _, i := range c.rng.Perm(len(c.hosts))[:3] {
+				c.hosts[i].disk.fullUntil = c.now.Add(2 * time.Second)
+				c.proposeFor(2*time.Second + testReopenDelay)
+			}
+		case 6:
+			voters[0].disk.hangsUntil = c.now.Add(time.Hour)
+			c.proposeFor(2*testReplaceAfter - testStep)
 		}
 		c.proposeFor(time.Duration(rapid.IntRange(0, 60).Draw(t, "steps")) * testStep)
 
