Test that confirmations belong to one session

A replica that starts again, in a new process or from the same folder in the same one, has a new session. The test holds that neither it nor the leader takes a confirmation of the earlier session for one of the new session.

--- a/replicas/storage_test.go
+++ b/replicas/storage_test.go
@@ -253,3 +253,35 @@
 		})
 	}
 }
+
+// Guards against a restarted node, or one that opened its storage again, that takes the
+// confirmation of a stamp from its earlier session for its own, and the other way round.
+func TestConfirmationBelongsToOneSession(t *testing.T) {
+	t.Run("member", func(t *testing.T) {
+		r, now, others := newTestVoter(t)
+		receive(r, now, others[0], 2, AppendRequest{Prev: 1, PrevTerm: 1, Confirmed: Confirmation{Asked: Stamp{Session: 5, At: time.Hour}, Commit: 1}})
+		if asked, _ := r.Confirmation(); !asked.IsZero() {
+			t.Fatalf("the confirmation for an earlier session is taken for %s", asked)
+		}
+		receive(r, now, others[0], 2, AppendRequest{Prev: 1, PrevTerm: 1, Confirmed: Confirmation{Asked: Stamp{Session: 1, At: time.Hour}, Commit: 1}})
+		if asked, _ := r.Confirmation(); !asked.Equal(r.clockStart.Add(time.Hour)) {
+			t.Fatalf("confirmed time is %s, want the stamp of this session", asked)
+		}
+	})
+	t.Run("leader", func(t *testing.T) {
+		r, now, others := newTestLeaderWithCommit(t)
+		respond := func(session, stamped uint64) {
+			sent := now.Sub(r.clockStart)
+			r.Receive(now, Message{From: others[1], To: r.ID(), Session: session, Group: "g", Term: 2, Body: AppendResponse{OK: true, Match: 2, Sent: sent, Stamp: Stamp{Session: stamped, At: time.Hour}}})
+			receive(r, now, others[0], 2, AppendResponse{OK: true, Match: 2, Sent: sent})
+		}
+		respond(5, 5)
+		if got := r.progress[others[1]].confirmation.Asked.Session; got != 5 {
+			t.Fatalf("stamp of session %d confirmed, want 5", got)
+		}
+		respond(6, 5)
+		if got := r.progress[others[1]].confirmation; got != (Confirmation{}) {
+			t.Fatalf("confirmation %+v of an earlier session is kept for the next one", got)
+		}
+	})
+}
