--- a/replicas/membership.go
+++ b/replicas/membership.go
@@ -312,9 +312,9 @@
 	return NodeID{}, false
 }
 
-// voterToDemote returns the voter that is needed least: preferably one without
-// contact or that stores nothing, then one that shares its data centre with another voter, then any but
-// this node. The remaining voters must have a quorum in contact.
+// voterToDemote returns the voter that is needed least: preferably one without contact or
+// that stores nothing, then one that shares its data centre with another voter, then any
+// but this node. The remaining voters must have a quorum in contact.
 func (r *Replica) voterToDemote(members Members) (NodeID, bool) {
 	var choice NodeID
 	bestScore := 0
--- a/replicas/replication.go
+++ b/replicas/replication.go
@@ -13,15 +13,15 @@
 // progress is the leader's view of another member.
 type progress struct {
 	session        uint64
-	match          uint64    // index of the last entry known to be synced there
-	next           uint64    // index of the next entry to send
-	probing        bool      // next is not confirmed yet: send one request at a time
-	paused         bool      // send no entries until the outstanding probe or chunk is answered
-	inFlight       int       // requests with entries sent since the member last confirmed all entries sent
-	ackedSendTime  time.Time // send time of the latest request that was answered
-	lastContact    time.Time // last message from the member in this term
-	contactSince   time.Time // start of the current period of uninterrupted contact
-	advance        advance
+	match          uint64       // index of the last entry known to be synced there
+	next           uint64       // index of the next entry to send
+	probing        bool         // next is not confirmed yet: send one request at a time
+	paused         bool         // send no entries until the outstanding probe or chunk is answered
+	inFlight       int          // requests with entries sent since the member last confirmed all entries sent
+	ackedSendTime  time.Time    // send time of the latest request that was answered
+	lastContact    time.Time    // last message from the member in this term
+	contactSince   time.Time    // start of the current period of uninterrupted contact
+	advance        advance      // kept when the session changes
 	catchUpTarget  uint64       // commit index at the last heartbeat
 	caughtUp       bool         // at the last heartbeat, match had reached the catchUpTarget of the one before
 	snapshotOffset int          // offset of the next chunk of the snapshot
