Name the leader in the error of a forwarded change

A daemon that forwarded a change to a leader whose data folder had failed answered "the data folder of this daemon accepts no writes", although its own folder served. Seen at all five control daemons run as processes while the leader's disk refused writes, and in TestCallsNameAFailedDataFolderAtOnce before: "127.0.77.2 names the failed folder of another daemon as its own".

--- a/controls/daemon.go
+++ b/controls/daemon.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
 
 	"gypsumshelf.example/gypsumshelf"
@@ -287,7 +288,10 @@
 		return ErrNotLeader
 	}
 	deadline, _ := ctx.Deadline()
-	return peers.Call(client, ServiceName+".Propose", c, &struct{}{}, time.Until(deadline))
+	if err := peers.Call(client, ServiceName+".Propose", c, &struct{}{}, time.Until(deadline)); err != nil {
+		return merry.Prependf(err, "leader %s", l.Leader)
+	}
+	return nil
 }
 
 // ReadState returns the replicated state with a linearizable read. It fails if no
--- a/controls/storage_test.go
+++ b/controls/storage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,10 +22,21 @@
 	if waited := time.Since(started); !errors.Is(err, ErrStorage) || waited >= readTimeout {
 		t.Errorf("a read fails after %v with %v, want %v at once", waited, err, ErrStorage)
 	}
-	err = target.daemon.Propose(context.Background(), catalogs.Command{Action: catalogs.TakeOut, DataCentre: "a"})
+	command := catalogs.Command{Action: catalogs.TakeOut, DataCentre: "a"}
+	err = target.daemon.Propose(context.Background(), command)
 	if !errors.Is(err, ErrStorage) {
 		t.Errorf("a proposal fails with %v, want %v", err, ErrStorage)
 	}
+	for _, h := range c.hosts {
+		if h == target {
+			continue
+		}
+		// Until it misses the leader, it forwards to it.
+		err := h.daemon.Propose(context.Background(), command)
+		if err != nil && strings.Contains(err.Error(), ErrStorage.Error()) && !strings.Contains(err.Error(), string(target.id.Daemon)) {
+			t.Errorf("%s names the failed folder of another daemon as its own: %v", h.ip, err)
+		}
+	}
 }
 
 // Guards against reads that are pending when the data folder fails and wait for their
