--- a/controls/daemon.go
+++ b/controls/daemon.go
@@ -41,6 +41,7 @@
 	DataCentre string
 	DataFolder string
 	OpenFile   disks.OpenFile // opens the files of the data folder, nil for os.OpenFile
+	DiskBytes  int64          // size of the disk, 0 when unknown
 	Seeds      []string       // directory addresses that are always contacted
 	// FirstStart is set when the whole deployment starts with empty disks. The
 	// daemons at the seed addresses then become the first voters.
@@ -93,6 +94,7 @@
 		return nil, err
 	}
 	d.reducer = NewReducer(replicaConfig)
+	d.reducer.maxLogBytes = int(cfg.DiskBytes / diskShareOfLog)
 	d.leadership.Store(&Leadership{})
 	d.dispatcher = dispatchers.New(dispatchers.Config{Log: cfg.Log, Reporter: cfg.Reporter, Timers: cfg.Timers, HandleQuarantines: d.quarantine})
 	d.registry = newRegistry(cfg, d.publisher, d.dispatcher)
@@ -263,6 +265,9 @@
 
 // propose commits a command on this daemon, which must be the leader.
 func (d *Daemon) propose(ctx context.Context, c catalogs.Command) error {
+	if d.isTooLarge(c) {
+		return ErrTooLarge
+	}
 	t, reply := d.newTicket()
 	defer d.dropTicket(t)
 	d.submit(CommandProposed{Ticket: t, Command: c})
@@ -280,7 +285,7 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	l := d.leadership.Load()
-	if l.IsLeader || l.Leader == "" {
+	if l.IsLeader || l.Leader == "" || d.isTooLarge(c) {
 		return d.propose(ctx, c)
 	}
 	client, alive := d.subscriber.Client(directoryAddress(l.Leader))
--- a/controls/daemon_test.go
+++ b/controls/daemon_test.go
@@ -36,6 +36,8 @@
 	port  int
 	hosts []*host
 	seeds []string
+	// diskBytes is the size of the disks that the daemons started next are told.
+	diskBytes int64
 	// stopTimeout is that of the daemons started next. Tests that stop a majority of
 	// the voters one after the other wait for it.
 	stopTimeout time.Duration
@@ -104,7 +106,7 @@
 	cfg := Config{
 		Daemon: gypsumshelf.DaemonID(peers.Addr().String()), DataCentre: "a", DataFolder: filepath.Join(h.folder, "log"),
 		Seeds: c.seeds, FirstStart: first, Peers: peers, Directory: directory, Decode: decode,
-		SilenceTimeout: 3 * time.Second, StopTimeout: c.stopTimeout, Log: logrus.NewEntry(log), Timers: h.timers,
+		SilenceTimeout: 3 * time.Second, StopTimeout: c.stopTimeout, Log: logrus.NewEntry(log), Timers: h.timers, DiskBytes: c.diskBytes,
 	}
 	if h.disk != nil {
 		cfg.OpenFile = h.disk.open
--- a/controls/disk_test.go
+++ b/controls/disk_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -28,10 +29,30 @@
 )
 
 // faultyDisk refuses the operations of one kind ("open", "write" or "sync", "" for all)
-// while errno is set.
+// while errno is set, and writes beyond its size.
 type faultyDisk struct {
 	operation string
 	errno     atomic.Int64
+	folder    string // holds all files of the disk
+	size      int64  // 0 for no limit
+}
+
+// isFull reports whether the disk has no room for n more bytes.
+func (d *faultyDisk) isFull(n int) bool {
+	if d.size == 0 {
+		return false
+	}
+	used := int64(n)
+	_ = filepath.WalkDir(d.folder, func(_ string, e fs.DirEntry, err error) error {
+		if err != nil {
+			return nil // removed meanwhile
+		}
+		if info, err := e.Info(); err == nil && info.Mode().IsRegular() {
+			used += info.Size()
+		}
+		return nil
+	})
+	return used > d.size
 }
 
 func (d *faultyDisk) check(operation, name string) error {
@@ -63,6 +84,9 @@
 		n, _ := f.File.Write(b[:len(b)/2])
 		return n, err
 	}
+	if f.disk.isFull(len(b)) {
+		return 0, &fs.PathError{Op: "write", Path: f.Name(), Err: syscall.ENOSPC}
+	}
 	return f.File.Write(b)
 }
 
@@ -240,3 +264,65 @@
 	h.id = h.daemon.ID()
 	c.awaitVoters()
 }
+
+// Guards against disks that the daemons themselves fill, with the largest configurations
+// that they accept in quick succession, and against a log that stays full.
+func TestLargestConfigurationsFitOnTheDisk(t *testing.T) {
+	const diskSize = 3 << 20
+	c := newCluster(t, 3)
+	c.diskBytes = diskSize
+	for _, h := range c.hosts {
+		h.disk = &faultyDisk{operation: "none", folder: h.folder, size: diskSize}
+		c.start(h, true)
+	}
+	c.put(1)
+	c.awaitVoters()
+	largest := diskSize / 16
+	if err := c.hosts[0].daemon.Propose(context.Background(), catalogs.Command{Action: catalogs.Put, Version: 2, Document: make([]byte, largest+100)}); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("a configuration that does not fit is answered with %v, want %v", err, ErrTooLarge)
+	}
+	const operators, changes = 4, 10
+	var version, accepted atomic.Uint64
+	version.Store(2)
+	var wg sync.WaitGroup
+	deadline := time.Now().Add(time.Minute)
+	for i := range operators {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for own := 0; own < changes && time.Now().Before(deadline); {
+				err := c.hosts[i%3].daemon.Propose(context.Background(), catalogs.Command{
+					Action: catalogs.Put, Version: version.Add(1), Document: make([]byte, largest),
+				})
+				if err == nil {
+					own++
+					accepted.Add(1)
+				} else {
+					time.Sleep(heartbeatInterval)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	if n := accepted.Load(); n != operators*changes {
+		t.Errorf("%d of %d changes were accepted", n, operators*changes)
+	}
+	c.putWithin(version.Add(1), acknowledgeBound)
+	for _, h := range c.hosts {
+		if n := h.daemon.DataFolder().Failures(disks.CauseFull); n > 0 {
+			t.Errorf("the disk of %s was full %d times", h.ip, n)
+		}
+	}
+	for _, h := range c.hosts {
+		h.kill()
+	}
+	for _, h := range c.hosts {
+		c.start(h, false)
+	}
+	c.assertVersion(version.Load())
+	for _, h := range c.hosts {
+		if !h.daemon.DataFolder().Serves() {
+			t.Errorf("the disk of %s is full after a restart", h.ip)
+		}
+	}
+}
--- a/controls/reducer.go
+++ b/controls/reducer.go
@@ -28,6 +28,8 @@
 	ErrOverridden = errors.New("the leader changed before the command was committed; it may have been lost")
 	ErrStorage    = errors.New("the data folder of this daemon accepts no writes; it takes no part in the replicated log")
 	ErrOutdated   = errors.New("the data folder of this daemon is older than what peers saw of it and is replaced")
+	ErrTooLarge   = errors.New("the configuration is too large for the disks of the control daemons")
+	ErrLogFull    = errors.New("the log has no room on the disk until earlier changes are compacted; send again")
 	ErrRestarting = errors.New("the replicated log of this daemon starts again after an unexpected error")
 )
 
@@ -109,6 +111,7 @@
 type pendingProposal struct {
 	ticket Ticket
 	term   uint64
+	size   int // of its entry data
 }
 
 // pendingRead is answered once the leader's quorum is confirmed for a time
@@ -127,6 +130,7 @@
 	appliedIndex         uint64
 	entriesSinceSnapshot int
 	bytesSinceSnapshot   int                        // of entry data
+	maxLogBytes          int                        // of entry data that is not compacted, 0 for no limit
 	pendingProposals     map[uint64]pendingProposal // by index
 	pendingReads         []pendingRead
 	unavailable          error // why the replica is halted, nil while it runs
@@ -215,12 +219,27 @@
 		r.emit(Reply{Ticket: e.Ticket, Err: r.unavailable})
 		return
 	}
-	index, term, err := r.replica.Propose(now, e.Command.Encode())
+	data := e.Command.Encode()
+	if r.maxLogBytes > 0 && r.uncompactedBytes()+len(data) > r.maxLogBytes {
+		r.emit(Reply{Ticket: e.Ticket, Err: ErrLogFull})
+		return
+	}
+	index, term, err := r.replica.Propose(now, data)
 	if err != nil {
 		r.emit(Reply{Ticket: e.Ticket, Err: ErrNotLeader})
 		return
 	}
-	r.pendingProposals[index] = pendingProposal{ticket: e.Ticket, term: term}
+	r.pendingProposals[index] = pendingProposal{ticket: e.Ticket, term: term, size: len(data)}
+}
+
+// uncompactedBytes returns the entry data that is applied, but in no snapshot yet, and
+// that of this leader's pending proposals.
+func (r *Reducer) uncompactedBytes() int {
+	n := r.bytesSinceSnapshot
+	for _, p := range r.pendingProposals {
+		n += p.size
+	}
+	return n
 }
 
 // drainReplica converts the output of the replica to effects until the replica
@@ -304,7 +323,12 @@
 }
 
 func (r *Reducer) compact() {
-	if r.entriesSinceSnapshot < compactEntries && r.bytesSinceSnapshot < compactBytes || r.state.Index > r.appliedIndex {
+	threshold := compactBytes
+	if r.maxLogBytes > 0 {
+		// The rest of the limit is for the next command.
+		threshold = min(threshold, r.maxLogBytes/2)
+	}
+	if r.entriesSinceSnapshot < compactEntries && r.bytesSinceSnapshot < threshold || r.state.Index > r.appliedIndex {
 		return
 	}
 	data, err := r.state.Snapshot()
--- a/controls/storage.go
+++ b/controls/storage.go
@@ -1,12 +1,14 @@
 package controls
 
 import (
+	"encoding/base64"
 	"math/rand/v2"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/catalogs"
 	"gypsumshelf.example/gypsumshelf/disks"
 	"gypsumshelf.example/gypsumshelf/replicas"
 )
@@ -24,6 +26,13 @@
 	// forgetAfter is the silence after which a host without a vote is no member any
 	// more. Hosts that restart or return from a partition are back sooner.
 	forgetAfter = 10 * time.Minute
+	// diskShareOfLog and diskShareOfCommand divide the size of the disk into the most
+	// that the log takes beside a snapshot, and the most that one command takes. A
+	// snapshot is a third larger than the command that it holds. Three generations of
+	// log and snapshot then fit on the disk: the current one, the next one while it is
+	// written, and that of a damaged folder.
+	diskShareOfLog     = 6
+	diskShareOfCommand = 12
 	// reopenDelay bounds how often a replica starts again when the same error comes
 	// back. The others elect a leader meanwhile.
 	reopenDelay = time.Second
@@ -68,6 +77,12 @@
 	return cfg
 }
 
+// isTooLarge reports whether a command may not fit on the disk. Its document, by far the
+// largest part, is encoded as base64.
+func (d *Daemon) isTooLarge(c catalogs.Command) bool {
+	return d.cfg.DiskBytes > 0 && int64(base64.StdEncoding.EncodedLen(len(c.Document))) > d.cfg.DiskBytes/diskShareOfCommand
+}
+
 // renewStorage replaces the data folder by an empty one.
 func (d *Daemon) renewStorage(session uint64) {
 	d.cfg.Log.Error("the data folder is older than what peers saw of this daemon; it joins with a new incarnation")
--- a/settings/host.go
+++ b/settings/host.go
@@ -36,6 +36,7 @@
 	Bounds     HostBounds           `json:"bounds"`
 	LogLevel   string               `json:"log-level"`
 	MemoryMB   int                  `json:"memory-mb"` // memory that the process may use, 0 when unknown
+	DiskMB     int                  `json:"disk-mb"`   // size of the disk with the data folder, 0 when unknown
 	// StaleState is the time without contact to any control daemon after which an
 	// entry daemon refuses requests. With 0 it serves them from its last known
 	// state without a limit.
@@ -91,6 +92,9 @@
 // MemoryBytes returns the memory that the process may use, 0 when unknown.
 func (h Host) MemoryBytes() int64 { return int64(h.MemoryMB) << 20 }
 
+// DiskBytes returns the size of the disk with the data folder, 0 when unknown.
+func (h Host) DiskBytes() int64 { return int64(h.DiskMB) << 20 }
+
 // LoadHost reads and checks the settings of a host.
 func LoadHost(path string) (Host, error) {
 	data, err := os.ReadFile(path)
@@ -169,6 +173,7 @@
 		{"stale-state", h.StaleState < 0},
 		{"bounds.free-memory", h.Bounds.FreeMemory < 0 || h.Bounds.FreeMemory > 0 && h.Bounds.FreeMemory < minFreeMemory},
 		{"memory-mb", h.MemoryMB < 0},
+		{"disk-mb", h.DiskMB < 0},
 		{"bounds.retry-ratio", h.Bounds.RetryRatio < 0},
 		{"data-folder", h.Role == RoleControl && h.DataFolder == ""},
 		{"listen.control", h.Role == RoleControl && !isAddress(h.Listen.Control)},
--- a/settings/host_test.go
+++ b/settings/host_test.go
@@ -18,7 +18,7 @@
 	f := map[string]any{
 		"node": role + "-1", "ip": "10.1.0.40", "zone": "wien-nord", "region": "ostalpen",
 		"internalPorts": []any{7340, 7355}, "seeds": []any{"10.1.0.42:8229", "10.2.0.30:8229", "10.3.0.20:8229"},
-		"limits":    map[string]any{"memoryMb": 544},
+		"limits":    map[string]any{"memoryMb": 544, "diskMb": 128},
 		"bootstrap": true, "heartbeatMs": 1200,
 		"bounds": map[string]any{"graceS": 8, "retryBudgetRatio": 0.2, "budgetSlack": 106, "budgetWindowS": 10, "freeMs": 4000},
 	}
@@ -103,6 +103,9 @@
 			if h.MemoryBytes() != 544<<20 {
 				t.Errorf("memory is %d bytes, want 544 MB", h.MemoryBytes())
 			}
+			if h.DiskBytes() != 128<<20 {
+				t.Errorf("the disk has %d bytes, want 128 MB", h.DiskBytes())
+			}
 			if h.Role != test.role || h.Bounds.Grace != Duration(8*time.Second) || !h.FirstStart || h.Bounds.Heartbeat != Duration(1200*time.Millisecond) {
 				t.Errorf("settings are %+v", h)
 			}
@@ -126,6 +129,7 @@
 		"seeds":          {`["10.0.0.1:1"]`, `[]`},
 		"listen.control": {`"10.0.0.1:2"`, `"host:2"`},
 		"memory-mb":      {`"data-folder"`, `"memory-mb":-1,"data-folder"`},
+		"disk-mb":        {`"data-folder"`, `"disk-mb":-1,"data-folder"`},
 		"bounds.grace":   {`"8s"`, `"0s"`},
 		"daemonn":        {`"daemon"`, `"daemonn"`},
 	} {
