--- a/controls/disk_test.go
+++ b/controls/disk_test.go
@@ -220,6 +220,31 @@
 	c.awaitVoters()
 }
 
+// Guards against a deployment that is never founded because a disk refused the first
+// write of a daemon.
+func TestFirstWriteIsRefused(t *testing.T) {
+	for i := range 3 {
+		t.Run(fmt.Sprint("seed ", i), func(t *testing.T) {
+			c := newCluster(t, 3)
+			for _, h := range c.hosts {
+				h.disk = &faultyDisk{}
+			}
+			// The identity is written, the first write of the replica is refused.
+			c.hosts[i].disk.operation = "write"
+			for _, h := range c.hosts {
+				c.start(h, true)
+				if h == c.hosts[i] {
+					h.disk.errno.Store(int64(syscall.ENOSPC))
+				}
+			}
+			c.eventually("the failure is noticed", func(*host) bool { return !c.hosts[i].daemon.DataFolder().Serves() })
+			c.hosts[i].disk.errno.Store(0)
+			c.putWithin(1, returnBound+acknowledgeBound)
+			c.awaitVoters()
+		})
+	}
+}
+
 // Guards against a daemon that waits for a folder which another process uses.
 func TestLockedFolderEndsTheStart(t *testing.T) {
 	c := startedCluster(t, 1)
