--- a/cmd/gypsumshelf/soak.go
+++ b/cmd/gypsumshelf/soak.go
@@ -13,7 +13,8 @@
 
 func newSoak() *cobra.Command {
 	var seed uint64
-	var seconds, runs int
+	var previous string
+	var seconds, runs, controls, entries int
 	cmd := &cobra.Command{
 		Use:   "soak",
 		Short: "Run daemons as processes on this machine, inject faults and check what callers see",
@@ -34,6 +35,7 @@
 				}
 				result, err := trials.Run(cmd.Context(), trials.Config{
 					Seed: seed + i, Duration: time.Duration(seconds) * time.Second, Binary: binary, Folder: folder, Log: logrus.NewEntry(log),
+					Controls: controls, Entries: entries, Previous: previous,
 				})
 				if err != nil {
 					return err
@@ -56,5 +58,8 @@
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the first run")
 	cmd.Flags().IntVar(&seconds, "seconds", 20, "seconds of fault injection in each run")
 	cmd.Flags().IntVar(&runs, "runs", 1, "number of runs; each uses the next seed")
+	cmd.Flags().IntVar(&controls, "controls", 0, "number of control daemons, up to 5; 0 for 3")
+	cmd.Flags().IntVar(&entries, "entries", 0, "number of entry daemons; 0 for 2")
+	cmd.Flags().StringVar(&previous, "previous", "", "program of an earlier build with which all daemons start; they are replaced by this one in the middle of the faults")
 	return cmd
 }
--- a/dispatchers/client.go
+++ b/dispatchers/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,6 +43,8 @@
 	// handOverRetryDelay is a part of the time in which a connection to a new leader is
 	// made.
 	handOverRetryDelay = 50 * time.Millisecond
+	// updateRetryDelay is the time after which updates are sent again that no leader took.
+	updateRetryDelay = 50 * time.Millisecond
 	// updateBatchDelay is the time for which updates are collected into one call.
 	updateBatchDelay = 5 * time.Millisecond
 )
@@ -209,12 +212,13 @@
 	c.cfg.Log.WithField("leader", leader).WithError(err).Warn("the scheduling daemon does not answer; engine work is scheduled locally")
 }
 
-// Place submits a job and waits for the decision.
+// Place submits a job and waits for the decision. Its caller cancels ctx before it calls
+// End for a job that is no longer to be placed.
 func (c *Client) Place(ctx context.Context, job schedules.Job) (schedules.Decision, error) {
 	p := &activeJob{job: job}
-	c.mu.Lock()
-	c.jobs[job.ID] = p
-	c.mu.Unlock()
+	if err := c.add(ctx, p); err != nil {
+		return schedules.Decision{}, err
+	}
 	arrived := time.Now()
 	lastContact := arrived // with a leader
 	failedLeader := ""     // leader that has lost the job
@@ -240,6 +244,17 @@
 	}
 }
 
+// add adds a job, unless it has ended already: End may run before Place does.
+func (c *Client) add(ctx context.Context, p *activeJob) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	c.jobs[p.job.ID] = p
+	return nil
+}
+
 // withElapsed returns a job whose durations are reduced by the time that has
 // passed.
 func withElapsed(job schedules.Job, elapsed time.Duration) schedules.Job {
@@ -300,18 +315,27 @@
 
 // recordDecision stores a decision. A leader that took over meanwhile, from another
 // one or from the local scheduler, does not know of the placement, so the jobs are
-// handed over to it again.
+// handed over to it again. The placement of a job that has ended is given back.
 func (c *Client) recordDecision(p *activeJob, d schedules.Decision) schedules.Decision {
+	if ended := c.storeDecision(p, d); ended && d.Placement != nil {
+		c.queueUpdate(JobUpdate{Job: p.job.ID, Outcome: schedules.Cancelled}, p.local)
+	}
+	return d
+}
+
+// storeDecision stores a decision and reports whether the job has ended meanwhile.
+func (c *Client) storeDecision(p *activeJob, d schedules.Decision) (ended bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p.placement, p.local = d.Placement, d.Scheduler == ""
+	ended = c.jobs[p.job.ID] == nil
 	if d.Placement == nil {
 		delete(c.jobs, p.job.ID)
 	} else if c.informedLeader != "" && c.informedLeader != d.Scheduler {
 		c.informedLeader = ""
 		c.requestHandOver()
 	}
-	return d
+	return ended
 }
 
 // requestHandOver makes sendUpdates hand over the jobs.
@@ -404,9 +428,10 @@
 // that were placed locally, since the leader may have adopted them.
 func (c *Client) sendUpdates() {
 	defer c.wg.Done()
-	var retry <-chan time.Time
+	var retry, resend <-chan time.Time
+	var unsent []JobUpdate
 	for {
-		var updates []JobUpdate
+		updates := unsent
 		select {
 		case <-c.stop:
 			return
@@ -416,6 +441,7 @@
 		case <-retry:
 			retry = c.handOver()
 			continue
+		case <-resend:
 		case u := <-c.updates:
 			updates = append(updates, u)
 		}
@@ -428,10 +454,32 @@
 				more = false
 			}
 		}
-		if client, leader := c.connection(); client != nil {
-			if err := peers.Call(client, ServiceName+".Tell", updates, &struct{}{}, updateTimeout); err != nil && !errors.Is(err, rpc.ErrShutdown) {
-				c.suspectLeader(leader, err)
-			}
+		unsent, resend = c.tell(updates), nil
+		if len(unsent) > 0 {
+			resend = time.After(updateRetryDelay)
 		}
 	}
 }
+
+// tell sends updates to the leader and returns those that are to be sent again: without
+// its end, a job would keep its slots until its deadline. What is known of crashes and
+// limits is handed over anyway.
+func (c *Client) tell(updates []JobUpdate) (unsent []JobUpdate) {
+	client, leader := c.connection()
+	if client != nil {
+		err := peers.Call(client, ServiceName+".Tell", updates, &struct{}{}, updateTimeout)
+		var refused rpc.ServerError
+		if err == nil || errors.As(err, &refused) && !isInactive(err) {
+			return nil
+		}
+		if !errors.Is(err, rpc.ErrShutdown) {
+			c.suspectLeader(leader, err)
+		}
+	}
+	unsent = slices.DeleteFunc(updates, func(u JobUpdate) bool { return u.Job == "" })
+	if excess := len(unsent) - updateQueueSize; excess > 0 {
+		c.cfg.Log.WithField("dropped", excess).Warn("no leader takes updates of jobs; the oldest were dropped")
+		unsent = slices.Delete(unsent, 0, excess)
+	}
+	return unsent
+}
--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -201,8 +201,10 @@
 	reservations   []*reservation
 	watch          *primaryWatch // of the primary, while memory is reserved at helpers
 	attempt        *attempt
+	load           *load // nil before the request is sent
 	verdict        gypsumshelf.Verdict
 	outcome        schedules.Outcome
+	ended          bool // run has come to its end
 	blamed         gypsumshelf.ServerID
 }
 
@@ -211,6 +213,7 @@
 func (e *engineAttempt) run(ctx context.Context) error {
 	req := e.request
 	defer e.endReservations()
+	defer e.abandon()
 	err := e.sendAndRelay(ctx)
 	e.outcome = schedules.Completed
 	if err != nil {
@@ -219,16 +222,27 @@
 	e.outcome = req.attributed(ctx, e.attempt, e.outcome)
 	if e.attempt != nil {
 		e.attempt.close()
-		req.forwarder.cfg.Fleet.End(e.server, e.outcome, e.attempt.reply)
+		e.load.end(e.outcome, e.attempt.reply)
 		e.verdict = e.attempt.verdict
 		e.blamed = e.attempt.reply.Blamed
 	}
 	if e.outcome == schedules.Lost && (e.blamed == "" || e.blamed == e.server.ID) {
 		req.forwarder.crashChecks.recordLost(req, e.server, e.startedAt)
 	}
+	e.ended = true
 	return err
 }
 
+// abandon gives back what the attempt holds if an unexpected error has ended it.
+func (e *engineAttempt) abandon() {
+	if e.ended {
+		return
+	}
+	e.load.abandon()
+	e.cancelReplacement()
+	e.pending.end(schedules.Cancelled, "")
+}
+
 // endReservations releases the memory that is reserved at helpers, also when the
 // attempt ends with a panic.
 func (e *engineAttempt) endReservations() {
@@ -257,7 +271,7 @@
 		return err
 	}
 	call.Helpers = helpers
-	fleet.Begin(server)
+	e.load = fleet.track(server)
 	a, out, err := req.startAttempt(ctx, server, call)
 	e.attempt = a
 	if err != nil {
@@ -327,13 +341,22 @@
 // reserved for it at others must be released.
 func (e *engineAttempt) relayStream(ctx context.Context, reader *responseReader) error {
 	req := e.request
-	silence := time.NewTimer(2*e.placement.First + firstEventSlack)
+	silence := newSilenceTimer(req.now, 2*e.placement.First+firstEventSlack)
 	defer silence.Stop()
 	var lost chan struct{}
 	if e.watch != nil {
 		lost = e.watch.lost
 	}
 	for {
+		// What has been read counts before any timer, which may be late.
+		select {
+		case part := <-reader.parts:
+			if done, err := e.relayPart(part, silence); done {
+				return err
+			}
+			continue
+		default:
+		}
 		var replacementResult chan placementResult
 		if e.replacement != nil {
 			replacementResult = e.replacement.result
@@ -351,29 +374,37 @@
 				return errNoProgress
 			}
 			e.cancelReplacement() // no other engine is free, so keep waiting for this one
-			silence.Reset(req.maxSilence())
+			silence.restart(req.maxSilence())
 		case <-silence.C:
+			if !silence.expired() {
+				continue
+			}
 			// Keep this stream open until another engine is available.
 			if allowed, _ := req.retryPossible(gypsumshelf.MayHaveRun); allowed {
 				e.replacement = submitJob(ctx, req)
 			}
 		case part := <-reader.parts:
-			if e.watch != nil {
-				e.watch.sign(req.now())
-			}
-			progress, done, err := e.handlePart(part)
-			if done || err != nil {
-				e.cancelReplacement()
+			if done, err := e.relayPart(part, silence); done {
 				return err
 			}
-			if progress {
-				e.cancelReplacement()
-				silence.Reset(req.maxSilence())
-			}
 		}
 	}
 }
 
+// relayPart handles one part of the response and reports whether the attempt has ended.
+func (e *engineAttempt) relayPart(part responsePart, silence *silenceTimer) (ended bool, err error) {
+	if e.watch != nil {
+		e.watch.sign(e.request.now())
+	}
+	progress, done, err := e.handlePart(part)
+	ended = done || err != nil
+	if ended || progress {
+		e.cancelReplacement()
+		silence.restart(e.request.maxSilence())
+	}
+	return ended, err
+}
+
 // maxSilence returns the pause between events after which an engine counts as
 // silent.
 func (req *proxyRequest) maxSilence() time.Duration {
--- a/replicas/snapshot.go
+++ b/replicas/snapshot.go
@@ -99,7 +99,7 @@
 	}
 	resp.Next = len(in.data)
 	if len(in.data) < chunk.Size {
-		r.send(message.From, resp)
+		r.sendInSyncedTerm(message.From, 0, resp)
 		return
 	}
 	s.Data = in.data
@@ -140,6 +140,7 @@
 	switch {
 	case resp.Done:
 		p.match = max(p.match, resp.Index)
+		p.advance.recordMatch(p.match, r.now)
 		if p.snapshotIndex == resp.Index {
 			p.snapshotIndex, p.snapshotOffset, p.paused = 0, 0, false
 		}
@@ -147,6 +148,7 @@
 		r.advanceCommit()
 	case p.snapshotIndex == resp.Index && resp.Next > p.snapshotOffset:
 		p.snapshotOffset = min(resp.Next, len(r.snapshot.Data))
+		p.advance.recordChunk(p.snapshotIndex, p.snapshotOffset, r.now)
 		r.sendChunk(message.From, p)
 	case p.snapshotIndex == resp.Index && resp.Next < p.snapshotOffset:
 		p.snapshotOffset = resp.Next // the member restarted; the next heartbeat sends the chunk
