Tell a daemon that was paused that its waiting jobs are lost

Callers of long prompts waited until their deadline after a pause of their entry daemon: a daemon that does not poll for 1.6 s is taken for dead and its jobs are dropped, but Await went on answering that the waiting ones were still waiting.

Evidence: TestWaitingJobOfAPausedDaemonIsPlacedAfterwards fails before ("the job gets no decision: context deadline exceeded").

Fix: Await fails for such a job as it does after a change of the leader, and the daemon places it again. The entries of these jobs are also removed, which were kept until the next change of the leader.

--- a/dispatchers/dispatcher.go
+++ b/dispatchers/dispatcher.go
@@ -81,7 +81,8 @@
 // decision is kept after its delivery, since the response that carried it may
 // have missed its deadline.
 type pendingDecision struct {
-	done      chan struct{} // closed when the job is decided or the scheduler is deactivated
+	daemon    gypsumshelf.DaemonID // of the job
+	done      chan struct{}        // closed when the job is decided, or is lost
 	decision  *schedules.Decision
 	decidedAt time.Time
 }
@@ -204,7 +205,7 @@
 		d.pollEngines(maxFirstReports) // the last load reports are outdated
 	}
 	d.lastJobAt = now
-	w := &pendingDecision{done: make(chan struct{})}
+	w := &pendingDecision{daemon: job.Daemon, done: make(chan struct{})}
 	d.pending[job.ID] = w
 	d.deliver(d.scheduler.Submit(d.cfg.Timers.Now(), job))
 	return w.decision, nil
@@ -300,10 +301,17 @@
 	return nil
 }
 
-// EndDaemonJobs ends all jobs of an entry daemon that is not reachable any more.
+// EndDaemonJobs ends all jobs of an entry daemon that is not reachable any more. If it
+// still runs, Await tells it that its waiting jobs are lost.
 func (d *Dispatcher) EndDaemonJobs(daemon gypsumshelf.DaemonID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	for id, w := range d.pending {
+		if w.daemon == daemon && w.decision == nil {
+			close(w.done)
+			delete(d.pending, id)
+		}
+	}
 	if d.active {
 		d.deliver(d.scheduler.EndDaemonJobs(d.cfg.Timers.Now(), daemon))
 	}
--- a/dispatchers/ended_test.go
+++ b/dispatchers/ended_test.go
@@ -110,3 +110,39 @@
 	}
 	assertNothingHeld(t, c, address)
 }
+
+// Guards against a request that waits until its deadline for a decision about a job which
+// the leader has dropped, because its daemon did not poll during a pause.
+func TestWaitingJobOfAPausedDaemonIsPlacedAfterwards(t *testing.T) {
+	leader := newDispatcher(t, 1)
+	leader.SetActive(true)
+	address, _ := serveDispatcher(t, leader)
+	c := newClient(t, address)
+	c.SetLeader(address, 1)
+	assertPlacedBy(t, c, "holds-the-slot", address)
+	waiting := job("waits")
+	waiting.Daemon = "d"
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	decided := make(chan error, 1)
+	go func() {
+		_, err := c.Place(ctx, waiting)
+		decided <- err
+	}()
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		leader.mu.Lock()
+		known := leader.pending[waiting.ID] != nil
+		leader.mu.Unlock()
+		if known {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the job does not arrive at the leader")
+		}
+	}
+	leader.EndDaemonJobs("d")
+	c.End("holds-the-slot", schedules.Completed, "")
+	if err := <-decided; err != nil {
+		t.Errorf("the job gets no decision: %v", err)
+	}
+}
