Test that both roles serve with logs that nobody reads

Real processes with pipes of 4 KB as logs, in both roles, get more lines than the pipes hold and must go on.

--- a/cmd/gypsumshelf/descriptors_test.go
+++ b/cmd/gypsumshelf/descriptors_test.go
@@ -43,6 +43,12 @@
 }
 
 func startHostGroup(t *testing.T) *hostGroup {
+	t.Helper()
+	return startHostGroupWith(t, func(h *hostProcess) io.Writer { return &h.log })
+}
+
+// startHostGroupWith starts a group whose processes write their logs to output.
+func startHostGroupWith(t *testing.T, output func(*hostProcess) io.Writer) *hostGroup {
 	t.Helper()
 	g := &hostGroup{t: t, backend: httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("X-Gypsumshelf-Request-Id", r.Header.Get("X-Gypsumshelf-Request-Id"))
@@ -61,7 +67,7 @@
 			t.Fatal(err)
 		}
 		h.process = &process{cmd: exec.Command(binary, "host", "--config", h.settings)}
-		h.cmd.Stdout, h.cmd.Stderr = &h.log, &h.log
+		h.cmd.Stdout, h.cmd.Stderr = output(h), &h.log
 		h.start()
 		g.hosts = append(g.hosts, h)
 	}
@@ -163,3 +169,20 @@
 	t.Run("entry daemon", func(t *testing.T) { exhaust(t, 3) })
 	t.Run("all at once", func(t *testing.T) { exhaust(t, 0, 1, 2, 3) })
 }
+
+// Guards against a daemon of either role that stops serving when nobody reads its log.
+func TestFullServiceWithLogsThatNobodyReads(t *testing.T) {
+	g := startHostGroupWith(t, func(*hostProcess) io.Writer { return unreadPipe(t) })
+	for range 3 { // each round logs more than the pipes hold
+		g.assertFullService()
+	}
+	for n := range 50 {
+		if status := g.call(3, apiPort, "GET", fmt.Sprintf("/unknown/%d", n), ""); status != 404 {
+			t.Fatalf("request %d is answered with status %d", n, status)
+		}
+		if status := g.call(n%3, apiPort, "PUT", "/api/config", "{"); status != 400 {
+			t.Fatalf("change %d is answered with status %d", n, status)
+		}
+	}
+	g.assertFullService()
+}
