Contain unexpected errors while a response is read

Callers lost all requests of an entry daemon when the handling of one engine's response panicked: it runs in a goroutine of its own, which net/http does not guard, so that the process ended.

Evidence: TestUnexpectedErrorWhileAResponseIsRead ends the test process before ("panic: unexpected response").

Fix: the reader contains the error, logs and counts it, and the attempt fails like one with an invalid response.

--- a/forwards/panic_test.go
+++ b/forwards/panic_test.go
@@ -88,3 +88,18 @@
 		t.Errorf("response is %d %q, want a closed connection", r.status, r.body)
 	}
 }
+
+// Guards against one response whose header ends the process with all its requests.
+func TestUnexpectedErrorWhileAResponseIsRead(t *testing.T) {
+	stream := func(r *http.Request, _ string, conn net.Conn) {
+		writeEvents(r, conn, 1, 3)
+		endChunkedBody(conn)
+	}
+	first, second := newFakeBackend(t, "e1", "engines", stream), newFakeBackend(t, "e2", "engines", stream)
+	f := newFixtureWith(t, panickyProtocol{done: &atomic.Bool{}}, first, second)
+	f.forwarder.SetCatalog(newCatalog(t))
+	before := faults.Count()
+	assertAnswer(t, f.send("POST", "/stream/x", "body"), http.StatusOK, "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n")
+	assertNothingLeft(t, f, "e1", before)
+	assertNothingLeft(t, f, "e2", before)
+}
--- a/forwards/stream.go
+++ b/forwards/stream.go
@@ -5,6 +5,8 @@
 	"net/http"
 
 	"gypsumshelf.example/gypsumshelf/catalogs"
+	"gypsumshelf.example/gypsumshelf/faults"
+	"gypsumshelf.example/gypsumshelf/logs"
 )
 
 // responsePart is an event of a stream, a complete response that is not a stream,
@@ -42,6 +44,15 @@
 
 func (r *responseReader) run() {
 	defer close(r.done)
+	if err := r.read(); err != nil {
+		r.send(responsePart{err: err})
+	}
+}
+
+// read sends the parts of the response. It returns the error that ends it, which is
+// io.EOF after a complete stream, and nil if nothing more is to be sent.
+func (r *responseReader) read() (err error) {
+	defer faults.Recover(r.request.forwarder.cfg.Log.WithField(logs.KeyRequest, r.request.meta.ID), "response", &err)
 	a := r.attempt
 	response, err := a.exchange.readHeader(r.outgoing, r.request.remaining())
 	if err == nil {
@@ -51,7 +62,7 @@
 	if err == nil && (response.StatusCode != http.StatusOK || r.request.route.Kind != catalogs.Stream) {
 		buffered, bufferErr := a.bufferResponse(r.request.remaining(), r.request.responseMemory)
 		r.send(responsePart{response: buffered, err: bufferErr})
-		return
+		return nil
 	}
 	reader := bufio.NewReaderSize(nil, readBufferBytes)
 	if err == nil {
@@ -60,10 +71,10 @@
 	for err == nil {
 		var event []byte
 		if event, err = readEvent(reader); err == nil && !r.send(responsePart{event: event}) {
-			return
+			return nil
 		}
 	}
-	r.send(responsePart{err: a.exchange.mapTimeout(err)})
+	return a.exchange.mapTimeout(err)
 }
 
 // send sends a part to the receiver and reports false after close.
