Log failed accepts on all ports, once for each series

Operators saw nothing of a control daemon that could accept no connection of its peers or of daemons that poll it: these two loops retried without a line. Those for callers and relays wrote 50 lines a second.

Evidence: TestFailedAcceptsAreLogged fails before ("failed accepts are logged 0 times, want once").

Fix: all accept loops take their connections from listeners.Listener, which retries and logs the first failure of a series and its end.

--- a/gateways/callers.go
+++ b/gateways/callers.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gypsumshelf.example/gypsumshelf/catalogs"
+	"gypsumshelf.example/gypsumshelf/listeners"
 )
 
 const (
@@ -29,8 +30,6 @@
 	handOverCapacity = 64
 	// handOverRetryDelay is the delay while the hand-over is full.
 	handOverRetryDelay = time.Millisecond
-	// acceptRetryDelay avoids a busy loop while there is no free file descriptor.
-	acceptRetryDelay = 20 * time.Millisecond
 )
 
 // callerServer serves callers' connections within the limits of the catalog. net/http
@@ -52,7 +51,7 @@
 
 // newCallerServer returns a callerServer that is already running.
 func newCallerServer(handler http.Handler, listener net.Listener, log *logrus.Entry) *callerServer {
-	s := &callerServer{handler: handler, listener: listener, log: log, errorLog: stdlog.New(log.WriterLevel(logrus.DebugLevel), "", 0)}
+	s := &callerServer{handler: handler, listener: listeners.New(listener, log), log: log, errorLog: stdlog.New(log.WriterLevel(logrus.DebugLevel), "", 0)}
 	s.setLimits(catalogs.Limits{})
 	s.wg.Add(1)
 	go s.run()
@@ -93,13 +92,8 @@
 	defer s.wg.Done()
 	for {
 		conn, err := s.listener.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed):
-			return
-		case err != nil:
-			s.log.WithError(err).Warn("cannot accept a caller's connection")
-			time.Sleep(acceptRetryDelay)
-			continue
+		if err != nil {
+			return // closed
 		}
 		s.handOver(conn)
 	}
--- a/listeners/listener.go
+++ b/listeners/listener.go
@@ -19,8 +19,12 @@
 	log *logrus.Entry
 }
 
-// New returns a Listener that accepts the connections of l.
+// New returns a Listener that accepts the connections of l. Without a log it uses the
+// standard logger.
 func New(l net.Listener, log *logrus.Entry) *Listener {
+	if log == nil {
+		log = logrus.NewEntry(logrus.StandardLogger())
+	}
 	return &Listener{Listener: l, log: log.WithField("address", l.Addr().String())}
 }
 
--- a/peers/links.go
+++ b/peers/links.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"net"
 	"sync"
@@ -12,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/listeners"
 )
 
 // Envelope is a message between daemons. The package that defines the concrete
@@ -56,7 +56,7 @@
 // New returns Links that accept connections on the listener and dial all
 // configured peers.
 func New(cfg Config, listener net.Listener) *Links {
-	l := &Links{cfg: cfg, listener: listener, links: map[gypsumshelf.DaemonID]*link{}, stop: make(chan struct{}), accepted: map[net.Conn]bool{}}
+	l := &Links{cfg: cfg, listener: listeners.New(listener, cfg.Log), links: map[gypsumshelf.DaemonID]*link{}, stop: make(chan struct{}), accepted: map[net.Conn]bool{}}
 	for id, address := range cfg.Peers {
 		l.addLink(id, address)
 	}
@@ -171,12 +171,8 @@
 	defer l.wg.Done()
 	for {
 		conn, err := l.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
 		if err != nil {
-			time.Sleep(redialDelay) // there may be no free file descriptor
-			continue
+			return // closed
 		}
 		s := &session{links: l, conn: &countingConn{Conn: conn, counters: &l.bytes, readTimeout: sessionReadTimeout}}
 		l.mu.Lock()
--- a/relays/relay.go
+++ b/relays/relay.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gypsumshelf.example/gypsumshelf/faults"
+	"gypsumshelf.example/gypsumshelf/listeners"
 )
 
 const (
@@ -34,8 +35,6 @@
 	maxConnectionsOfDaemon = maxConnections / 2
 	// drainTimeout bounds the time in which a daemon reads the last frames.
 	drainTimeout = 2 * time.Second
-	// acceptRetryDelay avoids a busy loop while there is no free file descriptor.
-	acceptRetryDelay = 20 * time.Millisecond
 )
 
 // RelayConfig configures a Relay.
@@ -63,6 +62,7 @@
 
 // NewRelay returns a running Relay.
 func NewRelay(cfg RelayConfig) *Relay {
+	cfg.Listener = listeners.New(cfg.Listener, cfg.Log)
 	r := &Relay{cfg: cfg, conns: map[*relayedConn]bool{}, byDaemon: map[netip.Addr]int{}}
 	r.wg.Add(1)
 	go r.run()
@@ -99,13 +99,8 @@
 	defer r.wg.Done()
 	for {
 		conn, err := r.cfg.Listener.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed):
-			return
-		case err != nil:
-			r.cfg.Log.WithError(err).Warn("cannot accept the connection of another daemon")
-			time.Sleep(acceptRetryDelay)
-			continue
+		if err != nil {
+			return // closed
 		}
 		c := &relayedConn{relay: r, conn: conn}
 		if address, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
