--- a/soaks/deployment.go
+++ b/soaks/deployment.go
@@ -88,9 +88,13 @@
 // while those that were down, or whose disk was lost, within the given time count as
 // lost.
 func (d *Deployment) Tolerates(within time.Duration) bool {
-	return d.lost(func(h *Host) bool { return h.RecentlyUnavailable(within) || h.RecentlyLimited(catchUpTime) }) < (d.cfg.Controls-1)/2
+	return d.lost(func(h *Host) bool { return h.RecentlyUnavailable(within) || h.RecentlyLimited(catchUpTime) }) < d.toleratedLosses()
 }
 
+// toleratedLosses returns the number of control daemons without which the others are a
+// majority.
+func (d *Deployment) toleratedLosses() int { return (d.cfg.Controls - 1) / 2 }
+
 func (d *Deployment) lost(isLost func(*Host) bool) int {
 	n := 0
 	for _, h := range d.Controls() {
@@ -103,37 +107,58 @@
 
 // InjectLimits limits or pauses up to two random processes for up to 4 s, beside other
 // faults. Of the control daemons no more are limited at one time than may lose their
-// disks, and none that is still to be replaced by the next program.
+// disks, and none that is still to be replaced by the next program. A lost disk counts
+// for diskLossTime.
 func (d *Deployment) InjectLimits(diskLossTime time.Duration) {
+	const pause = limitKinds // drawn like a limit
 	for range d.limitRand.IntN(3) {
-		h := d.hosts[d.limitRand.IntN(len(d.hosts))]
-		if control := d.Controls()[d.limitRand.IntN(d.cfg.Controls)]; d.limitRand.IntN(2) == 0 {
-			h = control
-		}
+		h := d.drawHost()
 		l, length := Limit(d.limitRand.IntN(int(limitKinds)+1)), time.Duration(300+d.limitRand.IntN(3700))*time.Millisecond
-		log := h.log.WithFields(logrus.Fields{"fault": l.String(), "for-ms": length.Milliseconds()})
-		if l == limitKinds {
-			log.Info("fault")
-			h.Pause()
-			time.AfterFunc(length, h.Resume)
-			continue
-		}
-		others := d.lost(func(o *Host) bool {
-			return o != h && (o.LostDiskRecently(diskLossTime) || o.RecentlyLimited(catchUpTime))
-		})
-		// An earlier build may need a restart after a refused write (issue 34).
-		outdated := d.cfg.Next != "" && !h.Runs(d.cfg.Next)
-		if h.control && (outdated || others >= (d.cfg.Controls-1)/2) {
-			continue
-		}
-		log.Info("fault")
-		if err := h.Limit(l); err != nil {
-			d.cfg.Checker.Violationf("soak test cannot limit %s: %v", h.name, err)
+		switch {
+		case l == pause:
+			h.pauseFor(length)
+		case d.mayLimit(h, diskLossTime):
+			h.limitFor(l, length)
 		}
-		time.AfterFunc(length, func() { h.lift(l) })
 	}
 }
 
+// drawHost returns a control daemon's host half the time, and any host otherwise.
+func (d *Deployment) drawHost() *Host {
+	h, control := d.hosts[d.limitRand.IntN(len(d.hosts))], d.Controls()[d.limitRand.IntN(d.cfg.Controls)]
+	if d.limitRand.IntN(2) == 0 {
+		return control
+	}
+	return h
+}
+
+func (d *Deployment) mayLimit(h *Host, diskLossTime time.Duration) bool {
+	if !h.control {
+		return true
+	}
+	if d.cfg.Next != "" && !h.Runs(d.cfg.Next) {
+		return false // an earlier build may need a restart after a refused write (issue 34)
+	}
+	others := d.lost(func(o *Host) bool {
+		return o != h && (o.LostDiskRecently(diskLossTime) || o.RecentlyLimited(catchUpTime))
+	})
+	return others < d.toleratedLosses()
+}
+
+func (h *Host) pauseFor(length time.Duration) {
+	h.log.WithFields(logrus.Fields{"fault": "pause", "for-ms": length.Milliseconds()}).Info("fault")
+	h.Pause()
+	time.AfterFunc(length, h.Resume)
+}
+
+func (h *Host) limitFor(l Limit, length time.Duration) {
+	h.log.WithFields(logrus.Fields{"fault": l.String(), "for-ms": length.Milliseconds()}).Info("fault")
+	if err := h.Limit(l); err != nil {
+		h.deployment.cfg.Checker.Violationf("soak test cannot limit %s: %v", h.name, err)
+	}
+	time.AfterFunc(length, func() { h.lift(l) })
+}
+
 func (h *Host) lift(l Limit) {
 	if err := h.Lift(l); err != nil {
 		h.deployment.cfg.Checker.Violationf("soak test cannot lift a limit of %s: %v", h.name, err)
--- a/soaks/limit.go
+++ b/soaks/limit.go
@@ -21,7 +21,7 @@
 )
 
 // String returns the kebab-case name used in logs.
-func (l Limit) String() string { return [...]string{"no-writes", "no-descriptors", "pause"}[l] }
+func (l Limit) String() string { return [...]string{"no-writes", "no-descriptors"}[l] }
 
 func (l Limit) resource() int {
 	if l == NoWrites {
