--- a/soaks/host.go
+++ b/soaks/host.go
@@ -92,9 +92,12 @@
 
 // Runs reports whether the daemon runs the program.
 func (h *Host) Runs(program string) bool {
+	if h.IsDown() { // before programMu, which command locks within Start
+		return false
+	}
 	h.programMu.Lock()
 	defer h.programMu.Unlock()
-	return !h.IsDown() && h.running == program
+	return h.running == program
 }
 
 // command writes the settings file and returns the command that starts the daemon.
