--- a/daemons/daemon.go
+++ b/daemons/daemon.go
@@ -112,6 +112,7 @@
 		Timers: d.timers, TickPeriod: tickPeriod,
 		Observers: []Observer{d.metrics, logs.NewObserver(logs.ObserverConfig{Log: log, Revision: d.revision})},
 	})
+	d.timers.Subscribe(timers.PauseCheckPeriod, (&pauseLog{log: log}).check)
 	d.registerGauges()
 	if err := d.openPeers(); err != nil {
 		d.closeStorage()
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -72,7 +72,7 @@
 	keepAlivesDisabled atomic.Bool               // each response closes its connection
 	drainDeadline      atomic.Pointer[time.Time] // set while the daemon drains; requests must end before it
 	activeRequests     atomic.Int64
-	pauses             pauseDetector
+	pauses             timers.PauseDetector
 	quarantines        atomic.Pointer[crashes.QuarantineSet]
 	localQuarantines   atomic.Pointer[crashes.QuarantineSet] // found by this daemon while there was no leader
 	crashChecks        crashChecks
@@ -182,10 +182,10 @@
 // deadline, the time at which the daemon exits.
 func (f *Forwarder) DrainUntil(deadline time.Time) { f.drainDeadline.Store(&deadline) }
 
-// CheckPause must be called every PauseCheckPeriod; a late call shows that the
+// CheckPause must be called every timers.PauseCheckPeriod; a late call shows that the
 // process was paused.
 func (f *Forwarder) CheckPause(now time.Time) {
-	if f.pauses.check(now) {
+	if f.pauses.Check(now) > 0 {
 		f.cfg.Log.Warn("the process was paused; callers of requests that arrived meanwhile may have disconnected")
 	}
 }
@@ -288,7 +288,7 @@
 		req.refuse(http.StatusServiceUnavailable, quarantineRetryAfter, crashes.QuarantineReason)
 		return
 	}
-	if f.pauses.recentlyPaused(req.now()) && !timers.Sleep(req.r.Context(), callerCloseWait) {
+	if f.pauses.RecentlyPaused(req.now()) && !timers.Sleep(req.r.Context(), callerCloseWait) {
 		req.finishUnanswered("the caller disconnected while the process was paused")
 		return
 	}
@@ -406,6 +406,11 @@
 	}
 }
 
+// callerCloseWait is the time in which net/http detects that a caller has closed its
+// connection. Requests that arrived during a pause of the process look new, but many of
+// their callers have disconnected.
+const callerCloseWait = 15 * time.Millisecond
+
 // deliveryTime is the time in which an answer that was ready at the deadline of its
 // request can still be delivered. A caller that does not read would hold the request,
 // and engine memory reserved for it, for ever.
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -107,7 +107,7 @@
 		Retries: cfg.Retries, StateFresh: g.stateFresh, Log: cfg.Log, Recorder: cfg.Recorder, BodyBudget: cfg.Memory / bodyMemoryDivisor,
 		MemoryBound: cfg.FreeMemory,
 	})
-	cfg.Timers.Subscribe(forwards.PauseCheckPeriod, g.forwarder.CheckPause)
+	cfg.Timers.Subscribe(timers.PauseCheckPeriod, g.forwarder.CheckPause)
 	cfg.Timers.Subscribe(dispatcherUpdatePeriod, g.refreshLocalDispatcher)
 	g.callers = newCallerServer(g.forwarder, cfg.Callers, cfg.Log)
 	g.relay = relays.NewRelay(relays.RelayConfig{
