Go on looking for another engine after a moment in which none may be looked for

What callers saw: a stream whose engine had stalled ended with its route, though another engine was free and could be reached.

Cause: when the silence was noticed while no retry was possible, the timer was not started again. Some reasons end: a lost path comes back, a quarantine is lifted. A connection that is silent because its path was lost is just such a case.

Evidence: TestStalledStreamIsTakenOverAfterALostPath (the path is lost until 0.5 s after the silence is noticed) failed before: response is 200 "id: 1 ... id: 2 ..." with error unexpected EOF the stalled stream was taken over after 5s, want at most 2s

Change: the timer starts again, as it does when no other engine is free.

--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -368,6 +368,8 @@
 			// Keep this stream open until another engine is available.
 			if allowed, _ := req.retryPossible(gypsumshelf.MayHaveRun); allowed {
 				e.replacement = submitJob(ctx, req)
+			} else {
+				silence.restart(req.maxSilence()) // the reason may end
 			}
 		case part := <-reader.parts:
 			if done, err := e.relayPart(part, silence); done {
--- a/forwards/slow_test.go
+++ b/forwards/slow_test.go
@@ -140,6 +140,21 @@
 	onEachNetwork(t, func(t *testing.T, n network) { assertTakenOver(t, n, chunk("d")) })
 }
 
+// Guards against a stalled stream that nobody takes over although its service can be
+// reached again: the path was lost when the silence was noticed.
+func TestStalledStreamIsTakenOverAfterALostPath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := network{pipes: newPipeNetwork()}
+		f := n.newFixture(t, n.newEngine(t, "e1", drip(chunk(": wait\n\n"))), n.newEngine(t, "e2", resumeAfterLastEvent(4)))
+		begin := time.Now()
+		n.pipes.noWay = func() bool { since := time.Since(begin); return since > 0 && since < minSilence*3/2 }
+		assertAnswer(t, f.send("POST", "/stream/", "x"), http.StatusOK, eventText(1, 4))
+		if took := time.Since(begin); took > 2*minSilence {
+			t.Errorf("the stalled stream was taken over after %v, want at most %v", took, 2*minSilence)
+		}
+	})
+}
+
 // Guards against a dripping stream that outlives the timeout of its route when no
 // other engine is free.
 func TestDrippingStreamEndsWithItsRoute(t *testing.T) {
