Do not say that a request has not run when a quarantine only stops its retry

What callers saw: a 502, which says that the request may have run, with the text "it has not run and will not run".

Cause: one constant was the reason of a refusal and the reason why a request gets no further attempt, in the forwarder's own check and in the scheduler's decision.

Evidence: TestQuarantineAfterAnAttemptSaysNothingOfNotRun failed before in both cases: the answer is "read tcp ...: connection reset by peer; the request or a part of its prompt crashes backend servers; it has not run and will not run\n" the answer is "the request or a part of its prompt crashes backend servers; it has not run and will not run; waited 0 ms among 0\n"

Change: QuarantineCause is the part that is always true. What the scheduler sends stays as it is, so builds of both kinds understand each other; a 503 says what it said.

--- a/crashes/cause.go
+++ b/crashes/cause.go
@@ -58,8 +58,12 @@
 	At    time.Time `json:"at"`
 }
 
-// QuarantineReason is the reason of refusals of requests with a quarantined cause.
-const QuarantineReason = "the request or a part of its prompt crashes backend servers; it has not run and will not run"
+const (
+	// QuarantineCause says why a request with a quarantined cause gets no attempt.
+	QuarantineCause = "the request or a part of its prompt crashes backend servers"
+	// QuarantineReason is the reason of refusals of such requests.
+	QuarantineReason = QuarantineCause + "; it has not run and will not run"
+)
 
 // QuarantineSet holds the end of each quarantine by its cause.
 type QuarantineSet map[Cause]time.Time
--- a/forwards/crash_check_test.go
+++ b/forwards/crash_check_test.go
@@ -1,10 +1,12 @@
 package forwards
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,6 +15,7 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/crashes"
 	"gypsumshelf.example/gypsumshelf/rosters"
+	"gypsumshelf.example/gypsumshelf/schedules"
 )
 
 // crashRecorder collects what a forwarder reports about crashes.
@@ -172,6 +175,49 @@
 	}
 }
 
+// quarantiningPlacer refuses jobs for which no engine is left because of a quarantine.
+type quarantiningPlacer struct{ *fakePlacer }
+
+func (p quarantiningPlacer) Place(ctx context.Context, job schedules.Job) (schedules.Decision, error) {
+	d, err := p.fakePlacer.Place(ctx, job)
+	if d.Placement == nil {
+		d.Reason = crashes.QuarantineReason
+	}
+	return d, err
+}
+
+// Guards against a 502 that says that a request has not run, which it may have.
+func TestQuarantineAfterAnAttemptSaysNothingOfNotRun(t *testing.T) {
+	assertMayHaveRun := func(t *testing.T, g callerResponse) {
+		t.Helper()
+		assertAnswer(t, g, http.StatusBadGateway, "")
+		if strings.Contains(g.body, "not run") || !strings.Contains(g.body, crashes.QuarantineCause) {
+			t.Errorf("the answer is %q", g.body)
+		}
+	}
+	t.Run("found by this daemon", func(t *testing.T) {
+		var f *fixture
+		recorder := &crashRecorder{}
+		f = newStartedFixture(t, newFakeBackend(t, "p1", "plain", func(r *http.Request, body string, conn net.Conn) {
+			if _, completed := recorder.count(); completed == 0 {
+				respondWith(http.StatusOK, "answer")(r, body, conn)
+				return
+			}
+			f.forwarder.SetQuarantines([]crashes.Quarantine{{Cause: recorder.completed[0][0], Until: time.Now().Add(time.Hour)}})
+			resetConnection(conn)
+		}))
+		f.forwarder.cfg.Crashes = recorder
+		assertAnswer(t, f.send("POST", "/safe/x", "body"), http.StatusOK, "answer")
+		assertMayHaveRun(t, f.send("POST", "/safe/x", "body", "Id", "r2"))
+	})
+	t.Run("found by the scheduler", func(t *testing.T) {
+		f := newStartedFixture(t, newFakeBackend(t, "e1", "engines", func(_ *http.Request, _ string, conn net.Conn) { resetConnection(conn) }))
+		f.forwarder.cfg.Placer = quarantiningPlacer{f.placer}
+		assertMayHaveRun(t, f.send("POST", "/stream/", "x"))
+		assertAnswer(t, f.send("POST", "/stream/", "x", "Id", "r2"), http.StatusServiceUnavailable, crashes.QuarantineReason+"; waited 0 ms among 0\n")
+	})
+}
+
 // Guards against a request that ends all backend servers of a service before any other
 // daemon knows of it, and against attempts that are withheld after lost connections to
 // servers that live.
--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/crashes"
 	"gypsumshelf.example/gypsumshelf/logs"
 	"gypsumshelf.example/gypsumshelf/rosters"
 	"gypsumshelf.example/gypsumshelf/schedules"
@@ -180,8 +181,13 @@
 
 // refuseUnplaced ends a request that the scheduler did not place.
 func (req *proxyRequest) refuseUnplaced(decision schedules.Decision) {
-	cause := fmt.Sprintf("%s; waited %d ms among %d", decision.Reason, decision.Waited.Milliseconds(), decision.Waiting)
-	if req.headerWritten || req.verdict != gypsumshelf.NotRun || req.failureResponse != nil {
+	isRefusal := !req.headerWritten && req.verdict == gypsumshelf.NotRun && req.failureResponse == nil
+	reason := decision.Reason
+	if reason == crashes.QuarantineReason && !isRefusal {
+		reason = crashes.QuarantineCause // it may have run
+	}
+	cause := fmt.Sprintf("%s; waited %d ms among %d", reason, decision.Waited.Milliseconds(), decision.Waiting)
+	if !isRefusal {
 		req.finishUnanswered(cause)
 		return
 	}
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -524,7 +524,7 @@
 	case len(req.triedServers) >= maxTriedServers:
 		return false, "too many backend servers failed"
 	case req.forwarder.isQuarantined(req.causes):
-		return false, crashes.QuarantineReason
+		return false, crashes.QuarantineCause
 	case req.forwarder.cfg.Dialer.HasNoWay(req.service.Name):
 		return false, noWayReason
 	case req.crashesServers():
