--- a/daemons/daemon.go
+++ b/daemons/daemon.go
@@ -121,6 +121,7 @@
 	if opening == nil {
 		d.loop.reducer.log.fail()
 	}
+	d.timers.Subscribe(timers.PauseCheckPeriod, (&pauseLog{log: log}).check)
 	d.registerGauges()
 	if err := d.openPeers(); err != nil {
 		d.closeStorage()
