Accept replaced entries after a failed sync

What happened: a daemon could discard a sound data folder after a disk error and join with a new incarnation, as if its disk had been lost.

Cause: Known.isIn compares the last entry on the disk with the last one that was synced. A write that failed may have replaced entries of term 5 by entries of an earlier term; the folder then looked as if entries were missing.

Fix: Known keeps what the write under way leads to. After an error the folder holds either that or what was synced, since one record or one rename makes the difference.

--- a/disks/folder_test.go
+++ b/disks/folder_test.go
@@ -243,6 +243,45 @@
 	h.assertKept(incarnation)
 }
 
+// Guards against a sound folder that is erased: a write whose sync fails has replaced
+// entries by others of an earlier term, which are on the disk.
+func TestReplacedEntriesAreNoDamage(t *testing.T) {
+	for name, tc := range map[string]struct {
+		persist replicas.Persist
+		refused int // sync that fails, counted from 0
+	}{
+		"entry":    {persist: replicas.Persist{Entries: []replicas.Entry{entry(2, 3)}}},
+		"snapshot": {persist: replicas.Persist{Snapshot: &replicas.Snapshot{Index: 2, Term: 3, At: testTime}}, refused: 3}, // that of the folder after the log was renamed
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newFolderHarness(t)
+			incarnation := h.opening.Incarnation
+			h.folder.Write(h.opening.Session, &replicas.Persist{
+				Sequence: 1, HardState: replicas.HardState{Group: "g", Term: 5}, Entries: []replicas.Entry{entry(1, 3), entry(2, 5), entry(3, 5)},
+			})
+			await(t, h.synced, "entries of a leader are synced")
+			syncs := 0
+			h.disk.set(func(op, _ string) error {
+				if op == "sync" {
+					if syncs++; syncs > tc.refused {
+						return syscall.EIO
+					}
+				}
+				return nil
+			})
+			tc.persist.Sequence, tc.persist.HardState = 2, replicas.HardState{Group: "g", Term: 6}
+			h.folder.Write(h.opening.Session, &tc.persist)
+			await(t, h.failed, "the sync fails")
+			h.disk.set(nil)
+			h.awaitOpened()
+			if h.opening.Incarnation != incarnation || h.lastIndex() != 2 || h.opening.Recovered.HardState != tc.persist.HardState {
+				t.Errorf("the daemon has the incarnation %s and the state %+v, want %s and the replaced entries",
+					h.opening.Incarnation, h.opening.Recovered, incarnation)
+			}
+		})
+	}
+}
+
 // Guards against a daemon that counts as fresh, and could found a second group, because
 // its folder was erased or damaged while it ran.
 func TestErasedFolderIsThatOfAFormerMember(t *testing.T) {
--- a/disks/store.go
+++ b/disks/store.go
@@ -29,6 +29,7 @@
 	hardState   replicas.HardState // of the last sync
 	lastIndex   uint64             // of the last entry or snapshot that was synced
 	lastTerm    uint64
+	attempted   *Known // what the write that is not synced leads to, nil without one
 }
 
 // nothingSynced reports whether the process knows that the folder never held a state.
@@ -36,9 +37,16 @@
 	return k.incarnation != "" && k.hardState == replicas.HardState{} && k.lastIndex == 0
 }
 
+// attempt notes a write before it is synced.
+func (k *Known) attempt(h replicas.HardState, s *replicas.Snapshot, entries []replicas.Entry) {
+	next := *k
+	next.extend(h, s, entries)
+	k.attempted = &next
+}
+
 // extend adds a state that is synced.
 func (k *Known) extend(h replicas.HardState, s *replicas.Snapshot, entries []replicas.Entry) {
-	k.hardState = h
+	k.hardState, k.attempted = h, nil
 	if s != nil {
 		k.lastIndex, k.lastTerm = s.Index, s.Term
 	}
@@ -48,8 +56,12 @@
 }
 
 // isIn reports whether a recovered state contains everything that is known. It may
-// contain more: a write that failed may have reached the disk as a whole.
+// contain more: a write that failed may have reached the disk as a whole. That write may
+// have replaced entries by others of an earlier term.
 func (k Known) isIn(r replicas.Recovered) bool {
+	if k.attempted != nil && k.attempted.isIn(r) {
+		return true
+	}
 	found := Known{}
 	found.extend(r.HardState, r.Snapshot, r.Entries)
 	h := found.hardState
@@ -247,6 +259,7 @@
 func (s *Store) writeAndSync(pending []*replicas.Persist) error {
 	for i := len(pending) - 1; i >= 0; i-- {
 		if p := pending[i]; p.Snapshot != nil {
+			s.synced.attempt(p.HardState, p.Snapshot, p.Entries)
 			if err := s.writeGeneration(p); err != nil {
 				return err
 			}
@@ -259,6 +272,7 @@
 		return nil
 	}
 	batch := mergeWrites(pending)
+	s.synced.attempt(batch.hardState, nil, batch.entries)
 	if _, err := s.logFile.Write(appendRecord(nil, batch.encode())); err != nil {
 		return err
 	}
