Write the first state of a data folder as a whole

What happened: a daemon whose first write was torn, by a full disk or a power loss, and whose process ended then, came back as a former member with a new incarnation. When all hosts of a first start lose power while they adopt the new group, a majority of its voters may be lost in this way, and no leader is elected any more.

Cause: the first record is appended to a log that has a header only. A first record that is torn counts as damage, since it may have held the group and the only vote. Only a process that has itself opened the folder knows that nothing was synced.

Evidence: TestTornFirstWriteKeepsTheIncarnationAcrossARestart failed before ("incarnation..., former member true, last entry 0; want...").

Fix: the first state starts a new generation, whose file is synced before it is renamed into place. A crash leaves the header alone or the whole record.

--- a/disks/folder_test.go
+++ b/disks/folder_test.go
@@ -243,6 +243,24 @@
 	h.assertKept(incarnation)
 }
 
+// Guards against a new group that loses its voters: the first write of a daemon is torn,
+// its process ends, and the daemon comes back as another one.
+func TestTornFirstWriteKeepsTheIncarnationAcrossARestart(t *testing.T) {
+	h := newFolderHarness(t)
+	incarnation := h.opening.Incarnation
+	h.disk.refuseAll(syscall.ENOSPC)
+	h.write(false)
+	await(t, h.failed, "the write is refused")
+	h.folder.Close()
+	h.disk.set(nil)
+	h.start()
+	h.assertKept(incarnation)
+	h.sequence = 0
+	h.sync(false)
+	h.restart()
+	h.assertKept(incarnation)
+}
+
 // Guards against a sound folder that is erased: a write whose sync fails has replaced
 // entries by others of an earlier term, which are on the disk.
 func TestReplacedEntriesAreNoDamage(t *testing.T) {
--- a/disks/store.go
+++ b/disks/store.go
@@ -273,16 +273,25 @@
 	}
 	batch := mergeWrites(pending)
 	s.synced.attempt(batch.hardState, nil, batch.entries)
-	if _, err := s.logFile.Write(appendRecord(nil, batch.encode())); err != nil {
-		return err
-	}
-	if err := s.logFile.Sync(); err != nil {
+	if err := s.writeBatch(batch); err != nil {
 		return err
 	}
 	s.synced.extend(batch.hardState, nil, batch.entries)
 	return nil
 }
 
+// writeBatch appends a batch to the log. The first one of a folder starts a new
+// generation, since a first record that is torn counts as damage.
+func (s *Store) writeBatch(b logBatch) error {
+	if s.synced.nothingSynced() {
+		return s.startGeneration(s.nextHeader(nil), appendRecord(nil, b.encode()))
+	}
+	if _, err := s.logFile.Write(appendRecord(nil, b.encode())); err != nil {
+		return err
+	}
+	return s.logFile.Sync()
+}
+
 // mergeWrites combines several writes into one batch. The entries of a write
 // replace all earlier ones from the index of its first entry on.
 func mergeWrites(writes []*replicas.Persist) logBatch {
