Test a new group whose first writes are torn at a majority

Two of three disks refuse the first write of a daemon half-way, and the processes are killed and start again on sound disks.

--- a/controls/disk_test.go
+++ b/controls/disk_test.go
@@ -196,6 +196,33 @@
 	c.awaitVoters()
 }
 
+// Guards against a new group that has no quorum for ever: the first writes of a majority
+// are torn, their processes end, and the daemons come back with new incarnations.
+func TestFirstWritesOfAMajorityAreTorn(t *testing.T) {
+	c := newCluster(t, 3)
+	torn := c.hosts[1:]
+	for _, h := range torn {
+		h.disk = &faultyDisk{operation: "write"}
+		c.start(h, true)
+		h.disk.errno.Store(int64(syscall.ENOSPC))
+	}
+	c.start(c.hosts[0], true)
+	for _, h := range torn {
+		c.eventually("the first write is refused", func(*host) bool { return !h.daemon.DataFolder().Serves() })
+	}
+	for _, h := range torn {
+		id := h.id
+		h.kill()
+		h.disk.errno.Store(0)
+		c.start(h, true)
+		if h.id != id {
+			t.Errorf("%s has a new incarnation although nothing of it was lost", h.ip)
+		}
+	}
+	c.putWithin(1, returnBound+acknowledgeBound)
+	c.awaitVoters()
+}
+
 // Guards against a daemon that waits for a folder which another process uses.
 func TestLockedFolderEndsTheStart(t *testing.T) {
 	c := startedCluster(t, 1)
