--- a/disks/health.go
+++ b/disks/health.go
@@ -63,9 +63,10 @@
 type Health struct {
 	log *logrus.Entry
 
-	mu       sync.Mutex
-	failedAt time.Time // zero while the folder serves
-	failures map[Cause]int
+	mu        sync.Mutex
+	failedAt  time.Time // zero while the folder serves
+	lastCause Cause     // of the last failure
+	failures  map[Cause]int
 }
 
 // NewHealth returns the Health of a folder that serves.
@@ -81,12 +82,16 @@
 	cause := CauseOf(err)
 	h.failures[cause]++
 	log := h.log.WithError(err).WithFields(logrus.Fields{"cause": cause, "operation": operation(err)})
-	if !h.failedAt.IsZero() {
+	switch {
+	case h.failedAt.IsZero():
+		h.failedAt = time.Now()
+		log.Error("the data folder accepts no writes; the daemon takes no part in the replicated log")
+	case cause != h.lastCause:
+		log.Warn("the data folder still accepts no writes, for another cause")
+	default:
 		log.Debug("the data folder still accepts no writes")
-		return
 	}
-	h.failedAt = time.Now()
-	log.Error("the data folder accepts no writes; the daemon takes no part in the replicated log")
+	h.lastCause = cause
 }
 
 // RecordService records that the folder was opened and accepts writes.
--- a/disks/health_test.go
+++ b/disks/health_test.go
@@ -50,6 +50,7 @@
 	if h.Serves() || h.Failures(CauseFull) != 2 || h.Failures(CauseOther) != 0 {
 		t.Errorf("serves %t, %d failures of a full disk, %d others; want false, 2 and 0", h.Serves(), h.Failures(CauseFull), h.Failures(CauseOther))
 	}
+	h.RecordFailure(&fs.PathError{Op: "sync", Path: "log-1", Err: syscall.EIO})
 	h.RecordService()
 	var lines []map[string]any
 	for d := json.NewDecoder(&out); d.More(); {
@@ -59,8 +60,9 @@
 		}
 		lines = append(lines, line)
 	}
-	if len(lines) != 2 || lines[0]["cause"] != "full" || lines[0]["operation"] != "write" || lines[0]["level"] != "error" || lines[1]["out-ms"] == nil {
-		t.Errorf("lines %v, want one of the failure with its cause and one of the return with its duration", lines)
+	if len(lines) != 3 || lines[0]["cause"] != "full" || lines[0]["operation"] != "write" || lines[0]["level"] != "error" ||
+		lines[1]["cause"] != "other" || lines[2]["out-ms"] == nil {
+		t.Errorf("lines %v, want one of the failure, one of another cause and one of the return with the duration", lines)
 	}
 	if !h.Serves() {
 		t.Error("the folder does not serve after its return")
