Keep the vote of a stopping daemon while its folder is out, and publish the state after a restart of the replica

What could happen (found in review, not seen in a run): a planned stop that met a data folder which had failed for a moment was granted at once, and the vote was kept for good; with two lost disks that is three of five. And an unexpected error after an entry was applied discarded its publication: entry daemons stayed on the older state until the next change, since the replica that starts again does not apply the entry twice.

Evidence, on the commit before: TestStopWaitsForAFailedDataFolder: a voter whose data folder has failed may stop at once. TestStateIsPublishedWhenTheReplicaStartsAgain: published [], want the state of entry 5.

The state is published again when the replica starts again.

--- a/controls/reducer.go
+++ b/controls/reducer.go
@@ -177,6 +177,10 @@
 		r.cfg, r.unavailable = e.Config, nil
 		r.replica = replicas.New(e.Config)
 		r.appliedIndex, r.entriesSinceSnapshot, r.bytesSinceSnapshot = 0, 0, 0
+		if r.state.Index > 0 {
+			// An unexpected error may have kept it from being published.
+			r.emit(Publish{State: r.state})
+		}
 	case CommandProposed:
 		r.propose(now, e)
 	case ReadRequested:
@@ -275,8 +279,11 @@
 	r.emitStopGranted()
 }
 
+// emitStopGranted grants a stop once. A voter whose replica is halted waits until a
+// learner can take its vote: the replica usually starts again soon.
 func (r *Reducer) emitStopGranted() {
-	if !r.stopGranted && r.replica.MayStop() {
+	keepsVote := r.unavailable != nil && r.leadership.Members.IsVoter(r.cfg.ID)
+	if !r.stopGranted && !keepsVote && r.replica.MayStop() {
 		r.stopGranted = true
 		r.emit(StopGranted{})
 	}
--- a/controls/storage_test.go
+++ b/controls/storage_test.go
@@ -56,3 +56,42 @@
 		t.Errorf("the pending read gets %+v, want %v", reply, ErrStorage)
 	}
 }
+
+// Guards against entry daemons that stay on an older state: an unexpected error has kept
+// the last one from being published, and the entries are not applied again.
+func TestStateIsPublishedWhenTheReplicaStartsAgain(t *testing.T) {
+	cfg := replicas.Config{ID: replicas.NodeID{Daemon: "127.0.0.1:1", Incarnation: "x"}, Durable: true}
+	r := NewReducer(cfg)
+	r.state.Index, r.state.Version = 5, 2
+	if states := effectsOf[Publish](r.Step(time.Now(), StorageOpened{Config: cfg})); len(states) != 1 || states[0].State.Index != 5 {
+		t.Errorf("published %+v, want the state of entry 5", states)
+	}
+}
+
+// Guards against a vote that is kept for good: a planned stop meets a data folder that has
+// failed for a moment.
+func TestStopWaitsForAFailedDataFolder(t *testing.T) {
+	g := newReducerGroup(3)
+	g.run(5 * time.Second)
+	r := g.reducers["d0"]
+	stop := func(event any) bool { return len(effectsOf[StopGranted](r.Step(g.now, event))) > 0 }
+	if stop(StorageFailed{}) || stop(ShutdownStarted{}) || stop(Tick{}) {
+		t.Error("a voter whose data folder has failed may stop at once")
+	}
+	learner := NewReducer(replicas.Config{ID: replicas.NodeID{Daemon: "127.0.0.1:1"}, Durable: true})
+	learner.Step(g.now, Tick{})
+	if len(effectsOf[StopGranted](learner.Step(g.now, ShutdownStarted{}))) == 0 {
+		t.Error("a daemon without a vote may not stop")
+	}
+}
+
+// effectsOf returns the effects of one type.
+func effectsOf[T any](effects []any) []T {
+	var found []T
+	for _, effect := range effects {
+		if e, ok := effect.(T); ok {
+			found = append(found, e)
+		}
+	}
+	return found
+}
