Bound the load polls in flight while engines answer late

What could happen: with many engines that answer late, or after a moment in which the leader did not run, its polls piled up beyond the 128 connections that docs/platform.md states.

Cause: maxFirstReports bounded the polls that begin at once, not those in flight.

The new TestPollsOfSlowEnginesAreBounded, with engines that answer after 0.54 s, before: 378 in flight, want at most 128.

Fix: a step starts no more polls than the limit leaves.

TestLeaderSpreadsItsPolls slept for 2 s of the machine's clock and counted the polls of the longer time that really passed. It now runs in a synctest bubble, where 2 s are 2 s, with the same bounds.

--- a/dispatchers/dispatcher.go
+++ b/dispatchers/dispatcher.go
@@ -158,7 +158,7 @@
 	d.scheduler.UpdateEngines(d.cfg.Timers.Now(), d.profiles, d.states())
 	d.scheduler.SetQuarantines(d.quarantines, d.lifts)
 	if active && d.cfg.Reporter != nil {
-		d.pollEngines(maxFirstReports)
+		d.pollEngines(maxReportsInFlight)
 	}
 	d.cfg.Log.WithField("active", active).Info("the scheduler of engine work was activated or deactivated")
 }
@@ -202,7 +202,7 @@
 	}
 	now := d.cfg.Timers.Now()
 	if d.cfg.Local && d.cfg.Reporter != nil && now.Sub(d.lastJobAt) > reportIdleTimeout {
-		d.pollEngines(maxFirstReports) // the last load reports are outdated
+		d.pollEngines(maxReportsInFlight) // the last load reports are outdated
 	}
 	d.lastJobAt = now
 	w := &pendingDecision{daemon: job.Daemon, done: make(chan struct{})}
@@ -364,13 +364,14 @@
 	}
 }
 
-// maxFirstReports limits the polls that run at once when scheduling starts.
-const maxFirstReports = 128
+// maxReportsInFlight limits the polls that run at once, when scheduling starts and while
+// engines answer late.
+const maxReportsInFlight = 128
 
 // pollEngines polls the next n engines in turn, except those that have a poll in
 // flight; mu is held.
 func (d *Dispatcher) pollEngines(n int) {
-	for range min(n, len(d.engines)) {
+	for range min(n, len(d.engines), maxReportsInFlight-len(d.reportsInFlight)) {
 		e := d.engines[d.nextReport%len(d.engines)]
 		d.nextReport = (d.nextReport + 1) % len(d.engines)
 		if !d.reportsInFlight[e.State.ID] {
--- a/dispatchers/size_test.go
+++ b/dispatchers/size_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
@@ -54,10 +55,17 @@
 }
 
 func newPollingDispatcher(t *testing.T, cfg Config, engines int) (*Dispatcher, *fakeReporter) {
+	t.Helper()
+	return newSlowPollingDispatcher(t, cfg, engines, 5*time.Millisecond)
+}
+
+// newSlowPollingDispatcher is newPollingDispatcher with the time that an engine takes to
+// answer.
+func newSlowPollingDispatcher(t *testing.T, cfg Config, engines int, delay time.Duration) (*Dispatcher, *fakeReporter) {
 	t.Helper()
 	service := timers.New(timers.Config{})
 	t.Cleanup(service.Close)
-	reporter := &fakeReporter{delay: 5 * time.Millisecond, engines: map[string]bool{}}
+	reporter := &fakeReporter{delay: delay, engines: map[string]bool{}}
 	cfg.Log, cfg.Timers, cfg.Reporter = discardLog(), service, reporter
 	d := New(cfg)
 	d.UpdateEngines(map[string]*costs.Profile{"llm": {Slots: 10, MemoryTokens: 450_000, StepTime: time.Millisecond, PrefillRate: 256_000, StepsPerPass: 46}}, testEngines(engines))
@@ -90,23 +98,49 @@
 func TestLeaderSpreadsItsPolls(t *testing.T) {
 	for _, engines := range []int{100, 3000} {
 		t.Run(fmt.Sprint(engines), func(t *testing.T) {
-			const watched = 2 * time.Second
-			_, reporter := newPollingDispatcher(t, Config{}, engines)
-			time.Sleep(watched)
-			polls, polled, peak := reporter.counts()
-			if most := maxFirstReports + int(maxReportsPerSecond*watched.Seconds()); polls > most {
-				t.Errorf("%d polls in %v, want at most %d", polls, watched, most)
-			}
-			if peak > maxFirstReports {
-				t.Errorf("%d polls were in flight at once, want at most %d", peak, maxFirstReports)
-			}
-			if want := min(engines, int(maxReportsPerSecond)); polled < want {
-				t.Errorf("%d engines were polled, want at least %d", polled, want)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				t.Cleanup(awaitPolls)
+				_, reporter := newPollingDispatcher(t, Config{}, engines)
+				assertSpreadPolls(t, reporter)
+				if want, polled := min(engines, int(maxReportsPerSecond)), reporter.polledEngines(); polled < want {
+					t.Errorf("%d engines were polled, want at least %d", polled, want)
+				}
+			})
 		})
 	}
 }
 
+// Guards against polls that pile up while answers are late.
+func TestPollsOfSlowEnginesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		t.Cleanup(awaitPolls)
+		_, reporter := newSlowPollingDispatcher(t, Config{}, 3000, reportTimeout*9/10)
+		assertSpreadPolls(t, reporter)
+	})
+}
+
+// assertSpreadPolls watches the polls of a leader on the exact clock of a synctest bubble.
+func assertSpreadPolls(t *testing.T, reporter *fakeReporter) {
+	t.Helper()
+	const watched = 2 * time.Second
+	time.Sleep(watched)
+	polls, _, peak := reporter.counts()
+	if most := maxReportsInFlight + int(maxReportsPerSecond*watched.Seconds()); polls > most {
+		t.Errorf("%d polls in %v, want at most %d", polls, watched, most)
+	}
+	if peak > maxReportsInFlight {
+		t.Errorf("%d polls were in flight at once, want at most %d", peak, maxReportsInFlight)
+	}
+}
+
+// awaitPolls waits in a synctest bubble until the polls in flight have ended.
+func awaitPolls() { time.Sleep(reportTimeout) }
+
+func (r *fakeReporter) polledEngines() int {
+	_, engines, _ := r.counts()
+	return engines
+}
+
 // Guards against samples that leave engines unused or that change as a whole when one
 // engine comes or goes.
 func TestSamples(t *testing.T) {
