Give test processes of hosts loopback addresses of their own

Suspected, since the log of the process was not printed: a port of 127.0.0.1 that was free was taken by an outgoing connection before the process listened at it, and the process ended; the machine had more than 22,000 connections in TIME_WAIT on that address. The hosts of these tests now have addresses of the soak's blocks and fixed ports below the range of outgoing connections, two runs at once do not share addresses, and a failed test prints the log of its processes.

--- a/cmd/gypsumshelf/descriptors_test.go
+++ b/cmd/gypsumshelf/descriptors_test.go
@@ -25,7 +25,7 @@
 
 const roleSettings = `{
 	"daemon": %[1]q, "role": %[2]q, "address": %[1]q, "data-centre": "a", "region": "r", "data-folder": %[3]q, "first-start": true,
-	"seeds": ["127.0.91.1:%[4]d", "127.0.91.2:%[4]d", "127.0.91.3:%[4]d"], "ports": {"internal": %[5]d, "metrics": %[6]d},
+	"seeds": ["%[8]s:%[4]d", "%[9]s:%[4]d", "%[10]s:%[4]d"], "ports": {"internal": %[5]d, "metrics": %[6]d},
 	"listen": {"callers": "%[1]s:%[4]d", "readiness": "%[1]s:%[7]d", "control": "%[1]s:%[4]d"},
 	"bounds": {"grace": "6s", "heartbeat": "1s", "retry-ratio": 0.2, "retry-slack": 100, "retry-window": "10s"},
 }`
@@ -56,13 +56,15 @@
 		fmt.Fprint(w, "done")
 	}))}
 	t.Cleanup(g.backend.Close)
+	addresses := newHostAddresses(t)
 	for n := range 4 {
-		h := &hostProcess{t: t, settings: filepath.Join(t.TempDir(), "settings"), ports: []any{fmt.Sprintf("127.0.91.%d", n+1)}}
+		h := &hostProcess{t: t, settings: filepath.Join(t.TempDir(), "settings"), ip: addresses.IP(n)}
 		role, folder := "control", filepath.Join(t.TempDir(), "data")
 		if n == 3 {
 			role = "entry"
 		}
-		text := fmt.Appendf(nil, roleSettings, h.ports[0], role, folder, apiPort, peerPort, metricsPort, readinessPort)
+		text := fmt.Appendf(nil, roleSettings, h.ip, role, folder, apiPort, peerPort, metricsPort, readinessPort,
+			addresses.IP(0), addresses.IP(1), addresses.IP(2))
 		if err := os.WriteFile(h.settings, text, 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -71,20 +73,13 @@
 		h.start()
 		g.hosts = append(g.hosts, h)
 	}
-	t.Cleanup(func() {
-		if t.Failed() {
-			for _, h := range g.hosts {
-				t.Logf("log of %s:\n%.4000s", h.ports[0], h.log.String())
-			}
-		}
-	})
 	return g
 }
 
 // call sends a call to a port of a host and returns the status, 0 without an answer.
 func (g *hostGroup) call(n, port int, method, path, body string) int {
 	client := &http.Client{Timeout: 1500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
-	r, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", g.hosts[n].ports[0], port, path), strings.NewReader(body))
+	r, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", g.hosts[n].ip, port, path), strings.NewReader(body))
 	if err != nil {
 		g.t.Fatal(err)
 	}
@@ -149,7 +144,7 @@
 		var held []net.Conn
 		for _, n := range hosts {
 			for _, port := range []int{apiPort, readinessPort, metricsPort, peerPort, peerPort + 1} {
-				conn, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", g.hosts[n].ports[0], port), time.Second)
+				conn, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", g.hosts[n].ip, port), time.Second)
 				if err == nil { // accepted by the kernel only
 					held = append(held, conn)
 				}
--- a/cmd/gypsumshelf/host_test.go
+++ b/cmd/gypsumshelf/host_test.go
@@ -11,12 +11,14 @@
 	"testing"
 	"time"
 	"unsafe"
+
+	"gypsumshelf.example/gypsumshelf/soaks"
 )
 
 // hostSettings are the settings of an entry daemon that knows one control daemon.
 const hostSettings = `{
-	"daemon": "entry-1", "role": "entry", "address": "127.0.0.1", "data-centre": "a", "region": "r", "first-start": true,
-	"seeds": [%q], "ports": {"internal": %s, "metrics": 0}, "listen": {"callers": %q, "readiness": %q},
+	"daemon": "entry-1", "role": "entry", "address": %[2]q, "data-centre": "a", "region": "r", "first-start": true,
+	"seeds": [%[1]q], "ports": {"internal": %[3]d, "metrics": 0}, "listen": {"callers": "%[2]s:%[4]d", "readiness": "%[2]s:%[5]d"},
 	"bounds": {"grace": "2s", "heartbeat": "1s", "retry-ratio": 0.2, "retry-slack": 100, "retry-window": "10s"},
 }`
 
@@ -25,7 +27,19 @@
 	*process
 	t        *testing.T
 	settings string // path
-	ports    []any
+	ip       string
+}
+
+// newHostAddresses returns loopback addresses that no other test of this machine uses. Ports
+// of 127.0.0.1 that are free now may be taken by outgoing connections before they are used.
+func newHostAddresses(t *testing.T) *soaks.Block {
+	t.Helper()
+	b, err := soaks.ReserveBlock(uint64(os.Getpid()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	return b
 }
 
 func startHostProcess(t *testing.T) *hostProcess {
@@ -40,8 +54,7 @@
 // newHostProcess returns a process that is not started yet.
 func newHostProcess(t *testing.T) *hostProcess {
 	t.Helper()
-	_, internal, _ := strings.Cut(freeAddress(t), ":")
-	h := &hostProcess{t: t, settings: filepath.Join(t.TempDir(), "settings"), ports: []any{internal, freeAddress(t), freeAddress(t)}}
+	h := &hostProcess{t: t, settings: filepath.Join(t.TempDir(), "settings"), ip: newHostAddresses(t).IP(0)}
 	h.write("127.0.0.1:1")
 	h.process = &process{cmd: exec.Command(binary, "host", "--config", h.settings)}
 	return h
@@ -53,6 +66,11 @@
 		h.t.Fatal(err)
 	}
 	h.t.Cleanup(h.kill)
+	h.t.Cleanup(func() {
+		if h.t.Failed() {
+			h.t.Logf("log of %s:\n%.4000s", h.ip, h.log.String())
+		}
+	})
 }
 
 // unreadPipe returns the end to write to of a small pipe that nobody reads.
@@ -74,7 +92,7 @@
 	h.t.Helper()
 	client := &http.Client{Timeout: 5 * time.Second}
 	waitFor(h.t, "an answer to "+path, func() bool {
-		r, err := http.NewRequest(http.MethodGet, "http://"+h.ports[1].(string)+path, nil)
+		r, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s:%d%s", h.ip, apiPort, path), nil)
 		if err != nil {
 			h.t.Fatal(err)
 		}
@@ -91,7 +109,7 @@
 // write writes the settings with a control daemon.
 func (h *hostProcess) write(seed string) {
 	h.t.Helper()
-	if err := os.WriteFile(h.settings, fmt.Appendf(nil, hostSettings, append([]any{seed}, h.ports...)...), 0o600); err != nil {
+	if err := os.WriteFile(h.settings, fmt.Appendf(nil, hostSettings, seed, h.ip, peerPort, apiPort, readinessPort), 0o600); err != nil {
 		h.t.Fatal(err)
 	}
 }
--- a/soaks/block.go
+++ b/soaks/block.go
@@ -28,7 +28,7 @@
 	for i := range uint64(blocks) {
 		n := seed + i
 		b := &Block{second: int(100 + n%100), third: int(n / 100 % 250)}
-		b.reservation, last = net.Listen("tcp", fmt.Sprintf("%s:%d", b.ip(maxHosts), reservationPort))
+		b.reservation, last = net.Listen("tcp", fmt.Sprintf("%s:%d", b.IP(maxHosts), reservationPort))
 		if last == nil {
 			return b, nil
 		}
@@ -39,4 +39,5 @@
 // Close releases the block.
 func (b *Block) Close() { b.reservation.Close() }
 
-func (b *Block) ip(n int) string { return fmt.Sprintf("127.%d.%d.%d", b.second, b.third, 1+n) }
+// IP returns the address of host n, from 0 on.
+func (b *Block) IP(n int) string { return fmt.Sprintf("127.%d.%d.%d", b.second, b.third, 1+n) }
--- a/soaks/host.go
+++ b/soaks/host.go
@@ -53,7 +53,7 @@
 }
 
 func (d *Deployment) newHost(n int) (*Host, error) {
-	h := &Host{deployment: d, n: n, control: n < d.cfg.Controls, ip: d.block.ip(n), name: fmt.Sprintf("entry-%d", n), program: d.cfg.Program}
+	h := &Host{deployment: d, n: n, control: n < d.cfg.Controls, ip: d.block.IP(n), name: fmt.Sprintf("entry-%d", n), program: d.cfg.Program}
 	if h.control {
 		h.name = fmt.Sprintf("control-%d", n)
 	}
@@ -108,7 +108,7 @@
 	}
 	var seeds []string
 	for i := range min(seedCount, h.deployment.cfg.Controls) {
-		seeds = append(seeds, fmt.Sprintf(`"%s:%d"`, h.deployment.block.ip(i), apiPort))
+		seeds = append(seeds, fmt.Sprintf(`"%s:%d"`, h.deployment.block.IP(i), apiPort))
 	}
 	text := fmt.Sprintf(settingsTemplate, h.name, role, h.ip, h.dataFolder(), first, strings.Join(seeds, ","), internalPort, metricsPort,
 		h.Address(), fmt.Sprintf("%s:%d", h.ip, readinessPort), h.Address(), grace)
