--- a/review/standins/failback.go
+++ b/review/standins/failback.go
@@ -18,16 +18,17 @@
 	coldRate = 26
 	// coldBound is coldPerS x coldBurstFactor + coldSlack.
 	coldBound = coldRate*1.5 + 5
-	// Each of the requesters sends a look-up each requestPeriod, 180 a second in all.
+	// Each of the requesters sends a request each requestPeriod, 180 a second in all.
 	requesters    = 45
 	requestPeriod = 250 * time.Millisecond
+	// crashRate is a rate well above coldRate, at which a cold runner crashes.
+	crashRate = 2 * coldRate
 	// coldLead is the time by which a runner is cold before its zone is taken back.
 	coldLead = 200 * time.Millisecond
 )
 
-// playFailback evacuates a zone under a steady load of look-ups and takes it back. Its
-// runner has become cold before: shortly before with the disruption, and else so early
-// that a ping has said so.
+// playFailback evacuates a zone under a steady load and takes it back. Its runner has become
+// cold before: shortly before with the disruption, and else so early that a ping has said so.
 func playFailback(d *deployment, trouble bool) error {
 	d.config = strings.ReplaceAll(configText, `"coldS":0.0,"coldPerS":0.0`, fmt.Sprintf(`"coldS":%.1f,"coldPerS":%d`, coldTime.Seconds(), coldRate))
 	if err := d.startAll(); err != nil {
@@ -41,7 +42,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			d.lookUpLoop(ctx, i)
+			d.requestLoop(ctx, i)
 		}()
 	}
 	zone, r := d.runners[0].zone, d.runners[0]
@@ -70,16 +71,38 @@
 	return nil
 }
 
-// lookUpLoop sends look-ups until ctx ends.
-func (d *deployment) lookUpLoop(ctx context.Context, n int) {
+// requestLoop sends look-ups and, each third time, a booking until ctx ends.
+func (d *deployment) requestLoop(ctx context.Context, n int) {
 	time.Sleep(requestPeriod * time.Duration(n) / requesters)
 	for i := 0; ctx.Err() == nil; i++ {
 		next := time.Now().Add(requestPeriod)
-		d.send(d.entries[(n+i)%len(d.entries)], http.MethodGet, "/lookup/2f", fmt.Sprintf("lookup-%d-%d", n, i), time.Second, nil)
+		m := d.entries[(n+i)%len(d.entries)]
+		if i%3 == 0 {
+			d.send(m, http.MethodPost, "/post/2f", fmt.Sprintf("booking-%d-%d", n, i), time.Second, nil)
+		} else {
+			d.send(m, http.MethodGet, "/lookup/2f", fmt.Sprintf("lookup-%d-%d", n, i), time.Second, nil)
+		}
 		time.Sleep(time.Until(next))
 	}
 }
 
+// overloaded reports whether the runner is cold and has got more than crashRate requests
+// within a second.
+func (r *runner) overloaded() bool {
+	if r.coldFor() == 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, one := range r.runs {
+		if !one.at.Before(r.coldAt) && time.Since(one.at) < time.Second {
+			n++
+		}
+	}
+	return n > crashRate
+}
+
 // makeCold makes the runner cold for a time.
 func (r *runner) makeCold(d time.Duration) {
 	r.mu.Lock()
--- a/review/standins/runner.go
+++ b/review/standins/runner.go
@@ -166,7 +166,7 @@
 	r.runs = append(r.runs, run{id: id, runner: r, at: time.Now()})
 	r.mu.Unlock()
 	r.deployment.rec.printf("runner %s in %s runs %s", r.id, r.zone, id)
-	if string(body) == deadlyBody {
+	if string(body) == deadlyBody || r.overloaded() {
 		r.crash(id)
 		return
 	}
