Log who ended a request, and count those that a planned stop has ended

A stop closes the connections that are left. The requests on them ended as caller-gone, "context canceled", status 0, as if their callers had left. The context of a request now ends with a cause: the line has ended-by (caller, deadline, stop) and the phase, and a counter has the requests that a stop has ended by service, phase and outcome. What a stop does is unchanged.

--- a/forwards/attempt.go
+++ b/forwards/attempt.go
@@ -57,6 +57,7 @@
 func (req *proxyRequest) startAttempt(ctx context.Context, server rosters.Entry, call Call) (*attempt, *outgoingRequest, error) {
 	a := &attempt{server: server}
 	req.triedServers = append(req.triedServers, server.ID)
+	req.phase = phaseSending
 	x, err := req.forwarder.dial(ctx, req.target(server))
 	if err != nil {
 		return a, nil, err
@@ -79,6 +80,7 @@
 	req.sentAttempts++
 	a.sentAt = req.now()
 	a.verdict = gypsumshelf.MayHaveRun
+	req.phase = phaseAwaiting
 	x.send(data)
 	return a, out, nil
 }
--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -90,6 +90,7 @@
 	}
 	pending := submitJob(ctx, req)
 	for {
+		req.phase = phaseWaiting
 		result := pending.wait(ctx)
 		if result.err != nil {
 			pending.end(schedules.Cancelled, "")
@@ -160,7 +161,7 @@
 		p.result <- result
 		return result
 	case <-ctx.Done():
-		return placementResult{err: ctx.Err()}
+		return placementResult{err: context.Cause(ctx)}
 	}
 }
 
@@ -308,6 +309,7 @@
 // memory reserved on those where the placement requires it.
 func (e *engineAttempt) reserveHelpers(ctx context.Context) ([]Helper, error) {
 	req := e.request
+	req.phase = phaseReserving
 	wanted := map[gypsumshelf.ServerID]schedules.Hold{}
 	for _, hold := range e.placement.Holds {
 		wanted[hold.Server] = hold
@@ -370,7 +372,7 @@
 		select {
 		case <-ctx.Done():
 			e.cancelReplacement()
-			return ctx.Err()
+			return context.Cause(ctx)
 		case <-lost:
 			e.cancelReplacement()
 			return errEngineLost
@@ -517,6 +519,7 @@
 // the first.
 func (e *engineAttempt) writeEvent(event []byte) error {
 	req := e.request
+	req.phase = phaseStreaming
 	if !req.headerWritten {
 		h := req.w.Header()
 		for name, values := range endToEnd(e.attempt.response.Header) {
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -42,6 +42,8 @@
 	Request(service, outcome string, status int, took time.Duration)
 	Attempt(service, outcome string)
 	FirstEvent(service string, took time.Duration)
+	// RequestStopped counts a request that the stop of the daemon has ended.
+	RequestStopped(service, phase, outcome string)
 }
 
 // Config configures a Forwarder.
@@ -73,6 +75,8 @@
 	keepAlivesDisabled atomic.Bool               // each response closes its connection
 	drainDeadline      atomic.Pointer[time.Time] // set while the daemon drains; requests must end before it
 	activeRequests     atomic.Int64
+	stopped            context.Context    // ends when the daemon ends its requests
+	stopRequests       context.CancelFunc // ends stopped
 	pauses             timers.PauseDetector
 	quarantines        atomic.Pointer[crashes.QuarantineSet]
 	localQuarantines   atomic.Pointer[crashes.QuarantineSet] // found by this daemon while there was no leader
@@ -89,6 +93,7 @@
 		cfg.Dialer = directDialer{}
 	}
 	f := &Forwarder{cfg: cfg, catalogReady: make(chan struct{}), bodies: buffers.NewBudget(cfg.BodyBudget)}
+	f.stopped, f.stopRequests = context.WithCancel(context.Background())
 	f.retryBudget = attempts.NewBudget(cfg.Retries.daemonBudget(1))
 	f.crashChecks = crashChecks{forwarder: f, pending: map[serverStart]*crashCheck{}}
 	return f
@@ -213,8 +218,10 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.activeRequests.Add(1)
 	defer f.activeRequests.Add(-1)
+	ctx, release := f.requestContext(r.Context())
+	defer release()
 	req := &proxyRequest{
-		forwarder: f, w: w, r: r, arrived: f.cfg.Fleet.now(), meta: f.cfg.Protocol.ParseRequest(r),
+		forwarder: f, w: w, r: r.WithContext(ctx), arrived: f.cfg.Fleet.now(), meta: f.cfg.Protocol.ParseRequest(r), phase: phaseAdmission,
 		requestMemory: f.bodies.Reserve(), responseMemory: f.bodies.Reserve(),
 	}
 	defer req.requestMemory.Release()
@@ -260,6 +267,7 @@
 	failureResponse *bufferedResponse // 5xx response of a backend server, relayed if no other attempt succeeds
 	abortConnection bool              // close the connection without completing the response
 	timing          streamTiming
+	phase           phase
 	status          int
 	outcome         string
 	cause           string
@@ -272,15 +280,6 @@
 	body   buffers.Chunks
 }
 
-// Outcomes of requests in logs and metrics.
-const (
-	outcomeAnswered   = "answered"
-	outcomeRefused    = "refused" // the request has not run
-	outcomeFailed     = "failed"  // the request may have run
-	outcomeBrokenOff  = "broken-off"
-	outcomeCallerGone = "caller-gone"
-)
-
 func (req *proxyRequest) now() time.Time { return req.forwarder.cfg.Fleet.now() }
 
 func (req *proxyRequest) remaining() time.Duration { return req.deadline.Sub(req.now()) }
@@ -372,6 +371,7 @@
 	if !req.requestMemory.Resize(max(0, req.r.ContentLength)) {
 		return req.refuse(http.StatusServiceUnavailable, bodyBudgetRetryAfter, buffers.ErrBudgetExceeded.Error())
 	}
+	req.phase = phaseBody
 	req.limitReading(req.deadline)
 	var body bytes.Buffer
 	body.Grow(int(max(0, req.r.ContentLength)) + bytes.MinRead)
@@ -449,29 +449,7 @@
 	req.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	req.w.WriteHeader(status)
 	if _, err := io.WriteString(req.w, text+"\n"); err != nil {
-		req.cause += "; the caller has left"
-	}
-}
-
-// finishUnanswered ends a request for which no attempt returned a complete,
-// successful response.
-func (req *proxyRequest) finishUnanswered(cause string) {
-	switch {
-	case req.r.Context().Err() != nil:
-		req.outcome, req.cause = outcomeCallerGone, cause
-		req.abortConnection = req.headerWritten
-	case req.headerWritten:
-		req.outcome, req.cause, req.abortConnection = outcomeBrokenOff, cause, true
-	case req.failureResponse != nil:
-		req.writeResponse(req.failureResponse)
-	case req.verdict == gypsumshelf.NotRun:
-		req.refuse(http.StatusServiceUnavailable, failedRetryAfter, cause)
-	case req.remaining() <= 0:
-		req.outcome, req.cause = outcomeFailed, cause
-		req.writeText(http.StatusGatewayTimeout, cause)
-	default:
-		req.outcome, req.cause = outcomeFailed, cause
-		req.writeText(http.StatusBadGateway, cause)
+		req.cause += "; the answer could not be written: " + err.Error()
 	}
 }
 
@@ -481,7 +459,7 @@
 
 // writeResponse relays a complete response to the caller.
 func (req *proxyRequest) writeResponse(response *bufferedResponse) {
-	req.outcome, req.status = outcomeAnswered, response.status
+	req.outcome, req.status, req.phase = outcomeAnswered, response.status, phaseWriting
 	h := req.w.Header()
 	for name, values := range response.header {
 		h[name] = values
@@ -494,7 +472,7 @@
 	}
 	req.w.WriteHeader(response.status)
 	if _, err := response.body.WriteTo(req.w); err != nil && req.r.Method != http.MethodHead {
-		req.outcome, req.cause = outcomeCallerGone, "the caller left while the answer was written"
+		req.outcome, req.cause = outcomeCallerGone, "the answer could not be written: "+err.Error()
 	}
 }
 
@@ -520,6 +498,8 @@
 // and the reason if not.
 func (req *proxyRequest) retryPossible(verdict gypsumshelf.Verdict) (bool, string) {
 	switch {
+	case req.endedBy() == endedByStop:
+		return false, "the daemon has stopped"
 	case req.r.Context().Err() != nil:
 		return false, "the caller has left"
 	case req.remaining() < minAttemptTime:
@@ -547,50 +527,3 @@
 	// which MaxAttempts of the route does not count.
 	maxTriedServers = 5
 )
-
-// recordEnd logs the end of the request and updates its metrics.
-func (req *proxyRequest) recordEnd() {
-	if req.outcome == "" {
-		req.outcome, req.cause = outcomeFailed, "unexpected error"
-	}
-	took := req.now().Sub(req.arrived)
-	service, route := "", ""
-	var version uint64
-	if req.catalog != nil {
-		version = req.catalog.Version()
-	}
-	if req.route != nil {
-		route = req.route.Name
-	}
-	if req.service != nil {
-		service = req.service.Name
-	}
-	req.forwarder.cfg.Recorder.Request(service, req.outcome, req.status, took)
-	entry := req.forwarder.cfg.Log.WithFields(logrus.Fields{
-		logs.KeyRequest: req.meta.ID, "route": route, "service": service, "outcome": req.outcome, "status": req.status,
-		"cause": req.cause, "attempts": req.sentAttempts, "tried": req.triedServers, logs.KeyVerdict: req.verdict.String(), "took-ms": took.Milliseconds(),
-		"catalog-version": version, "prompt-tokens": req.meta.PromptTokens, "last-event": req.lastEvent,
-	})
-	if req.timing.placements > 0 {
-		entry = entry.WithFields(req.timing.fields(req.route))
-	}
-	if req.outcome == outcomeAnswered {
-		entry.Info("request ended")
-	} else {
-		entry.Warn("request ended")
-	}
-}
-
-// recordFailedAttempt logs and counts an attempt whose response was not relayed
-// completely.
-func (req *proxyRequest) recordFailedAttempt(server gypsumshelf.ServerID, outcome schedules.Outcome, err error) {
-	req.forwarder.cfg.Recorder.Attempt(req.service.Name, outcome.String())
-	entry := req.forwarder.cfg.Log.WithFields(logrus.Fields{
-		logs.KeyRequest: req.meta.ID, logs.KeyServer: server, "outcome": outcome.String(), "sent": req.sentAttempts,
-		"after-ms": req.now().Sub(req.arrived).Milliseconds(), "last-event": req.lastEvent,
-	}).WithError(err)
-	if outcome == schedules.Lost {
-		entry = entry.WithField("request-hash", req.causes[len(req.causes)-1])
-	}
-	entry.Warn("attempt failed")
-}
--- a/forwards/outcomes_test.go
+++ b/forwards/outcomes_test.go
@@ -142,3 +142,43 @@
 		}
 	}
 }
+
+// Guards against requests that the stop of the daemon ends, and whose log line says that
+// their callers have left.
+func TestEndsByAStopAreNotTakenForLeavingCallers(t *testing.T) {
+	endless := func(r *http.Request, _ string, conn net.Conn) { writeEvents(r, conn, 1, 3) }
+	silent := func(*http.Request, string, net.Conn) {}
+	for _, test := range []struct {
+		name, path, service string
+		handler             func(*http.Request, string, net.Conn)
+		phase               phase
+		outcome             string
+	}{
+		{"stream", "/stream/", "engines", endless, phaseStreaming, outcomeBrokenOff},
+		{"before its first event", "/stream/", "engines", silent, phaseAwaiting, outcomeFailed},
+		{"before its answer", "/unsafe/", "plain", silent, phaseAwaiting, outcomeFailed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newStartedFixture(t, newFakeBackend(t, "s1", test.service, test.handler))
+			time.AfterFunc(300*time.Millisecond, f.forwarder.EndRequests)
+			f.send("POST", test.path, "x")
+			f.server.Close() // waits for the end of the request
+			line := f.logLines("request ended")["r1"]
+			if line["outcome"] != test.outcome || line["ended-by"] != string(endedByStop) || line["phase"] != string(test.phase) {
+				t.Errorf("outcome %v, ended by %v while %v, want %s by the stop while %s", line["outcome"], line["ended-by"], line["phase"], test.outcome, test.phase)
+			}
+			want := fmt.Sprintf(`outcome="%s",phase="%s",service="%s"`, test.outcome, test.phase, test.service)
+			if samples := f.counterSamples("gypsumshelf_forwarded_stopped_requests_total"); samples[want] != "1" {
+				t.Errorf("counter samples are %v, want 1 for %s", samples, want)
+			}
+		})
+	}
+	t.Run("caller that leaves", func(t *testing.T) {
+		f := newStartedFixture(t, newFakeBackend(t, "s1", "engines", endless))
+		f.leaveAfterFirstEvent("/stream/")
+		f.server.Close()
+		if line := f.logLines("request ended")["r1"]; line["ended-by"] != string(endedByCaller) {
+			t.Errorf("ended by %v, want the caller", line["ended-by"])
+		}
+	})
+}
--- a/gateways/callers.go
+++ b/gateways/callers.go
@@ -122,8 +122,7 @@
 	}
 }
 
-// shutdown stops accepting and waits until the connections are idle or ctx ends; then
-// it closes those that are left.
+// shutdown stops accepting and waits until the connections are idle or ctx ends.
 func (s *callerServer) shutdown(ctx context.Context) error {
 	s.listener.Close()
 	s.mu.Lock()
@@ -135,13 +134,24 @@
 	for _, server := range servers {
 		if err := server.Shutdown(ctx); err != nil {
 			errs = append(errs, err)
-			server.Close()
 		}
 	}
-	s.wg.Wait()
 	return errors.Join(errs...)
 }
 
+// close closes the connections that are left after shutdown.
+func (s *callerServer) close() {
+	s.mu.Lock()
+	servers := s.servers
+	s.mu.Unlock()
+	for _, server := range servers {
+		if err := server.Close(); err != nil {
+			s.log.WithError(err).Warn("cannot close the connections of callers")
+		}
+	}
+	s.wg.Wait()
+}
+
 // serverRun is the run of one http.Server.
 type serverRun struct {
 	owner  *callerServer
--- a/gateways/callers_test.go
+++ b/gateways/callers_test.go
@@ -28,7 +28,8 @@
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		_ = s.shutdown(ctx) // an error means that it has closed connections of the test
+		_ = s.shutdown(ctx) // an error means that connections of the test are open
+		s.close()
 	})
 	return s, l.Addr().String()
 }
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -272,6 +272,8 @@
 	if err := g.callers.shutdown(ctx); err != nil {
 		g.cfg.Log.WithError(err).Warn("requests still in progress were aborted at the end of the grace period")
 	}
+	g.forwarder.EndRequests()
+	g.callers.close()
 	g.relay.Close()
 	g.subscriber.Close()
 	g.dispatchClient.Close()
--- a/metrics/forward_metrics.go
+++ b/metrics/forward_metrics.go
@@ -14,6 +14,7 @@
 	attempts   *prometheus.CounterVec
 	duration   *prometheus.HistogramVec
 	firstEvent *prometheus.HistogramVec
+	stopped    *prometheus.CounterVec
 }
 
 // NewForwardMetrics returns a ForwardMetrics whose metrics are registered with r.
@@ -31,8 +32,11 @@
 		firstEvent: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "gypsumshelf_forwarded_first_event_seconds", Help: "Time from a request's arrival to its first event.", Buckets: latencyBuckets,
 		}, []string{"service"}),
+		stopped: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gypsumshelf_forwarded_stopped_requests_total", Help: "Requests that a planned stop has ended, by service, what they were doing and outcome.",
+		}, []string{"service", "phase", "outcome"}),
 	}
-	r.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstEvent)
+	r.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstEvent, m.stopped)
 	return m
 }
 
@@ -52,3 +56,8 @@
 func (m *ForwardMetrics) FirstEvent(service string, duration time.Duration) {
 	m.firstEvent.WithLabelValues(service).Observe(duration.Seconds())
 }
+
+// RequestStopped counts a request that a planned stop has ended.
+func (m *ForwardMetrics) RequestStopped(service, phase, outcome string) {
+	m.stopped.WithLabelValues(service, phase, outcome).Inc()
+}
