--- a/forwards/ending.go
+++ b/forwards/ending.go
@@ -85,8 +85,9 @@
 func (req *proxyRequest) finishUnanswered(cause string) {
 	switch {
 	case req.endedBy() == endedByCaller:
-		req.outcome, req.cause = outcomeCallerGone, cause
-		req.abortConnection = req.headerWritten
+		// A caller that has closed its side only still reads, and net/http would send it an
+		// empty response with status 200.
+		req.outcome, req.cause, req.abortConnection = outcomeCallerGone, cause, true
 	case req.headerWritten:
 		req.outcome, req.cause, req.abortConnection = outcomeBrokenOff, cause, true
 	case req.failureResponse != nil:
