Serve connections that callers have established when a stop closes the listener

What callers saw: a request on a new connection that the stopping daemon had not taken yet was reset. Cause: closing a listener resets what is in its backlog, and connections that wait for the server with the limits in force were closed unread. The listener is drained first: Accept returns what is established, then ends. TestShutdownServesEstablishedConnections: before, connections of 40 were reset; now all have an answer.

--- a/gateways/callers.go
+++ b/gateways/callers.go
@@ -37,10 +37,11 @@
 // one, for the connections that are accepted from then on.
 type callerServer struct {
 	handler  http.Handler
-	listener net.Listener
+	listener *listeners.Listener
 	log      *logrus.Entry
 	errorLog *stdlog.Logger
 	wg       sync.WaitGroup
+	accepted chan struct{} // closed when no more connections are accepted
 
 	mu      sync.Mutex
 	limits  catalogs.Limits
@@ -51,7 +52,7 @@
 
 // newCallerServer returns a callerServer that is already running.
 func newCallerServer(handler http.Handler, listener net.Listener, log *logrus.Entry) *callerServer {
-	s := &callerServer{handler: handler, listener: listeners.New(listener, log), log: log, errorLog: stdlog.New(log.WriterLevel(logrus.DebugLevel), "", 0)}
+	s := &callerServer{handler: handler, listener: listeners.New(listener, log), log: log, errorLog: stdlog.New(log.WriterLevel(logrus.DebugLevel), "", 0), accepted: make(chan struct{})}
 	s.setLimits(catalogs.Limits{})
 	s.wg.Add(1)
 	go s.run()
@@ -90,6 +91,7 @@
 // run accepts connections and hands them to the server with the limits in force.
 func (s *callerServer) run() {
 	defer s.wg.Done()
+	defer close(s.accepted)
 	for {
 		conn, err := s.listener.Accept()
 		if err != nil {
@@ -122,8 +124,16 @@
 	}
 }
 
-// shutdown stops accepting and waits until the connections are idle or ctx ends.
+// shutdown stops accepting and waits until the connections are idle or ctx ends. Connections
+// that callers have established are served.
 func (s *callerServer) shutdown(ctx context.Context) error {
+	if !s.listener.Drain() {
+		s.listener.Close()
+	}
+	select {
+	case <-s.accepted:
+	case <-ctx.Done():
+	}
 	s.listener.Close()
 	s.mu.Lock()
 	servers := s.servers
--- a/gateways/callers_test.go
+++ b/gateways/callers_test.go
@@ -149,3 +149,47 @@
 		t.Errorf("the connection from before the changes gets status %d", status)
 	}
 }
+
+// gatedListener accepts no connection before its gate is opened.
+type gatedListener struct {
+	*net.TCPListener
+	gate chan struct{}
+}
+
+func (l *gatedListener) Accept() (net.Conn, error) {
+	<-l.gate
+	return l.TCPListener.Accept()
+}
+
+// Guards against connections that callers have established, with requests on them, and that
+// a planned stop resets since the server has not taken them yet.
+func TestShutdownServesEstablishedConnections(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &gatedListener{TCPListener: inner.(*net.TCPListener), gate: make(chan struct{})}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") }), l, logrus.NewEntry(log))
+	conns := make([]net.Conn, 40)
+	for i := range conns {
+		conns[i] = dial(t, inner.Addr().String())
+		fmt.Fprint(conns[i], "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+	}
+	time.AfterFunc(50*time.Millisecond, func() { close(l.gate) })
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	if err := s.shutdown(ctx); err != nil {
+		t.Errorf("the shutdown ended with %v", err)
+	}
+	s.close()
+	for i, conn := range conns {
+		if response, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || response.StatusCode != http.StatusOK {
+			t.Errorf("connection %d got %v with error %v, want an answer", i, response, err)
+		}
+	}
+	if _, err := net.Dial("tcp", inner.Addr().String()); err == nil {
+		t.Error("a connection is accepted after the shutdown")
+	}
+}
--- a/listeners/listener.go
+++ b/listeners/listener.go
@@ -4,6 +4,8 @@
 import (
 	"errors"
 	"net"
+	"os"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,6 +19,9 @@
 type Listener struct {
 	net.Listener
 	log *logrus.Entry
+
+	mu       sync.Mutex
+	draining bool
 }
 
 // New returns a Listener that accepts the connections of l. Without a log it uses the
@@ -28,14 +33,45 @@
 	return &Listener{Listener: l, log: log.WithField("address", l.Addr().String())}
 }
 
+// backlogWait is the time without an established connection after which the backlog counts
+// as empty.
+const backlogWait = 10 * time.Millisecond
+
+// deadlineListener is a listener whose Accept can be woken up.
+type deadlineListener interface{ SetDeadline(t time.Time) error }
+
+// Drain makes Accept return the connections that are established already, and then
+// net.ErrClosed. Closing the listener instead would reset them. It reports false for a
+// listener that cannot be drained.
+func (l *Listener) Drain() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d, ok := l.Listener.(deadlineListener)
+	l.draining = ok && d.SetDeadline(time.Now()) == nil // wakes Accept up
+	return l.draining
+}
+
+// limitDrain bounds the next wait for a connection while the listener drains, which it
+// reports.
+func (l *Listener) limitDrain() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.draining && l.Listener.(deadlineListener).SetDeadline(time.Now().Add(backlogWait)) == nil
+}
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	failures := 0
 	for {
+		draining := l.limitDrain()
 		conn, err := l.Listener.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return nil, err
+		case errors.Is(err, os.ErrDeadlineExceeded) && draining:
+			return nil, net.ErrClosed
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			continue // the drain has begun
 		case err == nil:
 			if failures > 0 {
 				l.log.WithField("failures", failures).Warn("connections are accepted again")
