Soak planned stops while requests wait

The soak's requests had 4 s and never waited, with a grace period of 6 s: no stop met one that waited through it.

--- a/cmd/gypsumshelf/soak.go
+++ b/cmd/gypsumshelf/soak.go
@@ -15,6 +15,7 @@
 	var seed uint64
 	var previous string
 	var seconds, runs, controls, entries int
+	var planned bool
 	cmd := &cobra.Command{
 		Use:   "soak",
 		Short: "Run daemons as processes on this machine, inject faults and check what callers see",
@@ -35,7 +36,7 @@
 				}
 				result, err := trials.Run(cmd.Context(), trials.Config{
 					Seed: seed + i, Duration: time.Duration(seconds) * time.Second, Binary: binary, Folder: folder, Log: logrus.NewEntry(log),
-					Controls: controls, Entries: entries, Previous: previous,
+					Controls: controls, Entries: entries, Previous: previous, Planned: planned,
 				})
 				if err != nil {
 					return err
@@ -61,5 +62,6 @@
 	cmd.Flags().IntVar(&controls, "controls", 0, "number of control daemons, up to 5; 0 for 3")
 	cmd.Flags().IntVar(&entries, "entries", 0, "number of entry daemons; 0 for 2")
 	cmd.Flags().StringVar(&previous, "previous", "", "program of an earlier build with which all daemons start; they are replaced by this one in the middle of the faults")
+	cmd.Flags().BoolVar(&planned, "planned", false, "only stop daemons as planned, and check that no request is cut")
 	return cmd
 }
--- a/soaks/host.go
+++ b/soaks/host.go
@@ -25,8 +25,8 @@
 	seedCount = 3
 	// restartDelay is the time after which the platform restarts a process that exited.
 	restartDelay = 300 * time.Millisecond
-	// grace is the time from the stop signal until a process is killed.
-	grace = 6 * time.Second
+	// Grace is the time from the stop signal until a process is killed.
+	Grace = 6 * time.Second
 )
 
 const settingsTemplate = `{
@@ -111,7 +111,7 @@
 		seeds = append(seeds, fmt.Sprintf(`"%s:%d"`, h.deployment.block.IP(i), apiPort))
 	}
 	text := fmt.Sprintf(settingsTemplate, h.name, role, h.ip, h.dataFolder(), first, strings.Join(seeds, ","), internalPort, metricsPort,
-		h.Address(), fmt.Sprintf("%s:%d", h.ip, readinessPort), h.Address(), grace)
+		h.Address(), fmt.Sprintf("%s:%d", h.ip, readinessPort), h.Address(), Grace)
 	path := filepath.Join(h.folder, "settings")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
--- a/soaks/upgrade.go
+++ b/soaks/upgrade.go
@@ -65,7 +65,7 @@
 	h.log.WithFields(logrus.Fields{"program": program}).Info("replacing the program of a host")
 	started := time.Now()
 	h.SetProgram(program)
-	h.Stop(grace)
+	h.Stop(Grace)
 	for !h.Runs(program) {
 		if time.Since(started) > replaceTimeout {
 			return fmt.Errorf("%s did not run %s within %v of its stop", h.name, program, replaceTimeout)
