--- a/forwards/caller_test.go
+++ b/forwards/caller_test.go
@@ -125,3 +125,27 @@
 		time.Sleep(deliveryTime + 500*time.Millisecond)
 	}
 }
+
+// Guards against an answer on a kept connection that is lost to the write limit of an
+// earlier request on it.
+func TestAnswerAfterTheWriteLimitOfAnEarlierRequest(t *testing.T) {
+	f := newStartedFixture(t, newFakeBackend(t, "p1", "plain", respondWith(http.StatusOK, "ok")))
+	conn := f.dialCaller()
+	reader := bufio.NewReader(conn)
+	assertStatus := func(path string, want int) {
+		t.Helper()
+		fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: k\r\nWait: 100\r\nContent-Length: 1\r\n\r\nx", path)
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("%s got no answer: %v", path, err)
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != want {
+			t.Errorf("%s got status %d with error %v, want %d", path, response.StatusCode, err, want)
+		}
+	}
+	assertStatus("/safe/", http.StatusOK)
+	time.Sleep(deliveryTime + 500*time.Millisecond)
+	assertStatus("/none/", http.StatusNotFound)
+	time.Sleep(100 * time.Millisecond)
+	assertStatus("/safe/", http.StatusOK)
+}
