Release memory reserved for an engine whose successor answers at its address

The engine went dark without a reset and was back within a second as a new start at the same address. Cause, and class: an answer of the address was taken for a sign of life of the start that has the request. A load report of the successor kept the watch of the dead engine alive, and its registration ended nothing. TestSuccessorOfADeadPrimaryDoesNotKeepItsMemory, TestStreamOfAReplacedEngineEnds and TestNoMemoryIsReservedAtTheSuccessorOfAHelper failed before (memory held for 5 s, the time of the request; 504 at its end).

--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -411,6 +411,9 @@
 			if !silence.expired() {
 				continue
 			}
+			if req.forwarder.cfg.Fleet.IsReplaced(e.server) {
+				return errEngineLost
+			}
 			// Keep this stream open until another engine is available.
 			if allowed, _ := req.retryPossible(gypsumshelf.MayHaveRun); allowed {
 				e.replacement = submitJob(ctx, req)
--- a/forwards/fleet.go
+++ b/forwards/fleet.go
@@ -112,6 +112,16 @@
 	return f.roster.Get(id)
 }
 
+// IsReplaced reports whether a later start than that of entry is known under its ID or at
+// its address, so that the start of entry has ended.
+func (f *Fleet) IsReplaced(entry rosters.Entry) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	current, known := f.roster.Get(entry.ID)
+	successor, occupied := f.roster.At(entry.Address)
+	return known && current.Born > entry.Born || occupied && successor.Born > entry.Born
+}
+
 // ServiceAt implements relays.Servers.
 func (f *Fleet) ServiceAt(address string) (service string, known bool) {
 	f.mu.Lock()
--- a/forwards/reservation.go
+++ b/forwards/reservation.go
@@ -83,6 +83,9 @@
 		if hold < reservationTimeout {
 			continue // a renewal could arrive after the time at which the memory must be free
 		}
+		if r.request.forwarder.cfg.Fleet.IsReplaced(r.server) {
+			continue // it would reserve memory of another start, which no request uses
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), reservationTimeout)
 		_, err := r.request.forwarder.cfg.Protocol.Reserve(ctx, r.server.Address, r.id, r.tokens, hold)
 		cancel()
--- a/forwards/reservation_test.go
+++ b/forwards/reservation_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/rosters"
 	"gypsumshelf.example/gypsumshelf/schedules"
 )
 
@@ -20,9 +21,11 @@
 type memoryProtocol struct {
 	fakeProtocol
 	report func() error // the error of a load report; nil if all are answered
+	born   int64        // start that load reports name
 
-	mu     sync.Mutex
-	expiry map[string]time.Time // by reservation ID
+	mu       sync.Mutex
+	expiry   map[string]time.Time // by reservation ID
+	reserved int                  // number of reservations and renewals
 }
 
 func newMemoryProtocol() *memoryProtocol {
@@ -33,6 +36,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expiry[id] = time.Now().Add(hold)
+	p.reserved++
 	return true, nil
 }
 
@@ -49,7 +53,7 @@
 			return schedules.Load{}, err
 		}
 	}
-	return schedules.Load{Slowdown: 1}, nil
+	return schedules.Load{Slowdown: 1, Born: p.born}, nil
 }
 
 var errNoReport = errors.New("no answer")
@@ -128,6 +132,86 @@
 	}
 }
 
+// succeed registers a later start at the address of a backend server.
+func (f *fixture) succeed(id, successor gypsumshelf.ServerID) {
+	entry, _ := f.forwarder.cfg.Fleet.Get(id)
+	r := entry.Record
+	r.ID, r.Born, r.Sequence = successor, r.Born+1, 1
+	f.forwarder.cfg.Fleet.Merge([]rosters.Record{r})
+}
+
+// Guards against memory that stays reserved for a dead engine since its successor at the
+// same address answers, until the deadline of the request.
+func TestSuccessorOfADeadPrimaryDoesNotKeepItsMemory(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		born int64 // of the start that answers load reports, 0 if they do not say
+		id   gypsumshelf.ServerID
+	}{
+		{"that has announced itself", 0, "e9"},
+		{"that has announced itself under the same name", 0, "e1"},
+		{"that says so in its load reports", 2, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			arrived := make(chan struct{}, 1)
+			f, p := memoryFixture(t, func(*http.Request, string, net.Conn) { arrived <- struct{}{} })
+			p.born = test.born
+			answer := make(chan callerResponse, 1)
+			go func() { answer <- f.send("POST", "/stream/", "x", "Wait", "15000") }()
+			<-arrived
+			returned := time.Now()
+			if test.id != "" {
+				f.succeed("e1", test.id)
+			}
+			for p.held() && time.Since(returned) < 2*testMemoryBound {
+				time.Sleep(10 * time.Millisecond)
+			}
+			if took := time.Since(returned); took > testMemoryBound {
+				t.Errorf("memory was reserved for %v after the engine had a successor, want at most %v", took, testMemoryBound)
+			}
+			assertAnswer(t, <-answer, http.StatusBadGateway, "")
+		})
+	}
+}
+
+// Guards against a stream that waits until its deadline for an engine that has a successor
+// at its address, since no other engine is free.
+func TestStreamOfAReplacedEngineEnds(t *testing.T) {
+	arrived := make(chan struct{}, 1)
+	f := newStartedFixture(t, newFakeBackend(t, "e1", "engines", func(*http.Request, string, net.Conn) { arrived <- struct{}{} }))
+	answer := make(chan callerResponse, 1)
+	go func() { answer <- f.send("POST", "/stream/", "x", "Wait", "15000") }()
+	<-arrived
+	replaced := time.Now()
+	f.succeed("e1", "e9")
+	assertAnswer(t, <-answer, http.StatusBadGateway, "")
+	if took := time.Since(replaced); took > 4*time.Second {
+		t.Errorf("the request ended %v after its engine was replaced, want less than its time of 5s", took)
+	}
+}
+
+// Guards against renewals that reserve memory at the successor of a helper, where no request
+// uses it.
+func TestNoMemoryIsReservedAtTheSuccessorOfAHelper(t *testing.T) {
+	f, p := memoryFixture(t, func(r *http.Request, _ string, conn net.Conn) {
+		time.Sleep(3 * reservationRenewPeriod)
+		writeEvents(r, conn, 1, 3)
+		endChunkedBody(conn)
+	})
+	answer := make(chan callerResponse, 1)
+	go func() { answer <- f.send("POST", "/stream/", "x", "Wait", "15000") }()
+	for !p.held() {
+		time.Sleep(time.Millisecond)
+	}
+	f.succeed("e2", "e8")
+	assertAnswer(t, <-answer, http.StatusOK, eventText(1, 3))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.reserved != 1 {
+		t.Errorf("%d reservations and renewals reached the address, want 1 before it had a successor", p.reserved)
+	}
+}
+
 // Guards against giving up an engine that is slow but lives: it sends nothing for
 // longer than the bound and answers load reports.
 func TestSlowPrimaryKeepsItsMemory(t *testing.T) {
--- a/forwards/watch.go
+++ b/forwards/watch.go
@@ -29,7 +29,7 @@
 	defaultMemoryBound = 4 * time.Second
 )
 
-var errEngineLost = errors.New("the engine sends nothing and answers no load report")
+var errEngineLost = errors.New("the engine sends nothing, and answers no load report or has been replaced by a later start")
 
 // primaryWatch finds out whether the primary engine of an attempt lives while its
 // stream is silent. Reserved memory at helpers must be free within a bound after the
@@ -100,32 +100,40 @@
 			return
 		case <-ticker.C:
 		}
-		switch silence := w.observedSilence(); {
-		case silence > maxSilence:
+		silence := w.observedSilence()
+		replaced := w.request.forwarder.cfg.Fleet.IsReplaced(w.server)
+		if !replaced && silence <= maxSilence && silence >= livenessProbePeriod {
+			replaced = w.probe()
+		}
+		if replaced || silence > maxSilence {
 			w.request.forwarder.cfg.Log.WithFields(logrus.Fields{
-				logs.KeyRequest: w.request.meta.ID, logs.KeyServer: w.server.ID, "silent-ms": silence.Milliseconds(),
+				logs.KeyRequest: w.request.meta.ID, logs.KeyServer: w.server.ID, "silent-ms": silence.Milliseconds(), "replaced": replaced,
 			}).Warn("the primary engine counts as dead; its request ends there and reserved memory is released")
 			close(w.lost)
 			return
-		case silence >= livenessProbePeriod:
-			w.probe()
 		}
 	}
 }
 
 // probe asks the engine for its load. The answer is a sign of life as of the time
-// of the question, since the engine may have ended after it was sent.
-func (w *primaryWatch) probe() {
+// of the question, since the engine may have ended after it was sent. It reports whether
+// another start has answered at its address.
+func (w *primaryWatch) probe() (replaced bool) {
 	asked := w.request.now()
 	ctx, cancel := context.WithTimeout(context.Background(), livenessProbeTimeout)
 	defer cancel()
-	if _, err := w.request.forwarder.cfg.Protocol.Report(ctx, w.server.Address); err != nil {
+	load, err := w.request.forwarder.cfg.Protocol.Report(ctx, w.server.Address)
+	switch {
+	case err != nil:
 		w.request.forwarder.cfg.Log.WithFields(logrus.Fields{
 			logs.KeyRequest: w.request.meta.ID, logs.KeyServer: w.server.ID,
 		}).WithError(err).Info("the silent primary engine sent no load report")
-		return
+	case load.Born != 0 && load.Born != w.server.Born:
+		return true
+	default:
+		w.sign(asked)
 	}
-	w.sign(asked)
+	return false
 }
 
 // memoryBound returns the time within which reserved memory must be free after the
--- a/schedules/job.go
+++ b/schedules/job.go
@@ -100,6 +100,7 @@
 	Slowdown float64 // factor by which the engine is slower than its profile
 	Running  int     // requests, and prefills for other engines
 	Queued   int     // requests that wait for a slot
+	Born     int64   // start of the engine that reports, in ms since 1970, 0 if it does not say
 }
 
 // EngineState is the state of an engine that the scheduler needs.
