Count the servers of a returned data centre as cold until they have warmed up

Cause, and class: the state of a server that gets no work is known from its last announcement only, which may be older than the moment at which it became cold. Servers of a data centre that returns now count as cold for the warm-up time of their service, on entry and control daemons, whatever they announce meanwhile; a later start speaks for itself. Not covered: a daemon that starts or was cut off while the data centre returned.

--- a/catalogs/catalog.go
+++ b/catalogs/catalog.go
@@ -180,6 +180,15 @@
 // Service returns the service with a name, or nil if there is none.
 func (c *Catalog) Service(name string) *Service { return c.servicesByName[name] }
 
+// WarmUpTime returns the time for which a backend server of a service is cold after its
+// start, 0 for an unknown service.
+func (c *Catalog) WarmUpTime(service string) time.Duration {
+	if s := c.servicesByName[service]; s != nil {
+		return s.ColdDuration
+	}
+	return 0
+}
+
 // RequiresKey reports whether requests need the API key of a workspace.
 func (c *Catalog) RequiresKey() bool { return len(c.spec.Workspaces) > 0 }
 
--- a/controls/registry.go
+++ b/controls/registry.go
@@ -71,14 +71,20 @@
 	} else {
 		g.log.WithError(err).WithField("version", s.Version).Error("the catalog of the replicated state cannot be decoded; the previous one stays in use")
 	}
-	g.outOfService = map[string]bool{}
-	for _, dc := range s.OutOfService {
-		g.outOfService[dc] = true
-	}
+	g.outOfService = g.roster.SetOutOfService(time.Now(), g.outOfService, s.OutOfService, g.warmUpTime)
 	g.dispatcher.SetQuarantines(s.Quarantines, s.Lifts)
 	g.updateDispatcher()
 }
 
+// warmUpTime returns the time in which a backend server of a service warms up, as far as the
+// catalog says so.
+func (g *registry) warmUpTime(service string) time.Duration {
+	if g.catalog == nil {
+		return 0
+	}
+	return g.catalog.WarmUpTime(service)
+}
+
 // announce merges an announcement of a backend server and publishes it if it
 // contains a change that subscribers need.
 func (g *registry) announce(now time.Time, r rosters.Record) {
--- a/forwards/fleet.go
+++ b/forwards/fleet.go
@@ -74,14 +74,12 @@
 	return changed
 }
 
-// SetOutOfService replaces the set of data centres that are out of service.
-func (f *Fleet) SetOutOfService(dataCentres []string) {
+// SetOutOfService replaces the set of data centres that are out of service. Backend servers
+// of those that return count as cold for the time that warmUp returns for their service.
+func (f *Fleet) SetOutOfService(dataCentres []string, warmUp func(service string) time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.outOfService = map[string]bool{}
-	for _, dc := range dataCentres {
-		f.outOfService[dc] = true
-	}
+	f.outOfService = f.roster.SetOutOfService(f.now(), f.outOfService, dataCentres, warmUp)
 }
 
 // Records returns all records and the data centres that are out of service.
--- a/forwards/limits_test.go
+++ b/forwards/limits_test.go
@@ -173,3 +173,23 @@
 		t.Error("an answer of the earlier start limits the present one")
 	}
 }
+
+// Guards against the full load for a plain backend server that became cold while its data
+// centre was out of service, and crashes under it.
+func TestReturnedServersGetTheLoadOfColdOnes(t *testing.T) {
+	fleet := NewFleet("a", time.Now)
+	fleet.Merge([]rosters.Record{{ID: "p1", Born: 1, Sequence: 1, Service: "plain", Address: "a:1", DataCentre: "a"}})
+	warmUp := func(string) time.Duration { return 3 * time.Second }
+	assertLimited := func(when string, want bool) {
+		t.Helper()
+		c := fleet.candidates("plain", 26, nil)
+		if len(c) != 1 || c[0].limited != want {
+			t.Errorf("%s: candidates are %+v, want one whose rate is limited: %v", when, c, want)
+		}
+	}
+	fleet.SetOutOfService(nil, warmUp)
+	assertLimited("in service", false)
+	fleet.SetOutOfService([]string{"a"}, warmUp)
+	fleet.SetOutOfService(nil, warmUp)
+	assertLimited("returned", true)
+}
--- a/rosters/roster.go
+++ b/rosters/roster.go
@@ -53,6 +53,17 @@
 	Record
 	UpdatedAt time.Time
 	ColdUntil time.Time // zero if the record has no cold time left
+	// assumedColdUntil is the time until which this start counts as cold although it may
+	// not have said so.
+	assumedColdUntil time.Time
+}
+
+// setColdUntil sets ColdUntil for a record that arrived now.
+func (e *Entry) setColdUntil(now time.Time) {
+	e.ColdUntil = e.assumedColdUntil
+	if until := now.Add(e.Cold); e.Cold > 0 && until.After(e.ColdUntil) {
+		e.ColdUntil = until
+	}
 }
 
 // Roster holds the newest record of each backend server. It is not safe for
@@ -97,9 +108,10 @@
 		delete(o.byAddress, old.Address) // it has restarted at another address
 	}
 	e := Entry{Record: r, UpdatedAt: now}
-	if r.Cold > 0 {
-		e.ColdUntil = now.Add(r.Cold)
+	if known && old.Born == r.Born {
+		e.assumedColdUntil = old.assumedColdUntil
 	}
+	e.setColdUntil(now)
 	o.byID[r.ID] = e
 	if r.Usable() {
 		o.byAddress[r.Address] = r.ID
@@ -107,6 +119,37 @@
 	return true
 }
 
+// SetOutOfService returns the set of data centres that are out of service from now on. The
+// backend servers of those that return from the old set count as cold for the time in which
+// servers of their service warm up, whatever they announce: their records may be older than
+// the moment at which they became cold.
+func (o *Roster) SetOutOfService(now time.Time, old map[string]bool, dataCentres []string, warmUp func(service string) time.Duration) map[string]bool {
+	out := map[string]bool{}
+	for _, dc := range dataCentres {
+		out[dc] = true
+	}
+	for dc := range old {
+		if !out[dc] {
+			o.assumeCold(now, dc, warmUp)
+		}
+	}
+	return out
+}
+
+func (o *Roster) assumeCold(now time.Time, dataCentre string, warmUp func(service string) time.Duration) {
+	for id, e := range o.byID {
+		until := now.Add(warmUp(e.Service))
+		if e.DataCentre != dataCentre || !until.After(now) {
+			continue
+		}
+		e.assumedColdUntil = until
+		if until.After(e.ColdUntil) {
+			e.ColdUntil = until
+		}
+		o.byID[id] = e
+	}
+}
+
 // Get returns the record of a backend server.
 func (o *Roster) Get(id gypsumshelf.ServerID) (Entry, bool) {
 	e, ok := o.byID[id]
--- a/rosters/roster_test.go
+++ b/rosters/roster_test.go
@@ -106,3 +106,62 @@
 	o.Merge(now, left)
 	assertUsable("a late report of the earlier leave", true)
 }
+
+// Guards against the load of warm servers for servers that became cold while their data
+// centre was out of service: what they have announced may be older than that.
+func TestServersOfAReturnedDataCentreCountAsCold(t *testing.T) {
+	const warmUp = 3 * time.Second
+	start := time.Unix(100, 0)
+	record := func(id, dataCentre, service string) Record {
+		return Record{ID: gypsumshelf.ServerID(id), Born: 1, Sequence: 1, Address: id + ":1", Service: service, DataCentre: dataCentre}
+	}
+	newRoster := func() *Roster {
+		o := New()
+		for _, r := range []Record{record("returned", "a", "warming"), record("stayed", "b", "warming"), record("steady", "a", "always-warm")} {
+			o.Merge(start, r)
+		}
+		out := o.SetOutOfService(start, map[string]bool{}, []string{"a"}, warmUpTime)
+		o.SetOutOfService(start, out, nil, warmUpTime)
+		return o
+	}
+	assertCold := func(t *testing.T, o *Roster, id gypsumshelf.ServerID, want time.Time) {
+		t.Helper()
+		if entry, _ := o.Get(id); !entry.ColdUntil.Equal(want) {
+			t.Errorf("%s is cold until %v, want %v", id, entry.ColdUntil, want)
+		}
+	}
+	t.Run("when it returns", func(t *testing.T) {
+		o := newRoster()
+		assertCold(t, o, "returned", start.Add(warmUp))
+		assertCold(t, o, "stayed", time.Time{})
+		assertCold(t, o, "steady", time.Time{})
+	})
+	t.Run("a late announcement that says warm", func(t *testing.T) {
+		o, r := newRoster(), record("returned", "a", "warming")
+		r.Sequence = 2
+		o.Merge(start.Add(time.Second), r)
+		assertCold(t, o, "returned", start.Add(warmUp))
+	})
+	t.Run("an announcement that says cold for longer", func(t *testing.T) {
+		o, r := newRoster(), record("returned", "a", "warming")
+		r.Sequence, r.Cold = 2, 4*time.Second
+		o.Merge(start.Add(time.Second), r)
+		assertCold(t, o, "returned", start.Add(5*time.Second))
+	})
+	t.Run("a later start", func(t *testing.T) {
+		o, r := newRoster(), record("returned", "a", "warming")
+		r.Born = 2
+		o.Merge(start.Add(time.Second), r)
+		assertCold(t, o, "returned", time.Time{})
+	})
+	t.Run("taken out again and back", func(t *testing.T) {
+		o, again := newRoster(), start.Add(time.Minute)
+		out := o.SetOutOfService(again, map[string]bool{}, []string{"a"}, warmUpTime)
+		o.SetOutOfService(again, out, nil, warmUpTime)
+		assertCold(t, o, "returned", again.Add(warmUp))
+	})
+}
+
+func warmUpTime(service string) time.Duration {
+	return map[string]time.Duration{"warming": 3 * time.Second}[service]
+}
