Keep a pausing stream for which no other engine can answer before the planned stop

While its engine paused during a stop, a stream was given up for another engine as soon as the scheduler named one, and only then was it found that this one's first event came after the stop. Callers saw the stream end, or a 502, seconds before the end of the grace period, although the first engine was at work.

A replacement that cannot answer before the stop now counts as none. The test saw the stream end after two of four events, and a 502 before the first.

--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -151,6 +151,11 @@
 	err      error
 }
 
+// isWorthwhile reports whether an engine was found that can answer before a planned stop.
+func (r placementResult) isWorthwhile(req *proxyRequest) bool {
+	return r.err == nil && r.decision.Placement != nil && !req.stopsBefore(r.decision.Placement.First)
+}
+
 // submitJob submits the request to the scheduler without waiting for the decision.
 func submitJob(ctx context.Context, req *proxyRequest) *pendingPlacement {
 	ctx, cancel := context.WithCancel(ctx)
@@ -401,7 +406,7 @@
 			e.cancelReplacement()
 			return errEngineLost
 		case result := <-replacementResult:
-			if result.err == nil && result.decision.Placement != nil && req.spendRetry() {
+			if result.isWorthwhile(req) && req.spendRetry() {
 				e.replacement.result <- result
 				return errNoProgress
 			}
--- /dev/null
+++ b/forwards/stop_ends_test.go
@@ -0,0 +1,66 @@
+package forwards
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/schedules"
+)
+
+// drain begins a planned stop that breaks requests off after a time.
+func (f *fixture) drain(breakOff time.Duration) {
+	now := time.Now()
+	f.forwarder.Drain(DrainPlan{AcceptUntil: now.Add(breakOff / 2), BreakOff: now.Add(breakOff)})
+}
+
+// predictingPlacer places the jobs on one engine each, with a predicted time to the first event.
+// It stands for a scheduler that does not know of planned stops.
+type predictingPlacer struct {
+	*fakePlacer
+	first map[gypsumshelf.ServerID]time.Duration
+}
+
+func (p *predictingPlacer) Place(ctx context.Context, job schedules.Job) (schedules.Decision, error) {
+	d, err := p.fakePlacer.Place(ctx, job)
+	if d.Placement != nil {
+		d.Placement.First = p.first[d.Placement.Server]
+	}
+	return d, err
+}
+
+// Guards against a stream that is given up, since its engine pauses, for another engine that
+// the stop of the daemon leaves no time for.
+func TestPausingStreamIsKeptWhenNoOtherCanEndBeforeTheStop(t *testing.T) {
+	pausing := func(from int) func(*http.Request, string, net.Conn) {
+		return func(r *http.Request, _ string, conn net.Conn) {
+			if from > 0 {
+				writeEvents(r, conn, 1, from)
+			}
+			time.Sleep(2 * time.Second)
+			if from == 0 {
+				writeEvents(r, conn, 1, 1)
+				from++
+			}
+			for i := from + 1; i <= 4; i++ {
+				writeChunk(conn, fmt.Sprintf("id: %d\ndata: x\n\n", i))
+			}
+			endChunkedBody(conn)
+		}
+	}
+	for _, before := range []int{0, 2} {
+		t.Run(fmt.Sprintf("after %d events", before), func(t *testing.T) {
+			first := newFakeBackend(t, "e1", "engines", pausing(before))
+			second := newFakeBackend(t, "e2", "engines", resumeAfterLastEvent(4))
+			f := newStartedFixture(t, first, second)
+			f.forwarder.cfg.Placer = &predictingPlacer{fakePlacer: f.placer, first: map[gypsumshelf.ServerID]time.Duration{"e1": time.Millisecond, "e2": time.Minute}}
+			f.drain(5 * time.Second)
+			assertAnswer(t, f.send("POST", "/stream/", "x"), http.StatusOK, eventText(1, 4))
+			assertCount(t, second, 0)
+		})
+	}
+}
