Predict the wait of long prompts with the engines that they may use

Long prompts that waited at a stopping daemon were handed back although they could have been served before its stop: some seconds after the last long prompt came, no engine is reserved for them, and the wait was predicted as if one engine alone served the queue. At that time all engines do. The prediction now counts the same engines as the placement.

The test has ten engines without free memory and six prompts that wait; with ten seconds left, one was handed back for a wait of 11 s, which ten engines end in 1.2 s. Newly arrived prompts were not concerned: each of them reserves engines.

--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -446,7 +446,7 @@
 		}
 	}
 	if j.long {
-		return work / time.Duration(max(1, p.reservedCount()))
+		return work / time.Duration(max(1, p.longPromptEngineCount()))
 	}
 	// All slots together end one answer each in about the duration of a usual
 	// answer.
@@ -509,6 +509,15 @@
 	return max(1, len(p.sorted)-need)
 }
 
+// longPromptEngineCount returns the number of engines that long prompts may use: the
+// reserved ones, or all engines if none is reserved.
+func (p *pool) longPromptEngineCount() int {
+	if reserved := p.reservedCount(); reserved > 0 {
+		return reserved
+	}
+	return len(p.sorted)
+}
+
 // updateShortAnswers tracks the peak number of short answers. The peak rises at
 // once and decays slowly, so that the set of reserved engines does not change
 // whenever an answer ends.
--- a/schedules/stops_test.go
+++ b/schedules/stops_test.go
@@ -150,3 +150,34 @@
 		}
 	})
 }
+
+// newFullScheduler returns a scheduler whose engines have no memory left for another long
+// prompt. No engine is reserved for long prompts, since none has come for decayed.
+func newFullScheduler(t *testing.T, engines int, decayed time.Duration) *Scheduler {
+	t.Helper()
+	s := newTestScheduler(engines)
+	for i := range 2 * engines { // the memory of an engine fits two
+		at := origin.Add(time.Duration(i-2*engines) * 2 * decayed)
+		j := newJob(fmt.Sprint("running", i), 210_000, time.Hour)
+		j.Deadline = time.Hour
+		requirePlacement(t, append(s.Submit(at, j), s.Tick(at.Add(decayed))...))
+		s.Started(at.Add(decayed), j.ID)
+	}
+	return s
+}
+
+// Guards against jobs that are handed back for a wait that no engine causes. Some time after
+// the last long prompt came, no engine is reserved for them, and all of them serve those
+// that wait.
+func TestWaitIsPredictedForAllEngines(t *testing.T) {
+	const decayed = 8 * demandDecayTime
+	for _, passed := range []time.Duration{0, decayed} {
+		t.Run(fmt.Sprint(passed, " after the last prompt"), func(t *testing.T) {
+			s := newFullScheduler(t, 10, decayed)
+			for i := range 6 {
+				assertWaits(t, s.Submit(origin, waitingJob(i)))
+			}
+			assertWaits(t, s.StopDaemon(origin.Add(passed), "a", 10*time.Second))
+		})
+	}
+}
