Tell the leader of a planned stop also when its connection is being made again

Jobs that waited at a stopping daemon were not handed back until the last moment, and could be placed although they could not end before the stop, if the connection to the leader was lost at SIGTERM. The update about the stop was dropped as one that the next hand-over repeats, but a leader that stays the same gets none.

The update is now sent again like those of jobs, with the time that is left then. The test closes the connection right before the stop; the waiting job was not handed back within 2 s in 3 of 3 runs, and is now.

--- a/dispatchers/client.go
+++ b/dispatchers/client.go
@@ -456,9 +456,10 @@
 }
 
 // tell sends updates to the leader and returns those that are to be sent again: without
-// its end, a job would keep its slots until its deadline. What is known of crashes and
-// limits is handed over anyway.
+// its end, a job would keep its slots until its deadline, and jobs would wait beyond the
+// stop of their daemon. What is known of crashes and limits is handed over anyway.
 func (c *Client) tell(updates []JobUpdate) (unsent []JobUpdate) {
+	c.refreshStops(updates)
 	client, leader := c.connection()
 	if client != nil {
 		err := peers.Call(client, ServiceName+".Tell", updates, &struct{}{}, updateTimeout)
@@ -470,7 +471,7 @@
 			c.suspectLeader(leader, err)
 		}
 	}
-	unsent = slices.DeleteFunc(updates, func(u JobUpdate) bool { return u.Job == "" })
+	unsent = slices.DeleteFunc(updates, func(u JobUpdate) bool { return u.Job == "" && u.Stop == nil })
 	if excess := len(unsent) - updateQueueSize; excess > 0 {
 		c.cfg.Log.WithField("dropped", excess).Warn("no leader takes updates of jobs; the oldest were dropped")
 		unsent = slices.Delete(unsent, 0, excess)
--- a/dispatchers/stops.go
+++ b/dispatchers/stops.go
@@ -36,6 +36,15 @@
 	return []JobUpdate{{Stop: &DaemonStop{Daemon: c.cfg.Daemon, After: left}}}
 }
 
+// refreshStops makes updates about the stop of this daemon say how much time is left now.
+func (c *Client) refreshStops(updates []JobUpdate) {
+	for i := range updates {
+		if updates[i].Stop != nil {
+			updates[i].Stop = &DaemonStop{Daemon: c.cfg.Daemon, After: c.untilStop()}
+		}
+	}
+}
+
 // minStopNotice stands for the time until a stop that is due.
 const minStopNotice = time.Millisecond
 
