Tell requests whose time ends during a planned stop from those that the stop hands back

A request that waited for an engine at a stopping daemon until its own deadline was logged and counted as ended by the stop: the wait ends at the earlier of the two times, and both were taken for the stop. In the test, with a stop a minute away, this was so for 20 of 20 requests. The wait now says which of the two has come.

--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -183,6 +183,9 @@
 			drain = nil
 			handBack = time.After(p.request.handBackTime().Sub(p.request.now()))
 		case <-handBack:
+			if p.request.remaining() <= 0 {
+				return placementResult{err: context.DeadlineExceeded}
+			}
 			return placementResult{err: errStopsFirst}
 		case <-ctx.Done():
 			return placementResult{err: context.Cause(ctx)}
--- a/forwards/stop_ends_test.go
+++ b/forwards/stop_ends_test.go
@@ -64,3 +64,32 @@
 		})
 	}
 }
+
+// undecidedPlacer never decides about a job.
+type undecidedPlacer struct{ *fakePlacer }
+
+func (p *undecidedPlacer) Place(ctx context.Context, _ schedules.Job) (schedules.Decision, error) {
+	<-ctx.Done()
+	return schedules.Decision{}, ctx.Err()
+}
+
+// Guards against requests whose time ends while the daemon stops, and that count as ended by
+// the stop.
+func TestEndByTheDeadlineDuringAStop(t *testing.T) {
+	f := newStartedFixture(t)
+	f.forwarder.cfg.Placer = &undecidedPlacer{f.placer}
+	f.drain(time.Minute)
+	const requests = 20
+	for i := range requests {
+		f.send("POST", "/stream/", "x", "Id", fmt.Sprint("r", i), "Wait", "30")
+	}
+	f.server.Close() // waits for the end of the requests
+	for id, line := range f.logLines("request ended") {
+		if line["ended-by"] != string(endedByDeadline) {
+			t.Errorf("request %s was ended by %v, want the deadline", id, line["ended-by"])
+		}
+	}
+	if handedBack, brokenOff := f.forwarder.StoppedRequests(); handedBack+brokenOff != 0 {
+		t.Errorf("%d requests count as ended by the stop, want none", handedBack+brokenOff)
+	}
+}
