Log answers that a planned stop cuts as broken off, not as left by their callers

An answer whose caller reads slowly is cut when the stop closes the connections. Its log line and the metric of requests had the outcome caller-gone, although nobody had left. The failed write was taken for the caller's doing; it now counts as broken off if the stop has ended the request.

--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -481,6 +481,9 @@
 	req.w.WriteHeader(response.status)
 	if _, err := response.body.WriteTo(req.w); err != nil && req.r.Method != http.MethodHead {
 		req.outcome, req.cause = outcomeCallerGone, "the answer could not be written: "+err.Error()
+		if req.endedBy() == endedByStop {
+			req.outcome = outcomeBrokenOff
+		}
 	}
 }
 
--- a/forwards/stop_ends_test.go
+++ b/forwards/stop_ends_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -93,3 +94,20 @@
 		t.Errorf("%d requests count as ended by the stop, want none", handedBack+brokenOff)
 	}
 }
+
+// Guards against an answer that the stop cuts while its caller reads it, and whose log line
+// says that the caller has left.
+func TestAnswerCutByAStop(t *testing.T) {
+	f := newStartedFixture(t, newFakeBackend(t, "p1", "plain", respondWith(http.StatusOK, strings.Repeat("x", 16<<20))))
+	conn := f.dialCaller()
+	fmt.Fprint(conn, "POST /safe/ HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: k\r\nContent-Length: 1\r\n\r\nx")
+	time.Sleep(500 * time.Millisecond) // the answer waits for the caller
+	f.forwarder.EndRequests()
+	time.Sleep(100 * time.Millisecond)
+	f.server.CloseClientConnections()
+	f.server.Close() // waits for the end of the request
+	line := f.logLines("request ended")["r1"]
+	if line["outcome"] != outcomeBrokenOff || line["ended-by"] != string(endedByStop) || line["phase"] != string(phaseWriting) {
+		t.Errorf("outcome %v, ended by %v while %v, want %s by the stop while %s", line["outcome"], line["ended-by"], line["phase"], outcomeBrokenOff, phaseWriting)
+	}
+}
