Send the last updates of jobs before a stopping daemon closes its connections

After a planned stop, the leader could hold slots for requests that the stop had ended, until their deadlines if the daemon started again soon. The connections to the control daemons were closed before the updates of jobs, which are collected for some milliseconds, were sent, and updates that came while others were being sent were dropped.

Client.Close now sends what is queued, within the time in which a leader answers, and runs before the connections are closed. The order of the two calls in Gateway.Stop was found by reading; no test covers it.

--- a/dispatchers/client.go
+++ b/dispatchers/client.go
@@ -96,7 +96,8 @@
 	return c
 }
 
-// Close stops the client.
+// Close sends the last updates and stops the client. It must be called before the
+// connections to the control daemons are closed.
 func (c *Client) Close() {
 	close(c.stop)
 	c.wg.Wait()
@@ -428,6 +429,7 @@
 		updates := unsent
 		select {
 		case <-c.stop:
+			c.flush(unsent)
 			return
 		case <-c.handOverDue:
 			retry = c.handOver()
@@ -440,21 +442,42 @@
 			updates = append(updates, u)
 		}
 		time.Sleep(updateBatchDelay)
-		for more := true; more; {
-			select {
-			case u := <-c.updates:
-				updates = append(updates, u)
-			default:
-				more = false
-			}
-		}
-		unsent, resend = c.tell(updates), nil
+		unsent, resend = c.tell(c.appendQueued(updates)), nil
 		if len(unsent) > 0 {
 			resend = time.After(updateRetryDelay)
 		}
 	}
 }
 
+// appendQueued appends the queued updates.
+func (c *Client) appendQueued(updates []JobUpdate) []JobUpdate {
+	for {
+		select {
+		case u := <-c.updates:
+			updates = append(updates, u)
+		default:
+			return updates
+		}
+	}
+}
+
+var errNoLeader = errors.New("there is no connection to the leader")
+
+// flush sends the last updates, once: the daemon ends.
+func (c *Client) flush(unsent []JobUpdate) {
+	updates := c.appendQueued(unsent)
+	if len(updates) == 0 {
+		return
+	}
+	err := errNoLeader
+	if client, alive := c.cfg.Feeds.Client(c.usableLeader()); alive {
+		err = peers.Call(client, ServiceName+".Tell", updates, &struct{}{}, placeTimeout)
+	}
+	if err != nil {
+		c.cfg.Log.WithField("updates", len(updates)).WithError(err).Warn("the leader may not know of the last ends of jobs")
+	}
+}
+
 // tell sends updates to the leader and returns those that are to be sent again: without
 // its end, a job would keep its slots until its deadline, and jobs would wait beyond the
 // stop of their daemon. What is known of crashes and limits is handed over anyway.
--- a/dispatchers/dispatchers_test.go
+++ b/dispatchers/dispatchers_test.go
@@ -61,6 +61,14 @@
 }
 
 func newClient(t *testing.T, addresses ...string) *Client {
+	t.Helper()
+	c := newOpenClient(t, addresses...)
+	t.Cleanup(c.Close)
+	return c
+}
+
+// newOpenClient returns a client that the test closes.
+func newOpenClient(t *testing.T, addresses ...string) *Client {
 	t.Helper()
 	feeds := directories.NewSubscriber(directories.SubscriberConfig{
 		Daemon: "d", Seeds: addresses, Log: discardLog(), HandleView: func(string, directories.View) {},
@@ -77,9 +85,7 @@
 			}
 		}
 	}
-	c := NewClient(ClientConfig{Feeds: feeds, Local: newDispatcher(t, 4), Log: discardLog()})
-	t.Cleanup(c.Close)
-	return c
+	return NewClient(ClientConfig{Feeds: feeds, Local: newDispatcher(t, 4), Log: discardLog()})
 }
 
 func assertPlacedBy(t *testing.T, c *Client, id, scheduler string) {
--- a/dispatchers/stop_updates_test.go
+++ b/dispatchers/stop_updates_test.go
@@ -1,6 +1,7 @@
 package dispatchers
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -71,3 +72,46 @@
 		assertHandedBack(t, decided)
 	})
 }
+
+// busyService is a leader that takes some time for updates.
+type busyService struct {
+	*Service
+	delay time.Duration
+}
+
+func (s *busyService) Tell(updates []JobUpdate, reply *struct{}) error {
+	time.Sleep(s.delay)
+	return s.Service.Tell(updates, reply)
+}
+
+// Guards against slots that stay in use after the stop of a daemon, which ends its last
+// requests right before it.
+func TestLastEndsReachTheLeader(t *testing.T) {
+	const slots = 8
+	dispatcher := newDispatcher(t, slots)
+	dispatcher.SetActive(true)
+	address, _ := serve(t, &busyService{Service: NewService(dispatcher), delay: 20 * time.Millisecond})
+	for i := range slots / 2 {
+		stopping := newOpenClient(t, address)
+		stopping.SetLeader(address, 1)
+		first, last := schedules.JobID(fmt.Sprint("first", i)), schedules.JobID(fmt.Sprint("last", i))
+		assertPlacedBy(t, stopping, string(first), address)
+		assertPlacedBy(t, stopping, string(last), address)
+		stopping.End(first, schedules.Cancelled, "")
+		time.Sleep(2 * updateBatchDelay) // the leader is busy with the first end
+		stopping.End(last, schedules.Cancelled, "")
+		stopping.Close()
+	}
+	other := newClient(t, address)
+	other.SetLeader(address, 1)
+	for i := range slots {
+		select {
+		case d := <-placeInBackground(t, other, job(fmt.Sprint("next", i))):
+			if d.Placement == nil {
+				t.Errorf("decision %+v, want a placement", d)
+			}
+		case <-time.After(time.Second):
+			t.Fatalf("%d of %d slots are free again, want all", i, slots)
+		}
+	}
+}
--- a/gateways/stop.go
+++ b/gateways/stop.go
@@ -66,8 +66,8 @@
 	refused, broken := g.forwarder.StoppedRequests()
 	g.cfg.Log.WithFields(logrus.Fields{"handed-back": refused, "broken-off": broken}).Info("requests that the stop has ended")
 	g.relay.Close()
-	g.subscriber.Close()
 	g.dispatchClient.Close()
+	g.subscriber.Close()
 }
 
 // closeCallers closes callers' connections as soon as they are idle, and waits until all
