Say that the stop has ended a request that waited for room on a server

A request that waited for room on a server with a limit when the daemon stopped was refused with the words that no backend server of the service is left, and logged so: the end of its context was taken for the lack of a server. The same held for the deadline. The end of the context is now checked first. The test read the wrong words in the answer.

--- a/forwards/plain.go
+++ b/forwards/plain.go
@@ -27,6 +27,10 @@
 func (req *proxyRequest) serveFromPlainService(ctx context.Context) {
 	for {
 		server, retryAfter, found := req.choosePlain(ctx)
+		if !found && ctx.Err() != nil {
+			req.finishUnanswered("no backend server was chosen: " + context.Cause(ctx).Error())
+			return
+		}
 		if !found && retryAfter > 0 {
 			req.refuseLimited(retryAfter)
 			return
--- a/forwards/stop_ends_test.go
+++ b/forwards/stop_ends_test.go
@@ -111,3 +111,20 @@
 		t.Errorf("outcome %v, ended by %v while %v, want %s by the stop while %s", line["outcome"], line["ended-by"], line["phase"], outcomeBrokenOff, phaseWriting)
 	}
 }
+
+// Guards against requests that wait for room on a server when the daemon ends them, and
+// whose callers read that no server is left.
+func TestWaitForRoomEndedByAStop(t *testing.T) {
+	f := newStartedFixture(t, newFakeBackend(t, "p1", "plain", respondWithLimit(http.StatusOK, "1", "")))
+	f.forwarder.cfg.Limits = &fakeLimits{admission: schedules.Admission{Server: "p1", Wait: 2 * time.Second}}
+	f.send("POST", "/safe/", "x", "Id", "names-the-limit")
+	time.AfterFunc(300*time.Millisecond, f.forwarder.EndRequests)
+	answer := f.send("POST", "/safe/", "x")
+	f.server.Close() // waits for the end of the request
+	if answer.status != http.StatusServiceUnavailable || !strings.Contains(answer.body, errStopped.Error()) {
+		t.Errorf("response is %d %q, want a refusal that names the stop", answer.status, answer.body)
+	}
+	if line := f.logLines("request ended")["r1"]; line["ended-by"] != string(endedByStop) || line["cause"] == "" {
+		t.Errorf("ended by %v with cause %q, want the stop", line["ended-by"], line["cause"])
+	}
+}
