Start no server for callers after the stop of an entry daemon has begun

A configuration with other limits that came into force while the stop closed the servers for callers started another one, for which the stop could wait until the daemon was killed. New limits are now ignored once the servers are being closed: no connection is accepted any more. The test found the server running a second after the stop.

--- a/gateways/callers.go
+++ b/gateways/callers.go
@@ -67,7 +67,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l == s.limits {
+	if l == s.limits || s.stopped {
 		return
 	}
 	s.limits = l
--- a/gateways/callers_test.go
+++ b/gateways/callers_test.go
@@ -193,3 +193,26 @@
 		t.Error("a connection is accepted after the shutdown")
 	}
 }
+
+// Guards against a stop that waits for ever for a server that new limits have started
+// meanwhile.
+func TestNoServerIsStartedDuringTheStop(t *testing.T) {
+	s, _ := newTestServer(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := s.shutdown(ctx); err != nil {
+		t.Fatal(err)
+	}
+	s.close()
+	s.setLimits(catalogs.Limits{HeaderTimeout: time.Second})
+	ended := make(chan struct{})
+	go func() {
+		s.wg.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(time.Second):
+		t.Error("a server runs after the stop")
+	}
+}
