--- a/forwards/drain.go
+++ b/forwards/drain.go
@@ -69,13 +69,14 @@
 }
 
 // handBackTime returns the time at which the request is refused if it has not reached a
-// backend server while the daemon stops. It may be called after Drain only.
+// backend server while the daemon stops. A request whose deadline comes before the stop has
+// until then. It may be called after Drain only.
 func (req *proxyRequest) handBackTime() time.Time {
-	at := req.forwarder.drain.Load().BreakOff.Add(-handBackReserve)
-	if req.deadline.Before(at) {
+	p := req.forwarder.drain.Load()
+	if !req.deadline.After(p.BreakOff) {
 		return req.deadline
 	}
-	return at
+	return p.BreakOff.Add(-handBackReserve)
 }
 
 // arrivedTooLate reports whether the request is to be refused on arrival for the stop of the
--- a/forwards/stop_ends_test.go
+++ b/forwards/stop_ends_test.go
@@ -128,3 +128,16 @@
 		t.Errorf("ended by %v with cause %q, want the stop", line["ended-by"], line["cause"])
 	}
 }
+
+// Guards against requests that are accepted near the end of a drain, since they are sure to
+// end before it, and are handed back all the same.
+func TestRequestsThatEndBeforeTheStopAreServed(t *testing.T) {
+	for _, path := range []string{"/stream/", "/safe/"} {
+		t.Run(path, func(t *testing.T) {
+			f := newStartedFixture(t, newFakeBackend(t, "e1", "engines", resumeAfterLastEvent(2)), newFakeBackend(t, "p1", "plain", respondWith(http.StatusOK, "ok")))
+			now := time.Now()
+			f.forwarder.Drain(DrainPlan{AcceptUntil: now, BreakOff: now.Add(handBackReserve - 100*time.Millisecond)})
+			assertAnswer(t, f.send("POST", path, "x", "Wait", "300"), http.StatusOK, "")
+		})
+	}
+}
