Hand back requests whose bodies end after the time in which a stopping daemon accepts

A stream whose header came early in a planned stop and whose body came late was accepted, and broken off at the end of the drain: only requests that were sent near the signal may be. The time in which requests are accepted was compared with the arrival of the header alone. It now holds for the end of the body too, so that a request which nobody has begun gets a 503 that says so.

--- a/forwards/drain.go
+++ b/forwards/drain.go
@@ -79,8 +79,8 @@
 	return p.BreakOff.Add(-handBackReserve)
 }
 
-// arrivedTooLate reports whether the request is to be refused on arrival for the stop of the
-// daemon.
+// arrivedTooLate reports whether a request whose header or body has just arrived is to be
+// refused for the stop of the daemon.
 func (req *proxyRequest) arrivedTooLate() bool {
 	p := req.forwarder.drain.Load()
 	return p != nil && req.now().After(p.AcceptUntil) && req.deadline.After(p.BreakOff)
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -383,6 +383,9 @@
 	case int64(len(body)) > limit:
 		return req.refuse(http.StatusRequestEntityTooLarge, 0, "the body is too long")
 	}
+	if req.arrivedTooLate() {
+		return req.handBack("the daemon is stopping, and the body has arrived too late")
+	}
 	req.body = body
 	return true
 }
--- a/forwards/stop_ends_test.go
+++ b/forwards/stop_ends_test.go
@@ -1,8 +1,10 @@
 package forwards
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -141,3 +143,32 @@
 		})
 	}
 }
+
+// Guards against a stream that is cut by the stop although its request was complete only
+// after the time in which requests are accepted.
+func TestBodyThatEndsLateDuringAStop(t *testing.T) {
+	f := newStartedFixture(t, newFakeBackend(t, "e1", "engines", endlessEvents))
+	now := time.Now()
+	f.forwarder.Drain(DrainPlan{AcceptUntil: now.Add(200 * time.Millisecond), BreakOff: now.Add(1500 * time.Millisecond)})
+	time.AfterFunc(1500*time.Millisecond, f.forwarder.EndRequests)
+	conn := f.dialCaller()
+	fmt.Fprint(conn, "POST /stream/ HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: k\r\nWait: 4000\r\nContent-Length: 2\r\n\r\nx")
+	time.Sleep(700 * time.Millisecond)
+	fmt.Fprint(conn, "x")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("got status %d with %d bytes and error %v, want a refusal", response.StatusCode, len(body), err)
+	}
+}
+
+func endlessEvents(r *http.Request, _ string, conn net.Conn) {
+	writeEvents(r, conn, 1, 1)
+	for i := 2; i < 100; i++ {
+		time.Sleep(50 * time.Millisecond)
+		writeChunk(conn, fmt.Sprintf("id: %d\ndata: x\n\n", i))
+	}
+}
