--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -383,6 +383,9 @@
 	case int64(len(body)) > limit:
 		return req.refuse(http.StatusRequestEntityTooLarge, 0, "the body is too long")
 	}
+	if req.arrivedTooLate() {
+		return req.handBack("the daemon is stopping, and the body has arrived too late")
+	}
 	req.body = body
 	return true
 }
@@ -481,6 +484,9 @@
 	req.w.WriteHeader(response.status)
 	if _, err := response.body.WriteTo(req.w); err != nil && req.r.Method != http.MethodHead {
 		req.outcome, req.cause = outcomeCallerGone, "the answer could not be written: "+err.Error()
+		if req.endedBy() == endedByStop {
+			req.outcome = outcomeBrokenOff
+		}
 	}
 }
 
--- /dev/null
+++ b/forwards/stop_ends_test.go
@@ -0,0 +1,174 @@
+package forwards
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/schedules"
+)
+
+// drain begins a planned stop that breaks requests off after a time.
+func (f *fixture) drain(breakOff time.Duration) {
+	now := time.Now()
+	f.forwarder.Drain(DrainPlan{AcceptUntil: now.Add(breakOff / 2), BreakOff: now.Add(breakOff)})
+}
+
+// predictingPlacer places the jobs on one engine each, with a predicted time to the first event.
+// It stands for a scheduler that does not know of planned stops.
+type predictingPlacer struct {
+	*fakePlacer
+	first map[gypsumshelf.ServerID]time.Duration
+}
+
+func (p *predictingPlacer) Place(ctx context.Context, job schedules.Job) (schedules.Decision, error) {
+	d, err := p.fakePlacer.Place(ctx, job)
+	if d.Placement != nil {
+		d.Placement.First = p.first[d.Placement.Server]
+	}
+	return d, err
+}
+
+// Guards against a stream that is given up, since its engine pauses, for another engine that
+// the stop of the daemon leaves no time for.
+func TestPausingStreamIsKeptWhenNoOtherCanEndBeforeTheStop(t *testing.T) {
+	pausing := func(from int) func(*http.Request, string, net.Conn) {
+		return func(r *http.Request, _ string, conn net.Conn) {
+			if from > 0 {
+				writeEvents(r, conn, 1, from)
+			}
+			time.Sleep(2 * time.Second)
+			if from == 0 {
+				writeEvents(r, conn, 1, 1)
+				from++
+			}
+			for i := from + 1; i <= 4; i++ {
+				writeChunk(conn, fmt.Sprintf("id: %d\ndata: x\n\n", i))
+			}
+			endChunkedBody(conn)
+		}
+	}
+	for _, before := range []int{0, 2} {
+		t.Run(fmt.Sprintf("after %d events", before), func(t *testing.T) {
+			first := newFakeBackend(t, "e1", "engines", pausing(before))
+			second := newFakeBackend(t, "e2", "engines", resumeAfterLastEvent(4))
+			f := newStartedFixture(t, first, second)
+			f.forwarder.cfg.Placer = &predictingPlacer{fakePlacer: f.placer, first: map[gypsumshelf.ServerID]time.Duration{"e1": time.Millisecond, "e2": time.Minute}}
+			f.drain(5 * time.Second)
+			assertAnswer(t, f.send("POST", "/stream/", "x"), http.StatusOK, eventText(1, 4))
+			assertCount(t, second, 0)
+		})
+	}
+}
+
+// undecidedPlacer never decides about a job.
+type undecidedPlacer struct{ *fakePlacer }
+
+func (p *undecidedPlacer) Place(ctx context.Context, _ schedules.Job) (schedules.Decision, error) {
+	<-ctx.Done()
+	return schedules.Decision{}, ctx.Err()
+}
+
+// Guards against requests whose time ends while the daemon stops, and that count as ended by
+// the stop.
+func TestEndByTheDeadlineDuringAStop(t *testing.T) {
+	f := newStartedFixture(t)
+	f.forwarder.cfg.Placer = &undecidedPlacer{f.placer}
+	f.drain(time.Minute)
+	const requests = 20
+	for i := range requests {
+		f.send("POST", "/stream/", "x", "Id", fmt.Sprint("r", i), "Wait", "30")
+	}
+	f.server.Close() // waits for the end of the requests
+	for id, line := range f.logLines("request ended") {
+		if line["ended-by"] != string(endedByDeadline) {
+			t.Errorf("request %s was ended by %v, want the deadline", id, line["ended-by"])
+		}
+	}
+	if handedBack, brokenOff := f.forwarder.StoppedRequests(); handedBack+brokenOff != 0 {
+		t.Errorf("%d requests count as ended by the stop, want none", handedBack+brokenOff)
+	}
+}
+
+// Guards against an answer that the stop cuts while its caller reads it, and whose log line
+// says that the caller has left.
+func TestAnswerCutByAStop(t *testing.T) {
+	f := newStartedFixture(t, newFakeBackend(t, "p1", "plain", respondWith(http.StatusOK, strings.Repeat("x", 16<<20))))
+	conn := f.dialCaller()
+	fmt.Fprint(conn, "POST /safe/ HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: k\r\nContent-Length: 1\r\n\r\nx")
+	time.Sleep(500 * time.Millisecond) // the answer waits for the caller
+	f.forwarder.EndRequests()
+	time.Sleep(100 * time.Millisecond)
+	f.server.CloseClientConnections()
+	f.server.Close() // waits for the end of the request
+	line := f.logLines("request ended")["r1"]
+	if line["outcome"] != outcomeBrokenOff || line["ended-by"] != string(endedByStop) || line["phase"] != string(phaseWriting) {
+		t.Errorf("outcome %v, ended by %v while %v, want %s by the stop while %s", line["outcome"], line["ended-by"], line["phase"], outcomeBrokenOff, phaseWriting)
+	}
+}
+
+// Guards against requests that wait for room on a server when the daemon ends them, and
+// whose callers read that no server is left.
+func TestWaitForRoomEndedByAStop(t *testing.T) {
+	f := newStartedFixture(t, newFakeBackend(t, "p1", "plain", respondWithLimit(http.StatusOK, "1", "")))
+	f.forwarder.cfg.Limits = &fakeLimits{admission: schedules.Admission{Server: "p1", Wait: 2 * time.Second}}
+	f.send("POST", "/safe/", "x", "Id", "names-the-limit")
+	time.AfterFunc(300*time.Millisecond, f.forwarder.EndRequests)
+	answer := f.send("POST", "/safe/", "x")
+	f.server.Close() // waits for the end of the request
+	if answer.status != http.StatusServiceUnavailable || !strings.Contains(answer.body, errStopped.Error()) {
+		t.Errorf("response is %d %q, want a refusal that names the stop", answer.status, answer.body)
+	}
+	if line := f.logLines("request ended")["r1"]; line["ended-by"] != string(endedByStop) || line["cause"] == "" {
+		t.Errorf("ended by %v with cause %q, want the stop", line["ended-by"], line["cause"])
+	}
+}
+
+// Guards against requests that are accepted near the end of a drain, since they are sure to
+// end before it, and are handed back all the same.
+func TestRequestsThatEndBeforeTheStopAreServed(t *testing.T) {
+	for _, path := range []string{"/stream/", "/safe/"} {
+		t.Run(path, func(t *testing.T) {
+			f := newStartedFixture(t, newFakeBackend(t, "e1", "engines", resumeAfterLastEvent(2)), newFakeBackend(t, "p1", "plain", respondWith(http.StatusOK, "ok")))
+			now := time.Now()
+			f.forwarder.Drain(DrainPlan{AcceptUntil: now, BreakOff: now.Add(handBackReserve - 100*time.Millisecond)})
+			assertAnswer(t, f.send("POST", path, "x", "Wait", "300"), http.StatusOK, "")
+		})
+	}
+}
+
+// Guards against a stream that is cut by the stop although its request was complete only
+// after the time in which requests are accepted.
+func TestBodyThatEndsLateDuringAStop(t *testing.T) {
+	f := newStartedFixture(t, newFakeBackend(t, "e1", "engines", endlessEvents))
+	now := time.Now()
+	f.forwarder.Drain(DrainPlan{AcceptUntil: now.Add(200 * time.Millisecond), BreakOff: now.Add(1500 * time.Millisecond)})
+	time.AfterFunc(1500*time.Millisecond, f.forwarder.EndRequests)
+	conn := f.dialCaller()
+	fmt.Fprint(conn, "POST /stream/ HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: k\r\nWait: 4000\r\nContent-Length: 2\r\n\r\nx")
+	time.Sleep(700 * time.Millisecond)
+	fmt.Fprint(conn, "x")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("got status %d with %d bytes and error %v, want a refusal", response.StatusCode, len(body), err)
+	}
+}
+
+func endlessEvents(r *http.Request, _ string, conn net.Conn) {
+	writeEvents(r, conn, 1, 1)
+	for i := 2; i < 100; i++ {
+		time.Sleep(50 * time.Millisecond)
+		writeChunk(conn, fmt.Sprintf("id: %d\ndata: x\n\n", i))
+	}
+}
