Refuse evacuation orders that arrive after newer ones on the same data centre

When the daemon wakes up it carries out the old order, and the data centre stays in service. Cause: orders carry no version, and a control daemon proposed an order whenever it read it; neither it nor the leader looked whether the order was still wanted. Now an order holds the last log entry that its daemon knew when it read it. The leader refuses it (503: send again) if its log, committed or not, has another order on the data centre after that entry, so that waiting in a process, a connection, an event queue or at a former leader cannot reorder it. This needs no clock and no pause that is noticed. An order that arrives late at a daemon that knows the newer one comes with the close of its connection: the caller has to stay connected for 0.25 s before the order is proposed. A repetition of the newest order is accepted. A new leader answers 503 until it has committed an entry of its own term. Only the leader checks, before the command enters the log. The index is not replicated, so replicas of builds without the check stay in step. An earlier build as leader ignores the index, and one as proposer sends none. Tests: TestOrderOfACallerThatHasLeftIsNotCarriedOut failed on each of three daemons before. TestBuildsSideBySide and its neighbour pass. Changed tests: State.Apply also returns the command; the fake of the control API has ProposeOrder; reducerGroup keeps replies and can lose messages.

--- a/catalogs/catalog_test.go
+++ b/catalogs/catalog_test.go
@@ -73,7 +73,7 @@
 	var s State
 	apply := func(c Command) bool {
 		t.Helper()
-		changed, err := s.Apply(s.Index+1, c.Encode())
+		_, changed, err := s.Apply(s.Index+1, c.Encode())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -111,7 +111,7 @@
 	quarantine := func(part string, until time.Time) {
 		t.Helper()
 		c := Command{Action: QuarantineCause, Quarantine: crashes.Quarantine{Cause: crashes.Cause(part), Until: until}}
-		if changed, err := s.Apply(s.Index+1, c.Encode()); err != nil || !changed {
+		if _, changed, err := s.Apply(s.Index+1, c.Encode()); err != nil || !changed {
 			t.Fatalf("changed %v, error %v", changed, err)
 		}
 	}
@@ -147,7 +147,7 @@
 		{Action: QuarantineCause, Quarantine: crashes.Quarantine{Cause: "request:bb", Until: until}},
 		{Action: LiftQuarantine, Lift: crashes.Lift{Cause: "request:bb", At: until.Add(-time.Minute)}},
 	} {
-		if changed, err := s.Apply(s.Index+1, c.Encode()); err != nil || !changed {
+		if _, changed, err := s.Apply(s.Index+1, c.Encode()); err != nil || !changed {
 			t.Fatalf("%s: changed %v, error %v", c.Action, changed, err)
 		}
 	}
--- a/catalogs/state.go
+++ b/catalogs/state.go
@@ -37,6 +37,23 @@
 	Quarantine crashes.Quarantine `json:"quarantine,omitzero"`
 	// Lift is the lift of a quarantine, for LiftQuarantine.
 	Lift crashes.Lift `json:"lift,omitzero"`
+	// KnownIndex is the last applied entry that the proposer knew, 0 if the command
+	// does not depend on it. It is for the leader only and does not enter the log.
+	KnownIndex uint64 `json:"-"`
+}
+
+// Subject identifies what the command is about, so that commands with the same subject
+// override each other. It is empty for a catalog, which has a version.
+func (c Command) Subject() string {
+	switch c.Action {
+	case TakeOut, BringBack:
+		return "data-centre:" + c.DataCentre
+	case QuarantineCause:
+		return "cause:" + string(c.Quarantine.Cause)
+	case LiftQuarantine:
+		return "cause:" + string(c.Lift.Cause)
+	}
+	return ""
 }
 
 // Encode returns the command as an entry of the replicated log.
@@ -62,15 +79,19 @@
 	Lifts []crashes.Lift `json:"lifts,omitempty"`
 }
 
-// Apply applies one log entry and reports whether anything other than the index
-// changed. A catalog is ignored unless its version is higher than the current
-// one.
-func (s *State) Apply(index uint64, data []byte) (bool, error) {
+// Apply applies one log entry. It returns the command of the entry, and reports whether
+// anything other than the index changed. A catalog is ignored unless its version is
+// higher than the current one.
+func (s *State) Apply(index uint64, data []byte) (c Command, changed bool, err error) {
 	s.Index = index
-	var c Command
 	if err := json.Unmarshal(data, &c); err != nil {
-		return false, fmt.Errorf("entry %d: %w", index, err)
+		return Command{}, false, fmt.Errorf("entry %d: %w", index, err)
 	}
+	changed, err = s.apply(index, c)
+	return c, changed, err
+}
+
+func (s *State) apply(index uint64, c Command) (bool, error) {
 	position, found := slices.BinarySearch(s.OutOfService, c.DataCentre)
 	switch c.Action {
 	case Put:
--- a/controls/daemon.go
+++ b/controls/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/rpc"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,10 +79,14 @@
 	wg          sync.WaitGroup
 
 	lastTicket     atomic.Uint64
+	appliedIndex   atomic.Uint64 // of the reducer
 	leadership     atomic.Pointer[Leadership]
 	status         atomic.Pointer[Status]
 	mu             sync.Mutex
 	pendingReplies map[Ticket]chan Reply
+	// acknowledgedIndex is that of the last command that another daemon, the leader,
+	// committed for this one.
+	acknowledgedIndex uint64
 }
 
 // Start starts a control daemon.
@@ -148,7 +153,9 @@
 	for {
 		select {
 		case event := <-d.events:
-			for _, effect := range d.reducer.Step(d.cfg.Timers.Now(), event) {
+			effects := d.reducer.Step(d.cfg.Timers.Now(), event)
+			d.appliedIndex.Store(d.reducer.AppliedIndex())
+			for _, effect := range effects {
 				d.perform(effect)
 			}
 		case <-d.stop:
@@ -267,19 +274,20 @@
 	d.mu.Unlock()
 }
 
-// propose commits a command on this daemon, which must be the leader.
-func (d *Daemon) propose(ctx context.Context, c catalogs.Command) error {
+// propose commits a command on this daemon, which must be the leader, and returns the
+// index of its entry.
+func (d *Daemon) propose(ctx context.Context, c catalogs.Command) (index uint64, err error) {
 	if d.isTooLarge(c) {
-		return ErrTooLarge
+		return 0, ErrTooLarge
 	}
 	t, reply := d.newTicket()
 	defer d.dropTicket(t)
 	d.submit(CommandProposed{Ticket: t, Command: c})
 	select {
 	case r := <-reply:
-		return r.Err
+		return r.Index, r.Err
 	case <-ctx.Done():
-		return ctx.Err()
+		return 0, ctx.Err()
 	}
 }
 
@@ -289,20 +297,28 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	l := d.leadership.Load()
-	if l.IsLeader || l.Leader == "" || d.isTooLarge(c) {
-		return d.propose(ctx, c)
+	if !l.isRemote() || d.isTooLarge(c) {
+		_, err := d.propose(ctx, c)
+		return err
 	}
-	client, alive := d.subscriber.Client(directoryAddress(l.Leader))
+	client, alive := d.leaderClient(*l)
 	if !alive {
 		return ErrNotLeader
 	}
 	deadline, _ := ctx.Deadline()
-	if err := peers.Call(client, ServiceName+".Propose", c, &struct{}{}, time.Until(deadline)); err != nil {
+	var committed Commit
+	if err := peers.Call(client, ServiceName+".Propose", c, &committed, time.Until(deadline)); err != nil {
 		return merry.Prependf(err, "leader %s", l.Leader)
 	}
+	d.acknowledge(committed.Index)
 	return nil
 }
 
+// leaderClient returns a client of another daemon that leads, and whether it is alive.
+func (d *Daemon) leaderClient(l Leadership) (client *rpc.Client, alive bool) {
+	return d.subscriber.Client(directoryAddress(l.Leader))
+}
+
 // ReadState returns the replicated state with a linearizable read. It fails if no
 // quorum confirms in time that the state is current.
 func (d *Daemon) ReadState(ctx context.Context) (catalogs.State, error) {
@@ -364,10 +380,16 @@
 	return nil
 }
 
+// Commit is the reply to a command that was committed.
+type Commit struct {
+	Index uint64 // of its entry, 0 from builds that do not tell
+}
+
 // Propose commits a command on this daemon, which must be the leader.
-func (s *Service) Propose(c catalogs.Command, _ *struct{}) (err error) {
+func (s *Service) Propose(c catalogs.Command, committed *Commit) (err error) {
 	defer faults.Recover(s.daemon.cfg.Log, ServiceName+".Propose", &err)
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
-	return s.daemon.propose(ctx, c)
+	committed.Index, err = s.daemon.propose(ctx, c)
+	return err
 }
--- a/controls/observer_test.go
+++ b/controls/observer_test.go
@@ -20,10 +20,14 @@
 	reducers map[gypsumshelf.DaemonID]*Reducer
 	seen     map[gypsumshelf.DaemonID][]any // effects for operators
 	down     map[gypsumshelf.DaemonID]bool
+	// loses reports whether a message is lost, nil for none.
+	loses   func(replicas.Message) bool
+	ticket  Ticket           // latest of a proposal
+	replies map[Ticket]Reply // to proposals
 }
 
 func newReducerGroup(n int) *reducerGroup {
-	g := &reducerGroup{now: time.Unix(1000, 0), reducers: map[gypsumshelf.DaemonID]*Reducer{}, seen: map[gypsumshelf.DaemonID][]any{}, down: map[gypsumshelf.DaemonID]bool{}}
+	g := &reducerGroup{now: time.Unix(1000, 0), reducers: map[gypsumshelf.DaemonID]*Reducer{}, seen: map[gypsumshelf.DaemonID][]any{}, down: map[gypsumshelf.DaemonID]bool{}, replies: map[Ticket]Reply{}}
 	var ids []gypsumshelf.DaemonID
 	for i := range n {
 		ids = append(ids, gypsumshelf.DaemonID(fmt.Sprint("d", i)))
@@ -53,11 +57,13 @@
 	for _, effect := range g.reducers[id].Step(g.now, event) {
 		switch e := effect.(type) {
 		case Send:
-			if g.reducers[e.Message.To.Daemon] != nil {
+			if g.reducers[e.Message.To.Daemon] != nil && (g.loses == nil || !g.loses(e.Message)) {
 				g.step(e.Message.To.Daemon, MessageReceived(e))
 			}
 		case Write:
 			g.step(id, LogSynced{Sequence: e.Persist.Sequence})
+		case Reply:
+			g.replies[e.Ticket] = e
 		case LeaderMissing, LeaderHeard, ElectionStarted, LeadLost, Status:
 			g.seen[id] = append(g.seen[id], e)
 		}
--- a/controls/reducer.go
+++ b/controls/reducer.go
@@ -103,15 +103,18 @@
 	Reply struct {
 		Ticket Ticket
 		State  catalogs.State
+		Index  uint64 // of the entry, for a proposal
 		Err    error
 	}
 )
 
 // pendingProposal is a command that is not committed yet.
 type pendingProposal struct {
-	ticket Ticket
-	term   uint64
-	size   int // of its entry data
+	ticket  Ticket
+	term    uint64
+	size    int    // of its entry data
+	subject string // of its command
+	action  catalogs.Action
 }
 
 // pendingRead is answered once the leader's quorum is confirmed for a time
@@ -127,7 +130,9 @@
 	cfg                  replicas.Config
 	replica              *replicas.Replica
 	state                catalogs.State
+	orders               orderHistory
 	appliedIndex         uint64
+	snapshotIndex        uint64 // last entry in the latest snapshot that this daemon took
 	entriesSinceSnapshot int
 	bytesSinceSnapshot   int                        // of entry data
 	maxLogBytes          int                        // of entry data that is not compacted, 0 for no limit
@@ -144,7 +149,7 @@
 // NewReducer returns a Reducer that continues from the recovered storage of cfg.
 // Without an incarnation its replica is halted until StorageOpened.
 func NewReducer(cfg replicas.Config) *Reducer {
-	r := &Reducer{cfg: cfg, replica: replicas.New(cfg), pendingProposals: map[uint64]pendingProposal{}}
+	r := &Reducer{cfg: cfg, replica: replicas.New(cfg), pendingProposals: map[uint64]pendingProposal{}, orders: orderHistory{newest: map[string]order{}}}
 	if cfg.ID.Incarnation == "" {
 		r.failStorage()
 	}
@@ -177,6 +182,8 @@
 		r.cfg, r.unavailable = e.Config, nil
 		r.replica = replicas.New(e.Config)
 		r.appliedIndex, r.entriesSinceSnapshot, r.bytesSinceSnapshot = 0, 0, 0
+		// Entries that the state has are not applied again, and the last may lack its order.
+		r.orders.forget(r.state.Index)
 		if r.state.Index > 0 {
 			// An unexpected error may have kept it from being published.
 			r.emit(Publish{State: r.state})
@@ -210,6 +217,9 @@
 	return r.effects
 }
 
+// AppliedIndex returns the index of the last applied entry.
+func (r *Reducer) AppliedIndex() uint64 { return r.appliedIndex }
+
 func (r *Reducer) emit(effect any) { r.effects = append(r.effects, effect) }
 
 func (r *Reducer) read(now time.Time, e ReadRequested) {
@@ -225,6 +235,10 @@
 		r.emit(Reply{Ticket: e.Ticket, Err: r.unavailable})
 		return
 	}
+	if err := r.checkOrder(e.Command); err != nil {
+		r.emit(Reply{Ticket: e.Ticket, Err: err})
+		return
+	}
 	data := e.Command.Encode()
 	if r.maxLogBytes > 0 && r.uncompactedBytes()+len(data) > r.maxLogBytes {
 		r.emit(Reply{Ticket: e.Ticket, Err: ErrLogFull})
@@ -235,7 +249,7 @@
 		r.emit(Reply{Ticket: e.Ticket, Err: ErrNotLeader})
 		return
 	}
-	r.pendingProposals[index] = pendingProposal{ticket: e.Ticket, term: term, size: len(data)}
+	r.pendingProposals[index] = pendingProposal{ticket: e.Ticket, term: term, size: len(data), subject: e.Command.Subject(), action: e.Command.Action}
 }
 
 // uncompactedBytes returns the entry data that is applied, but in no snapshot yet, and
@@ -294,6 +308,7 @@
 		return
 	}
 	r.appliedIndex, r.entriesSinceSnapshot, r.bytesSinceSnapshot = s.Index, 0, 0
+	r.orders.forget(s.Index)
 	if len(s.Data) == 0 || s.Index <= r.state.Index {
 		return
 	}
@@ -312,23 +327,31 @@
 	r.bytesSinceSnapshot += len(e.Data)
 	var err error
 	if e.Kind == replicas.Command && e.Index > r.state.Index {
-		var changed bool
-		if changed, err = r.state.Apply(e.Index, e.Data); err != nil {
-			// All daemons skip the same command. A panic would stop all of them, again
-			// after each start.
-			r.emit(Skipped{Err: err})
-		}
-		if changed {
-			r.emit(Publish{State: r.state})
-		}
+		err = r.applyCommand(e)
 	}
 	if p, ok := r.pendingProposals[e.Index]; ok {
 		delete(r.pendingProposals, e.Index)
 		if p.term != e.Term {
 			err = ErrOverridden
 		}
-		r.emit(Reply{Ticket: p.ticket, State: r.state, Err: err})
+		r.emit(Reply{Ticket: p.ticket, State: r.state, Index: e.Index, Err: err})
+	}
+}
+
+// applyCommand applies a committed command that is new to the state.
+func (r *Reducer) applyCommand(e replicas.Entry) error {
+	c, changed, err := r.state.Apply(e.Index, e.Data)
+	if err != nil {
+		// All daemons skip the same command. A panic would stop all of them, again
+		// after each start.
+		r.emit(Skipped{Err: err})
+		return err
+	}
+	r.orders.record(e.Index, c)
+	if changed {
+		r.emit(Publish{State: r.state})
 	}
+	return nil
 }
 
 func (r *Reducer) compact() {
@@ -346,6 +369,9 @@
 	}
 	r.entriesSinceSnapshot, r.bytesSinceSnapshot = 0, 0
 	r.replica.Compact(r.appliedIndex, data)
+	// Proposers that knew less than the previous snapshot have long timed out.
+	r.orders.forget(r.snapshotIndex)
+	r.snapshotIndex = r.appliedIndex
 }
 
 // emitLeadership emits a Leadership effect when the leader, the term or the
--- a/replicas/replication.go
+++ b/replicas/replication.go
@@ -404,12 +404,18 @@
 // Confirmation returns a time on this node's clock and a commit index: every
 // entry committed before that time has at most that index.
 func (r *Replica) Confirmation() (asked time.Time, commit uint64) {
-	if r.state == stateLeader && r.commit >= r.termStart {
+	if r.HasCommittedOwnTerm() {
 		return r.QuorumConfirmed(), r.commit
 	}
 	return r.quorumConfirmed, r.confirmedCommit
 }
 
+// HasCommittedOwnTerm reports whether this node leads and has committed an entry of its
+// own term. It then knows which entries of earlier leaders are committed.
+func (r *Replica) HasCommittedOwnTerm() bool {
+	return r.state == stateLeader && r.commit >= r.termStart
+}
+
 // confirmStamps prepares confirmations for the members whose stamps arrived
 // before the latest contact with a quorum. It never compares the clocks of
 // different nodes.
@@ -430,5 +436,5 @@
 // answered: this node is the leader, a quorum confirmed its leadership at t or
 // later, and Output.Committed has covered all entries committed before t.
 func (r *Replica) CanServeRead(t time.Time) bool {
-	return r.state == stateLeader && r.commit >= r.termStart && !r.QuorumConfirmed().Before(t)
+	return r.HasCommittedOwnTerm() && !r.QuorumConfirmed().Before(t)
 }
