Treat the lift of a quarantine as an order

A lift carries no version either. One that waited on its way, in a suspended daemon or at a former leader, could end a quarantine of the same cause that was set after it. It now goes the way of evacuations: the leader refuses it if its log has a newer quarantine of the cause, and the operator gets 503. TestOrderDoesNotFollowANewerOne has the decision, TestLiftIsAnOrder, which does not compile without this change, that the handler uses it.

--- a/controls/orders_test.go
+++ b/controls/orders_test.go
@@ -6,12 +6,17 @@
 	"encoding/gob"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/catalogs"
 	"gypsumshelf.example/gypsumshelf/crashes"
@@ -370,3 +375,28 @@
 		t.Errorf("it fails after %v", waited)
 	}
 }
+
+// fakeQuarantineState has one quarantine, and records how its lift is proposed.
+type fakeQuarantineState struct{ lifted []catalogs.Command }
+
+func (f *fakeQuarantineState) ReadState(context.Context) (catalogs.State, error) {
+	return catalogs.State{Quarantines: []crashes.Quarantine{{Cause: "request:x", Until: time.Now().Add(time.Hour)}}}, nil
+}
+
+func (f *fakeQuarantineState) ProposeOrder(_ context.Context, c catalogs.Command) error {
+	f.lifted = append(f.lifted, c)
+	return ErrSuperseded
+}
+
+// Guards against a lift that was held up and ends a newer quarantine of the same cause,
+// and against one that is refused for good.
+func TestLiftIsAnOrder(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	state := &fakeQuarantineState{}
+	w := httptest.NewRecorder()
+	NewQuarantineHandler(state, time.Now, logrus.NewEntry(log)).ServeHTTP(w, httptest.NewRequest(http.MethodDelete, QuarantinesPath+"/request:x", nil))
+	if len(state.lifted) != 1 || state.lifted[0].Lift.Cause != "request:x" || w.Code != http.StatusServiceUnavailable {
+		t.Errorf("%d orders and status %d, want one and 503", len(state.lifted), w.Code)
+	}
+}
--- a/controls/quarantines_http.go
+++ b/controls/quarantines_http.go
@@ -20,7 +20,7 @@
 // QuarantineState reads and changes the replicated state.
 type QuarantineState interface {
 	ReadState(ctx context.Context) (catalogs.State, error)
-	Propose(ctx context.Context, c catalogs.Command) error
+	ProposeOrder(ctx context.Context, c catalogs.Command) error
 }
 
 // ListedQuarantine is a quarantine as operators see it.
@@ -86,7 +86,7 @@
 		h.reject(w, r, http.StatusNotFound, "no quarantine of this cause is in force")
 		return
 	}
-	if err := h.state.Propose(r.Context(), catalogs.Command{Action: catalogs.LiftQuarantine, Lift: crashes.Lift{Cause: cause, At: h.now()}}); err != nil {
+	if err := h.state.ProposeOrder(r.Context(), catalogs.Command{Action: catalogs.LiftQuarantine, Lift: crashes.Lift{Cause: cause, At: h.now()}}); err != nil {
 		h.reject(w, r, http.StatusServiceUnavailable, err.Error())
 		return
 	}
