Recognize a crashing request although sound ones with its prompt parts were lost too

What callers saw: a request that crashes each backend server that runs it was refused after five crashes instead of three, where a sound request with one of its prompt parts was lost in the same crash. Cause: a strike against a part named one lost request only, that of the last run in the report. If that was the sound one, the part seemed to crash servers without the crashing request too, and both tied. A strike now knows all lost runs that have its cause, so that the request in each of them explains the strikes of its parts. TestCrashingPartIsQuarantined, the new case: before, nothing after three crashes.

--- a/crashes/cause.go
+++ b/crashes/cause.go
@@ -29,14 +29,6 @@
 	Duration time.Duration // from the start of the attempt to the loss of the connection
 }
 
-// request returns the cause of the whole request, empty if it is unknown.
-func (r Run) request() Cause {
-	if i := slices.IndexFunc(r.Causes, Cause.IsRequest); i >= 0 {
-		return r.Causes[i]
-	}
-	return ""
-}
-
 // Report states which runs an entry daemon has lost with one start of a backend server
 // that has ended.
 type Report struct {
--- a/crashes/detector.go
+++ b/crashes/detector.go
@@ -53,10 +53,20 @@
 
 // strike is a crash that counts against a cause.
 type strike struct {
-	crash   int
-	began   time.Time // of the lost run
-	at      time.Time
-	request Cause // of the lost run
+	crash int
+	began time.Time // of the lost run
+	at    time.Time
+	runs  [][]Cause // causes of the lost runs that have the cause
+}
+
+// involves reports whether a lost run with the struck cause also had another one.
+func (s strike) involves(c Cause) bool {
+	return slices.ContainsFunc(s.runs, func(causes []Cause) bool { return slices.Contains(causes, c) })
+}
+
+// allInvolve reports whether each strike involves a cause.
+func allInvolve(strikes []strike, c Cause) bool {
+	return !slices.ContainsFunc(strikes, func(s strike) bool { return !s.involves(c) })
 }
 
 // samePeriod reports whether two strikes may stand for one failure that several backend
@@ -174,7 +184,7 @@
 			return
 		}
 		for _, cause := range r.Causes {
-			next[cause] = strike{crash: c.id, began: c.at.Add(-r.Duration), at: c.at, request: r.request()}
+			next[cause] = strike{crash: c.id, began: c.at.Add(-r.Duration), at: c.at, runs: append(next[cause].runs, r.Causes)}
 		}
 	}
 	for cause, n := range next {
@@ -246,14 +256,9 @@
 // empty cause if there is none.
 func (d *Detector) onlyRequest(causes []Cause) Cause {
 	i := slices.IndexFunc(causes, Cause.IsRequest)
-	if i < 0 {
+	if i < 0 || slices.ContainsFunc(causes, func(c Cause) bool { return !allInvolve(d.strikes[c], causes[i]) }) {
 		return ""
 	}
-	for _, c := range causes {
-		if slices.ContainsFunc(d.strikes[c], func(s strike) bool { return s.request != causes[i] }) {
-			return ""
-		}
-	}
 	return causes[i]
 }
 
@@ -273,7 +278,7 @@
 			if !shareCrash([]strike{s}, explained) {
 				return false
 			}
-			if slices.Contains(culprits, s.request) {
+			if slices.ContainsFunc(culprits, func(c Cause) bool { return c.IsRequest() && s.involves(c) }) {
 				kept++
 				return kept > 1
 			}
--- a/crashes/detector_test.go
+++ b/crashes/detector_test.go
@@ -103,6 +103,14 @@
 			t.Error("a part of the crashing request is refused")
 		}
 	})
+	t.Run("sound requests with a part of a crashing request in the same crashes", func(t *testing.T) {
+		l := newCrashLog(t)
+		for n := range quarantineStrikes - 1 {
+			sound := prompt("rare", RequestCause(fmt.Sprint("sound", n)))
+			l.assertQuarantined(l.crash(prompt("rare", "request:r"), sound))
+		}
+		l.assertQuarantined(l.crash(prompt("rare", "request:r"), prompt("rare", "request:sound")), "request:r")
+	})
 	t.Run("crashing part in copies of a request and then in others", func(t *testing.T) {
 		l := newCrashLog(t)
 		for range quarantineStrikes {
