Keep crashes from before a lift from accusing the request by its prompt parts

What callers saw: a request whose quarantine an operator had lifted was refused again, for an hour and with all requests that share a rare prompt part, at the next change of the leader or after two crashes instead of three. Cause: a lift exempted the lifted cause alone from the crashes before it. The next leader, to which these are handed over, struck the parts of the request by them, and on the same leader each part kept one strike. A crash from before a lift in which the lifted cause ran now counts against no cause, as one under a quarantine. TestLiftedRequestIsNotAccusedByItsParts: before, both parts were quarantined.

--- a/crashes/detector.go
+++ b/crashes/detector.go
@@ -83,7 +83,7 @@
 // of a backend server that ran a request with it; backend servers that end at the same
 // moment count once. A completed request clears its causes, before and after a crash.
 // So what sound requests have in common with the crashing ones stays clear. Crashes in
-// which a quarantined cause ran count against no other cause.
+// which a quarantined cause ran count against no other cause, also after a lift.
 type Detector struct {
 	quarantineTime time.Duration
 	crashCount     int
@@ -116,7 +116,9 @@
 	for _, l := range lifts {
 		d.lifted[l.Cause] = l.At
 		delete(d.quarantined, l.Cause)
-		d.setStrikes(l.Cause, slices.DeleteFunc(d.strikes[l.Cause], func(s strike) bool { return !s.at.After(l.At) }))
+		for cause, strikes := range d.strikes {
+			d.setStrikes(cause, slices.DeleteFunc(strikes, func(s strike) bool { return !s.at.After(l.At) && s.involves(l.Cause) }))
+		}
 	}
 	for _, q := range quarantines {
 		d.quarantined[q.Cause] = q.Until
@@ -176,11 +178,17 @@
 	return d.judge(now)
 }
 
+// isExplained reports whether a crash at a time has a known culprit among causes: one that
+// is quarantined, or whose quarantine was lifted afterwards.
+func (d *Detector) isExplained(at time.Time, causes []Cause) bool {
+	return d.IsQuarantined(at, causes) || slices.ContainsFunc(causes, func(c Cause) bool { return !at.After(d.lifted[c]) })
+}
+
 // strike counts a crash against the causes of its runs.
 func (d *Detector) strike(c *crash) {
 	next := map[Cause]strike{}
 	for _, r := range c.pending {
-		if d.IsQuarantined(c.at, r.Causes) {
+		if d.isExplained(c.at, r.Causes) {
 			return
 		}
 		for _, cause := range r.Causes {
@@ -188,7 +196,7 @@
 		}
 	}
 	for cause, n := range next {
-		if d.recent[cause] || d.older[cause] || !n.at.After(d.lifted[cause]) || slices.ContainsFunc(d.strikes[cause], n.samePeriod) {
+		if d.recent[cause] || d.older[cause] || slices.ContainsFunc(d.strikes[cause], n.samePeriod) {
 			continue
 		}
 		d.strikes[cause] = append(d.strikes[cause], n)
--- a/crashes/detector_test.go
+++ b/crashes/detector_test.go
@@ -185,6 +185,33 @@
 	}
 }
 
+// Guards against a lifted request that is refused again for a part of its prompt, to which
+// the next leader attributes the crashes from before the lift.
+func TestLiftedRequestIsNotAccusedByItsParts(t *testing.T) {
+	l := newCrashLog(t)
+	l.d.SetQuarantines(nil, []Lift{{Cause: "request:r", At: l.now}})
+	for n := range 2 * ambiguousStrikes {
+		l.lose(time.Duration(n+1)*300*time.Millisecond, prompt("rare", "own", "request:r"))
+	}
+	l.assertQuarantined(l.settle())
+	if n := len(l.d.strikes); n > 0 {
+		t.Errorf("crashes from before the lift strike %d causes", n)
+	}
+}
+
+// Guards against a part that keeps strikes of a lifted request on the daemon that found it.
+func TestLiftRemovesStrikesOfParts(t *testing.T) {
+	l := newCrashLog(t)
+	for range quarantineStrikes {
+		l.crash(prompt("rare", "request:r"))
+	}
+	l.d.SetQuarantines(nil, []Lift{{Cause: "request:r", At: l.now}})
+	for range quarantineStrikes - 1 {
+		l.assertQuarantined(l.crash(prompt("rare", "request:r")))
+	}
+	l.assertQuarantined(l.crash(prompt("rare", "request:r")), "request:r")
+}
+
 // Guards against parts that are refused although something else ended the engines.
 func TestOtherFaultsCountAgainstNoPart(t *testing.T) {
 	t.Run("engines that fail together", func(t *testing.T) {
