Quarantine a crashing request also when each copy comes in another session

What callers saw: a request that crashes each backend server that runs it was never refused if its caller sent it in another session each time, that is with another last prompt part. Each copy ended two servers; a third of the servers of the service was down all the while. Cause: what identifies a request held all prompt parts, host, method and query. Each copy was another request for the detector, its own part was new each time, and the parts that it shared were cleared by the answers to sound requests. A request now has up to three identities: the exact one, which is as before and keeps a place in the queue; any-session, without the last prompt part, host and method; and any-prompt, which is caller, path and body. Each is a cause of its own. An answer to any request that has a wider one clears it, for a minute or two, so that it is quarantined only where nothing with it was answered: requests with an empty or a common body stay clear. Of the causes that the same crashes struck the narrowest is quarantined, a part of the prompt last; the others keep one strike. So copies that are all alike are judged as before, and a rare part that only the copies share is not refused to other callers any more. Messages and the replicated state keep their form.

--- a/crashes/cause.go
+++ b/crashes/cause.go
@@ -11,17 +11,55 @@
 )
 
 // Cause is what requests have in common that may crash a backend server: the ID of a
-// prompt part, or the fingerprint of a whole request.
+// prompt part, or the hash of what a caller repeats when it sends a request again.
 type Cause string
 
-// requestPrefix marks the fingerprint of a request. IDs of prompt parts have no colon.
-const requestPrefix = "request:"
+// Prefixes of causes that identify a request. IDs of prompt parts have no colon.
+const (
+	requestPrefix    = "request:"
+	anySessionPrefix = "any-session:"
+	anyPromptPrefix  = "any-prompt:"
+)
+
+// RequestCause returns the cause that exact copies of a request have in common.
+func RequestCause(hash string) Cause { return Cause(requestPrefix + hash) }
+
+// AnySessionCause returns the cause that copies of a request in any session have in common:
+// the last part of a prompt, which may belong to the session, may differ.
+func AnySessionCause(hash string) Cause { return Cause(anySessionPrefix + hash) }
+
+// AnyPromptCause returns the cause that copies of a request with any prompt parts have in
+// common.
+func AnyPromptCause(hash string) Cause { return Cause(anyPromptPrefix + hash) }
+
+// breadth orders causes by how many requests have them.
+type breadth int
+
+const (
+	exactRequest breadth = iota
+	anySession
+	anyPrompt
+	promptPart
+)
+
+func (c Cause) breadth() breadth {
+	switch {
+	case strings.HasPrefix(string(c), requestPrefix):
+		return exactRequest
+	case strings.HasPrefix(string(c), anySessionPrefix):
+		return anySession
+	case strings.HasPrefix(string(c), anyPromptPrefix):
+		return anyPrompt
+	default:
+		return promptPart
+	}
+}
 
-// RequestCause returns the cause that all copies of a request have in common.
-func RequestCause(fingerprint string) Cause { return Cause(requestPrefix + fingerprint) }
+// IsRequest reports whether the cause identifies a request, and not a part of its prompt.
+func (c Cause) IsRequest() bool { return c.breadth() < promptPart }
 
-// IsRequest reports whether the cause is a whole request.
-func (c Cause) IsRequest() bool { return strings.HasPrefix(string(c), requestPrefix) }
+// isWide reports whether the cause identifies a request, but different requests may have it.
+func (c Cause) isWide() bool { return c.breadth() == anySession || c.breadth() == anyPrompt }
 
 // Run is a request that was lost with the connection to its backend server.
 type Run struct {
--- a/crashes/detector.go
+++ b/crashes/detector.go
@@ -32,9 +32,9 @@
 	// successRetention is the shortest time for which a completed request clears its
 	// causes of later crashes. An answer to a short prompt takes less.
 	successRetention = 5 * time.Second
-	// maxRecentCauses bounds the causes of completed requests that are remembered,
-	// twice.
-	maxRecentCauses = 1 << 16
+	// wideSuccessRetention is the same for identities that different requests may have.
+	// Some callers send the sound ones rarely.
+	wideSuccessRetention = time.Minute
 )
 
 // start identifies one start of a backend server.
@@ -91,16 +91,15 @@
 	strikes        map[Cause][]strike
 	quarantined    QuarantineSet
 	lifted         map[Cause]time.Time
-	recent         map[Cause]bool // causes of completed requests
-	older          map[Cause]bool // those of the period before
-	recentSince    time.Time
+	answers                // of exact requests and prompt parts
+	wideAnswers    answers // of identities that different requests may have
 }
 
 // NewDetector returns a Detector whose quarantines last for a time.
 func NewDetector(quarantineTime time.Duration) *Detector {
 	return &Detector{
 		quarantineTime: quarantineTime, crashes: map[start]*crash{}, strikes: map[Cause][]strike{},
-		quarantined: QuarantineSet{}, recent: map[Cause]bool{},
+		quarantined: QuarantineSet{}, answers: newAnswers(successRetention), wideAnswers: newAnswers(wideSuccessRetention),
 	}
 }
 
@@ -128,15 +127,20 @@
 
 // RecordCompleted clears the causes of a completed request.
 func (d *Detector) RecordCompleted(now time.Time, causes []Cause) {
-	if now.Sub(d.recentSince) > successRetention || len(d.recent) >= maxRecentCauses {
-		d.recent, d.older, d.recentSince = map[Cause]bool{}, d.recent, now
-	}
 	for _, c := range causes {
-		d.recent[c] = true
+		d.answersOf(c).add(now, c)
 		delete(d.strikes, c)
 	}
 }
 
+// answersOf returns the answers to requests with the kind of a cause.
+func (d *Detector) answersOf(c Cause) *answers {
+	if c.isWide() {
+		return &d.wideAnswers
+	}
+	return &d.answers
+}
+
 // RecordCrash records a report of an entry daemon. Several daemons may report the same
 // crash, and each may repeat its report.
 func (d *Detector) RecordCrash(now time.Time, r Report) {
@@ -196,7 +200,7 @@
 		}
 	}
 	for cause, n := range next {
-		if d.recent[cause] || d.older[cause] || slices.ContainsFunc(d.strikes[cause], n.samePeriod) {
+		if d.answersOf(cause).contain(cause) || slices.ContainsFunc(d.strikes[cause], n.samePeriod) {
 			continue
 		}
 		d.strikes[cause] = append(d.strikes[cause], n)
@@ -234,8 +238,8 @@
 
 // culprits returns the cause with the most strikes, together with those that were
 // struck by the same crashes, or none if there are too few strikes to tell. Among the
-// causes of one request, the request itself is preferred to the parts of its prompt,
-// which others may share.
+// causes of one request, the narrowest is preferred: others may share the wider ones, and
+// the parts of its prompt.
 func (d *Detector) culprits() []Cause {
 	var worst Cause
 	causes := slices.Sorted(maps.Keys(d.strikes))
@@ -248,26 +252,26 @@
 	if len(most) < quarantineStrikes {
 		return nil
 	}
-	culprits := slices.DeleteFunc(causes, func(c Cause) bool {
+	tied := slices.DeleteFunc(causes, func(c Cause) bool {
 		return len(d.strikes[c]) < len(most) || !shareCrash(d.strikes[c], most)
 	})
-	if request := d.onlyRequest(culprits); request != "" {
-		return []Cause{request}
-	}
+	culprits := d.narrowest(tied)
 	if len(culprits) > 1 && len(most) < ambiguousStrikes {
 		return nil
 	}
 	return culprits
 }
 
-// onlyRequest returns the request among causes whose runs struck all of them, or an
-// empty cause if there is none.
-func (d *Detector) onlyRequest(causes []Cause) Cause {
-	i := slices.IndexFunc(causes, Cause.IsRequest)
-	if i < 0 || slices.ContainsFunc(causes, func(c Cause) bool { return !allInvolve(d.strikes[c], causes[i]) }) {
-		return ""
+// narrowest returns the causes without those that a narrower one explains: requests with
+// it were lost in all crashes that struck the wider one.
+func (d *Detector) narrowest(causes []Cause) []Cause {
+	var narrow []Cause
+	for _, c := range causes {
+		if !slices.ContainsFunc(causes, func(o Cause) bool { return o.breadth() < c.breadth() && allInvolve(d.strikes[c], o) }) {
+			narrow = append(narrow, c)
+		}
 	}
-	return causes[i]
+	return narrow
 }
 
 func shareCrash(a, b []strike) bool {
@@ -276,9 +280,9 @@
 	})
 }
 
-// explain removes the crashes of culprits from the strikes of all other causes. A part
-// of the prompt of a culprit keeps one of them: if the part is the cause, other requests
-// with it crash too, and two more strikes show it.
+// explain removes the crashes of culprits from the strikes of all other causes. What a
+// culprit has in common with other requests keeps one of them: if that is the cause, other
+// requests with it crash too, and two more strikes show it.
 func (d *Detector) explain(culprits []Cause, explained []strike) {
 	for cause, strikes := range d.strikes {
 		kept := 0
--- a/crashes/detector_test.go
+++ b/crashes/detector_test.go
@@ -265,13 +265,137 @@
 	})
 }
 
+// copyOf returns the causes of a copy of a request in a session, whose prompt has shared
+// parts before the last one.
+func copyOf(request, session string, shared ...Cause) []Cause {
+	causes := append(slices.Clone(shared), Cause(session))
+	return append(causes,
+		RequestCause(request+session), AnySessionCause(fmt.Sprint(request, shared)), AnyPromptCause(request))
+}
+
+// Guards against a crashing request that evades its quarantine since each copy comes in
+// another session, with other prompt parts, or with another method, host or query.
+func TestCopiesOfCrashingRequestAreQuarantined(t *testing.T) {
+	session := func(n int) string { return fmt.Sprint("session", n) }
+	for _, c := range []struct {
+		name   string
+		copyOf func(n int) []Cause
+		want   Cause
+	}{
+		{"in other sessions", func(n int) []Cause { return copyOf("r", session(n), "aa") }, AnySessionCause("r[aa]")},
+		{"with other prompts", func(n int) []Cause { return copyOf("r", session(n), "aa", Cause(fmt.Sprint("b", n))) }, AnyPromptCause("r")},
+		{"without a prompt", func(n int) []Cause { return prompt(RequestCause(session(n)), AnyPromptCause("r")) }, AnyPromptCause("r")},
+		{"all alike", func(int) []Cause { return copyOf("r", session(0), "aa") }, RequestCause("r" + session(0))},
+		{"two in one session, then another", func(n int) []Cause { return copyOf("r", session(n/2), "aa") }, AnySessionCause("r[aa]")},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for name, answered := range map[string]bool{"beside sound requests with a shared part": true, "alone": false} {
+				t.Run(name, func(t *testing.T) {
+					l := newCrashLog(t)
+					for n := range quarantineStrikes {
+						lost := [][]Cause{c.copyOf(n)}
+						if answered {
+							l.d.RecordCompleted(l.now, copyOf("sound", session(10+n), "aa"))
+							lost = append(lost, copyOf(fmt.Sprint("sound", n), session(20+n), "aa"))
+						}
+						if got := l.crash(lost...); n < quarantineStrikes-1 {
+							l.assertQuarantined(got)
+						} else {
+							l.assertQuarantined(got, c.want)
+						}
+					}
+					l.assertSound(copyOf("sound", session(30), "aa"))
+				})
+			}
+		})
+	}
+	t.Run("in another session after the quarantine of the first", func(t *testing.T) {
+		l := newCrashLog(t)
+		for range quarantineStrikes {
+			l.crash(copyOf("r", "first", "aa"))
+		}
+		l.assertQuarantined(l.crash(copyOf("r", "second", "aa")))
+		l.assertQuarantined(l.crash(copyOf("r", "second", "aa")), AnySessionCause("r[aa]"))
+	})
+}
+
+// assertSound fails if a request with the causes is refused.
+func (l *crashLog) assertSound(causes []Cause) {
+	l.t.Helper()
+	if l.d.IsQuarantined(l.now, causes) {
+		l.t.Errorf("a sound request with %v is refused", causes)
+	}
+}
+
+// Guards against sound requests that are refused since they share caller, path and body, or
+// a session, with a crashing one.
+func TestSoundRequestsLikeCrashingOneAreNotQuarantined(t *testing.T) {
+	t.Run("answered between the crashes", func(t *testing.T) {
+		l := newCrashLog(t)
+		for n := range 2 * ambiguousStrikes {
+			l.d.RecordCompleted(l.now, copyOf("r", fmt.Sprint("sound", n), "aa"))
+			l.assertQuarantined(l.crash(copyOf("r", fmt.Sprint("session", n), "aa")))
+		}
+	})
+	t.Run("answered some time before", func(t *testing.T) {
+		l := newCrashLog(t)
+		l.d.RecordCompleted(l.now, copyOf("r", "sound", "aa"))
+		for n := range quarantineStrikes + 1 {
+			l.now = l.now.Add(3 * successRetention)
+			l.d.RecordCompleted(l.now, copyOf("other", fmt.Sprint("sound", n)))
+			for _, q := range l.crash(copyOf("r", fmt.Sprint("session", n), Cause(fmt.Sprint("b", n)))) {
+				t.Errorf("%s is quarantined", q.Cause)
+			}
+		}
+	})
+	t.Run("with another prompt", func(t *testing.T) {
+		l := newCrashLog(t)
+		for range quarantineStrikes {
+			l.crash(copyOf("r", "session", "aa"))
+		}
+		l.assertSound(copyOf("r", "another", "aa"))
+		l.assertSound(copyOf("r", "another"))
+	})
+	t.Run("in the session", func(t *testing.T) {
+		l := newCrashLog(t)
+		for range quarantineStrikes {
+			l.crash(copyOf("r", "session", "aa"))
+		}
+		l.assertSound(copyOf("another", "session", "aa"))
+	})
+	t.Run("without the crashing part", func(t *testing.T) {
+		l := newCrashLog(t)
+		for n := range quarantineStrikes {
+			l.crash(copyOf("r", fmt.Sprint("session", n), "aa", "bad"))
+		}
+		l.assertSound(copyOf("r", "another", "aa"))
+	})
+	t.Run("with a part of the crashing request", func(t *testing.T) {
+		l := newCrashLog(t)
+		for n := range quarantineStrikes {
+			l.crash(copyOf("r", fmt.Sprint("session", n), "aa"))
+		}
+		l.assertSound(copyOf("another", "session", "aa"))
+	})
+	t.Run("of another caller, retried into the same crashes", func(t *testing.T) {
+		l := newCrashLog(t)
+		for n := range quarantineStrikes {
+			l.assertQuarantined(l.crash(copyOf("r", fmt.Sprint("session", n), "aa"), copyOf("sound", "sound", "aa")))
+		}
+		l.assertQuarantined(l.crash(copyOf("r", "last", "aa")), AnySessionCause("r[aa]"))
+		l.assertSound(copyOf("sound", "sound", "aa"))
+	})
+}
+
 // Guards against memory that grows with the number of prompts.
 func TestRememberedPartsAreBounded(t *testing.T) {
 	l := newCrashLog(t)
 	for n := range 3 * maxRecentCauses {
-		l.d.RecordCompleted(l.now, prompt(Cause(fmt.Sprint(n))))
+		l.d.RecordCompleted(l.now, prompt(Cause(fmt.Sprint(n)), AnyPromptCause(fmt.Sprint(n))))
 	}
-	if n := len(l.d.recent) + len(l.d.older); n > 2*maxRecentCauses {
-		t.Errorf("%d parts are remembered, want at most %d", n, 2*maxRecentCauses)
+	for _, a := range []answers{l.d.answers, l.d.wideAnswers} {
+		if n := len(a.recent) + len(a.older); n > 2*maxRecentCauses {
+			t.Errorf("%d causes are remembered, want at most %d", n, 2*maxRecentCauses)
+		}
 	}
 }
--- a/forwards/crash_check_test.go
+++ b/forwards/crash_check_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -175,6 +176,35 @@
 	}
 }
 
+// Guards against a crashing request that reaches backend servers in another session, and
+// against refusals of requests that share its session, or its caller, path and body.
+func TestCopiesInOtherSessionsAreRefused(t *testing.T) {
+	b := newFakeBackend(t, "p1", "plain", respondWith(http.StatusOK, "answer"))
+	f := newStartedFixture(t, b)
+	recorder := &crashRecorder{}
+	f.forwarder.cfg.Crashes = recorder
+	assertAnswer(t, f.send("POST", "/safe/x", "body", "Parts", "aa s1"), http.StatusOK, "answer")
+	i := slices.IndexFunc(recorder.completed[0], func(c crashes.Cause) bool { return strings.HasPrefix(string(c), "any-session:") })
+	if i < 0 {
+		t.Fatalf("the request has the causes %v", recorder.completed[0])
+	}
+	f.forwarder.SetQuarantines([]crashes.Quarantine{{Cause: recorder.completed[0][i], Until: time.Now().Add(time.Hour)}})
+	for _, c := range []struct {
+		name, path, body, parts string
+		want                    int
+	}{
+		{"copy in its session", "/safe/x", "body", "aa s1", http.StatusServiceUnavailable},
+		{"copy in another session", "/safe/x", "body", "aa s2", http.StatusServiceUnavailable},
+		{"another prompt", "/safe/x", "body", "bb s1", http.StatusOK},
+		{"another body in its session", "/safe/x", "other", "aa s1", http.StatusOK},
+		{"another path in its session", "/safe/y", "body", "aa s1", http.StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			assertAnswer(t, f.send("POST", c.path, c.body, "Parts", c.parts), c.want, "")
+		})
+	}
+}
+
 // quarantiningPlacer refuses jobs for which no engine is left because of a quarantine.
 type quarantiningPlacer struct{ *fakePlacer }
 
--- a/forwards/ending.go
+++ b/forwards/ending.go
@@ -163,7 +163,7 @@
 		"after-ms": req.now().Sub(req.arrived).Milliseconds(), "last-event": req.lastEvent,
 	}).WithError(err)
 	if outcome == schedules.Lost {
-		entry = entry.WithField("request-hash", req.causes[len(req.causes)-1])
+		entry = entry.WithFields(logrus.Fields{"request-hash": req.identities[0], "wider-hashes": req.identities[1:]})
 	}
 	entry.Warn("attempt failed")
 }
--- a/forwards/fake_test.go
+++ b/forwards/fake_test.go
@@ -21,6 +21,7 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/catalogs"
 	"gypsumshelf.example/gypsumshelf/costs"
+	"gypsumshelf.example/gypsumshelf/crashes"
 	"gypsumshelf.example/gypsumshelf/metrics"
 	"gypsumshelf.example/gypsumshelf/rosters"
 	"gypsumshelf.example/gypsumshelf/schedules"
@@ -32,10 +33,14 @@
 func (fakeProtocol) ParseRequest(r *http.Request) RequestMeta {
 	last, _ := strconv.Atoi(r.Header.Get("Last"))
 	ms, _ := strconv.Atoi(r.Header.Get("Wait"))
-	return RequestMeta{
+	meta := RequestMeta{
 		ID: gypsumshelf.RequestID(r.Header.Get("Id")), Key: r.Header.Get("Key"), PromptTokens: 1000, MaxAnswerTokens: 100,
 		LastEvent: last, Deadline: time.Duration(ms) * time.Millisecond,
 	}
+	for _, part := range strings.Fields(r.Header.Get("Parts")) {
+		meta.Parts = append(meta.Parts, crashes.Cause(part))
+	}
+	return meta
 }
 
 func (fakeProtocol) SetHeaders(h http.Header, c Call) {
--- a/forwards/fingerprint_test.go
+++ b/forwards/fingerprint_test.go
@@ -2,22 +2,28 @@
 
 import (
 	"net/http/httptest"
+	"slices"
+	"strings"
 	"testing"
 
 	"gypsumshelf.example/gypsumshelf/catalogs"
 	"gypsumshelf.example/gypsumshelf/crashes"
 )
 
-// fingerprintOf returns the fingerprint of a request after a change.
-func fingerprintOf(change func(*proxyRequest)) string {
+// identified returns a request after a change.
+func identified(change func(*proxyRequest)) *proxyRequest {
 	req := &proxyRequest{
 		r: httptest.NewRequest("POST", "http://x.example/a/b?c=1", nil), body: []byte("body"), workspace: &catalogs.Workspace{Name: "w"},
 		meta: RequestMeta{ID: "r1", Key: "k1", Parts: []crashes.Cause{"aa", "bb"}},
 	}
 	change(req)
-	return req.newFingerprint()
+	req.identifyCauses()
+	return req
 }
 
+// fingerprintOf returns the fingerprint of a request after a change.
+func fingerprintOf(change func(*proxyRequest)) string { return identified(change).fingerprint }
+
 // Guards against copies of a request that are not recognized, and against different
 // requests that are taken for copies.
 func TestFingerprint(t *testing.T) {
@@ -51,3 +57,46 @@
 		})
 	}
 }
+
+// Guards against copies of a request that share no identity since their caller sends them
+// in another session or another way, and against identities that requests with another
+// caller, path or body share.
+func TestIdentities(t *testing.T) {
+	const exact, anySession, anyPrompt, none = "request:", "any-session:", "any-prompt:", ""
+	original := identified(func(*proxyRequest) {})
+	for name, c := range map[string]struct {
+		narrowest string // identity that both have
+		change    func(*proxyRequest)
+	}{
+		"request ID":          {exact, func(req *proxyRequest) { req.meta.ID = "r2" }},
+		"token counts":        {exact, func(req *proxyRequest) { req.meta.PromptTokens, req.meta.ExpectedAnswerTokens = 1, 2 }},
+		"key":                 {exact, func(req *proxyRequest) { req.meta.Key = "k2" }},
+		"last event":          {exact, func(req *proxyRequest) { req.meta.LastEvent = 7 }},
+		"session":             {anySession, func(req *proxyRequest) { req.meta.Parts = []crashes.Cause{"aa", "cc"} }},
+		"host":                {anySession, func(req *proxyRequest) { req.r.Host = "y.example" }},
+		"method":              {anySession, func(req *proxyRequest) { req.r.Method = "PUT" }},
+		"session and host":    {anySession, func(req *proxyRequest) { req.meta.Parts, req.r.Host = []crashes.Cause{"aa", "cc"}, "y.example" }},
+		"prompt":              {anyPrompt, func(req *proxyRequest) { req.meta.Parts = []crashes.Cause{"dd", "bb"} }},
+		"number of parts":     {anyPrompt, func(req *proxyRequest) { req.meta.Parts = []crashes.Cause{"aa", "bb", "cc"} }},
+		"prompt, that it has": {anyPrompt, func(req *proxyRequest) { req.meta.Parts, req.r.URL.RawQuery = nil, "" }},
+		"query":               {anyPrompt, func(req *proxyRequest) { req.r.URL.RawQuery, req.r.RequestURI = "c=2", "/a/b?c=2" }},
+		"workspace":           {none, func(req *proxyRequest) { req.workspace = &catalogs.Workspace{Name: "v"} }},
+		"path":                {none, func(req *proxyRequest) { req.r.URL.Path, req.r.RequestURI = "/a/c", "/a/c?c=1" }},
+		"body":                {none, func(req *proxyRequest) { req.body = []byte("Body") }},
+		"empty body":          {none, func(req *proxyRequest) { req.body = nil }},
+	} {
+		t.Run("another "+name, func(t *testing.T) { assertNarrowest(t, original, identified(c.change), c.narrowest) })
+	}
+}
+
+// assertNarrowest fails unless the narrowest identity that two requests share has a prefix.
+func assertNarrowest(t *testing.T, a, b *proxyRequest, prefix string) {
+	t.Helper()
+	i := slices.IndexFunc(a.identities, func(c crashes.Cause) bool { return slices.Contains(b.identities, c) })
+	switch {
+	case i < 0 && prefix != "":
+		t.Errorf("%v and %v share nothing, want %s", a.identities, b.identities, prefix)
+	case i >= 0 && (prefix == "" || !strings.HasPrefix(string(a.identities[i]), prefix)):
+		t.Errorf("%v and %v share %s, want %q", a.identities, b.identities, a.identities[i], prefix)
+	}
+}
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -246,8 +246,9 @@
 	service   *catalogs.Service
 	workspace *catalogs.Workspace
 	body      []byte
-	// fingerprint is the same for all copies that the caller sends.
+	// fingerprint is the same for all exact copies that the caller sends.
 	fingerprint string
+	identities  []crashes.Cause // what copies have in common, the narrowest first
 	causes      []crashes.Cause // what it has in common with others that may crash backend servers
 	arrived     time.Time
 	deadline    time.Time
--- a/schedules/job.go
+++ b/schedules/job.go
@@ -23,7 +23,7 @@
 	Prompt     int             // tokens
 	Answer     int             // maximum tokens of the answer
 	Expected   int             // expected tokens of the answer
-	Causes     []crashes.Cause // prompt parts and fingerprint, which may crash engines
+	Causes     []crashes.Cause // prompt parts and identities of the request, which may crash engines
 	Priority   int             // 0 is the most urgent
 
 	// Durations are relative to the arrival of the job at the scheduler.
@@ -33,8 +33,8 @@
 	Gap      time.Duration // longest pause between events that the caller accepts
 	Stop     time.Duration // until the entry daemon breaks off its requests for a planned stop, 0 if none has begun
 
-	// Fingerprint is the same for all copies of a request that its caller sends, empty if
-	// it is not known.
+	// Fingerprint is the same for all exact copies of a request that its caller sends, empty
+	// if it is not known.
 	Fingerprint string
 
 	Avoid []gypsumshelf.ServerID // engines already tried for this request or avoided by its daemon after failures
