Count no handed-over crash against identities that different requests share

What callers saw: nothing yet; found by reading while the wider identities of requests were added. A new leader gets the crashes of the last two minutes from all entry daemons, but not the answers. A caller whose sound requests have one path and body, and were lost in three of these crashes at other daemons than those that answered it since, would have been refused for an hour. The detector now counts crashes against a wider identity only from its own start. Exact copies and prompt parts are counted as before; copies in other sessions need three crashes under one leader. TestHandedOverCrashesStrikeNoWideIdentity: before, the identity was quarantined.

--- a/crashes/detector.go
+++ b/crashes/detector.go
@@ -86,6 +86,7 @@
 // which a quarantined cause ran count against no other cause, also after a lift.
 type Detector struct {
 	quarantineTime time.Duration
+	since          time.Time // from when on all evidence is known
 	crashCount     int
 	crashes        map[start]*crash
 	strikes        map[Cause][]strike
@@ -127,12 +128,26 @@
 
 // RecordCompleted clears the causes of a completed request.
 func (d *Detector) RecordCompleted(now time.Time, causes []Cause) {
+	d.begin(now)
 	for _, c := range causes {
 		d.answersOf(c).add(now, c)
 		delete(d.strikes, c)
 	}
 }
 
+// begin records that all evidence is known from now on.
+func (d *Detector) begin(now time.Time) {
+	if d.since.IsZero() {
+		d.since = now
+	}
+}
+
+// isClear reports whether a crash does not count against a cause: requests with it were
+// answered, or, if sound requests may well have it, their answers are not known.
+func (d *Detector) isClear(at time.Time, c Cause) bool {
+	return d.answersOf(c).contain(c) || c.isWide() && at.Before(d.since)
+}
+
 // answersOf returns the answers to requests with the kind of a cause.
 func (d *Detector) answersOf(c Cause) *answers {
 	if c.isWide() {
@@ -144,6 +159,7 @@
 // RecordCrash records a report of an entry daemon. Several daemons may report the same
 // crash, and each may repeat its report.
 func (d *Detector) RecordCrash(now time.Time, r Report) {
+	d.begin(now)
 	key := start{server: r.Server, born: r.Born}
 	at := now.Add(-r.Age)
 	c := d.crashes[key]
@@ -161,6 +177,7 @@
 // Settle evaluates the crashes whose lost runs are all known, and returns the new
 // quarantines.
 func (d *Detector) Settle(now time.Time) []Quarantine {
+	d.begin(now)
 	if len(d.crashes) == 0 {
 		return nil
 	}
@@ -200,7 +217,7 @@
 		}
 	}
 	for cause, n := range next {
-		if d.answersOf(cause).contain(cause) || slices.ContainsFunc(d.strikes[cause], n.samePeriod) {
+		if d.isClear(c.at, cause) || slices.ContainsFunc(d.strikes[cause], n.samePeriod) {
 			continue
 		}
 		d.strikes[cause] = append(d.strikes[cause], n)
--- a/crashes/detector_test.go
+++ b/crashes/detector_test.go
@@ -387,6 +387,20 @@
 	})
 }
 
+// Guards against sound requests that the next leader refuses since they were lost in crashes
+// that are handed over to it, while it knows nothing of the answers in between.
+func TestHandedOverCrashesStrikeNoWideIdentity(t *testing.T) {
+	l := newCrashLog(t)
+	for n := range 2 * ambiguousStrikes {
+		l.lose(time.Duration(n+1)*300*time.Millisecond, copyOf("r", fmt.Sprint("session", n), Cause(fmt.Sprint("b", n))))
+	}
+	l.assertQuarantined(l.settle())
+	for n := range quarantineStrikes - 1 {
+		l.assertQuarantined(l.crash(copyOf("r", fmt.Sprint("next", n))))
+	}
+	l.assertQuarantined(l.crash(copyOf("r", "last")), AnySessionCause("r[]"))
+}
+
 // Guards against memory that grows with the number of prompts.
 func TestRememberedPartsAreBounded(t *testing.T) {
 	l := newCrashLog(t)
