--- a/crashes/detector.go
+++ b/crashes/detector.go
@@ -32,9 +32,9 @@
 	// successRetention is the shortest time for which a completed request clears its
 	// causes of later crashes. An answer to a short prompt takes less.
 	successRetention = 5 * time.Second
-	// maxRecentCauses bounds the causes of completed requests that are remembered,
-	// twice.
-	maxRecentCauses = 1 << 16
+	// wideSuccessRetention is the same for identities that different requests may have.
+	// Some callers send the sound ones rarely.
+	wideSuccessRetention = time.Minute
 )
 
 // start identifies one start of a backend server.
@@ -53,10 +53,20 @@
 
 // strike is a crash that counts against a cause.
 type strike struct {
-	crash   int
-	began   time.Time // of the lost run
-	at      time.Time
-	request Cause // of the lost run
+	crash int
+	began time.Time // of the lost run
+	at    time.Time
+	runs  [][]Cause // causes of the lost runs that have the cause
+}
+
+// involves reports whether a lost run with the struck cause also had another one.
+func (s strike) involves(c Cause) bool {
+	return slices.ContainsFunc(s.runs, func(causes []Cause) bool { return slices.Contains(causes, c) })
+}
+
+// allInvolve reports whether each strike involves a cause.
+func allInvolve(strikes []strike, c Cause) bool {
+	return !slices.ContainsFunc(strikes, func(s strike) bool { return !s.involves(c) })
 }
 
 // samePeriod reports whether two strikes may stand for one failure that several backend
@@ -73,24 +83,24 @@
 // of a backend server that ran a request with it; backend servers that end at the same
 // moment count once. A completed request clears its causes, before and after a crash.
 // So what sound requests have in common with the crashing ones stays clear. Crashes in
-// which a quarantined cause ran count against no other cause.
+// which a quarantined cause ran count against no other cause, also after a lift.
 type Detector struct {
 	quarantineTime time.Duration
+	since          time.Time // from when on all evidence is known
 	crashCount     int
 	crashes        map[start]*crash
 	strikes        map[Cause][]strike
 	quarantined    QuarantineSet
 	lifted         map[Cause]time.Time
-	recent         map[Cause]bool // causes of completed requests
-	older          map[Cause]bool // those of the period before
-	recentSince    time.Time
+	answers                // of exact requests and prompt parts
+	wideAnswers    answers // of identities that different requests may have
 }
 
 // NewDetector returns a Detector whose quarantines last for a time.
 func NewDetector(quarantineTime time.Duration) *Detector {
 	return &Detector{
 		quarantineTime: quarantineTime, crashes: map[start]*crash{}, strikes: map[Cause][]strike{},
-		quarantined: QuarantineSet{}, recent: map[Cause]bool{},
+		quarantined: QuarantineSet{}, answers: newAnswers(successRetention), wideAnswers: newAnswers(wideSuccessRetention),
 	}
 }
 
@@ -106,7 +116,9 @@
 	for _, l := range lifts {
 		d.lifted[l.Cause] = l.At
 		delete(d.quarantined, l.Cause)
-		d.setStrikes(l.Cause, slices.DeleteFunc(d.strikes[l.Cause], func(s strike) bool { return !s.at.After(l.At) }))
+		for cause, strikes := range d.strikes {
+			d.setStrikes(cause, slices.DeleteFunc(strikes, func(s strike) bool { return !s.at.After(l.At) && s.involves(l.Cause) }))
+		}
 	}
 	for _, q := range quarantines {
 		d.quarantined[q.Cause] = q.Until
@@ -116,18 +128,38 @@
 
 // RecordCompleted clears the causes of a completed request.
 func (d *Detector) RecordCompleted(now time.Time, causes []Cause) {
-	if now.Sub(d.recentSince) > successRetention || len(d.recent) >= maxRecentCauses {
-		d.recent, d.older, d.recentSince = map[Cause]bool{}, d.recent, now
-	}
+	d.begin(now)
 	for _, c := range causes {
-		d.recent[c] = true
+		d.answersOf(c).add(now, c)
 		delete(d.strikes, c)
 	}
 }
 
+// begin records that all evidence is known from now on.
+func (d *Detector) begin(now time.Time) {
+	if d.since.IsZero() {
+		d.since = now
+	}
+}
+
+// isClear reports whether a crash does not count against a cause: requests with it were
+// answered, or, if sound requests may well have it, their answers are not known.
+func (d *Detector) isClear(at time.Time, c Cause) bool {
+	return d.answersOf(c).contain(c) || c.isWide() && at.Before(d.since)
+}
+
+// answersOf returns the answers to requests with the kind of a cause.
+func (d *Detector) answersOf(c Cause) *answers {
+	if c.isWide() {
+		return &d.wideAnswers
+	}
+	return &d.answers
+}
+
 // RecordCrash records a report of an entry daemon. Several daemons may report the same
 // crash, and each may repeat its report.
 func (d *Detector) RecordCrash(now time.Time, r Report) {
+	d.begin(now)
 	key := start{server: r.Server, born: r.Born}
 	at := now.Add(-r.Age)
 	c := d.crashes[key]
@@ -145,6 +177,7 @@
 // Settle evaluates the crashes whose lost runs are all known, and returns the new
 // quarantines.
 func (d *Detector) Settle(now time.Time) []Quarantine {
+	d.begin(now)
 	if len(d.crashes) == 0 {
 		return nil
 	}
@@ -166,19 +199,25 @@
 	return d.judge(now)
 }
 
+// isExplained reports whether a crash at a time has a known culprit among causes: one that
+// is quarantined, or whose quarantine was lifted afterwards.
+func (d *Detector) isExplained(at time.Time, causes []Cause) bool {
+	return d.IsQuarantined(at, causes) || slices.ContainsFunc(causes, func(c Cause) bool { return !at.After(d.lifted[c]) })
+}
+
 // strike counts a crash against the causes of its runs.
 func (d *Detector) strike(c *crash) {
 	next := map[Cause]strike{}
 	for _, r := range c.pending {
-		if d.IsQuarantined(c.at, r.Causes) {
+		if d.isExplained(c.at, r.Causes) {
 			return
 		}
 		for _, cause := range r.Causes {
-			next[cause] = strike{crash: c.id, began: c.at.Add(-r.Duration), at: c.at, request: r.request()}
+			next[cause] = strike{crash: c.id, began: c.at.Add(-r.Duration), at: c.at, runs: append(next[cause].runs, r.Causes)}
 		}
 	}
 	for cause, n := range next {
-		if d.recent[cause] || d.older[cause] || !n.at.After(d.lifted[cause]) || slices.ContainsFunc(d.strikes[cause], n.samePeriod) {
+		if d.isClear(c.at, cause) || slices.ContainsFunc(d.strikes[cause], n.samePeriod) {
 			continue
 		}
 		d.strikes[cause] = append(d.strikes[cause], n)
@@ -216,8 +255,8 @@
 
 // culprits returns the cause with the most strikes, together with those that were
 // struck by the same crashes, or none if there are too few strikes to tell. Among the
-// causes of one request, the request itself is preferred to the parts of its prompt,
-// which others may share.
+// causes of one request, the narrowest is preferred: others may share the wider ones, and
+// the parts of its prompt.
 func (d *Detector) culprits() []Cause {
 	var worst Cause
 	causes := slices.Sorted(maps.Keys(d.strikes))
@@ -230,31 +269,26 @@
 	if len(most) < quarantineStrikes {
 		return nil
 	}
-	culprits := slices.DeleteFunc(causes, func(c Cause) bool {
+	tied := slices.DeleteFunc(causes, func(c Cause) bool {
 		return len(d.strikes[c]) < len(most) || !shareCrash(d.strikes[c], most)
 	})
-	if request := d.onlyRequest(culprits); request != "" {
-		return []Cause{request}
-	}
+	culprits := d.narrowest(tied)
 	if len(culprits) > 1 && len(most) < ambiguousStrikes {
 		return nil
 	}
 	return culprits
 }
 
-// onlyRequest returns the request among causes whose runs struck all of them, or an
-// empty cause if there is none.
-func (d *Detector) onlyRequest(causes []Cause) Cause {
-	i := slices.IndexFunc(causes, Cause.IsRequest)
-	if i < 0 {
-		return ""
-	}
+// narrowest returns the causes without those that a narrower one explains: requests with
+// it were lost in all crashes that struck the wider one.
+func (d *Detector) narrowest(causes []Cause) []Cause {
+	var narrow []Cause
 	for _, c := range causes {
-		if slices.ContainsFunc(d.strikes[c], func(s strike) bool { return s.request != causes[i] }) {
-			return ""
+		if !slices.ContainsFunc(causes, func(o Cause) bool { return o.breadth() < c.breadth() && allInvolve(d.strikes[c], o) }) {
+			narrow = append(narrow, c)
 		}
 	}
-	return causes[i]
+	return narrow
 }
 
 func shareCrash(a, b []strike) bool {
@@ -263,9 +297,9 @@
 	})
 }
 
-// explain removes the crashes of culprits from the strikes of all other causes. A part
-// of the prompt of a culprit keeps one of them: if the part is the cause, other requests
-// with it crash too, and two more strikes show it.
+// explain removes the crashes of culprits from the strikes of all other causes. What a
+// culprit has in common with other requests keeps one of them: if that is the cause, other
+// requests with it crash too, and two more strikes show it.
 func (d *Detector) explain(culprits []Cause, explained []strike) {
 	for cause, strikes := range d.strikes {
 		kept := 0
@@ -273,7 +307,7 @@
 			if !shareCrash([]strike{s}, explained) {
 				return false
 			}
-			if slices.Contains(culprits, s.request) {
+			if slices.ContainsFunc(culprits, func(c Cause) bool { return c.IsRequest() && s.involves(c) }) {
 				kept++
 				return kept > 1
 			}
