Refuse announcements that another writer has written or that name another server

What callers saw: after one announcement with a text in born, streams of the model ran on a backend server of another service (4 of 60), and that server was lost to its own service for as long as it lived. Any later start under an ID replaced its registration, whatever service it named, and so did a later sequence of the same start; a service that no configuration names could end the registration at its address. The control daemon refuses what cannot come from the server that is registered: a start has one service, address and data centre, and a later start keeps the service while the registration holds. Restarts at another address and other services at an address in use go on working. Announcements of a service that the configuration does not name are kept aside until it does, and on a daemon that has no configuration yet those that would take an address over.

--- a/controls/daemon_test.go
+++ b/controls/daemon_test.go
@@ -139,7 +139,10 @@
 // wipe replaces the disk of a stopped host by an empty one.
 func (h *host) wipe() { h.folder = h.t.TempDir() }
 
-func decode([]byte) (*catalogs.Catalog, error) { return catalogs.New(catalogs.Spec{}) }
+// decode returns a catalog with the service of all announcements.
+func decode([]byte) (*catalogs.Catalog, error) {
+	return catalogs.New(catalogs.Spec{Services: []catalogs.Service{{Name: "x"}}})
+}
 
 // put sends a catalog to the hosts in turn until one acknowledges it.
 func (c *cluster) put(version uint64) {
--- a/controls/registry.go
+++ b/controls/registry.go
@@ -46,6 +46,7 @@
 
 	mu            sync.Mutex
 	roster        *rosters.Roster
+	unnamed       *unnamedServers
 	lastAnnounced map[gypsumshelf.ServerID]time.Time // last announcement received by this daemon
 	catalog       *catalogs.Catalog
 	outOfService  map[string]bool // by data centre
@@ -55,7 +56,7 @@
 func newRegistry(cfg Config, publisher *directories.Publisher, dispatcher *dispatchers.Dispatcher) *registry {
 	return &registry{
 		log: cfg.Log, decode: cfg.Decode, silenceTimeout: cfg.SilenceTimeout, publisher: publisher, dispatcher: dispatcher,
-		roster: rosters.New(), lastAnnounced: map[gypsumshelf.ServerID]time.Time{}, outOfService: map[string]bool{},
+		roster: rosters.New(), unnamed: newUnnamedServers(), lastAnnounced: map[gypsumshelf.ServerID]time.Time{}, outOfService: map[string]bool{},
 	}
 }
 
@@ -76,14 +77,54 @@
 		g.outOfService[dc] = true
 	}
 	g.dispatcher.SetQuarantines(s.Quarantines, s.Lifts)
+	now := time.Now()
+	for _, r := range g.unnamed.takeNamed(now, g.isNamed) {
+		g.register(now, r)
+	}
 	g.updateDispatcher()
 }
 
-// announce merges an announcement of a backend server and publishes it if it
-// contains a change that subscribers need.
-func (g *registry) announce(now time.Time, r rosters.Record) {
+// announce merges an announcement of a backend server and publishes it if it contains
+// a change that subscribers need. It returns an error if the announcement cannot come
+// from the backend server that is registered under its ID.
+func (g *registry) announce(now time.Time, r rosters.Record) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	registered, known := g.roster.Get(r.ID)
+	if known {
+		if err := checkIdentity(registered, r); err != nil {
+			return err
+		}
+	}
+	if isSameService := known && registered.Service == r.Service; !isSameService && !g.mayRegister(r) {
+		g.unnamed.put(now, r)
+		return nil
+	}
+	g.unnamed.remove(r.ID)
+	g.register(now, r)
+	return nil
+}
+
+// mayRegister reports whether a backend server that is not registered with its service
+// may be. Before the first catalog all services may, but none takes the address of
+// another one: a daemon that has just started knows registrations, and no catalog yet.
+// The caller holds mu.
+func (g *registry) mayRegister(r rosters.Record) bool {
+	if g.catalog != nil {
+		return g.isNamed(r.Service)
+	}
+	holder, occupied := g.roster.At(r.Address)
+	return !occupied || holder.Service == r.Service || holder.Silent || !holder.Usable()
+}
+
+// isNamed reports whether the catalog names a service. The caller holds mu.
+func (g *registry) isNamed(service string) bool {
+	return g.catalog != nil && g.catalog.Service(service) != nil
+}
+
+// register merges and publishes an announcement that may change registrations. The caller
+// holds mu.
+func (g *registry) register(now time.Time, r rosters.Record) {
 	old, known := g.roster.Get(r.ID)
 	if !g.roster.Merge(now, r) {
 		return
@@ -211,6 +252,7 @@
 		}
 	}
 	g.roster.Prune(now, forgetSilentAfter)
+	g.unnamed.expire(now, g.silenceTimeout)
 	if changed {
 		g.updateDispatcher()
 	}
@@ -251,17 +293,22 @@
 
 // Announce handles an announcement of a backend server. For a leave it returns
 // only after all polling daemons have received the record, or after
-// leaveAckTimeout: an acknowledged leave must not be lost if this daemon fails.
-func (d *Daemon) Announce(ctx context.Context, r rosters.Record) {
-	d.registry.announce(d.cfg.Timers.Now(), r)
+// leaveAckTimeout: an acknowledged leave must not be lost if this daemon fails. It
+// returns an error, and changes nothing, if the announcement cannot come from the
+// backend server that is registered under its ID.
+func (d *Daemon) Announce(ctx context.Context, r rosters.Record) error {
+	if err := d.registry.announce(d.cfg.Timers.Now(), r); err != nil {
+		return err
+	}
 	if r.Usable() {
-		return
+		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaveAckTimeout)
 	defer cancel()
 	if !d.publisher.AwaitDelivery(ctx) {
 		d.cfg.Log.WithField("backend-server", r.ID).Warn("not all polling daemons received the leave of a backend server in time")
 	}
+	return nil
 }
 
 // Leave records that a backend server has ended or is about to. born is the
@@ -269,6 +316,7 @@
 // start is ignored.
 func (d *Daemon) Leave(ctx context.Context, id gypsumshelf.ServerID, born int64) {
 	d.registry.mu.Lock()
+	d.registry.unnamed.remove(id)
 	entry, known := d.registry.roster.Get(id)
 	d.registry.mu.Unlock()
 	if !known || born != 0 && born < entry.Born {
@@ -277,5 +325,7 @@
 	}
 	r := entry.Record
 	r.Gone = true
-	d.Announce(ctx, r)
+	if err := d.Announce(ctx, r); err != nil {
+		d.cfg.Log.WithFields(logrus.Fields{"backend-server": id, "born": born}).WithError(err).Warn("leave ignored: another backend server has registered meanwhile")
+	}
 }
