Skip interim responses of backend servers

What callers saw: 200 with an empty body when a backend server sent an interim response (102) with its seal before the answer, and 502 without the seal. The connection was closed meanwhile, which cancelled the work. Cause: readHeader took the first status line for the answer, and net/http then sent the 102 and an empty 200 for it. Now interim responses are skipped, whoever they are for, up to 16 and within the time and the 64 KB of the header. 101 ends the attempt: nobody asked for another protocol.

--- a/forwards/exchange.go
+++ b/forwards/exchange.go
@@ -31,6 +31,9 @@
 	// maxEventBytes limits the size of one stream event, which holds the text of
 	// some hundred tokens at most.
 	maxEventBytes = 256 << 10
+	// maxInterimResponses limits the interim responses before an answer. A backend server has
+	// at most a few things to say about a request before it answers.
+	maxInterimResponses = 16
 )
 
 // Errors that decide the outcome of an attempt. After errConnect the request has
@@ -135,23 +138,43 @@
 	x.writeResult <- err
 }
 
-// readHeader reads the status line and header of the response.
+// readHeader reads the status line and header of the response. Interim responses before
+// it are skipped; they share its limits of time and bytes.
 func (x *exchange) readHeader(o *outgoingRequest, timeout time.Duration) (*http.Response, error) {
 	if err := x.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return nil, err
 	}
+	for range maxInterimResponses + 1 {
+		response, err := x.readOneHeader(o)
+		if err != nil {
+			return nil, err
+		}
+		if !isInterim(response.StatusCode) {
+			x.header.N = math.MaxInt64 // the body has limits of its own
+			x.response = response
+			return response, nil
+		}
+	}
+	return nil, fmt.Errorf("%w: more than %d interim responses", errTooLong, maxInterimResponses)
+}
+
+// readOneHeader reads a status line and header, which may be those of an interim response.
+func (x *exchange) readOneHeader(o *outgoingRequest) (*http.Response, error) {
 	response, err := http.ReadResponse(x.reader, &http.Request{Method: o.method})
-	if err != nil && x.header.N == 0 {
+	switch {
+	case err != nil && x.header.N == 0:
 		return nil, fmt.Errorf("%w: header of more than %d bytes", errTooLong, maxResponseHeaderBytes)
-	}
-	if err != nil {
+	case err != nil:
 		return nil, x.mapTimeout(err)
+	case response.StatusCode == http.StatusSwitchingProtocols:
+		return nil, fmt.Errorf("%w: it switches to a protocol that nobody asked for", errInvalidResponse)
 	}
-	x.header.N = math.MaxInt64 // the body has limits of its own
-	x.response = response
 	return response, nil
 }
 
+// isInterim reports whether another response to the same request follows.
+func isInterim(status int) bool { return status/100 == 1 }
+
 // mapTimeout replaces a network timeout by errNoProgress.
 func (x *exchange) mapTimeout(err error) error {
 	if isTimeout(err) {
