Relay the event with the ID 0

What callers saw: streams whose IDs begin with 0 ended as complete without their first event, and a caller that had event 0 got it again. Cause: 0 stood for "no event": the first event was taken for one that the caller has, and Last-Event-Id: 0 was not sent on. Now NoEvent (-1) stands for no event, in the metadata of requests and calls and in the sequence check. A stream without events is still no answer to a caller that sends Last-Event-Id: 0, since it may mean that it has none. IDs with gaps still end an attempt. IDs increase and no event may be missing: a gap of the numbering cannot be told from a missing event, and a failed stream does less harm than one that looks complete.

--- a/forwards/crash_check.go
+++ b/forwards/crash_check.go
@@ -167,7 +167,7 @@
 	}
 	protocol := k.checks.forwarder.cfg.Protocol
 	header := http.Header{}
-	protocol.SetHeaders(header, Call{Server: k.server.ID, Remaining: probeTimeout, Urgency: -1})
+	protocol.SetHeaders(header, Call{Server: k.server.ID, Remaining: probeTimeout, Urgency: -1, LastEvent: NoEvent})
 	out := &outgoingRequest{method: http.MethodGet, uri: k.path, host: k.server.Address, header: header}
 	data, err := out.encode()
 	if err != nil {
--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -532,7 +532,7 @@
 	if id <= req.lastEvent {
 		return false, true, nil
 	}
-	if req.lastEvent > 0 && id != req.lastEvent+1 {
+	if req.lastEvent != NoEvent && id != req.lastEvent+1 {
 		return false, true, fmt.Errorf("%w: got event %d after event %d", errInvalidResponse, id, req.lastEvent)
 	}
 	req.lastEvent = id
@@ -567,8 +567,8 @@
 func (e *engineAttempt) finishStream() error {
 	req := e.request
 	if !req.headerWritten {
-		if req.lastEvent == 0 || req.meta.LastEvent == 0 {
-			return errNoEvent
+		if req.meta.LastEvent <= 0 {
+			return errNoEvent // 0 may also be sent by a caller that has none
 		}
 		// A resuming caller that already has all events gets an empty body.
 		req.writeResponse(&bufferedResponse{status: e.attempt.response.StatusCode, header: endToEnd(e.attempt.response.Header)})
--- a/forwards/fake_test.go
+++ b/forwards/fake_test.go
@@ -30,7 +30,10 @@
 type fakeProtocol struct{}
 
 func (fakeProtocol) ParseRequest(r *http.Request) RequestMeta {
-	last, _ := strconv.Atoi(r.Header.Get("Last"))
+	last, err := strconv.Atoi(r.Header.Get("Last"))
+	if err != nil {
+		last = NoEvent
+	}
 	ms, _ := strconv.Atoi(r.Header.Get("Wait"))
 	return RequestMeta{
 		ID: gypsumshelf.RequestID(r.Header.Get("Id")), Key: r.Header.Get("Key"), PromptTokens: 1000, MaxAnswerTokens: 100,
@@ -42,7 +45,10 @@
 	h.Set("Server", string(c.Server))
 	h.Set("Workspace", c.Workspace)
 	h.Set("Left", strconv.FormatInt(c.Remaining.Milliseconds(), 10))
-	h.Set("Last", strconv.Itoa(c.LastEvent))
+	h.Del("Last")
+	if c.LastEvent != NoEvent {
+		h.Set("Last", strconv.Itoa(c.LastEvent))
+	}
 	if c.StripKey {
 		h.Del("Key")
 	}
--- a/forwards/protocol.go
+++ b/forwards/protocol.go
@@ -12,6 +12,9 @@
 	"gypsumshelf.example/gypsumshelf/dispatchers"
 )
 
+// NoEvent stands for the ID of an event where there is none. IDs begin with 0 or later.
+const NoEvent = -1
+
 // RequestMeta is the metadata in the headers of a caller's request.
 type RequestMeta struct {
 	ID                   gypsumshelf.RequestID
@@ -20,7 +23,7 @@
 	PromptTokens         int             // tokens of the prompt, 0 when unknown
 	MaxAnswerTokens      int             // maximum number of tokens of the answer, 0 when unknown
 	ExpectedAnswerTokens int             // the caller's estimate of the answer's tokens, 0 when unknown
-	LastEvent            int             // ID of the last event that the caller has, 0 for none
+	LastEvent            int             // ID of the last event that the caller has, NoEvent for none
 	Parts                []crashes.Cause // IDs of the prompt's parts
 }
 
@@ -32,7 +35,7 @@
 	StripKey  bool                 // the caller's key authenticates to this system and is not forwarded
 	Urgency   int                  // 0 (first) to 9 (last); negative for none
 	Helpers   []Helper
-	LastEvent int // ID of the last event that the caller has, 0 for none
+	LastEvent int // ID of the last event that the caller has, NoEvent for none
 }
 
 // Helper is an engine that prefills a part of the prompt.
