Keep backend servers that do not meet a condition of a caller

What callers saw: after 12 streams with X-Gypsumshelf-Expect-Version and a version that no backend server had, no stream at all was served (0 of 30). Cause: a 421 always counted as another server at the address. The entry daemon marked each sound one as gone, until it started again. Now a request that carries the header is conditional. Its 421 marks the server as gone only if the answer names another server at fault, other than one known at another address, which is an engine that takes part. Otherwise the attempt counts as cancelled: no backoff, no failure at the scheduler. The request is tried on other servers as before and ends with 503, not run. The header is passed on unchanged. Without it nothing has changed.

--- a/forwards/attempt.go
+++ b/forwards/attempt.go
@@ -97,8 +97,7 @@
 	switch {
 	case a.reply.WrongServer:
 		a.verdict = gypsumshelf.NotRun
-		req.forwarder.cfg.Fleet.MarkGone(a.server)
-		return errServerUnavailable
+		return req.refuseWrongServer(a)
 	case a.reply.NotRun:
 		a.verdict = gypsumshelf.NotRun
 		return errRejected
--- a/forwards/fake_test.go
+++ b/forwards/fake_test.go
@@ -37,7 +37,7 @@
 	ms, _ := strconv.Atoi(r.Header.Get("Wait"))
 	return RequestMeta{
 		ID: gypsumshelf.RequestID(r.Header.Get("Id")), Key: r.Header.Get("Key"), PromptTokens: 1000, MaxAnswerTokens: 100,
-		LastEvent: last, Deadline: time.Duration(ms) * time.Millisecond,
+		LastEvent: last, Deadline: time.Duration(ms) * time.Millisecond, Conditional: r.Header.Get("Condition") != "",
 	}
 }
 
@@ -57,7 +57,7 @@
 func (fakeProtocol) ParseResponse(h http.Header, status int) ResponseMeta {
 	meta := ResponseMeta{
 		Request: gypsumshelf.RequestID(h.Get("Id")), FromBackendServer: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "",
-		WrongServer: status == http.StatusMisdirectedRequest,
+		WrongServer: status == http.StatusMisdirectedRequest, Blamed: gypsumshelf.ServerID(h.Get("Blamed")),
 	}
 	if limit := h.Get("Limit"); limit != "" {
 		var err error
--- a/forwards/outcome.go
+++ b/forwards/outcome.go
@@ -12,7 +12,7 @@
 // outcomeOf maps the error of an attempt to its outcome.
 func outcomeOf(ctx context.Context, err error) schedules.Outcome {
 	switch {
-	case ctx.Err() != nil, errors.Is(err, relays.ErrNoPath), errors.Is(err, errPaused), errors.Is(err, errStopsFirst), relays.IsRelayLost(err):
+	case ctx.Err() != nil, errors.Is(err, relays.ErrNoPath), errors.Is(err, errPaused), errors.Is(err, errStopsFirst), errors.Is(err, errUnmetCondition), relays.IsRelayLost(err):
 		return schedules.Cancelled // not the fault of the backend server
 	case errors.Is(err, errConnect):
 		return schedules.Unreachable
--- a/forwards/protocol.go
+++ b/forwards/protocol.go
@@ -25,6 +25,7 @@
 	ExpectedAnswerTokens int             // the caller's estimate of the answer's tokens, 0 when unknown
 	LastEvent            int             // ID of the last event that the caller has, NoEvent for none
 	Parts                []crashes.Cause // IDs of the prompt's parts
+	Conditional          bool            // the caller set a condition; a server that does not meet it answers like a wrong one
 }
 
 // Call is the metadata that is sent to a backend server with a request.
@@ -49,7 +50,7 @@
 	Request           gypsumshelf.RequestID // ID of the request that the response belongs to
 	FromBackendServer bool                  // the response has the header that only backend servers set
 	NotRun            bool                  // the backend server did not run the request
-	WrongServer       bool                  // another backend server has the address
+	WrongServer       bool                  // another backend server has the address, or a condition of the caller is not met
 	Blamed            gypsumshelf.ServerID  // engine at fault, empty when not stated
 	Running           int                   // requests running on the server, if HasLoad
 	Queued            int                   // requests waiting on the server, if HasLoad
