--- a/settings/host.go
+++ b/settings/host.go
@@ -41,6 +41,9 @@
 	// entry daemon refuses requests. With 0 it serves them from its last known
 	// state without a limit.
 	StaleState Duration `json:"stale-state"`
+	// DataCentres holds the region by data centre, of all in which backend servers may be.
+	// It is empty when they are unknown.
+	DataCentres map[string]string `json:"data-centres"`
 }
 
 // Ports are ports that are the same on all hosts.
--- a/settings/host_test.go
+++ b/settings/host_test.go
@@ -106,6 +106,9 @@
 			if h.DiskMB != 0 {
 				t.Error("the template has disk-mb, a key that the build before refuses while both run")
 			}
+			if len(h.DataCentres) != 0 {
+				t.Error("the template has data-centres, a key that the build before refuses while both run")
+			}
 			if h.Role != test.role || h.Bounds.Grace != Duration(8*time.Second) || !h.FirstStart || h.Bounds.Heartbeat != Duration(1200*time.Millisecond) {
 				t.Errorf("settings are %+v", h)
 			}
@@ -132,6 +135,7 @@
 		"disk-mb":        {`"data-folder"`, `"disk-mb":-1,"data-folder"`},
 		"bounds.grace":   {`"8s"`, `"0s"`},
 		"daemonn":        {`"daemon"`, `"daemonn"`},
+		"data-centres":   {`"data-folder"`, `"data-centres":["a"],"data-folder"`},
 	} {
 		_, err := ParseHost([]byte(strings.Replace(good, change[0], change[1], 1)))
 		var invalid ValidationErrors
