--- a/forwards/fake_test.go
+++ b/forwards/fake_test.go
@@ -31,11 +31,14 @@
 type fakeProtocol struct{}
 
 func (fakeProtocol) ParseRequest(r *http.Request) RequestMeta {
-	last, _ := strconv.Atoi(r.Header.Get("Last"))
+	last, err := strconv.Atoi(r.Header.Get("Last"))
+	if err != nil {
+		last = NoEvent
+	}
 	ms, _ := strconv.Atoi(r.Header.Get("Wait"))
 	meta := RequestMeta{
 		ID: gypsumshelf.RequestID(r.Header.Get("Id")), Key: r.Header.Get("Key"), PromptTokens: 1000, MaxAnswerTokens: 100,
-		LastEvent: last, Deadline: time.Duration(ms) * time.Millisecond,
+		LastEvent: last, Deadline: time.Duration(ms) * time.Millisecond, Conditional: r.Header.Get("Condition") != "",
 	}
 	for _, part := range strings.Fields(r.Header.Get("Parts")) {
 		meta.Parts = append(meta.Parts, crashes.Cause(part))
@@ -47,7 +50,10 @@
 	h.Set("Server", string(c.Server))
 	h.Set("Workspace", c.Workspace)
 	h.Set("Left", strconv.FormatInt(c.Remaining.Milliseconds(), 10))
-	h.Set("Last", strconv.Itoa(c.LastEvent))
+	h.Del("Last")
+	if c.LastEvent != NoEvent {
+		h.Set("Last", strconv.Itoa(c.LastEvent))
+	}
 	if c.StripKey {
 		h.Del("Key")
 	}
@@ -56,7 +62,7 @@
 func (fakeProtocol) ParseResponse(h http.Header, status int) ResponseMeta {
 	meta := ResponseMeta{
 		Request: gypsumshelf.RequestID(h.Get("Id")), FromBackendServer: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "",
-		WrongServer: status == http.StatusMisdirectedRequest,
+		WrongServer: status == http.StatusMisdirectedRequest, Blamed: gypsumshelf.ServerID(h.Get("Blamed")),
 	}
 	if limit := h.Get("Limit"); limit != "" {
 		var err error
--- a/forwards/protocol.go
+++ b/forwards/protocol.go
@@ -12,6 +12,9 @@
 	"gypsumshelf.example/gypsumshelf/dispatchers"
 )
 
+// NoEvent stands for the ID of an event where there is none. IDs begin with 0 or later.
+const NoEvent = -1
+
 // RequestMeta is the metadata in the headers of a caller's request.
 type RequestMeta struct {
 	ID                   gypsumshelf.RequestID
@@ -20,8 +23,9 @@
 	PromptTokens         int             // tokens of the prompt, 0 when unknown
 	MaxAnswerTokens      int             // maximum number of tokens of the answer, 0 when unknown
 	ExpectedAnswerTokens int             // the caller's estimate of the answer's tokens, 0 when unknown
-	LastEvent            int             // ID of the last event that the caller has, 0 for none
+	LastEvent            int             // ID of the last event that the caller has, NoEvent for none
 	Parts                []crashes.Cause // IDs of the prompt's parts
+	Conditional          bool            // the caller set a condition; a server that does not meet it answers like a wrong one
 }
 
 // Call is the metadata that is sent to a backend server with a request.
@@ -32,7 +36,7 @@
 	StripKey  bool                 // the caller's key authenticates to this system and is not forwarded
 	Urgency   int                  // 0 (first) to 9 (last); negative for none
 	Helpers   []Helper
-	LastEvent int // ID of the last event that the caller has, 0 for none
+	LastEvent int // ID of the last event that the caller has, NoEvent for none
 }
 
 // Helper is an engine that prefills a part of the prompt.
@@ -46,7 +50,7 @@
 	Request           gypsumshelf.RequestID // ID of the request that the response belongs to
 	FromBackendServer bool                  // the response has the header that only backend servers set
 	NotRun            bool                  // the backend server did not run the request
-	WrongServer       bool                  // another backend server has the address
+	WrongServer       bool                  // another backend server has the address, or a condition of the caller is not met
 	Blamed            gypsumshelf.ServerID  // engine at fault, empty when not stated
 	Running           int                   // requests running on the server, if HasLoad
 	Queued            int                   // requests waiting on the server, if HasLoad
