--- a/controls/daemon.go
+++ b/controls/daemon.go
@@ -75,6 +75,8 @@
 	events      chan any
 	stop        chan struct{}
 	stopGranted chan struct{}
+	handOver    sync.Once
+	stopping    atomic.Bool // set by HandOver
 	wg          sync.WaitGroup
 
 	lastTicket     atomic.Uint64
@@ -278,6 +280,8 @@
 	select {
 	case r := <-reply:
 		return r.Err
+	case <-d.stop:
+		return ErrStopping
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -314,17 +318,22 @@
 	select {
 	case r := <-reply:
 		return r.State, r.Err
+	case <-d.stop:
+		return catalogs.State{}, ErrStopping
 	case <-ctx.Done():
 		d.submit(ReadCancelled{Ticket: t})
 		return catalogs.State{}, ctx.Err()
 	}
 }
 
-// Close stops the daemon. It hands leadership over if this daemon is the leader, and
-// waits until a learner has taken the daemon's vote or the others need it no longer,
-// for StopTimeout at most.
-func (d *Daemon) Close() {
+// HandOver begins a planned stop. It hands leadership over if this daemon is the leader,
+// and waits until a learner has taken the daemon's vote or the others need it no longer,
+// for StopTimeout at most. The daemon serves calls until Close.
+func (d *Daemon) HandOver() { d.handOver.Do(d.awaitStopGranted) }
+
+func (d *Daemon) awaitStopGranted() {
 	started := time.Now()
+	d.stopping.Store(true)
 	d.submit(ShutdownStarted{})
 	select {
 	case <-d.stopGranted:
@@ -332,15 +341,23 @@
 	case <-time.After(d.cfg.StopTimeout):
 		d.cfg.Log.WithField("voters", d.Voters()).Warn("stopping although the replicated log may need this daemon's vote")
 	}
+}
+
+// Close stops the daemon, after HandOver if that was not called before. Calls that are
+// still pending fail with ErrStopping.
+func (d *Daemon) Close() {
+	d.HandOver()
 	d.terminate()
 }
 
-// terminate ends the daemon without handing anything over.
+// terminate ends the daemon without handing anything over. Pending calls end first, so
+// that they are not taken for failures of the connections that are closed.
 func (d *Daemon) terminate() {
+	close(d.stop)
+	d.publisher.Close()
 	d.subscriber.Close()
 	d.server.Close()
 	d.links.Close()
-	close(d.stop)
 	d.wg.Wait()
 	d.folder.Close()
 }
--- a/controls/reducer.go
+++ b/controls/reducer.go
@@ -30,6 +30,7 @@
 	ErrOutdated   = errors.New("the data folder of this daemon is older than what peers saw of it and is replaced")
 	ErrTooLarge   = errors.New("the configuration is too large for the disks of the control daemons")
 	ErrLogFull    = errors.New("the log has no room on the disk until earlier changes are compacted; send again")
+	ErrStopping   = errors.New("this daemon is stopping; send again to another one")
 	ErrRestarting = errors.New("the replicated log of this daemon starts again after an unexpected error")
 )
 
--- a/controls/registry.go
+++ b/controls/registry.go
@@ -252,30 +252,41 @@
 // Announce handles an announcement of a backend server. For a leave it returns
 // only after all polling daemons have received the record, or after
 // leaveAckTimeout: an acknowledged leave must not be lost if this daemon fails.
-func (d *Daemon) Announce(ctx context.Context, r rosters.Record) {
+// The error is ErrStopping if the announcement may be lost with this daemon.
+func (d *Daemon) Announce(ctx context.Context, r rosters.Record) error {
+	select {
+	case <-d.stop:
+		return ErrStopping
+	default:
+	}
 	d.registry.announce(d.cfg.Timers.Now(), r)
 	if r.Usable() {
-		return
+		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaveAckTimeout)
 	defer cancel()
-	if !d.publisher.AwaitDelivery(ctx) {
-		d.cfg.Log.WithField("backend-server", r.ID).Warn("not all polling daemons received the leave of a backend server in time")
+	if d.publisher.AwaitDelivery(ctx) {
+		return nil
 	}
+	d.cfg.Log.WithField("backend-server", r.ID).Warn("not all polling daemons received the leave of a backend server in time")
+	if d.stopping.Load() {
+		return ErrStopping
+	}
+	return nil
 }
 
 // Leave records that a backend server has ended or is about to. born is the
 // start to which the leave refers, 0 for the latest one; a leave of an earlier
-// start is ignored.
-func (d *Daemon) Leave(ctx context.Context, id gypsumshelf.ServerID, born int64) {
+// start is ignored. The error is that of Announce.
+func (d *Daemon) Leave(ctx context.Context, id gypsumshelf.ServerID, born int64) error {
 	d.registry.mu.Lock()
 	entry, known := d.registry.roster.Get(id)
 	d.registry.mu.Unlock()
 	if !known || born != 0 && born < entry.Born {
 		d.cfg.Log.WithFields(logrus.Fields{"backend-server": id, "born": born}).Warn("leave ignored: the backend server is unknown or has restarted since")
-		return
+		return nil
 	}
 	r := entry.Record
 	r.Gone = true
-	d.Announce(ctx, r)
+	return d.Announce(ctx, r)
 }
--- a/directories/publisher.go
+++ b/directories/publisher.go
@@ -72,16 +72,20 @@
 	expired    []gypsumshelf.DaemonID // daemons that stopped polling, until TakeExpired returns them
 	changed    chan struct{}          // closed at the next change
 	hurried    chan struct{}          // closed at the next urgent change
+	closed     chan struct{}
 }
 
 // NewPublisher returns a Publisher that has nothing published yet.
 func NewPublisher(log *logrus.Entry) *Publisher {
 	return &Publisher{
 		log: log, epoch: rand.Uint64() | 1, newest: map[gypsumshelf.ServerID]uint64{},
-		pollers: map[gypsumshelf.DaemonID]poller{}, changed: make(chan struct{}), hurried: make(chan struct{}),
+		pollers: map[gypsumshelf.DaemonID]poller{}, changed: make(chan struct{}), hurried: make(chan struct{}), closed: make(chan struct{}),
 	}
 }
 
+// Close answers the polls that wait, and ends the wait for deliveries.
+func (p *Publisher) Close() { close(p.closed) }
+
 // advance increments the cursor and wakes the polls that wait. The caller holds
 // mu.
 func (p *Publisher) advance(urgent bool) {
@@ -181,6 +185,7 @@
 		case <-due:
 			continue
 		case <-deadline.C:
+		case <-p.closed:
 		}
 		break
 	}
@@ -304,8 +309,9 @@
 }
 
 // AwaitDelivery waits until all polling daemons have received everything
-// published before the call, or until ctx ends. It reports whether all have. A
-// daemon confirms the receipt by the cursor of its next poll.
+// published before the call, or until ctx ends or the Publisher is closed. It
+// reports whether all have. A daemon confirms the receipt by the cursor of its next
+// poll.
 func (p *Publisher) AwaitDelivery(ctx context.Context) bool {
 	p.mu.Lock()
 	cursor := p.cursor
@@ -319,6 +325,8 @@
 		select {
 		case <-ctx.Done():
 			return false
+		case <-p.closed:
+			return false
 		case <-ticker.C:
 		}
 	}
