End the calls between control daemons when one of them stops

What the system saw: a daemon that stops while a peer is frozen or cut off waits for the answer of this peer, for 2 s. At a control daemon this is the whole time that the grace period leaves after its last vote, and the answers to calls need some of it. Cause: Links.Close waited for its links, and these for calls with their own timeouts. Now a call ends with Links.Close. What it had sent is on its way already.

--- a/peers/link.go
+++ b/peers/link.go
@@ -75,7 +75,7 @@
 	}
 	client := rpc.NewClient(&countingConn{Conn: conn, counters: &k.links.bytes})
 	hello := Hello{Deployment: k.links.cfg.Deployment, Daemon: k.links.cfg.Daemon}
-	if err := Call(client, "Peer.Hello", hello, &struct{}{}, helloTimeout); err != nil {
+	if err := k.call(client, "Peer.Hello", hello, helloTimeout); err != nil {
 		client.Close()
 		return nil, err
 	}
@@ -90,7 +90,7 @@
 		if batch == nil {
 			return
 		}
-		err := Call(client, "Peer.Deliver", batch, &struct{}{}, deliverTimeout)
+		err := k.call(client, "Peer.Deliver", batch, deliverTimeout)
 		k.pending.Add(-int64(len(batch)))
 		if err != nil {
 			return
@@ -125,11 +125,24 @@
 	return batch
 }
 
-var errCallTimeout = errors.New("the other daemon did not answer in time")
+// call makes an RPC without a result, which ends at Links.Close at the latest.
+func (k *link) call(client *rpc.Client, method string, args any, timeout time.Duration) error {
+	return callUntil(k.links.stop, client, method, args, &struct{}{}, timeout)
+}
+
+var (
+	errCallTimeout = errors.New("the other daemon did not answer in time")
+	errClosed      = errors.New("this daemon has closed its links")
+)
 
 // Call makes an RPC with a timeout. After an error the reply must not be read,
 // because a late response may still be written to it.
 func Call(client *rpc.Client, method string, args, reply any, timeout time.Duration) error {
+	return callUntil(nil, client, method, args, reply, timeout)
+}
+
+// callUntil is Call with a channel whose close ends the call.
+func callUntil(stop <-chan struct{}, client *rpc.Client, method string, args, reply any, timeout time.Duration) error {
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
@@ -138,5 +151,7 @@
 		return done.Error
 	case <-timer.C:
 		return errCallTimeout
+	case <-stop:
+		return errClosed
 	}
 }
