Answer the requests that a second stop signal interrupts

What callers saw: after a second SIGTERM to gypsumshelf serve, requests in progress ended with EOF, also those that had waited and were sent to no backend server. They were noted and counted as caller-gone, with the verdict may-have-run. Cause: Close cut the callers' connections, and the handler takes the end of a request's context for its caller's. Now the second signal is an event of the reducer. It ends each request with an error: stopping and not-run (503) if it was sent to no backend server, otherwise interrupted (502) with the verdict of its attempts, whose work is cancelled. The answers have 1 s; only then are connections closed.

--- a/attempts/event.go
+++ b/attempts/event.go
@@ -39,6 +39,10 @@
 // Stop is the event of the first stop signal: the daemon takes no new requests.
 type Stop struct{}
 
+// Interrupt is the event of the second stop signal: the daemon ends the requests in
+// progress.
+type Interrupt struct{}
+
 // EventName implements gypsumshelf.Event.
 func (Arrived) EventName() string { return "request-arrived" }
 
@@ -118,3 +122,6 @@
 
 // EffectName implements gypsumshelf.Effect.
 func (Abort) EffectName() string { return "abort-attempt" }
+
+// EventName implements gypsumshelf.Event.
+func (Interrupt) EventName() string { return "interrupt" }
--- a/cmd/gypsumshelf/serve.go
+++ b/cmd/gypsumshelf/serve.go
@@ -42,7 +42,7 @@
 }
 
 // shutDown shuts the daemon down gracefully. A second signal interrupts the
-// requests that are still in progress; each of them is logged.
+// requests that are still in progress; each of them is answered and logged.
 func shutDown(daemon *daemons.Daemon, signals <-chan os.Signal) error {
 	logrus.Info("stopping: requests in progress may run until their deadlines")
 	ctx, cancel := context.WithCancelCause(context.Background())
@@ -51,7 +51,7 @@
 	go canceller.run(ctx)
 	err := daemon.Shutdown(ctx)
 	if err != nil {
-		for _, id := range daemon.RequestsInProgress() {
+		for _, id := range daemon.Interrupt() {
 			logrus.WithField("request-id", id).Warn("request interrupted by a second stop signal")
 		}
 	}
--- a/cmd/gypsumshelf/stop_test.go
+++ b/cmd/gypsumshelf/stop_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -145,6 +147,72 @@
 	}
 }
 
+// interruptedRequest is a request whose daemon is interrupted.
+type interruptedRequest struct {
+	url, id string
+
+	code    gypsumshelf.Code
+	verdict string
+	err     error
+}
+
+func (r *interruptedRequest) run() {
+	body := fmt.Sprintf(`{"model":"quill","prompt":%q,"max_tokens":40}`, strings.Repeat("four", 1000))
+	req, err := http.NewRequest(http.MethodPost, r.url+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		r.err = err
+		return
+	}
+	req.Header.Set(entries.HeaderRequestID, r.id)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		r.err = err
+		return
+	}
+	defer resp.Body.Close()
+	r.verdict = resp.Header.Get(entries.HeaderVerdict)
+	var answer struct {
+		Code gypsumshelf.Code `json:"code"`
+	}
+	if r.err = json.NewDecoder(resp.Body).Decode(&answer); r.err == nil {
+		r.code = answer.Code
+	}
+}
+
+// Guards against a second stop signal that cuts requests without an answer, and against
+// answers and log lines which say that their callers have left.
+func TestSecondStopSignalAnswersRequests(t *testing.T) {
+	daemons, processes := startDaemonsWithFleet(t, standins.FleetConfig{
+		Engines: 1, Engine: standins.EngineConfig{TokenInterval: 100 * time.Millisecond, MemoryTokens: 2500},
+	})
+	var wg sync.WaitGroup
+	requests := make([]*interruptedRequest, 6)
+	for i := range requests {
+		requests[i] = &interruptedRequest{url: "http://" + daemons[0].addresses["callers"], id: fmt.Sprint("stopped-", i)}
+		wg.Go(requests[i].run)
+	}
+	begun := func(r *interruptedRequest) bool { return daemons[0].explains(r.id, "first token") }
+	waitFor(t, "a first token", func() bool { return slices.ContainsFunc(requests, begun) })
+	_ = processes[0].cmd.Process.Signal(syscall.SIGTERM)
+	waitFor(t, "stop to begin", func() bool { return strings.Contains(processes[0].log.String(), "stopping") })
+	_ = processes[0].cmd.Process.Signal(syscall.SIGTERM)
+	if err := processes[0].cmd.Wait(); err == nil {
+		t.Error("daemon exited with status 0 although it interrupted requests")
+	}
+	wg.Wait()
+	verdicts := map[string]int{}
+	for _, r := range requests {
+		verdicts[r.verdict]++
+		want := map[string]gypsumshelf.Code{"not-run": gypsumshelf.CodeStopping, "may-have-run": gypsumshelf.CodeInterrupted}[r.verdict]
+		if r.err != nil || r.code != want {
+			t.Errorf("%s ended with code %q, verdict %q, error %v", r.id, r.code, r.verdict, r.err)
+		}
+	}
+	if verdicts["not-run"] == 0 || verdicts["may-have-run"] == 0 {
+		t.Errorf("the verdicts are %v, want some of requests that waited and some of those at work", verdicts)
+	}
+}
+
 // Guards against a call with an idempotency key that runs again when it is
 // resent to another daemon, and against a request that crashes engines and,
 // resent under new ids to other daemons, crashes more than two of them.
--- a/daemons/daemon.go
+++ b/daemons/daemon.go
@@ -206,7 +206,8 @@
 	}
 }
 
-// Close stops the daemon without waiting for requests in progress.
+// Close stops the daemon without waiting for requests in progress. Without Shutdown or
+// Interrupt before, callers see what they see of a crash.
 func (d *Daemon) Close() {
 	for _, s := range d.servers {
 		s.Close()
--- a/daemons/requests.go
+++ b/daemons/requests.go
@@ -15,6 +15,7 @@
 	registerHandler(r, r.handleFailed)
 	registerHandler(r, r.handleCallerGone)
 	registerHandler(r, func(time.Time, attempts.Stop) { r.stopping = true })
+	registerHandler(r, r.handleInterrupt)
 	r.registerSuspicionHandlers()
 }
 
@@ -182,6 +183,19 @@
 	r.dispatch(now)
 }
 
+// handleInterrupt ends the requests in progress. Those that were sent to no backend
+// server have not run.
+func (r *Reducer) handleInterrupt(now time.Time, _ attempts.Interrupt) {
+	r.stopping = true
+	for _, rec := range r.attempts.Active() {
+		code := gypsumshelf.CodeStopping
+		if rec.Verdict() != gypsumshelf.NotRun {
+			code = gypsumshelf.CodeInterrupted
+		}
+		r.refuse(now, rec, gypsumshelf.Errorf(gypsumshelf.NotRun, code, "daemon %s has ended its requests in progress to stop at once", r.cfg.Daemon))
+	}
+}
+
 // refuse ends a request with err, or a worse verdict if its attempts require it.
 func (r *Reducer) refuse(now time.Time, rec *attempts.Record, err *gypsumshelf.Error) {
 	refusal := *err
--- a/daemons/stop.go
+++ b/daemons/stop.go
@@ -13,21 +13,25 @@
 // stopPollInterval is the interval at which Shutdown checks for requests in progress.
 const stopPollInterval = 20 * time.Millisecond
 
+// interruptTimeout bounds the time to answer the requests that a stop interrupts, and to
+// cancel their attempts.
+const interruptTimeout = time.Second
+
 // handOverTimeout bounds the time to notify the other daemons of the stop.
 const handOverTimeout = time.Second
 
 // Shutdown stops the daemon gracefully. It accepts no new requests and returns
 // nil once every request in progress has ended, its outcome is recorded and its
 // remaining attempts were sent a cancellation. Requests end by their deadlines
-// at the latest. If ctx ends first, Shutdown returns an error, and
-// RequestsInProgress lists the requests that Close will interrupt.
+// at the latest. If ctx ends first, Shutdown returns an error, and Interrupt ends the
+// requests that are left.
 func (d *Daemon) Shutdown(ctx context.Context) error {
 	d.loop.Submit(attempts.Stop{})
 	ticker := time.NewTicker(stopPollInterval)
 	defer ticker.Stop()
 	for {
 		active, ok := d.requestsInProgress(ctx)
-		if ok && len(active) == 0 && d.handler.RequestsInProgress() == 0 && d.noPendingProposals(ctx) && d.canceller.Pending() == 0 {
+		if ok && len(active) == 0 && d.isDrained(ctx) {
 			break
 		}
 		select {
@@ -57,11 +61,34 @@
 	return nil
 }
 
-// RequestsInProgress returns the requests in progress, which Close would
-// interrupt.
-func (d *Daemon) RequestsInProgress() []gypsumshelf.RequestID {
-	open, _ := d.requestsInProgress(context.Background())
-	return open
+// isDrained reports whether all ended requests are answered and recorded, and their
+// remaining attempts cancelled.
+func (d *Daemon) isDrained(ctx context.Context) bool {
+	return d.handler.RequestsInProgress() == 0 && d.noPendingProposals(ctx) && d.canceller.Pending() == 0
+}
+
+// Interrupt ends the requests in progress and returns them. Each is answered with a
+// verdict, unless its caller takes longer than interruptTimeout to read the answer.
+func (d *Daemon) Interrupt() []gypsumshelf.RequestID {
+	ctx, cancel := context.WithTimeout(context.Background(), interruptTimeout)
+	defer cancel()
+	interrupted, _ := d.requestsInProgress(ctx)
+	d.loop.Submit(attempts.Interrupt{})
+	ticker := time.NewTicker(stopPollInterval)
+	defer ticker.Stop()
+	for left, ok := interrupted, true; ctx.Err() == nil && !(ok && len(left) == 0 && d.isDrained(ctx)); {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+		left, ok = d.requestsInProgress(ctx)
+	}
+	for _, s := range d.servers {
+		if err := s.Shutdown(ctx); err != nil {
+			d.log.WithError(err).Warn("connections are closed before their calls were answered in whole")
+		}
+	}
+	return interrupted
 }
 
 // requestsInProgress returns the requests that have not ended, and false if the
--- a/entries/error.go
+++ b/entries/error.go
@@ -32,6 +32,7 @@
 	gypsumshelf.CodeDeadline:           http.StatusGatewayTimeout,
 	gypsumshelf.CodeBackendFailed:      http.StatusBadGateway,
 	gypsumshelf.CodeBrokenStream:       http.StatusBadGateway,
+	gypsumshelf.CodeInterrupted:        http.StatusBadGateway,
 	gypsumshelf.CodeDuplicateKey:       http.StatusConflict,
 	gypsumshelf.CodeKeyExpired:         http.StatusConflict,
 	gypsumshelf.CodeQuarantined:        http.StatusForbidden,
--- a/error.go
+++ b/error.go
@@ -15,6 +15,7 @@
 	CodeUnknownService     Code = "unknown-service"
 	CodeNotReady           Code = "not-ready"         // the daemon is starting, or its freshness lease has expired
 	CodeStopping           Code = "stopping"          // graceful shutdown in progress
+	CodeInterrupted        Code = "interrupted"       // a second stop signal ended the request while a server was at work
 	CodeNoBackendServer    Code = "no-backend-server" // no data centre in service has a server for the request
 	CodeOverloaded         Code = "overloaded"
 	CodeDeadline           Code = "deadline" // cannot meet, or did not meet, the target of its class
