Answer calls of other daemons in progress when a control daemon stops

What other daemons saw: calls to a stopping control daemon ended with unexpected EOF, as if it had crashed, although their answers were due; a stop waited for calls without a bound. Jobs that waited at a leader which stops without a successor ended with its connections, so that their daemons went on to wait for it. Cause: Server.Close cut the connections at once and then waited for the calls whose answers it had made undeliverable. Now Close ends the reading of each connection: net/rpc then sends the answers and closes it, for 200 ms at most. The daemon ends first what its callers wait for: changes and reads, jobs (the scheduler is deactivated) and polls.

--- a/controls/daemon.go
+++ b/controls/daemon.go
@@ -354,11 +354,12 @@
 // that they are not taken for failures of the connections that are closed.
 func (d *Daemon) terminate() {
 	close(d.stop)
+	d.wg.Wait()
+	d.dispatcher.SetActive(false)
 	d.publisher.Close()
-	d.subscriber.Close()
 	d.server.Close()
+	d.subscriber.Close()
 	d.links.Close()
-	d.wg.Wait()
 	d.folder.Close()
 }
 
--- a/controls/stop_test.go
+++ b/controls/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/rpc"
 	"sync"
 	"testing"
 	"time"
@@ -80,3 +81,32 @@
 		})
 	}
 }
+
+// Guards against a forwarded change whose daemon takes the stop of the leader for its loss.
+func TestStopAnswersForwardedChanges(t *testing.T) {
+	c := newCluster(t, 3)
+	for _, h := range c.hosts {
+		c.start(h, true)
+	}
+	c.put(1)
+	c.awaitVoters()
+	leader := c.leader()
+	client, err := rpc.Dial("tcp", leader.directoryAddress(c.port))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	for _, h := range c.hosts {
+		if h != leader {
+			h.kill()
+		}
+	}
+	change := catalogs.Command{Action: catalogs.TakeOut, DataCentre: "a"}
+	call := client.Go(ServiceName+".Propose", change, &struct{}{}, make(chan *rpc.Call, 1))
+	time.Sleep(50 * time.Millisecond)
+	leader.kill()
+	<-call.Done
+	if call.Error == nil || call.Error.Error() != ErrStopping.Error() {
+		t.Errorf("the change ended with %v, want %v", call.Error, ErrStopping)
+	}
+}
--- a/directories/server.go
+++ b/directories/server.go
@@ -12,11 +12,18 @@
 // while the process has no free file descriptors.
 const acceptRetryDelay = 20 * time.Millisecond
 
+// answerTimeout bounds the time for which Close waits for the answers to calls in
+// progress. Their services end them at once when the daemon stops.
+const answerTimeout = 200 * time.Millisecond
+
+// closePollInterval is the interval at which Close checks for open connections.
+const closePollInterval = 2 * time.Millisecond
+
 // Server serves net/rpc services on one listener.
 type Server struct {
 	rpc      *rpc.Server
 	listener net.Listener
-	wg       sync.WaitGroup
+	wg       sync.WaitGroup // of acceptLoop
 	mu       sync.Mutex
 	conns    map[net.Conn]bool
 	closed   bool
@@ -56,7 +63,6 @@
 		s.conns[conn] = true
 		s.mu.Unlock()
 		c := &serverConn{server: s, conn: conn}
-		s.wg.Add(1)
 		go c.run()
 	}
 }
@@ -68,21 +74,40 @@
 }
 
 func (c *serverConn) run() {
-	defer c.server.wg.Done()
 	c.server.rpc.ServeConn(c.conn)
 	c.server.mu.Lock()
 	delete(c.server.conns, c.conn)
 	c.server.mu.Unlock()
 }
 
-// Close stops accepting, closes all connections and waits until they have ended.
+// Close stops accepting connections and calls, and closes each connection once the calls
+// on it are answered, after answerTimeout at the latest. It does not wait for calls that
+// take longer.
 func (s *Server) Close() {
 	s.listener.Close()
+	now := time.Now()
 	s.mu.Lock()
 	s.closed = true
+	for c := range s.conns {
+		// net/rpc closes a connection that it cannot read any more, after the answers.
+		if c.SetReadDeadline(now) != nil || c.SetWriteDeadline(now.Add(answerTimeout)) != nil {
+			c.Close()
+		}
+	}
+	s.mu.Unlock()
+	for s.openConns() > 0 && time.Since(now) < answerTimeout {
+		time.Sleep(closePollInterval)
+	}
+	s.mu.Lock()
 	for c := range s.conns {
 		c.Close()
 	}
 	s.mu.Unlock()
 	s.wg.Wait()
 }
+
+func (s *Server) openConns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
