Relay the answer of a server that resets its connection after it

What callers saw: a request that another daemon relays, and that its server answers early and then resets, ended as if the server had been lost, without the answer. Cause: the relay's own ends. When the rest of the request could not be sent, it closed its connection to the server, with the answer unread, and the one to the other daemon, with request bytes unread, which resets it and discards frames. Now a failed write only ends the sending: what the other daemon still sends is discarded until it closes, or until the time after the last frame is over.

--- a/relays/relay.go
+++ b/relays/relay.go
@@ -173,11 +173,30 @@
 	go responses.run()
 	// Until the other daemon closes the connection; the backend server then cancels its
 	// work.
-	_, _ = io.CopyBuffer(struct{ io.Writer }{c.server}, struct{ io.Reader }{c.reader}, make([]byte, maxFrameBytes))
+	requests := &requestWriter{server: c.server}
+	_, _ = io.CopyBuffer(requests, struct{ io.Reader }{c.reader}, make([]byte, maxFrameBytes))
+	if requests.failed {
+		// What the backend server has sent before it took no more is still on its way, and
+		// closing a connection with unread bytes would reset it.
+		_, _ = io.Copy(io.Discard, c.reader)
+	}
 	c.server.Close()
 	<-responses.done
 }
 
+// requestWriter sends what the other daemon sends to the backend server.
+type requestWriter struct {
+	server net.Conn
+	failed bool
+}
+
+// Write implements io.Writer.
+func (w *requestWriter) Write(b []byte) (int, error) {
+	n, err := w.server.Write(b)
+	w.failed = err != nil
+	return n, err
+}
+
 // open reads the opening and connects to the backend server.
 func (c *relayedConn) open() (answer, error) {
 	if err := c.conn.SetDeadline(time.Now().Add(openingTimeout)); err != nil {
--- a/relays/relays_test.go
+++ b/relays/relays_test.go
@@ -281,6 +281,32 @@
 	}
 }
 
+// Guards against a relay that discards an answer by closing its connection to the server
+// once the rest of the request cannot be sent.
+func TestAnswerBeforeAResetArrives(t *testing.T) {
+	const tries = 200
+	b := newBackend(t, func(conn net.Conn) {
+		defer conn.Close() // resets, since the rest of the request was not read
+		if _, err := io.ReadFull(conn, make([]byte, 1<<16)); err == nil {
+			_, _ = io.WriteString(conn, "early")
+		}
+	})
+	p := newPair(t, b.address())
+	p.setCut(syscall.ECONNREFUSED)
+	lost := 0
+	for range tries {
+		conn := p.connect(t, b)
+		go func() { _, _ = conn.Write(make([]byte, 1<<20)) }()
+		if got, err := io.ReadAll(conn); string(got) != "early" || IsRelayLost(err) {
+			lost++
+		}
+		conn.Close()
+	}
+	if lost > 0 {
+		t.Errorf("%d of %d answers were lost", lost, tries)
+	}
+}
+
 // Guards against a sound path that is given up for a server which is down or silent, and
 // against servers that count as ended because one daemon cannot reach them.
 func TestOtherDaemonsDecideWhatAFailureMeans(t *testing.T) {
