--- a/directories/server_test.go
+++ b/directories/server_test.go
@@ -20,7 +20,7 @@
 
 // closeDuringCall closes a server while a call is in progress. It returns what the
 // caller got, and how long the close took.
-func closeDuringCall(t *testing.T, delay time.Duration) (reply string, err error, took time.Duration) {
+func closeDuringCall(t *testing.T, delay time.Duration) (reply string, took time.Duration, err error) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -42,19 +42,19 @@
 	server.Close()
 	took = time.Since(began)
 	<-call.Done
-	return reply, call.Error, took
+	return reply, took, call.Error
 }
 
 // Guards against a stop that cuts calls whose answers are due, which their callers take
 // for the loss of the daemon, and against one that waits for calls without end.
 func TestCloseAnswersCallsInProgress(t *testing.T) {
 	t.Run("answer due", func(t *testing.T) {
-		if reply, err, _ := closeDuringCall(t, answerTimeout/2); reply != "answer" || err != nil {
+		if reply, _, err := closeDuringCall(t, answerTimeout/2); reply != "answer" || err != nil {
 			t.Errorf("the call ended with %q and %v, want its answer", reply, err)
 		}
 	})
 	t.Run("slow call", func(t *testing.T) {
-		if _, _, took := closeDuringCall(t, 5*answerTimeout); took > 3*answerTimeout {
+		if _, took, _ := closeDuringCall(t, 5*answerTimeout); took > 3*answerTimeout {
 			t.Errorf("the close took %v, want about %v", took, answerTimeout)
 		}
 	})
