--- a/soaks/deployment.go
+++ b/soaks/deployment.go
@@ -39,6 +39,7 @@
 	cfg   DeploymentConfig
 	block *Block
 	hosts []*Host
+	stops plannedStops
 	// limitRand draws limits of processes.
 	limitRand *rand.Rand
 }
@@ -186,6 +187,23 @@
 	return true
 }
 
+// WithMajorities calls act while only a majority of the control daemons runs, for majorities
+// that include all of them in turn. first is the first daemon of the majority.
+func (d *Deployment) WithMajorities(act func(first *Host, majority int)) {
+	controls := d.Controls()
+	for first, majority := 0, len(controls)/2+1; first < len(controls); first += majority {
+		var paused []*Host
+		for i := range len(controls) - majority {
+			paused = append(paused, controls[(first+majority+i)%len(controls)])
+			paused[i].Pause()
+		}
+		act(controls[first], majority)
+		for _, h := range paused {
+			h.Resume()
+		}
+	}
+}
+
 // Metric reads a metric without labels from the daemon.
 func (h *Host) Metric(name string) (float64, error) {
 	client := &http.Client{Timeout: metricsTimeout}
