--- a/gateways/callers_test.go
+++ b/gateways/callers_test.go
@@ -216,3 +216,40 @@
 		t.Error("a server runs after the stop")
 	}
 }
+
+// Guards against a request that the server reads after the shutdown has begun, and drops
+// without an answer.
+func TestShutdownAnswersRequestsThatArriveMeanwhile(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	slow := make(chan struct{})
+	s := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-slow
+		}
+		fmt.Fprint(w, "ok")
+	}), l, logrus.NewEntry(log))
+	first, second := dial(t, l.Addr().String()), dial(t, l.Addr().String())
+	fmt.Fprint(first, "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n")
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- s.shutdown(ctx) }()
+	time.Sleep(50 * time.Millisecond)
+	if status := exchange(t, second, ""); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+	close(slow)
+	if response, err := http.ReadResponse(bufio.NewReader(first), nil); err != nil || response.StatusCode != http.StatusOK {
+		t.Errorf("the request in progress got %v with error %v", response, err)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("the shutdown ended with %v", err)
+	}
+	s.close()
+}
