Hand requests back through finishUnanswered, which makes the same choice

handBack repeated the choice between a refusal and another end that finishUnanswered makes for a request that the stop has ended. Behaviour is unchanged; the tests of forwards on stops, outcomes and admission pass.

--- a/forwards/drain.go
+++ b/forwards/drain.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
-
-	"gypsumshelf.example/gypsumshelf"
 )
 
 const (
@@ -96,9 +93,6 @@
 // to send it to another daemon. It always returns false.
 func (req *proxyRequest) handBack(cause string) bool {
 	req.handedBack = true
-	if req.headerWritten || req.verdict != gypsumshelf.NotRun || req.failureResponse != nil {
-		req.finishUnanswered(cause)
-		return false
-	}
-	return req.refuse(http.StatusServiceUnavailable, stoppingRetryAfter, cause)
+	req.finishUnanswered(cause)
+	return false
 }
