Answer requests on idle connections that a stopping entry daemon closes

Callers saw a kept connection closed without an answer to a request that the daemon had read in whole; the request could even be passed on to a backend server meanwhile.

Cause: net/http calls a connection active only when it has parsed the header of its next request. Until then it is idle, also when the request has been read, and SetKeepAlivesEnabled(false), which the stop calls each 5 ms, closes idle connections. On a busy host some time lies between the two.

Fix: the connections of an HTTP server know whether they carry a part of a request. A drain ends the reading of those that carry nothing; if a byte is read at the same moment, the request goes first and is answered. New connections that have carried a part of a header are no longer dropped 100 ms after the begin of the drain either.

--- a/gateways/callers.go
+++ b/gateways/callers.go
@@ -28,12 +28,6 @@
 	// handOverCapacity is the number of accepted connections that wait for the server
 	// with the limits in force.
 	handOverCapacity = 64
-	// silentConnWait is the time after which a connection that has carried no byte is not
-	// waited for in a shutdown: a caller sends its request as soon as it is connected.
-	silentConnWait = 100 * time.Millisecond
-	// shutdownPollPeriod is the period at which a shutdown looks for connections that
-	// expect an answer.
-	shutdownPollPeriod = 5 * time.Millisecond
 	// handOverRetryDelay is the delay while the hand-over is full.
 	handOverRetryDelay = time.Millisecond
 )
@@ -48,7 +42,7 @@
 	errorLog *stdlog.Logger
 	wg       sync.WaitGroup
 	accepted chan struct{} // closed when no more connections are accepted
-	conns    connStates
+	conns    listeners.Connections
 
 	mu      sync.Mutex
 	limits  catalogs.Limits
@@ -84,7 +78,7 @@
 	s.current = &handOver{address: s.listener.Addr(), conns: make(chan net.Conn, handOverCapacity), closed: make(chan struct{})}
 	server := &http.Server{
 		Handler: s.handler, MaxHeaderBytes: max(1, l.HeaderBytes-headerSlack), ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout,
-		ErrorLog: s.errorLog, ConnState: s.conns.set,
+		ErrorLog: s.errorLog,
 	}
 	s.servers = append(s.servers, server)
 	r := &serverRun{owner: s, server: server, conns: s.current}
@@ -132,8 +126,7 @@
 }
 
 // shutdown stops accepting and waits until no connection expects an answer or ctx ends.
-// Connections that callers have established are served. http.Server.Shutdown would drop
-// requests that it reads from then on, without an answer.
+// Connections that callers have established are served.
 func (s *callerServer) shutdown(ctx context.Context) error {
 	if !s.listener.Drain() {
 		s.listener.Close()
@@ -144,22 +137,11 @@
 	}
 	s.listener.Close()
 	s.mu.Lock()
-	servers := s.servers
 	s.stopped = true
 	s.current.Close()
 	s.mu.Unlock()
 	s.wg.Wait() // until the servers have taken all connections
-	for stopped := time.Now(); ; time.Sleep(shutdownPollPeriod) {
-		for _, server := range servers {
-			server.SetKeepAlivesEnabled(false) // closes those that are idle now
-		}
-		if !s.conns.expectAnswers(time.Since(stopped) > silentConnWait) {
-			return nil
-		}
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-	}
+	return s.conns.Drain(ctx)
 }
 
 // close closes the connections that are left after shutdown.
@@ -174,40 +156,6 @@
 	}
 }
 
-// connStates holds the states of open connections. The zero value is ready to use.
-type connStates struct {
-	mu     sync.Mutex
-	states map[net.Conn]http.ConnState
-}
-
-// set is a hook for http.Server.ConnState.
-func (c *connStates) set(conn net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch state {
-	case http.StateClosed, http.StateHijacked:
-		delete(c.states, conn)
-		return
-	}
-	if c.states == nil {
-		c.states = map[net.Conn]http.ConnState{}
-	}
-	c.states[conn] = state
-}
-
-// expectAnswers reports whether any connection has carried a request that is not answered,
-// or is about to carry its first one unless exceptNew is set.
-func (c *connStates) expectAnswers(exceptNew bool) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, state := range c.states {
-		if state == http.StateActive || state == http.StateNew && !exceptNew {
-			return true
-		}
-	}
-	return false
-}
-
 // serverRun is the run of one http.Server.
 type serverRun struct {
 	owner  *callerServer
@@ -218,7 +166,7 @@
 func (r *serverRun) run() {
 	defer r.owner.wg.Done()
 	// After the end of its queue a server goes on with the connections that it has.
-	if err := r.server.Serve(r.conns); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+	if err := r.owner.conns.Serve(r.server, r.conns); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		r.owner.log.WithError(err).Error("the HTTP server for callers failed; it takes no more connections")
 	}
 }
