Answer calls that a stopping daemon reads while it closes its connections

Operators, backend servers and the load balancer saw calls to a stopping daemon end without an answer: a configuration, an announcement or a readiness check that arrived during the drain of its HTTP servers, or on a connection that was not accepted yet.

Cause: http.Server.Shutdown closes the listener, which resets its backlog, and drops each request that it reads from then on. The servers for callers had been changed to answer both; listeners.Servers and daemons still used Shutdown.

--- a/daemons/daemon.go
+++ b/daemons/daemon.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/gob"
-	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -56,7 +54,7 @@
 	loop      *EventLoop
 	timers    *timers.Service
 	links     *peers.Links
-	servers   []*http.Server
+	servers   *listeners.Servers
 	handler   *entries.Handler
 	canceller *engines.Canceller
 	log       *logrus.Entry
@@ -92,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d.log = log
+	d.log, d.servers = log, listeners.NewServers(log)
 	d.traces, err = traces.New(context.Background(), traces.Config{
 		Endpoint: s.Traces.Endpoint, File: s.Traces.File, Deployment: s.Deployment, Daemon: s.Daemon,
 	})
@@ -188,30 +186,15 @@
 		if err != nil {
 			return merry.Prependf(err, "listener for %s", l.name)
 		}
-		server := &httpServer{server: &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout}, listener: listeners.New(listener, d.log)}
-		d.servers = append(d.servers, server.server)
-		go server.run()
+		d.servers.Start(listener, &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout})
 	}
 	return nil
 }
 
-type httpServer struct {
-	server   *http.Server
-	listener net.Listener
-}
-
-func (s *httpServer) run() {
-	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		panic(fmt.Sprintf("listener %s failed: %v", s.listener.Addr(), err))
-	}
-}
-
 // Close stops the daemon without waiting for requests in progress. Without Shutdown or
 // Interrupt before, callers see what they see of a crash.
 func (d *Daemon) Close() {
-	for _, s := range d.servers {
-		s.Close()
-	}
+	d.servers.Close()
 	d.links.Close()
 	d.loop.Close()
 	d.canceller.Close()
--- a/daemons/stop.go
+++ b/daemons/stop.go
@@ -40,11 +40,7 @@
 		case <-ticker.C:
 		}
 	}
-	for _, s := range d.servers {
-		if err := s.Shutdown(ctx); err != nil {
-			return err
-		}
-	}
+	d.servers.Drain(interruptTimeout)
 	return d.handOver(ctx)
 }
 
@@ -83,11 +79,7 @@
 		}
 		left, ok = d.requestsInProgress(ctx)
 	}
-	for _, s := range d.servers {
-		if err := s.Shutdown(ctx); err != nil {
-			d.log.WithError(err).Warn("connections are closed before their calls were answered in whole")
-		}
-	}
+	d.servers.Drain(interruptTimeout)
 	return interrupted
 }
 
--- a/listeners/servers.go
+++ b/listeners/servers.go
@@ -27,7 +27,8 @@
 type Servers struct {
 	log     *logrus.Entry
 	wg      sync.WaitGroup
-	servers []*http.Server
+	conns   Connections
+	servers []*httpServer
 }
 
 // NewServers returns an empty set.
@@ -35,28 +36,44 @@
 
 // Serve starts a server on a listener. It must not be called after Close.
 func (g *Servers) Serve(l net.Listener, handler http.Handler) {
-	s := &httpServer{owner: g, listener: l, server: &http.Server{Handler: handler, ReadTimeout: callTimeout, WriteTimeout: callTimeout}}
-	g.servers = append(g.servers, s.server)
+	g.Start(l, &http.Server{Handler: handler, ReadTimeout: callTimeout, WriteTimeout: callTimeout})
+}
+
+// Start starts a server with limits of its own, which must not have run before. It must not
+// be called after Close.
+func (g *Servers) Start(l net.Listener, server *http.Server) {
+	s := &httpServer{owner: g, listener: New(l, g.log), server: server, done: make(chan struct{})}
+	g.servers = append(g.servers, s)
 	g.wg.Add(1)
 	go s.run()
 }
 
-// Drain closes the listeners, and connections as soon as they are idle. It waits until all
-// are closed, for callDrainTimeout or left at most, but for AnswerTimeout at least.
+// Drain closes the listeners, and connections as soon as they are idle. Connections that
+// clients have established are served. It waits until all are closed, for callDrainTimeout or
+// left at most, but for AnswerTimeout at least.
 func (g *Servers) Drain(left time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), max(AnswerTimeout, min(callDrainTimeout, left)))
 	defer cancel()
 	for _, s := range g.servers {
-		if err := s.Shutdown(ctx); err != nil {
-			g.log.WithError(err).Info("connections are open with calls that have not arrived, or not been answered, in whole")
+		s.stopAccepting()
+	}
+	for _, s := range g.servers {
+		select {
+		case <-s.done:
+		case <-ctx.Done():
 		}
+		s.listener.Close()
+	}
+	if err := g.conns.Drain(ctx); err != nil {
+		g.log.WithError(err).Info("connections are open with calls that have not arrived, or not been answered, in whole")
 	}
 }
 
 // Close closes all connections.
 func (g *Servers) Close() {
 	for _, s := range g.servers {
-		if err := s.Close(); err != nil {
+		s.listener.Close()
+		if err := s.server.Close(); err != nil {
 			g.log.WithError(err).Warn("cannot close the connections of an HTTP server")
 		}
 	}
@@ -66,13 +83,23 @@
 // httpServer is an HTTP server together with its listener.
 type httpServer struct {
 	owner    *Servers
-	listener net.Listener
+	listener *Listener
 	server   *http.Server
+	done     chan struct{} // closed when no more connections are accepted
 }
 
 func (s *httpServer) run() {
 	defer s.owner.wg.Done()
-	if err := s.server.Serve(New(s.listener, s.owner.log)); !errors.Is(err, http.ErrServerClosed) {
+	defer close(s.done)
+	if err := s.owner.conns.Serve(s.server, s.listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		s.owner.log.WithField("address", s.listener.Addr()).WithError(err).Error("HTTP server stopped unexpectedly")
 	}
 }
+
+// stopAccepting closes the listener as soon as it has accepted the connections that are
+// established.
+func (s *httpServer) stopAccepting() {
+	if !s.listener.Drain() {
+		s.listener.Close()
+	}
+}
