Keep silent streams of a stopping daemon at engines that live

Callers saw a stream closed long before the end of the grace period although its engine was at work: the engine had paused for a second, the stream was given up for another engine, that one refused or failed, and no third one had time before the stop. A stream without an event ended with 502 in the same way.

Cause: silence alone ended an attempt as soon as another engine was found. Outside a stop a failure of the second engine leaves time for a third; while the daemon stops there may be none, and the scheduler hands the job back by prediction.

Fix: while the daemon stops, an attempt is not given up for its silence, and a search for another engine ends when the stop begins. What silence protects from remains: the engine is asked for its load, as one is for which memory is reserved at others, and when it counts as dead the stream goes on elsewhere (TestStreamOfADeadEngineIsTakenOverDuringAStop). Nothing changes outside a stop.

--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -151,10 +151,8 @@
 	err      error
 }
 
-// isWorthwhile reports whether an engine was found that can answer before a planned stop.
-func (r placementResult) isWorthwhile(req *proxyRequest) bool {
-	return r.err == nil && r.decision.Placement != nil && !req.stopsBefore(r.decision.Placement.First)
-}
+// found reports whether an engine was found.
+func (r placementResult) found() bool { return r.err == nil && r.decision.Placement != nil }
 
 // submitJob submits the request to the scheduler without waiting for the decision.
 func submitJob(ctx context.Context, req *proxyRequest) *pendingPlacement {
@@ -235,7 +233,7 @@
 	heldComments   []byte // received since the last event
 	server         rosters.Entry
 	reservations   []*reservation
-	watch          *primaryWatch // of the primary, while memory is reserved at helpers
+	watch          *primaryWatch // of the primary, while memory is reserved at helpers or the daemon stops
 	attempt        *attempt
 	load           *load // nil before the request is sent
 	verdict        gypsumshelf.Verdict
@@ -379,14 +377,14 @@
 // looks for another engine, again and again, and returns errNoProgress once one is
 // free. It returns errEngineLost when the engine counts as dead and the memory
 // reserved for it at others must be released.
+//
+// While the daemon stops, a silent engine is kept until it counts as dead: another one
+// could fail, and then no time may be left for a third.
 func (e *engineAttempt) relayStream(ctx context.Context, reader *responseReader) error {
 	req := e.request
 	silence := newSilenceTimer(req.now, 2*e.placement.First+firstEventSlack)
 	defer silence.Stop()
-	var lost chan struct{}
-	if e.watch != nil {
-		lost = e.watch.lost
-	}
+	drain := req.forwarder.drainBegun.Done()
 	for {
 		// What has been read counts before any timer, which may be late.
 		select {
@@ -401,6 +399,10 @@
 		if e.replacement != nil {
 			replacementResult = e.replacement.result
 		}
+		var lost chan struct{}
+		if e.watch != nil {
+			lost = e.watch.lost
+		}
 		select {
 		case <-ctx.Done():
 			e.cancelReplacement()
@@ -408,8 +410,14 @@
 		case <-lost:
 			e.cancelReplacement()
 			return errEngineLost
+		case <-drain:
+			drain = nil
+			if e.replacement != nil {
+				e.cancelReplacement()
+				e.watchEngine()
+			}
 		case result := <-replacementResult:
-			if result.isWorthwhile(req) && req.spendRetry() {
+			if result.found() && !req.forwarder.isDraining() && req.spendRetry() {
 				e.replacement.result <- result
 				return errNoProgress
 			}
@@ -422,6 +430,10 @@
 			if req.forwarder.cfg.Fleet.IsReplaced(e.server) {
 				return errEngineLost
 			}
+			if req.forwarder.isDraining() {
+				e.watchEngine()
+				continue
+			}
 			// Keep this stream open until another engine is available.
 			if allowed, _ := req.retryPossible(gypsumshelf.MayHaveRun); allowed {
 				e.replacement = submitJob(ctx, req)
@@ -436,6 +448,13 @@
 	}
 }
 
+// watchEngine begins to find out whether the engine lives, if nothing does so yet.
+func (e *engineAttempt) watchEngine() {
+	if e.watch == nil {
+		e.watch = newPrimaryWatch(e.request, e.server)
+	}
+}
+
 // relayPart handles one part of the response and reports whether the attempt has ended.
 func (e *engineAttempt) relayPart(part responsePart, silence *silenceTimer) (ended bool, err error) {
 	if e.watch != nil {
--- a/forwards/stop_ends_test.go
+++ b/forwards/stop_ends_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -172,3 +174,82 @@
 		writeChunk(conn, fmt.Sprintf("id: %d\ndata: x\n\n", i))
 	}
 }
+
+// secondLaterPlacer places the first job at once and the second one after a time. It hands
+// all others back, as a scheduler does that predicts no end before the stop.
+type secondLaterPlacer struct {
+	*fakePlacer
+	after time.Duration
+	jobs  atomic.Int64
+}
+
+func (p *secondLaterPlacer) Place(ctx context.Context, job schedules.Job) (schedules.Decision, error) {
+	switch p.jobs.Add(1) {
+	case 1:
+	case 2:
+		time.Sleep(p.after)
+	default:
+		return schedules.Decision{Job: job.ID, Reason: "the daemon stops before the request could end", HandedBack: true}, nil
+	}
+	return p.fakePlacer.Place(ctx, job)
+}
+
+// Guards against a stream that is cut well before the stop of its daemon, although its engine
+// only pauses: it is given up for another engine, which fails, and no third one is found.
+func TestPausingStreamIsKeptWhenAnotherEngineFails(t *testing.T) {
+	reject := func(_ *http.Request, _ string, conn net.Conn) {
+		fmt.Fprint(conn, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	}
+	for _, c := range []struct {
+		name          string
+		events        int // before the pause
+		other         func(*http.Request, string, net.Conn)
+		beginsAfter   time.Duration // the stop
+		secondDecided time.Duration // after the silence was noticed
+	}{
+		{name: "no event, the other refuses", other: reject},
+		{name: "two events, the other refuses", events: 2, other: reject},
+		{name: "two events, the other resets", events: 2, other: func(_ *http.Request, _ string, conn net.Conn) { resetConnection(conn) }},
+		{name: "the stop begins while another engine is sought", events: 2, other: reject, beginsAfter: minSilence + 300*time.Millisecond, secondDecided: 600 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first := newFakeBackend(t, "e1", "engines", func(r *http.Request, _ string, conn net.Conn) {
+				if c.events > 0 {
+					writeEvents(r, conn, 1, c.events)
+				}
+				time.Sleep(2500 * time.Millisecond)
+				if c.events == 0 {
+					fmt.Fprint(conn, responseHeader(r, http.StatusOK, "Transfer-Encoding: chunked\r\n"))
+				}
+				for i := c.events + 1; i <= 4; i++ {
+					writeChunk(conn, fmt.Sprintf("id: %d\ndata: x\n\n", i))
+				}
+				endChunkedBody(conn)
+			})
+			other := newFakeBackend(t, "e2", "engines", c.other)
+			f := newStartedFixture(t, first, other)
+			f.forwarder.cfg.Placer = &secondLaterPlacer{fakePlacer: f.placer, after: c.secondDecided}
+			time.AfterFunc(c.beginsAfter, func() { f.drainFor(5 * time.Second) })
+			assertAnswer(t, f.send("POST", "/stream/", "x"), http.StatusOK, eventText(1, 4))
+			assertCount(t, other, 0)
+		})
+	}
+}
+
+// Guards against a stream that waits for the whole drain for an engine that is dead, while
+// another one could go on with it.
+func TestStreamOfADeadEngineIsTakenOverDuringAStop(t *testing.T) {
+	hang := func(r *http.Request, _ string, conn net.Conn) { writeEvents(r, conn, 1, 2) }
+	f := newFixtureWith(t, &silentProtocol{}, newFakeBackend(t, "e1", "engines", hang), newFakeBackend(t, "e2", "engines", resumeAfterLastEvent(4)))
+	f.forwarder.SetCatalog(newCatalog(t))
+	f.forwarder.cfg.MemoryBound = 2 * time.Second
+	f.drainFor(10 * time.Second)
+	assertAnswer(t, f.send("POST", "/stream/", "x"), http.StatusOK, eventText(1, 4))
+}
+
+// silentProtocol is a fakeProtocol of engines that answer no load report.
+type silentProtocol struct{ fakeProtocol }
+
+func (silentProtocol) Report(context.Context, string) (schedules.Load, error) {
+	return schedules.Load{}, errors.New("no answer")
+}
--- a/forwards/watch.go
+++ b/forwards/watch.go
@@ -33,7 +33,8 @@
 
 // primaryWatch finds out whether the primary engine of an attempt lives while its
 // stream is silent. Reserved memory at helpers must be free within a bound after the
-// end of the engine, and a slow engine must not be given up.
+// end of the engine, and a slow engine must not be given up. The same holds for a stream
+// that is silent while the daemon stops.
 type primaryWatch struct {
 	request *proxyRequest
 	server  rosters.Entry
@@ -108,7 +109,7 @@
 		if replaced || silence > maxSilence {
 			w.request.forwarder.cfg.Log.WithFields(logrus.Fields{
 				logs.KeyRequest: w.request.meta.ID, logs.KeyServer: w.server.ID, "silent-ms": silence.Milliseconds(), "replaced": replaced,
-			}).Warn("the primary engine counts as dead; its request ends there and reserved memory is released")
+			}).Warn("the primary engine counts as dead; its request ends there, and memory reserved for it is released")
 			close(w.lost)
 			return
 		}
