Hand back requests that a stop leaves no time to be sent to a plain server

Callers whose request waited for room at a plain server when the stop began got their 503 only at the break-off, when their time at another daemon was shorter by the grace period. Those that had room just before the break-off were sent then, and a request that waited for a first server of its service read that none was left, with the Retry-After of another fault. The log said that all of them were reading the body.

Cause: the sleeps of the plain path heard of the end of the request only, and the stop ends requests at the break-off. The time for which room was asked ended with the break-off too, not with the time at which other waiting requests are handed back.

Evidence: TestStopHandsBackWhatWaitsForAPlainServer, with a break-off 2 s after the begin of the stop: answered after 2.0 s, sent 0.2 s before the break-off, and a Retry-After of 0.150 s in place of 0.050 s. "Room in time" passed before too. All four pass after, with the race detector.

Fix: a sleep that would end after the hand-back time ends as soon as the stop begins, and the request is handed back. Room is asked for up to that time. A request whose deadline is before the break-off waits as before.

--- a/forwards/drain.go
+++ b/forwards/drain.go
@@ -76,6 +76,39 @@
 	return p.BreakOff.Add(-handBackReserve)
 }
 
+// waitUntil returns the time until which the request may wait for a backend server.
+func (req *proxyRequest) waitUntil() time.Time {
+	if req.forwarder.isDraining() {
+		return req.handBackTime()
+	}
+	return req.deadline
+}
+
+// sleep waits for a time before the request is sent. While the daemon stops, it returns
+// errStopsFirst at once if the wait would end too late.
+func (req *proxyRequest) sleep(ctx context.Context, wait time.Duration) error {
+	if wait <= 0 {
+		return context.Cause(ctx)
+	}
+	end := req.now().Add(wait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	drain := req.forwarder.drainBegun.Done()
+	for {
+		select {
+		case <-timer.C:
+			return nil
+		case <-drain:
+			drain = nil
+			if limit := req.handBackTime(); limit.Before(req.deadline) && end.After(limit) {
+				return errStopsFirst
+			}
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
+
 // arrivedTooLate reports whether a request whose header or body has just arrived is to be
 // refused for the stop of the daemon.
 func (req *proxyRequest) arrivedTooLate() bool {
--- a/forwards/limits.go
+++ b/forwards/limits.go
@@ -12,7 +12,6 @@
 	"gypsumshelf.example/gypsumshelf/logs"
 	"gypsumshelf.example/gypsumshelf/rosters"
 	"gypsumshelf.example/gypsumshelf/schedules"
-	"gypsumshelf.example/gypsumshelf/timers"
 )
 
 // LimitKeeper divides the limits that backend servers name between all daemons.
@@ -106,9 +105,9 @@
 
 // choosePlain chooses a backend server of the request's service, within the limits that
 // servers have named and the rates that cold ones take. It waits for room where the
-// request can still be answered in time. If no server is left it returns false, with the
-// time until one has room if it is for its limit.
-func (req *proxyRequest) choosePlain(ctx context.Context) (server rosters.Entry, retryAfter time.Duration, found bool) {
+// request can still be answered in time, and returns an error if that wait was ended. If no
+// server is left it returns false, with the time until one has room if it is for its limit.
+func (req *proxyRequest) choosePlain(ctx context.Context) (server rosters.Entry, retryAfter time.Duration, found bool, err error) {
 	fleet := req.forwarder.cfg.Fleet
 	coldRate := schedules.ColdRate(req.service.ColdRequestsPerSecond)
 	if req.forwarder.cfg.Limits == nil {
@@ -117,7 +116,7 @@
 	candidates := fleet.candidates(req.service.Name, coldRate, req.triedServers)
 	limited, unlimited := splitLimited(candidates)
 	if len(limited) == 0 {
-		return unlimited.Entry, 0, unlimited.ID != ""
+		return unlimited.Entry, 0, unlimited.ID != "", nil
 	}
 	r := schedules.AdmissionRequest{MaxWait: req.maxLimitedWait()}
 	if unlimited.ID != "" {
@@ -138,12 +137,12 @@
 		}
 		if admission.Server != "" {
 			entry, _ := fleet.Get(admission.Server)
-			return entry, 0, timers.Sleep(ctx, admission.Wait)
+			return entry, 0, true, req.sleep(ctx, admission.Wait)
 		}
 		fleet.setNoRoom(r.Servers, req.now(), admission.Wait)
 		retryAfter = shorterWait(retryAfter, admission.Wait)
 	}
-	return unlimited.Entry, retryAfter, unlimited.ID != ""
+	return unlimited.Entry, retryAfter, unlimited.ID != "", nil
 }
 
 // shorterWait returns the shorter of two waits, of which the first may be unset.
@@ -172,7 +171,7 @@
 		target = req.route.Timeout
 	}
 	left := req.arrived.Add(time.Duration(limitedWaitShare * float64(target))).Sub(req.now())
-	return max(0, min(left, req.timeLeft()-minAttemptTime))
+	return max(0, min(left, req.waitUntil().Sub(req.now())-minAttemptTime))
 }
 
 // refuseLimited ends a request for which the servers that are left have no room.
--- a/forwards/plain.go
+++ b/forwards/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -9,7 +10,6 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/rosters"
 	"gypsumshelf.example/gypsumshelf/schedules"
-	"gypsumshelf.example/gypsumshelf/timers"
 )
 
 // targetTimeoutFactor times the route's target is the timeout of an attempt that
@@ -26,9 +26,13 @@
 // serveFromPlainService serves a request of a service without engines.
 func (req *proxyRequest) serveFromPlainService(ctx context.Context) {
 	for {
-		server, retryAfter, found := req.choosePlain(ctx)
-		if !found && ctx.Err() != nil {
-			req.finishUnanswered("no backend server was chosen: " + context.Cause(ctx).Error())
+		req.phase = phaseWaiting
+		server, retryAfter, found, err := req.choosePlain(ctx)
+		if err == nil && !found {
+			err = context.Cause(ctx)
+		}
+		if err != nil {
+			req.finishUnchosen(err)
 			return
 		}
 		if !found && retryAfter > 0 {
@@ -39,7 +43,11 @@
 			req.refusePaused(pause)
 			return
 		}
-		if !found && len(req.triedServers) == 0 && req.now().Sub(req.arrived) < announcementWait && timers.Sleep(ctx, announcementPollPeriod) {
+		if !found && len(req.triedServers) == 0 && req.now().Sub(req.arrived) < announcementWait {
+			if err := req.sleep(ctx, announcementPollPeriod); err != nil {
+				req.finishUnchosen(err)
+				return
+			}
 			continue
 		}
 		if !found {
@@ -63,6 +71,15 @@
 	}
 }
 
+// finishUnchosen ends a request whose wait for a backend server has ended with err.
+func (req *proxyRequest) finishUnchosen(err error) {
+	if errors.Is(err, errStopsFirst) {
+		req.handBack(err.Error())
+		return
+	}
+	req.finishUnanswered("no backend server was chosen: " + err.Error())
+}
+
 // plainAttempt returns the complete response of a backend server, which may have a
 // 5xx status.
 func (req *proxyRequest) plainAttempt(ctx context.Context, server rosters.Entry) (*bufferedResponse, gypsumshelf.Verdict, error) {
--- a/forwards/stop_ends_test.go
+++ b/forwards/stop_ends_test.go
@@ -253,3 +253,59 @@
 func (silentProtocol) Report(context.Context, string) (schedules.Load, error) {
 	return schedules.Load{}, errors.New("no answer")
 }
+
+// Guards against requests that wait for a plain server until the daemon breaks off, although
+// it knew from the begin of the stop that they would not be sent before, and against those
+// that are handed back although they can be served.
+func TestStopHandsBackWhatWaitsForAPlainServer(t *testing.T) {
+	const (
+		breakOff = handBackReserve + 1300*time.Millisecond
+		atOnce   = 500 * time.Millisecond // allows for a busy machine
+	)
+	for _, c := range []struct {
+		name         string
+		wait         time.Duration // until the server has room
+		breakOff     time.Duration // after the begin of the stop
+		noServer     bool
+		wantStatus   int
+		wantAnswered time.Duration // after the begin of the stop, at most
+	}{
+		{name: "room after the stop", wait: 3 * time.Second, breakOff: breakOff, wantStatus: http.StatusServiceUnavailable, wantAnswered: atOnce},
+		{name: "room before the stop, without time for an answer", wait: breakOff, breakOff: breakOff, wantStatus: http.StatusServiceUnavailable, wantAnswered: atOnce},
+		{name: "room in time", wait: time.Second, breakOff: breakOff, wantStatus: http.StatusOK, wantAnswered: breakOff},
+		{name: "no server is known", noServer: true, breakOff: handBackReserve, wantStatus: http.StatusServiceUnavailable, wantAnswered: announcementWait / 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var servers []*fakeBackend
+			if !c.noServer {
+				servers = append(servers, newFakeBackend(t, "p1", "plain", respondWithLimit(http.StatusOK, "1", "")))
+			}
+			f := newStartedFixture(t, servers...)
+			f.forwarder.cfg.Limits = &fakeLimits{admission: schedules.Admission{Server: "p1", Wait: c.wait}}
+			if !c.noServer {
+				f.send("POST", "/safe/", "x", "Id", "names-the-limit")
+			}
+			begun := make(chan time.Time, 1)
+			time.AfterFunc(200*time.Millisecond, func() {
+				begun <- time.Now()
+				f.drainFor(c.breakOff)
+				time.AfterFunc(c.breakOff, f.forwarder.EndRequests)
+			})
+			answer := f.send("POST", "/safe/", "x")
+			assertAnswer(t, answer, c.wantStatus, "")
+			if took := time.Since(<-begun); took > c.wantAnswered {
+				t.Errorf("answered %v after the begin of the stop, want at most %v", took, c.wantAnswered)
+			}
+			if c.wantStatus == http.StatusOK {
+				return
+			}
+			if retry := answer.header.Get("Retry-After"); retry != "0.050" {
+				t.Errorf("Retry-After is %q, want the time of a new connection", retry)
+			}
+			if !c.noServer {
+				assertCount(t, servers[0], 1)
+			}
+			f.assertEndedByStop("r1", outcomeRefused, phaseWaiting)
+		})
+	}
+}
