Refuse requests that wait when the drain of `gypsumshelf serve` begins

Callers whose request waited for room when the daemon got SIGTERM waited on, up to their deadlines or until a second SIGTERM; a rolling stop took that long, and the time in which another daemon could have served them was lost.

Cause: attempts.Stop only kept new requests out. The reducer went on to queue, retry and start what had not run.

With processes, TestPlannedStopRefusesWaitingRequests: one engine with memory for two of six requests ran all six one after the other during the drain, and no request was refused (the test took 19 s).

Fix: on attempts.Stop the reducer refuses the requests whose verdict is not-run, which covers those in the queue and those between two attempts. A request that a server refuses later, or whose key is recorded later, is refused then.

--- a/attempts/event.go
+++ b/attempts/event.go
@@ -36,7 +36,8 @@
 // reading its answer.
 type CallerGone struct{ Request gypsumshelf.RequestID }
 
-// Stop is the event of the first stop signal: the daemon takes no new requests.
+// Stop is the event of the first stop signal: the daemon takes no new requests and begins
+// no work on those that have not run.
 type Stop struct{}
 
 // Interrupt is the event of the second stop signal: the daemon ends the requests in
--- a/cmd/gypsumshelf/serve.go
+++ b/cmd/gypsumshelf/serve.go
@@ -44,7 +44,7 @@
 // shutDown shuts the daemon down gracefully. A second signal interrupts the
 // requests that are still in progress; each of them is answered and logged.
 func shutDown(daemon *daemons.Daemon, signals <-chan os.Signal) error {
-	logrus.Info("stopping: requests in progress may run until their deadlines")
+	logrus.Info("stopping: requests at backend servers may run until their deadlines")
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
 	canceller := &shutdownCanceller{signals: signals, cancel: cancel}
--- a/cmd/gypsumshelf/stop_test.go
+++ b/cmd/gypsumshelf/stop_test.go
@@ -154,9 +154,11 @@
 	code    gypsumshelf.Code
 	verdict string
 	err     error
+	ended   time.Time
 }
 
 func (r *interruptedRequest) run() {
+	defer func() { r.ended = time.Now() }()
 	body := fmt.Sprintf(`{"model":"quill","prompt":%q,"max_tokens":40}`, strings.Repeat("four", 1000))
 	req, err := http.NewRequest(http.MethodPost, r.url+"/v1/completions", strings.NewReader(body))
 	if err != nil {
@@ -179,27 +181,64 @@
 	}
 }
 
-// Guards against a second stop signal that cuts requests without an answer, and against
-// answers and log lines which say that their callers have left.
-func TestSecondStopSignalAnswersRequests(t *testing.T) {
-	daemons, processes := startDaemonsWithFleet(t, standins.FleetConfig{
-		Engines: 1, Engine: standins.EngineConfig{TokenInterval: 100 * time.Millisecond, MemoryTokens: 2500},
-	})
+// Guards against requests that wait, when a stop begins, until those at work have ended or
+// their deadlines have passed, and against a stop that ends those at work.
+func TestPlannedStopRefusesWaitingRequests(t *testing.T) {
+	daemons, processes := startDaemonsWithFleet(t, oneSmallEngine())
+	requests, wait := startTooManyRequests(t, daemons[0])
+	signalled := time.Now()
+	_ = processes[0].cmd.Process.Signal(syscall.SIGTERM)
+	wait()
+	if err := processes[0].cmd.Wait(); err != nil {
+		t.Errorf("daemon exited with %v, want status 0", err)
+	}
+	const atOnce = time.Second // allows for a busy machine; an answer takes 4 s
+	codes := map[gypsumshelf.Code]int{}
+	for _, r := range requests {
+		codes[r.code]++
+		took := r.ended.Sub(signalled)
+		isRefusal := r.code == gypsumshelf.CodeStopping && r.verdict == "not-run" && took < atOnce
+		if r.err != nil || r.code != "" && !isRefusal {
+			t.Errorf("%s ended %v after the signal with code %q, verdict %q, error %v, want an answer or a refusal at once", r.id, took, r.code, r.verdict, r.err)
+		}
+	}
+	if codes[""] == 0 || codes[gypsumshelf.CodeStopping] == 0 {
+		t.Errorf("the codes are %v, want some of requests that waited and some of those at work", codes)
+	}
+}
+
+// oneSmallEngine has memory for two of the requests of startTooManyRequests.
+func oneSmallEngine() standins.FleetConfig {
+	return standins.FleetConfig{Engines: 1, Engine: standins.EngineConfig{TokenInterval: 100 * time.Millisecond, MemoryTokens: 2500}}
+}
+
+// startTooManyRequests sends more requests than one small engine takes and returns when one
+// of them has its first token. The returned function waits for their ends.
+func startTooManyRequests(t *testing.T, td *testDaemon) (requests []*interruptedRequest, wait func()) {
+	t.Helper()
 	var wg sync.WaitGroup
-	requests := make([]*interruptedRequest, 6)
+	requests = make([]*interruptedRequest, 6)
 	for i := range requests {
-		requests[i] = &interruptedRequest{url: "http://" + daemons[0].addresses["callers"], id: fmt.Sprint("stopped-", i)}
+		requests[i] = &interruptedRequest{url: "http://" + td.addresses["callers"], id: fmt.Sprint("stopped-", i)}
 		wg.Go(requests[i].run)
 	}
-	begun := func(r *interruptedRequest) bool { return daemons[0].explains(r.id, "first token") }
+	begun := func(r *interruptedRequest) bool { return td.explains(r.id, "first token") }
 	waitFor(t, "a first token", func() bool { return slices.ContainsFunc(requests, begun) })
+	return requests, wg.Wait
+}
+
+// Guards against a second stop signal that cuts requests without an answer, and against
+// answers and log lines which say that their callers have left.
+func TestSecondStopSignalAnswersRequests(t *testing.T) {
+	daemons, processes := startDaemonsWithFleet(t, oneSmallEngine())
+	requests, wait := startTooManyRequests(t, daemons[0])
 	_ = processes[0].cmd.Process.Signal(syscall.SIGTERM)
 	waitFor(t, "stop to begin", func() bool { return strings.Contains(processes[0].log.String(), "stopping") })
 	_ = processes[0].cmd.Process.Signal(syscall.SIGTERM)
 	if err := processes[0].cmd.Wait(); err == nil {
 		t.Error("daemon exited with status 0 although it interrupted requests")
 	}
-	wg.Wait()
+	wait()
 	verdicts := map[string]int{}
 	for _, r := range requests {
 		verdicts[r.verdict]++
--- a/daemons/keys.go
+++ b/daemons/keys.go
@@ -85,6 +85,10 @@
 		return
 	}
 	rec.Note(now, "idempotency key recorded")
+	if r.stopping {
+		r.refuse(now, rec, r.stoppingError())
+		return
+	}
 	r.enqueue(now, rec)
 }
 
--- a/daemons/requests.go
+++ b/daemons/requests.go
@@ -14,7 +14,7 @@
 	registerHandler(r, r.handleEnded)
 	registerHandler(r, r.handleFailed)
 	registerHandler(r, r.handleCallerGone)
-	registerHandler(r, func(time.Time, attempts.Stop) { r.stopping = true })
+	registerHandler(r, r.handleStop)
 	registerHandler(r, r.handleInterrupt)
 	r.registerSuspicionHandlers()
 }
@@ -22,7 +22,7 @@
 func (r *Reducer) handleArrived(now time.Time, e attempts.Arrived) {
 	req := e.Request
 	if r.stopping {
-		r.emit(attempts.Refuse{Request: req.ID, Err: gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeStopping, "daemon %s is stopping", r.cfg.Daemon)})
+		r.emit(attempts.Refuse{Request: req.ID, Err: r.stoppingError()})
 		return
 	}
 	if failure := r.resolveNames(&req); failure != nil {
@@ -150,6 +150,8 @@
 		// The request is refused once the quarantine is recorded, so that the
 		// caller cannot resend it to a daemon that does not know of it yet.
 		rec.Note(now, "waits for the quarantine of its body to be recorded")
+	case retry && r.stopping && rec.Verdict() == gypsumshelf.NotRun:
+		r.refuse(now, rec, r.stoppingError())
 	case retry:
 		r.attempts.ScheduleRetry(now, rec)
 		r.queueRetries(now)
@@ -183,6 +185,22 @@
 	r.dispatch(now)
 }
 
+// handleStop refuses the requests that wait and have not run: their callers can send them
+// to another daemon while there is time. Those at a backend server, and those that may have
+// run, go on.
+func (r *Reducer) handleStop(now time.Time, _ attempts.Stop) {
+	r.stopping = true
+	for _, rec := range r.attempts.Active() {
+		if rec.Verdict() == gypsumshelf.NotRun {
+			r.refuse(now, rec, r.stoppingError())
+		}
+	}
+}
+
+func (r *Reducer) stoppingError() *gypsumshelf.Error {
+	return gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeStopping, "daemon %s is stopping", r.cfg.Daemon)
+}
+
 // handleInterrupt ends the requests in progress. Those that were sent to no backend
 // server have not run.
 func (r *Reducer) handleInterrupt(now time.Time, _ attempts.Interrupt) {
