Name the stop once in the cause of a request that it ends

The log and the body of a 502 said "the daemon has stopped; the daemon has stopped" for a stream that the stop ended while its engine was at work.

Cause: the error of the attempt and the reason for no other one are both the stop.

Evidence: TestCauseOfAnAttemptEndedByAStop/engines failed with that cause before; it passes after. The plain case names another error first, and passed before too.

Fix: where the attempt has ended by the stop, its error alone is the cause.

--- a/forwards/ending.go
+++ b/forwards/ending.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 
 	"github.com/sirupsen/logrus"
@@ -105,6 +106,16 @@
 	}
 }
 
+// finishUnrepeated ends a request whose last attempt failed with err, and which is not
+// repeated for a reason.
+func (req *proxyRequest) finishUnrepeated(err error, reason string) {
+	if errors.Is(err, errStopped) {
+		req.finishUnanswered(err.Error()) // names the reason
+		return
+	}
+	req.finishUnanswered(fmt.Sprintf("%v; %s", err, reason))
+}
+
 // recordEnd logs the end of the request and updates its metrics.
 func (req *proxyRequest) recordEnd() {
 	if req.outcome == "" {
--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -126,7 +126,7 @@
 			return
 		}
 		if allowed, reason := req.mayRetry(attempt.verdict); !allowed {
-			req.finishUnanswered(fmt.Sprintf("%v; %s", err, reason))
+			req.finishUnrepeated(err, reason)
 			return
 		}
 		if pause := fleet.shortestPause(req.service.Name); pause > 0 {
--- a/forwards/plain.go
+++ b/forwards/plain.go
@@ -65,7 +65,7 @@
 			err = fmt.Errorf("the backend server responded with status %d", response.status)
 		}
 		if allowed, reason := req.mayRetry(verdict); !allowed {
-			req.finishUnanswered(fmt.Sprintf("%v; %s", err, reason))
+			req.finishUnrepeated(err, reason)
 			return
 		}
 	}
--- a/forwards/stop_ends_test.go
+++ b/forwards/stop_ends_test.go
@@ -309,3 +309,18 @@
 		})
 	}
 }
+
+// Guards against causes that name the stop twice.
+func TestCauseOfAnAttemptEndedByAStop(t *testing.T) {
+	for path, service := range map[string]string{"/stream/": "engines", "/unsafe/": "plain"} {
+		t.Run(service, func(t *testing.T) {
+			f := newStartedFixture(t, newFakeBackend(t, "s1", service, func(*http.Request, string, net.Conn) {}))
+			time.AfterFunc(300*time.Millisecond, f.forwarder.EndRequests)
+			assertAnswer(t, f.send("POST", path, "x"), http.StatusBadGateway, "")
+			f.server.Close() // waits for the end of the request
+			if cause := fmt.Sprint(f.logLines("request ended")["r1"]["cause"]); strings.Count(cause, errStopped.Error()) != 1 {
+				t.Errorf("the cause is %q, want %q once", cause, errStopped.Error())
+			}
+		})
+	}
+}
