State the Retry-After of requests that are handed back in one place

The scheduler and the forwarder each had a constant for the time of a new connection to another daemon, so that one could change without the other. Behaviour is unchanged; the tests of schedules, and those of forwards on stops, pass with the race detector.

--- a/forwards/drain.go
+++ b/forwards/drain.go
@@ -6,15 +6,11 @@
 	"time"
 )
 
-const (
-	// stoppingRetryAfter is the time that a new connection takes to reach another daemon.
-	stoppingRetryAfter = 50 * time.Millisecond
-	// handBackReserve is the time before the end of a drain at which requests that have
-	// not reached a backend server are handed back, if the scheduler has not done so. It
-	// is above the half second for which net/http waits for a caller to read the answer
-	// to a request whose body it has not read.
-	handBackReserve = 700 * time.Millisecond
-)
+// handBackReserve is the time before the end of a drain at which requests that have not
+// reached a backend server are handed back, if the scheduler has not done so. It is above
+// the half second for which net/http waits for a caller to read the answer to a request
+// whose body it has not read.
+const handBackReserve = 700 * time.Millisecond
 
 // errStopsFirst is returned for an attempt that was not sent, since the daemon stops before
 // it could bring an answer.
--- a/forwards/ending.go
+++ b/forwards/ending.go
@@ -94,7 +94,7 @@
 	case req.failureResponse != nil:
 		req.writeResponse(req.failureResponse)
 	case req.verdict == gypsumshelf.NotRun && req.endedBy() == endedByStop:
-		req.refuse(http.StatusServiceUnavailable, stoppingRetryAfter, cause)
+		req.refuse(http.StatusServiceUnavailable, schedules.HandBackRetryAfter, cause)
 	case req.verdict == gypsumshelf.NotRun:
 		req.refuse(http.StatusServiceUnavailable, failedRetryAfter, cause)
 	case req.remaining() <= 0:
--- a/schedules/stops.go
+++ b/schedules/stops.go
@@ -12,10 +12,10 @@
 // be served by another daemon, and keep their places in the queue for their return.
 
 const (
-	// handBackRetryAfter is the time that a new connection to another entry daemon takes.
-	handBackRetryAfter = 50 * time.Millisecond
+	// HandBackRetryAfter is the time that a new connection to another entry daemon takes.
+	HandBackRetryAfter = 50 * time.Millisecond
 	// placeTTL is the time for which a place in the queue is kept. Callers that come later
-	// did not come for handBackRetryAfter.
+	// did not come for HandBackRetryAfter.
 	placeTTL = 2 * time.Second
 )
 
@@ -62,7 +62,7 @@
 		s.places[f] = keptPlace{targetDue: j.due(j.request.Target), until: now.Add(placeTTL)}
 	}
 	return Decision{
-		Job: j.request.ID, RetryAfter: handBackRetryAfter, Reason: "the daemon stops before the request could end", HandedBack: true,
+		Job: j.request.ID, RetryAfter: HandBackRetryAfter, Reason: "the daemon stops before the request could end", HandedBack: true,
 		Waited: now.Sub(j.arrived), Waiting: len(p.queue),
 	}
 }
