Log reserving-memory only where memory is reserved

The line of a request that a stop ended, and the counter by phase, said reserving-memory for any request that was placed and not sent yet, also where the placement reserves nothing. Someone who looks for a slow reservation was sent astray.

Evidence: TestStopHandsBackWhatHasNotRun, whose placement without reservations now has to be logged as placed, failed before ("while reserving-memory, want ... placed"). Its new case has a reservation and is logged as reserving-memory, as before.

Fix: a request is placed from the decision on, and reserves memory when it asks for some. The test of a dead engine during a stop uses the protocol of the reservation tests instead of one of its own.

--- a/forwards/drain_test.go
+++ b/forwards/drain_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/schedules"
 )
 
@@ -34,11 +35,18 @@
 	return schedules.Decision{}, ctx.Err()
 }
 
-// slowPlacer predicts a late first event.
-type slowPlacer struct{ *fakePlacer }
+// slowPlacer predicts a late first event. Memory is to be reserved at the helpers.
+type slowPlacer struct {
+	*fakePlacer
+	helpers []gypsumshelf.ServerID
+}
 
 func (p slowPlacer) Place(context.Context, schedules.Job) (schedules.Decision, error) {
-	return schedules.Decision{Placement: &schedules.Placement{Server: "s1", First: time.Minute}}, nil
+	placement := &schedules.Placement{Server: "s1", Helpers: p.helpers, First: time.Minute}
+	for _, id := range p.helpers {
+		placement.Holds = append(placement.Holds, schedules.Hold{Server: id, Tokens: 1000})
+	}
+	return schedules.Decision{Placement: placement}, nil
 }
 
 // drainFor begins a stop that breaks off requests after a time.
@@ -90,7 +98,15 @@
 	t.Run("is placed where its first event comes too late", func(t *testing.T) {
 		b := newFakeBackend(t, "s1", "engines", func(*http.Request, string, net.Conn) {})
 		f := newStartedFixture(t, b)
-		f.forwarder.cfg.Placer = slowPlacer{f.placer}
+		f.forwarder.cfg.Placer = slowPlacer{fakePlacer: f.placer}
+		f.drainFor(drain)
+		assertHandedBack(t, f, b, phasePlaced)
+		f.assertOutcomes(schedules.Cancelled)
+	})
+	t.Run("has memory reserved where its first event comes too late", func(t *testing.T) {
+		b := newFakeBackend(t, "s1", "engines", func(*http.Request, string, net.Conn) {})
+		f := newStartedFixture(t, b, newFakeBackend(t, "s2", "engines", func(*http.Request, string, net.Conn) {}))
+		f.forwarder.cfg.Placer = slowPlacer{fakePlacer: f.placer, helpers: []gypsumshelf.ServerID{"s2"}}
 		f.drainFor(drain)
 		assertHandedBack(t, f, b, phaseReserving)
 		f.assertOutcomes(schedules.Cancelled)
--- a/forwards/ending.go
+++ b/forwards/ending.go
@@ -30,6 +30,7 @@
 	phaseAdmission phase = "admission"
 	phaseBody      phase = "reading-body"
 	phaseWaiting   phase = "waiting" // for a scheduling decision, also between two attempts
+	phasePlaced    phase = "placed"  // on an engine that it was not sent to yet
 	phaseReserving phase = "reserving-memory"
 	phaseSending   phase = "connecting"
 	phaseAwaiting  phase = "awaiting-answer"
--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -109,6 +109,7 @@
 		req.timing.recordPlacement(result.decision)
 		req.placedOnLimited = result.decision.Placement.Limited
 		pending.logPlacement(result.decision)
+		req.phase = phasePlaced
 		attempt := &engineAttempt{request: req, pending: pending, placement: *result.decision.Placement, startedAt: req.now()}
 		err := attempt.run(ctx)
 		pending.end(attempt.outcome, attempt.blamed)
@@ -339,7 +340,6 @@
 // memory reserved on those where the placement requires it.
 func (e *engineAttempt) reserveHelpers(ctx context.Context) ([]Helper, error) {
 	req := e.request
-	req.phase = phaseReserving
 	wanted := map[gypsumshelf.ServerID]schedules.Hold{}
 	for _, hold := range e.placement.Holds {
 		wanted[hold.Server] = hold
@@ -357,6 +357,7 @@
 		}
 		helper := Helper{Address: server.Address}
 		if mustReserve {
+			req.phase = phaseReserving
 			if e.watch == nil {
 				e.watch = newPrimaryWatch(req, e.server)
 			}
--- a/forwards/stop_ends_test.go
+++ b/forwards/stop_ends_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -240,20 +239,15 @@
 // another one could go on with it.
 func TestStreamOfADeadEngineIsTakenOverDuringAStop(t *testing.T) {
 	hang := func(r *http.Request, _ string, conn net.Conn) { writeEvents(r, conn, 1, 2) }
-	f := newFixtureWith(t, &silentProtocol{}, newFakeBackend(t, "e1", "engines", hang), newFakeBackend(t, "e2", "engines", resumeAfterLastEvent(4)))
+	p := newMemoryProtocol()
+	p.report = func() error { return errNoReport }
+	f := newFixtureWith(t, p, newFakeBackend(t, "e1", "engines", hang), newFakeBackend(t, "e2", "engines", resumeAfterLastEvent(4)))
 	f.forwarder.SetCatalog(newCatalog(t))
 	f.forwarder.cfg.MemoryBound = 2 * time.Second
 	f.drainFor(10 * time.Second)
 	assertAnswer(t, f.send("POST", "/stream/", "x"), http.StatusOK, eventText(1, 4))
 }
 
-// silentProtocol is a fakeProtocol of engines that answer no load report.
-type silentProtocol struct{ fakeProtocol }
-
-func (silentProtocol) Report(context.Context, string) (schedules.Load, error) {
-	return schedules.Load{}, errors.New("no answer")
-}
-
 // Guards against requests that wait for a plain server until the daemon breaks off, although
 // it knew from the begin of the stop that they would not be sent before, and against those
 // that are handed back although they can be served.
