--- a/forwards/ending.go
+++ b/forwards/ending.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 
 	"github.com/sirupsen/logrus"
@@ -29,6 +30,7 @@
 	phaseAdmission phase = "admission"
 	phaseBody      phase = "reading-body"
 	phaseWaiting   phase = "waiting" // for a scheduling decision, also between two attempts
+	phasePlaced    phase = "placed"  // on an engine that it was not sent to yet
 	phaseReserving phase = "reserving-memory"
 	phaseSending   phase = "connecting"
 	phaseAwaiting  phase = "awaiting-answer"
@@ -93,7 +95,7 @@
 	case req.failureResponse != nil:
 		req.writeResponse(req.failureResponse)
 	case req.verdict == gypsumshelf.NotRun && req.endedBy() == endedByStop:
-		req.refuse(http.StatusServiceUnavailable, stoppingRetryAfter, cause)
+		req.refuse(http.StatusServiceUnavailable, schedules.HandBackRetryAfter, cause)
 	case req.verdict == gypsumshelf.NotRun:
 		req.refuse(http.StatusServiceUnavailable, failedRetryAfter, cause)
 	case req.remaining() <= 0:
@@ -105,6 +107,16 @@
 	}
 }
 
+// finishUnrepeated ends a request whose last attempt failed with err, and which is not
+// repeated for a reason.
+func (req *proxyRequest) finishUnrepeated(err error, reason string) {
+	if errors.Is(err, errStopped) {
+		req.finishUnanswered(err.Error()) // names the reason
+		return
+	}
+	req.finishUnanswered(fmt.Sprintf("%v; %s", err, reason))
+}
+
 // recordEnd logs the end of the request and updates its metrics.
 func (req *proxyRequest) recordEnd() {
 	if req.outcome == "" {
