Clear the suspicion of a service once probes regain the path to its server

Cause: RecordLoss notes a lost server in the set of its service, too. RecordServerRound gave back the path to the server, but left the server in that set, so that the service stayed suspect until the next direct connection or for pathRetention. While a target is suspect, another daemon is asked at once and not after hedgeDelay, and the faster way is used: beside load that may be the other daemon. The same entry made one failure at a second server lose the path to the whole service, although probes had connected directly in between.

A late result is not the cause: only one that is recorded after the path was regained could be, and the path is lost here by the failures of the only two direct connections.

Fix: a server that is regained by probes leaves the set. Probes are direct connections, and those of other calls empty the set in the same way.

The check "connections are still relayed" is replaced: on a busy machine a connection that takes longer than hedgeDelay may be relayed by design. Now the direct way is held until the other daemon is asked, and the other daemon never answers: it must not be asked before hedgeDelay, and the direct connection must be used.

--- a/relays/paths.go
+++ b/relays/paths.go
@@ -55,7 +55,7 @@
 func (p *Paths) IsServiceLost(service string) bool { return isLost(p.services[service]) }
 
 // IsSuspect reports whether a connection failed here lately that another daemon could
-// make, and none was made since.
+// make, and none was made since, nor the path regained by probes.
 func (p *Paths) IsSuspect(t Target) bool {
 	server, service := p.servers[t.Address], p.services[t.Service]
 	return server != nil && server.losses > 0 || service != nil && len(service.servers) > 0
@@ -138,8 +138,13 @@
 
 // RecordServerRound records a probe of a backend server to which the path is lost.
 func (p *Paths) RecordServerRound(now time.Time, address string, sound bool) {
-	if server := p.servers[address]; isLost(server) {
-		server.recordRound(now, sound)
+	if server := p.servers[address]; !isLost(server) || !server.recordRound(now, sound) {
+		return
+	}
+	// The probes were direct connections: the server no longer counts towards the loss of
+	// its service.
+	for _, service := range p.services {
+		delete(service.servers, address)
 	}
 }
 
--- a/relays/paths_test.go
+++ b/relays/paths_test.go
@@ -49,6 +49,36 @@
 	})
 }
 
+// Guards against a server that is still under suspicion, and counts towards the loss of its
+// service, after probes have found its path sound again.
+func TestRegainedServerLeavesNoSuspicion(t *testing.T) {
+	now := time.Now()
+	p := NewPaths()
+	for range lossesOfPath {
+		p.RecordLoss(now, server(1))
+	}
+	for range soundRounds - 1 {
+		p.RecordServerRound(now, server(1).Address, true)
+	}
+	assertLost(t, p, server(1), true)
+	assertSuspect(t, p, server(2), true)
+	p.RecordServerRound(now, server(1).Address, true)
+	assertLost(t, p, server(1), false)
+	assertSuspect(t, p, server(1), false)
+	assertSuspect(t, p, server(2), false)
+	if p.RecordLoss(now, server(2)) {
+		t.Error("one failure after the path was regained loses the service")
+	}
+	assertLost(t, p, server(3), false)
+}
+
+func assertSuspect(t *testing.T, p *Paths, target Target, want bool) {
+	t.Helper()
+	if got := p.IsSuspect(target); got != want {
+		t.Errorf("the path to %s of %s is suspect: %v, want %v", target.Address, target.Service, got, want)
+	}
+}
+
 // soundRoundsNeeded returns the rounds of probes after which a service is regained.
 func soundRoundsNeeded(t *testing.T, p *Paths, now time.Time) int {
 	t.Helper()
--- a/relays/relays_test.go
+++ b/relays/relays_test.go
@@ -77,9 +77,10 @@
 
 // pair is a daemon whose direct way can be closed, and another one that relays.
 type pair struct {
-	dialer  *Dialer
-	relay   *Relay
-	servers *fakeServers
+	dialer   *Dialer
+	relay    *Relay
+	servers  *fakeServers
+	peerDial Dial
 
 	mu         sync.Mutex
 	cut        error // of direct connections, nil if they are made
@@ -89,6 +90,14 @@
 	relayCut   bool          // the relay has lost the path too
 	foreigners bool          // the relay admits nobody
 	paused     time.Duration // time for which the process was paused
+	held       *heldDial     // nil if nothing is held
+}
+
+// heldDial is a connection whose direct way is held until another daemon is asked, which
+// then does not answer.
+type heldDial struct {
+	asked chan struct{} // closed once the other daemon is asked
+	at    time.Time     // at which it was
 }
 
 func (p *pair) now() time.Time {
@@ -116,6 +125,8 @@
 	})
 	t.Cleanup(p.relay.Close)
 	p.dialer = NewDialer(DialerConfig{Daemon: "127.0.0.1:1", DataCentre: "a", Servers: p.servers, Dial: p.dial, Log: log, Timers: service})
+	p.peerDial = p.dialer.dialPeer
+	p.dialer.dialPeer = p.dialPeer
 	p.dialer.SetPeers("control", []Peer{{Daemon: gypsumshelf.DaemonID(l.Addr().String()), DataCentre: "a"}})
 	return p
 }
@@ -126,9 +137,13 @@
 	if p.dials++; p.lossy && p.dials%2 == 0 {
 		cut = nil
 	}
-	delay := p.delay
+	delay, held := p.delay, p.held
 	p.mu.Unlock()
 	time.Sleep(delay)
+	if held != nil {
+		<-held.asked
+		ctx = context.WithoutCancel(ctx) // however late the other daemon is asked
+	}
 	if cut == nil {
 		return new(net.Dialer).DialContext(ctx, network, address)
 	}
@@ -138,6 +153,43 @@
 	return nil, cut
 }
 
+func (p *pair) dialPeer(ctx context.Context, network, address string) (net.Conn, error) {
+	p.mu.Lock()
+	held := p.held
+	p.mu.Unlock()
+	if held == nil {
+		return p.peerDial(ctx, network, address)
+	}
+	held.at = time.Now()
+	close(held.asked)
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// assertDirect checks that a connection is made directly, and that another daemon is asked
+// only for want of a direct one within hedgeDelay, which may happen on a busy machine.
+func (p *pair) assertDirect(t *testing.T, b *backend) {
+	t.Helper()
+	held := &heldDial{asked: make(chan struct{})}
+	p.hold(held)
+	defer p.hold(nil)
+	start := time.Now()
+	relayed := IsRelayed(p.connect(t, b))
+	<-held.asked
+	if after := held.at.Sub(start); after < hedgeDelay {
+		t.Errorf("another daemon is asked after %v, want at least %v", after, hedgeDelay)
+	}
+	if relayed {
+		t.Error("the connection is relayed")
+	}
+}
+
+func (p *pair) hold(held *heldDial) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held = held
+}
+
 func (p *pair) setCut(err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -351,9 +403,7 @@
 				t.Fatal("the path is not regained within 10 s")
 			}
 		}
-		if IsRelayed(p.connect(t, b)) {
-			t.Error("connections are still relayed")
-		}
+		p.assertDirect(t, b)
 	})
 	t.Run("the path is lossy everywhere", func(t *testing.T) {
 		b, other := newBackend(t, idle), newBackend(t, idle)
