Cut the answer in the test of a stop only once its caller has a part of it

Seen: TestAnswerCutByAStop, 3 of 9 runs (3 each on 1, 2 and 4 CPUs, race detector, beside load): outcome failed, ended by nobody. The log has an attempt that stalled after 299 ms to 346 ms.

Cause: the test sends a safe request on a route with a target of 100 ms and two attempts, for which plainTimeout allows 250 ms until the header of the answer. That is by design: the rest is for the second attempt. The fake server formats 16 MiB before it sends the header, which may take longer beside load. The test also took for granted that the answer has arrived after 500 ms.

The request is now an unsafe one, whose answer may take all the time until its deadline, and the stop begins once the caller has the first byte, while the rest waits for it. All checks stay. Without the line of writeResponse that tells a stop from a caller who has left, the test fails in 5 of 5 runs.

--- a/forwards/stop_ends_test.go
+++ b/forwards/stop_ends_test.go
@@ -102,9 +102,12 @@
 func TestAnswerCutByAStop(t *testing.T) {
 	f := newStartedFixture(t, newFakeBackend(t, "p1", "plain", respondWith(http.StatusOK, strings.Repeat("x", 16<<20))))
 	conn := f.dialCaller()
-	fmt.Fprint(conn, "POST /safe/ HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: k\r\nContent-Length: 1\r\n\r\nx")
-	time.Sleep(500 * time.Millisecond) // the answer waits for the caller
-	f.forwarder.EndRequests()
+	// The target of the route does not limit the wait for the answer to an unsafe request.
+	fmt.Fprint(conn, "POST /unsafe/ HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: k\r\nContent-Length: 1\r\n\r\nx")
+	if _, err := bufio.NewReader(conn).Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	f.forwarder.EndRequests() // the rest of the answer waits for the caller
 	time.Sleep(100 * time.Millisecond)
 	f.server.CloseClientConnections()
 	f.server.Close() // waits for the end of the request
