Use the old connection during the changes of limits in its test

Seen: TestChangeOfLimitsKeepsConnections, 8 of 8 runs on one CPU (race detector, beside load): unexpected EOF on the connection from before the changes.

Cause: on one CPU the loop that changes the limits without a pause leaves little of it to the 200 connections of the test, which take 27 s to 38 s. The old connection is idle in the meantime, and its limit, defaultIdleTimeout, 15 s, closes it as it should.

Evidence: with an idle limit of 90 s, on a trial, the old test passed in 2 of 2 runs on one CPU, after 29 s and 30 s.

The old connection is now used after each of the 200, too, so that it is never idle for long: 2 of 2 runs on one CPU pass, after 36 s and 38 s. The check is stricter, since any change that cuts the connection is found at the next use.

--- a/gateways/callers_test.go
+++ b/gateways/callers_test.go
@@ -142,11 +142,15 @@
 			t.Errorf("a connection accepted during a change gets status %d", status)
 		}
 		conn.Close()
+		// It is used all the time, so that no idle limit ends it.
+		if status := exchange(t, old, ""); status != http.StatusOK {
+			t.Errorf("the connection from before the changes gets status %d", status)
+		}
 	}
 	close(stop)
 	<-done
 	if status := exchange(t, old, ""); status != http.StatusOK {
-		t.Errorf("the connection from before the changes gets status %d", status)
+		t.Errorf("the connection from before the changes gets status %d after the last one", status)
 	}
 }
 
