Look for the ports of a test cluster at the address that uses them

Seen: TestOrdersOfARunningGroup, 2 of 3 runs that were started at the same time beside load: no two adjacent ports are free.

Cause: freePortPair looked at 127.0.0.1, although the hosts listen on 127.0.77.1 and the following. Closed connections, which keep their ports for a minute on the side that connected, had taken most ports of 127.0.0.1: 63000 of them were counted in TIME-WAIT. Another socket at such a port is refused there, but not at an address that no connection comes from.

Evidence: with 55000 connections in TIME-WAIT, the port after a free one was taken in 179 of 200 tries at 127.0.0.1 and in 0 of 200 at 127.0.77.1.

The pair is now looked for at the address of the first host.

--- a/controls/daemon_test.go
+++ b/controls/daemon_test.go
@@ -54,16 +54,17 @@
 	return c
 }
 
-// freePortPair returns a port that is free together with the next one.
+// freePortPair returns a port of the first host that is free together with the next one.
+// Connections that were closed a moment ago take up most ports of 127.0.0.1 on a busy machine.
 func freePortPair(t *testing.T) int {
 	t.Helper()
 	for range 50 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", hostIP(1)+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
 		port := l.Addr().(*net.TCPAddr).Port
-		next, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+1))
+		next, err := net.Listen("tcp", fmt.Sprintf("%s:%d", hostIP(1), port+1))
 		l.Close()
 		if err == nil {
 			next.Close()
@@ -74,10 +75,13 @@
 	return 0
 }
 
+// hostIP returns the IP address of the nth host of a cluster.
+func hostIP(n int) string { return fmt.Sprintf("127.0.77.%d", n) }
+
 func (h *host) directoryAddress(port int) string { return fmt.Sprintf("%s:%d", h.ip, port+1) }
 
 func (c *cluster) add() *host {
-	h := &host{t: c.t, ip: fmt.Sprintf("127.0.77.%d", len(c.hosts)+1), folder: c.t.TempDir()}
+	h := &host{t: c.t, ip: hostIP(len(c.hosts) + 1), folder: c.t.TempDir()}
 	c.hosts = append(c.hosts, h)
 	return h
 }
