Let daemons hear of earlier orders before a test gives one to all of them

Seen: TestOrdersOfARunningGroup, "sent to all at once", in 1 of 8 runs of a trial in which the event loops of followers stall for 0.7 s at every third state that they publish: the order ends with "another order on the same subject was given after this one arrived".

Cause: the check before it reads the state from one daemon. Another one may not have heard yet of the order that was committed last, and the leader refuses orders of a daemon that does not know it. That is by design: the caller decides whether it still wants its order.

The test now waits until each daemon knows what the leader has committed. The check of the orders, which follow each other closely, stays.

--- a/controls/orders_test.go
+++ b/controls/orders_test.go
@@ -304,6 +304,7 @@
 	})
 	t.Run("sent to all at once", func(t *testing.T) {
 		c.assertWhileLed(t, func() error {
+			c.awaitAllKnowNewest()
 			results := make(chan error, len(c.hosts))
 			for _, h := range c.hosts {
 				go func() { results <- h.daemon.ProposeOrder(background, bringBack) }()
@@ -318,6 +319,16 @@
 	})
 }
 
+// awaitAllKnowNewest waits until all daemons know what the leader has committed. The leader
+// refuses an order from a daemon that has not heard of an earlier one on the same subject.
+func (c *cluster) awaitAllKnowNewest() {
+	c.t.Helper()
+	newest := c.leader().daemon.appliedIndex.Load()
+	for _, slow := range c.hosts {
+		c.eventually("all daemons know the newest order", func(h *host) bool { return h == slow && h.daemon.knownIndex() >= newest })
+	}
+}
+
 // assertWhileLed checks orders while the group has one leader. If they do not end as wanted
 // and the daemons have seen the leader change meanwhile, it checks again: on a busy machine
 // they may do so, and the callers of orders that end for want of a leader send them again.
