--- a/controls/daemon_test.go
+++ b/controls/daemon_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"path/filepath"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -28,6 +29,43 @@
 	daemon *Daemon
 	id     replicas.NodeID
 	timers *timers.Service
+	leads  leadLog
+}
+
+// leadLog is a hook of the log of a daemon that counts the changes of its leader.
+type leadLog struct {
+	mu      sync.Mutex
+	last    string
+	changes int
+}
+
+// Levels implements logrus.Hook.
+func (*leadLog) Levels() []logrus.Level { return []logrus.Level{logrus.InfoLevel} }
+
+// Fire implements logrus.Hook.
+func (l *leadLog) Fire(e *logrus.Entry) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if lead := fmt.Sprint(e.Data["leader"], e.Data["term"]); e.Message == "leader or members changed" && lead != l.last {
+		l.last = lead
+		l.changes++
+	}
+	return nil
+}
+
+func (l *leadLog) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changes
+}
+
+// leadChanges returns the number of changes of the leader that the daemons have seen.
+func (c *cluster) leadChanges() int {
+	n := 0
+	for _, h := range c.hosts {
+		n += h.leads.count()
+	}
+	return n
 }
 
 // cluster is a set of hosts on loopback addresses with the same ports.
@@ -54,16 +92,17 @@
 	return c
 }
 
-// freePortPair returns a port that is free together with the next one.
+// freePortPair returns a port of the first host that is free together with the next one.
+// Connections that were closed a moment ago take up most ports of 127.0.0.1 on a busy machine.
 func freePortPair(t *testing.T) int {
 	t.Helper()
 	for range 50 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", hostIP(1)+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
 		port := l.Addr().(*net.TCPAddr).Port
-		next, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+1))
+		next, err := net.Listen("tcp", fmt.Sprintf("%s:%d", hostIP(1), port+1))
 		l.Close()
 		if err == nil {
 			next.Close()
@@ -74,10 +113,13 @@
 	return 0
 }
 
+// hostIP returns the IP address of the nth host of a cluster.
+func hostIP(n int) string { return fmt.Sprintf("127.0.77.%d", n) }
+
 func (h *host) directoryAddress(port int) string { return fmt.Sprintf("%s:%d", h.ip, port+1) }
 
 func (c *cluster) add() *host {
-	h := &host{t: c.t, ip: fmt.Sprintf("127.0.77.%d", len(c.hosts)+1), folder: c.t.TempDir()}
+	h := &host{t: c.t, ip: hostIP(len(c.hosts) + 1), folder: c.t.TempDir()}
 	c.hosts = append(c.hosts, h)
 	return h
 }
@@ -101,6 +143,7 @@
 	c.t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	log.AddHook(&h.leads)
 	h.timers = timers.New(timers.Config{})
 	peers, directory := h.listen(c.port), h.listen(c.port+1)
 	cfg := Config{
