Do not take the end of a leader for the end of the one that has followed it

When a leader stopped or was lost, jobs that waited there were placed by the local schedulers of the entry daemons, and so were all jobs of the next half second, though the next leader was known and answered. Local schedulers do not know the jobs of other daemons, so that engines may get more than they bear, and waiting jobs lose their places.

Cause: a call to the old leader may fail after the new one is known, as when its connections are closed or a call times out. suspectLeader then avoided whoever led at that moment.

Fix: only the leader to which the failed call was made is avoided.

--- a/dispatchers/client.go
+++ b/dispatchers/client.go
@@ -206,11 +206,14 @@
 	c.informedLeader = ""
 }
 
-// suspectLeader avoids a leader for suspectDuration after a failed call. The
-// placed jobs are handed over to it again afterwards.
+// suspectLeader avoids a leader for suspectDuration after a failed call, unless another
+// one has followed it meanwhile. The placed jobs are handed over to it again afterwards.
 func (c *Client) suspectLeader(leader string, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if leader != c.leader {
+		return
+	}
 	c.suspectUntil = time.Now().Add(suspectDuration)
 	c.informedLeader = ""
 	c.cfg.Log.WithField("leader", leader).WithError(err).Warn("the scheduling daemon does not answer; engine work is scheduled locally")
