End jobs at the local scheduler that end while they wait there

Without a leader, a request whose caller left, whose time ended or that a stop handed back while it waited stayed in the queue of the local scheduler. It was placed later, for nobody, and held its slot until its deadline: other requests waited or were refused while engines were idle.

Cause: End tells the local scheduler of a job only once it is known that it was placed there, which is not known while it waits.

Fix: the call that waits at the local scheduler ends the job there when it returns without a decision. It is the one that has submitted it, so that the end cannot overtake it.

--- a/dispatchers/client.go
+++ b/dispatchers/client.go
@@ -356,6 +356,8 @@
 		err = errors.Join(ctx.Err(), errUndecided)
 	}
 	if err != nil {
+		// End does not know yet that the job waits here.
+		c.cfg.Local.End(job.ID, schedules.Cancelled, "")
 		return schedules.Decision{}, err
 	}
 	return c.recordDecision(p, *decision), nil
