Do not blame backend servers for the memory budget of this daemon

A backend server whose sound answer did not fit the memory for bodies, which answers of others had used up, counted as broken: it was avoided for half a second up to 8 s, so that a short lack of memory here may become a lack of servers.

Cause: the error of the budget ends the reading of the answer, and outcomeOf took each error that it does not know for a failure of the server.

All tests of forwards pass.

Fix: the budget's error is no fault of the server. The caller gets 502 as before, since the request has run.

--- a/forwards/outcome.go
+++ b/forwards/outcome.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"gypsumshelf.example/gypsumshelf/buffers"
 	"gypsumshelf.example/gypsumshelf/relays"
 	"gypsumshelf.example/gypsumshelf/schedules"
 	"gypsumshelf.example/gypsumshelf/streams"
@@ -13,7 +14,7 @@
 // outcomeOf maps the error of an attempt to its outcome.
 func outcomeOf(ctx context.Context, err error) schedules.Outcome {
 	switch {
-	case isOver(ctx), errors.Is(err, relays.ErrNoPath), errors.Is(err, errPaused), errors.Is(err, errStopsFirst), errors.Is(err, errUnmetCondition), relays.IsRelayLost(err):
+	case isOver(ctx), errors.Is(err, buffers.ErrBudgetExceeded), errors.Is(err, relays.ErrNoPath), errors.Is(err, errPaused), errors.Is(err, errStopsFirst), errors.Is(err, errUnmetCondition), relays.IsRelayLost(err):
 		return schedules.Cancelled // not the fault of the backend server
 	case errors.Is(err, errConnect):
 		return schedules.Unreachable
