Close connections to backend servers that do not read when a relay stops

An entry daemon that relayed a long request to a backend server which had stopped reading did not end its planned stop in time: it waited for up to the time limit of that request, and so is killed at the end of the grace period. What it does after its relay has closed is not done then: the ends of its own last requests do not reach the leader, which keeps their slots until it takes the daemon for gone.

Cause: Relay.Close closes the connections of other daemons, and waits. A write to a server whose buffers are full notices nothing of that.

Fix: Close closes the connections to the servers too, after those of the other daemons, to which it would look like a reset by the server.

--- a/relays/relay.go
+++ b/relays/relay.go
@@ -51,8 +51,10 @@
 
 // Relay connects other entry daemons to backend servers that they cannot reach.
 type Relay struct {
-	cfg RelayConfig
-	wg  sync.WaitGroup
+	cfg          RelayConfig
+	wg           sync.WaitGroup
+	closed       context.Context    // ends with Close
+	closeServers context.CancelFunc // ends closed
 
 	mu       sync.Mutex
 	conns    map[*relayedConn]bool
@@ -64,6 +66,7 @@
 func NewRelay(cfg RelayConfig) *Relay {
 	cfg.Listener = listeners.New(cfg.Listener, cfg.Log)
 	r := &Relay{cfg: cfg, conns: map[*relayedConn]bool{}, byDaemon: map[netip.Addr]int{}}
+	r.closed, r.closeServers = context.WithCancel(context.Background())
 	r.wg.Add(1)
 	go r.run()
 	return r
@@ -92,6 +95,8 @@
 		c.conn.Close()
 	}
 	r.mu.Unlock()
+	// Other daemons would take an earlier close for a reset by the backend server.
+	r.closeServers()
 	r.wg.Wait()
 }
 
@@ -162,6 +167,8 @@
 	}
 	if c.server != nil {
 		defer c.server.Close()
+		stop := context.AfterFunc(c.relay.closed, func() { c.server.Close() })
+		defer stop()
 	}
 	if a.Verdict == rejected {
 		c.relay.cfg.Log.WithFields(logrus.Fields{"from": c.from, "reason": a.Reason}).Info("a connection is not relayed")
