Serve requests that a daemon with a short grace period still accepts

With a grace period of 1 s, requests that arrived between 0.18 s and 0.5 s after the stop signal got 503 at once, "the body has not arrived", though it had, and though the load balancer still sent them there: the plan says that they are accepted until 0.5 s. This holds below a grace period of 1.87 s.

Cause: requests that have not reached a backend server are handed back 0.7 s before the break-off. Where the grace period is short, that is before the time until which requests are accepted, and since it ends those whose body has arrived, too.

It checks the same.

--- a/forwards/drain.go
+++ b/forwards/drain.go
@@ -26,6 +26,17 @@
 	BreakOff    time.Time // EndRequests is called then
 }
 
+// handBack returns when requests are handed back that have not reached a backend server.
+// Where a short grace period leaves less than handBackReserve after AcceptUntil, that is when
+// they are no longer accepted.
+func (p *DrainPlan) handBack() time.Time {
+	early := p.BreakOff.Add(-handBackReserve)
+	if p.AcceptUntil.After(early) && p.AcceptUntil.Before(p.BreakOff) {
+		return p.AcceptUntil
+	}
+	return early
+}
+
 // Drain makes each later response close its connection, and keeps requests from beginning
 // what cannot end before BreakOff.
 func (f *Forwarder) Drain(p DrainPlan) {
@@ -73,7 +84,7 @@
 	if !req.deadline.After(p.BreakOff) {
 		return req.deadline
 	}
-	return p.BreakOff.Add(-handBackReserve)
+	return p.handBack()
 }
 
 // arrivedTooLate reports whether a request whose header or body has just arrived is to be
--- a/forwards/drain_test.go
+++ b/forwards/drain_test.go
@@ -43,7 +43,8 @@
 
 // drainFor begins a stop that breaks off requests after a time.
 func (f *fixture) drainFor(d time.Duration) {
-	f.forwarder.Drain(DrainPlan{AcceptUntil: time.Now().Add(d), BreakOff: time.Now().Add(d)})
+	end := time.Now().Add(d)
+	f.forwarder.Drain(DrainPlan{AcceptUntil: end, BreakOff: end})
 }
 
 func (f *fixture) assertEndedByStop(id string, outcome string, during phase) {
--- a/forwards/stop_ends_test.go
+++ b/forwards/stop_ends_test.go
@@ -172,3 +172,18 @@
 		writeChunk(conn, fmt.Sprintf("id: %d\ndata: x\n\n", i))
 	}
 }
+
+// Guards against requests that a daemon with a short grace period refuses while it still
+// accepts requests.
+func TestShortGracePeriodLeavesTimeToServe(t *testing.T) {
+	const acceptUntil, breakOff = 500 * time.Millisecond, 875 * time.Millisecond // for a grace period of 1 s
+	for _, path := range []string{"/stream/", "/safe/"} {
+		t.Run(path, func(t *testing.T) {
+			f := newStartedFixture(t, newFakeBackend(t, "e1", "engines", resumeAfterLastEvent(2)), newFakeBackend(t, "p1", "plain", respondWith(http.StatusOK, "ok")))
+			now := time.Now()
+			f.forwarder.Drain(DrainPlan{AcceptUntil: now.Add(acceptUntil), BreakOff: now.Add(breakOff)})
+			time.Sleep(breakOff - handBackReserve)
+			assertAnswer(t, f.send("POST", path, "x"), http.StatusOK, "")
+		})
+	}
+}
