Keep the stop signal of a host while signals to reload wait

A daemon that got SIGTERM while two SIGHUPs waited went on as if it had not been told to stop: it did not drain, and SIGKILL cut its requests at the end of the grace period. The signals wait while the daemon starts, and while it reads its settings, which takes long on a slow disk.

Cause: both kinds of signals shared a channel with room for two, and package os/signal drops what finds no room.

Fix: the stop has a channel of its own, in which one signal is enough.

--- a/cmd/gypsumshelf/host.go
+++ b/cmd/gypsumshelf/host.go
@@ -49,8 +49,7 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(heapMemoryShare * float64(s.MemoryBytes())))
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signals := notifyHost()
 	host, err := platform.Start(platform.Config{Settings: s, Log: log, DroppedLines: logWriter.Dropped})
 	if err != nil {
 		log.WithError(err).Error("the daemon could not start")
@@ -59,13 +58,12 @@
 	lastError := ""
 	for {
 		select {
-		case sig := <-signals:
-			if sig != syscall.SIGHUP {
-				log.WithField("signal", sig.String()).Info("stopping")
-				host.Stop()
-				log.Info("stopped")
-				return nil
-			}
+		case sig := <-signals.stop:
+			log.WithField("signal", sig.String()).Info("stopping")
+			host.Stop()
+			log.Info("stopped")
+			return nil
+		case <-signals.reload:
 		case <-watch.Ticks():
 			if !watch.Changed() {
 				continue
@@ -84,3 +82,17 @@
 		log.WithField("seeds", next.Seeds).Info("settings reloaded")
 	}
 }
+
+// hostSignals receives signals. A stop has a channel of its own, since package os/signal
+// drops signals for which there is no room.
+type hostSignals struct {
+	stop   chan os.Signal
+	reload chan os.Signal
+}
+
+func notifyHost() hostSignals {
+	s := hostSignals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
+}
