Close connections whose request was refused before its body had arrived

A caller that got 503 from a stopping daemon, or 408, and sent no more of its body, kept its connection open for as long as it liked. Such connections pile up, and a planned stop waits for them until the end of its grace period, since they look like requests in progress.

Cause: the daemon lifts its read limit before it answers. net/http then reads the rest of the body, without any limit, before it closes the connection.

Fix: the reading of the rest is limited to half a second, the time that net/http gives to callers of longer bodies. The answer has been sent before.

--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -246,6 +246,7 @@
 	service   *catalogs.Service
 	workspace *catalogs.Workspace
 	body      []byte
+	bodyRead  bool // completely
 	// fingerprint is the same for all exact copies that the caller sends.
 	fingerprint string
 	identities  []crashes.Cause // what copies have in common, the narrowest first
@@ -387,7 +388,7 @@
 	if req.arrivedTooLate() {
 		return req.handBack("the daemon is stopping, and the body has arrived too late")
 	}
-	req.body = body
+	req.body, req.bodyRead = body, true
 	return true
 }
 
@@ -454,10 +455,18 @@
 	if req.forwarder.isDraining() {
 		req.w.Header().Set("Connection", "close")
 	}
+	if !req.bodyRead && req.w.Header().Get("Connection") == "close" {
+		req.limitReading(req.now().Add(unreadBodyTime))
+	}
 	req.writeText(status, cause)
 	return false
 }
 
+// unreadBodyTime is the time after an answer in which the rest of a body may arrive before
+// the connection is closed. net/http has no limit for it, and waits as long as this for
+// callers of longer bodies to read the answer.
+const unreadBodyTime = 500 * time.Millisecond
+
 // minRetryAfter keeps refused callers from retrying immediately.
 const minRetryAfter = 20 * time.Millisecond
 
