Answer refused requests although the rest of their body does not arrive

A request for an unknown route or with an unknown key got no answer until its whole body had arrived, and none at all if it never did: its connection was held for ever, or closed without an answer by a planned stop.

Cause: before an answer that leaves the connection open, net/http reads the rest of the body, up to 256 kB, without any limit. The daemon limits only the bodies that it reads itself.

Fix: the rest of the body has two seconds. Then the answer is sent, and the connection is closed.

--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -455,17 +455,32 @@
 	if req.forwarder.isDraining() {
 		req.w.Header().Set("Connection", "close")
 	}
-	if !req.bodyRead && req.w.Header().Get("Connection") == "close" {
-		req.limitReading(req.now().Add(unreadBodyTime))
+	if !req.bodyRead {
+		req.limitUnreadBody()
 	}
 	req.writeText(status, cause)
 	return false
 }
 
-// unreadBodyTime is the time after an answer in which the rest of a body may arrive before
-// the connection is closed. net/http has no limit for it, and waits as long as this for
-// callers of longer bodies to read the answer.
-const unreadBodyTime = 500 * time.Millisecond
+const (
+	// unreadBodyTime is the time after an answer in which the rest of a body may arrive
+	// before the connection is closed. net/http waits as long as this for callers of longer
+	// bodies to read the answer.
+	unreadBodyTime = 500 * time.Millisecond
+	// restOfBodyTime is the time in which the rest of a body may arrive before the answer to
+	// a refused request, which then leaves the connection open.
+	restOfBodyTime = 2 * time.Second
+)
+
+// limitUnreadBody limits the time for which net/http reads the rest of the body of a refused
+// request. It does so after an answer that closes the connection, and before any other.
+func (req *proxyRequest) limitUnreadBody() {
+	limit := restOfBodyTime
+	if req.w.Header().Get("Connection") == "close" {
+		limit = unreadBodyTime
+	}
+	req.limitReading(req.now().Add(limit))
+}
 
 // minRetryAfter keeps refused callers from retrying immediately.
 const minRetryAfter = 20 * time.Millisecond
--- a/forwards/unread_body_test.go
+++ b/forwards/unread_body_test.go
@@ -44,3 +44,29 @@
 		})
 	}
 }
+
+// Guards against refused requests that get no answer, and hold their connections for ever,
+// since the rest of their bodies never arrives.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	const limit = restOfBodyTime + time.Second
+	for name, test := range map[string]struct {
+		path   string
+		status int
+	}{
+		"no route":    {"/none/", http.StatusNotFound},
+		"unknown key": {"/unsafe/", http.StatusUnauthorized},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newStartedFixture(t)
+			conn := f.dialCaller()
+			fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: unknown\r\nContent-Length: 1000\r\n\r\nsome", test.path)
+			if err := conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
+				t.Fatal(err)
+			}
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil || response.StatusCode != test.status {
+				t.Errorf("got %v with error %v, want status %d", response, err, test.status)
+			}
+		})
+	}
+}
