Send copies of crash reports to new leaders

TestRepeatedCrashingRequestStopsReachingServers once failed with a data race on, beside load, between a handler of callers and a goroutine that the start of a daemon had begun. The rest of its report was not kept, so that this is likely that race, and not shown. A torn slice can end the process.

Cause: the reports that a daemon keeps for later leaders are encoded without a lock, and an answer to one of their requests removes causes from the same runs meanwhile.

Fix: an update has its own list of runs. Their causes are never changed in place.

--- a/dispatchers/evidence.go
+++ b/dispatchers/evidence.go
@@ -43,6 +43,7 @@
 	var updates []JobUpdate
 	for _, k := range e.crashes {
 		r := k.report
+		r.Runs = slices.Clone(r.Runs) // clear changes them while the update is sent
 		r.Age = now.Sub(k.at)
 		updates = append(updates, JobUpdate{Crash: &r})
 	}
