--- a/listeners/connections.go
+++ b/listeners/connections.go
@@ -49,12 +49,12 @@
 }
 
 // endSilent ends the connections that expect no answer, with those that have carried no byte
-// so far if new is set. It returns the number of all that are open.
-func (c *Connections) endSilent(new bool) int {
+// so far if includeNew is set. It returns the number of all that are open.
+func (c *Connections) endSilent(includeNew bool) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn := range c.conns {
-		conn.endSilent(new)
+		conn.endSilent(includeNew)
 	}
 	return len(c.conns)
 }
@@ -124,12 +124,12 @@
 	}
 }
 
-// endSilent makes net/http close the connection if it is idle, or if it is new and new is
-// set, unless a part of a request has been read.
-func (c *connection) endSilent(new bool) {
+// endSilent makes net/http close the connection if it is idle, or if it is new and includeNew
+// is set, unless a part of a request has been read.
+func (c *connection) endSilent(includeNew bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.carries && (c.state == http.StateIdle || c.state == http.StateNew && new) {
+	if !c.carries && (c.state == http.StateIdle || c.state == http.StateNew && includeNew) {
 		c.ended = c.Conn.SetReadDeadline(time.Now()) == nil
 	}
 }
