--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"time"
 
-
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/crashes"
 	"gypsumshelf.example/gypsumshelf/rosters"
