Say that the stop has ended a request which gets no other attempt for it

A request that a backend server had refused in the last 20 ms before the break-off got no other attempt. Its line in the log did not say who had ended it, the counters of the stop left it out, and its caller was told to wait three times as long as for another daemon.

Cause: the reason for no other attempt was known as text only.

Fix: such a request counts as handed back.

--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -524,6 +524,7 @@
 // verdict, and the reason if not. It takes the retry out of the budget.
 func (req *proxyRequest) mayRetry(verdict gypsumshelf.Verdict) (bool, string) {
 	if allowed, reason := req.retryPossible(verdict); !allowed {
+		req.handedBack = reason == stopsReason
 		return false, reason
 	}
 	if !req.spendRetry() {
@@ -538,6 +539,9 @@
 	return req.sentAttempts == 0 || req.forwarder.spendRetry(req.service.Name)
 }
 
+// stopsReason is the reason for no other attempt while the daemon stops.
+const stopsReason = "the daemon stops"
+
 // retryPossible reports whether another attempt is allowed apart from the budget,
 // and the reason if not.
 func (req *proxyRequest) retryPossible(verdict gypsumshelf.Verdict) (bool, string) {
@@ -549,7 +553,7 @@
 	case req.remaining() < minAttemptTime:
 		return false, "the time is over"
 	case req.timeLeft() < minAttemptTime:
-		return false, "the daemon stops"
+		return false, stopsReason
 	case verdict != gypsumshelf.NotRun && !req.route.Idempotent():
 		return false, "the request must not run twice"
 	case req.sentAttempts >= max(1, req.route.MaxAttempts):
