Count silent servers as stalled also by requests that must not run twice

Since the deadline of a request is no longer taken for a failure of its server, a server that answers nothing would have been blamed by repeatable requests only: a service whose requests must not run twice would go on to get them to a silent server.

--- a/forwards/deadline_blame_test.go
+++ b/forwards/deadline_blame_test.go
@@ -32,3 +32,16 @@
 		})
 	}
 }
+
+// Guards against a silent server that goes on to get requests which must not run twice, since
+// only their deadlines end them.
+func TestSilentServerIsBlamedByRequestsThatRunOnce(t *testing.T) {
+	f := newStartedFixture(t, newFakeBackend(t, "p1", "plain", silent))
+	for i := range 4 {
+		id := fmt.Sprint("r", i)
+		f.send("POST", "/unsafe/", "x", "Id", id, "Wait", "400") // the target of the route is 100 ms
+		if line := f.logLines("attempt failed")[id]; line["outcome"] != schedules.Stalled.String() {
+			t.Errorf("the attempt of %s ended as %v, want %v", id, line["outcome"], schedules.Stalled)
+		}
+	}
+}
--- a/forwards/plain.go
+++ b/forwards/plain.go
@@ -93,7 +93,11 @@
 		response, err = a.bufferResponse(req.remaining(), req.responseMemory)
 	}
 	if err != nil {
-		outcome := req.attributed(ctx, a, outcomeOf(ctx, err))
+		outcome := outcomeOf(ctx, err)
+		if outcome == schedules.Cancelled && req.hadNoAnswerInTime(a) {
+			outcome = schedules.Stalled
+		}
+		outcome = req.attributed(ctx, a, outcome)
 		load.end(outcome, a.reply)
 		if outcome == schedules.Lost {
 			req.forwarder.crashChecks.recordLost(req, server, began)
@@ -121,3 +125,11 @@
 	}
 	return time.Duration(targetTimeoutFactor * float64(req.route.Target))
 }
+
+// hadNoAnswerInTime reports whether the deadline of the request has ended an attempt without
+// an answer that had as much time as one that may be repeated. Otherwise a service whose
+// requests must not run twice would never find out that one of its servers is silent.
+func (req *proxyRequest) hadNoAnswerInTime(a *attempt) bool {
+	return a.response == nil && !a.sentAt.IsZero() && req.route.Target > 0 && req.endedBy() == endedByDeadline &&
+		req.now().Sub(a.sentAt) >= time.Duration(targetTimeoutFactor*float64(req.route.Target))
+}
