Serve established connections when a stop reaches its break-off

Callers saw connections reset or closed without an answer, with their requests sent, when a stopping entry daemon still had requests in progress at the break-off, 0.4 s before the end of the grace period.

Cause: Stop calls shutdown with the break-off as its limit. When requests are in progress until then, the limit has passed before shutdown begins, so it began to drain the listener and closed it in the same moment. What had been established and not accepted was reset, and a connection that was accepted and not yet handed to its server was closed. Connections were drained only if no request was in progress.

Fix: if the limit has passed, shutdown leaves the listener to the next call, which has until the connections are closed. The backlog is drained for half of that time at most, so that callers who go on to connect do not use up the time for the answers, and whatever was accepted is handed to its server before the listener counts as closed.

--- a/gateways/callers.go
+++ b/gateways/callers.go
@@ -126,26 +126,44 @@
 }
 
 // shutdown stops accepting and waits until no connection expects an answer or ctx ends.
-// Connections that callers have established are served.
+// Connections that callers have established are served, for half of the time at most while
+// callers establish others. If ctx has ended, another call goes on with that.
 func (s *callerServer) shutdown(ctx context.Context) error {
 	if !s.listener.Drain() {
 		s.listener.Close()
 	}
+	backlog := ctx
+	if end, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		backlog, cancel = context.WithTimeout(ctx, time.Until(end)/2)
+		defer cancel()
+	}
 	select {
 	case <-s.accepted:
-	case <-ctx.Done():
+	case <-backlog.Done():
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
 	}
+	s.stopAccepting()
+	return s.conns.Drain(ctx)
+}
+
+// stopAccepting closes the listener and waits until the servers have taken all connections
+// that were accepted.
+func (s *callerServer) stopAccepting() {
 	s.listener.Close()
+	<-s.accepted
 	s.mu.Lock()
 	s.stopped = true
 	s.current.Close()
 	s.mu.Unlock()
-	s.wg.Wait() // until the servers have taken all connections
-	return s.conns.Drain(ctx)
+	s.wg.Wait()
 }
 
-// close closes the connections that are left after shutdown.
+// close closes the listener and the connections that are left after shutdown.
 func (s *callerServer) close() {
+	s.stopAccepting()
 	s.mu.Lock()
 	servers := s.servers
 	s.mu.Unlock()
