Meet planned stops with callers on idle, new and slow connections in the soak

The soak let any request go that ended without an answer within 200 ms, since its HTTP client cannot tell whether the daemon had read it. That hid requests dropped on kept connections. It had few requests in progress at a stop, none of whose bodies, answers or memory took time, and no second attempts.

Callers now have connections of their own. Where no answer comes, the kernel tells whether the daemon has read the request: its close acknowledges all, and it resets the connection otherwise. Read in whole and without a whole answer is a violation unless work was broken off late, by the bounds of the stated rules.

New while stops are planned only: callers that send right before and after the signal and until the process is gone, on kept and new connections; volleys on idle connections at the moments at which a daemon closes them; bodies sent and answers read slowly; prompts spread over engines, with memory reservations; rejected first attempts; the leader stopped at the same time in half of the stops of control daemons. A census tells how the requests that met a stop have ended.

--- a/cmd/gypsumshelf/soak.go
+++ b/cmd/gypsumshelf/soak.go
@@ -42,6 +42,9 @@
 					return err
 				}
 				fmt.Fprintf(cmd.OutOrStdout(), "seed %d: %d requests, %d served, %d violations\n", seed+i, result.Sent, result.Served, len(result.Violations))
+				for _, line := range result.Census {
+					fmt.Fprintf(cmd.OutOrStdout(), "  stops: %s\n", line)
+				}
 				for _, violation := range result.Violations {
 					fmt.Fprintf(cmd.OutOrStdout(), "  %s\n", violation)
 				}
--- a/soaks/checker.go
+++ b/soaks/checker.go
@@ -74,7 +74,7 @@
 	}
 	c.served++
 	if r.Body != r.WantBody || r.RequestID != id || !r.FromBackendServer {
-		c.addViolation(fmt.Sprintf("request %s got body %q, want %q, with request ID %q", id, r.Body, r.WantBody, r.RequestID))
+		c.addViolation(fmt.Sprintf("request %s got body %.80q, want %.80q, with request ID %q", id, r.Body, r.WantBody, r.RequestID))
 	}
 }
 
@@ -97,11 +97,12 @@
 
 // CheckRuns checks how often backend servers ran each request that must not run
 // twice: at most once, and not at all when it was refused with status 503. total
-// maps request IDs to numbers of runs.
-func (c *Checker) CheckRuns(total map[string]int) {
+// maps request IDs to their runs.
+func (c *Checker) CheckRuns(total map[string]Run) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id, n := range total {
+	for id, run := range total {
+		n := run.Count
 		if c.atMostOnce[id] && n > 1 {
 			c.addViolation(fmt.Sprintf("request %s ran %d times, want at most once", id, n))
 		}
--- a/soaks/deployment.go
+++ b/soaks/deployment.go
@@ -36,10 +36,11 @@
 
 // Deployment is a set of hosts on loopback addresses. The control daemons come first.
 type Deployment struct {
-	cfg   DeploymentConfig
-	block *Block
-	hosts []*Host
-	stops plannedStops
+	cfg    DeploymentConfig
+	block  *Block
+	hosts  []*Host
+	stops  plannedStops
+	census census
 	// limitRand draws limits of processes.
 	limitRand *rand.Rand
 }
@@ -204,6 +205,24 @@
 	}
 }
 
+// CheckVotes checks that every control daemon takes part in the replicated log again: a
+// change, put with the next version, is acknowledged while no more than a majority of them
+// runs, for majorities that include all of them in turn.
+func (d *Deployment) CheckVotes(version uint64, limit time.Duration, put func(version uint64) error) {
+	for end := time.Now().Add(limit); !d.HaveVotes(); time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(end) {
+			d.cfg.Checker.Violationf("not all control daemons were voters %v after the last fault", limit)
+			return
+		}
+	}
+	d.WithMajorities(func(first *Host, majority int) {
+		version++
+		if err := put(version); err != nil {
+			d.cfg.Checker.Violationf("no change was acknowledged with %d control daemons from %s on: %v", majority, first.Name(), err)
+		}
+	})
+}
+
 // Metric reads a metric without labels from the daemon.
 func (h *Host) Metric(name string) (float64, error) {
 	client := &http.Client{Timeout: metricsTimeout}
--- a/soaks/runs.go
+++ b/soaks/runs.go
@@ -6,45 +6,74 @@
 	"time"
 )
 
-// Runs records the work of a fake backend server by request ID. The zero value is ready to
+// Run is the work of backend servers on one request.
+type Run struct {
+	Count    int
+	Begun    time.Time // begin of the first run
+	Answered time.Time // first event of the first run, zero if there was none
+	Until    time.Time // end of the last run
+	active   int
+}
+
+// Runs records the work of fake backend servers by request ID. The zero value is ready to
 // use.
 type Runs struct {
-	mu    sync.Mutex
-	count map[string]int
-	until map[string]time.Time // end of the last run, zero while it lasts
+	mu   sync.Mutex
+	runs map[string]Run
 }
 
-// Begin records the start of a run.
-func (r *Runs) Begin(id string) {
+func (r *Runs) change(id string, change func(*Run)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.count == nil {
-		r.count, r.until = map[string]int{}, map[string]time.Time{}
+	if r.runs == nil {
+		r.runs = map[string]Run{}
 	}
-	r.count[id]++
-	r.until[id] = time.Time{}
+	run := r.runs[id]
+	change(&run)
+	r.runs[id] = run
+}
+
+// Begin records the start of a run.
+func (r *Runs) Begin(id string) {
+	r.change(id, func(run *Run) {
+		if run.Count++; run.Count == 1 {
+			run.Begun = time.Now()
+		}
+		run.active++
+	})
+}
+
+// Answer records an event of a run.
+func (r *Runs) Answer(id string) {
+	r.change(id, func(run *Run) {
+		if run.Answered.IsZero() {
+			run.Answered = time.Now()
+		}
+	})
 }
 
 // End records the end of a run.
 func (r *Runs) End(id string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.until[id] = time.Now()
+	r.change(id, func(run *Run) {
+		run.active--
+		run.Until = time.Now()
+	})
 }
 
-// Of returns how often a request ran, and until when the last run lasted.
-func (r *Runs) Of(id string) (n int, until time.Time) {
+// Of returns the work on a request. A run that lasts ends now.
+func (r *Runs) Of(id string) Run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if n, until = r.count[id], r.until[id]; n > 0 && until.IsZero() {
-		until = time.Now()
+	run := r.runs[id]
+	if run.active > 0 {
+		run.Until = time.Now()
 	}
-	return n, until
+	return run
 }
 
-// Counts returns how often each request ran.
-func (r *Runs) Counts() map[string]int {
+// All returns the work on all requests.
+func (r *Runs) All() map[string]Run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return maps.Clone(r.count)
+	return maps.Clone(r.runs)
 }
