--- a/forwards/drain.go
+++ b/forwards/drain.go
@@ -6,15 +6,11 @@
 	"time"
 )
 
-const (
-	// stoppingRetryAfter is the time that a new connection takes to reach another daemon.
-	stoppingRetryAfter = 50 * time.Millisecond
-	// handBackReserve is the time before the end of a drain at which requests that have
-	// not reached a backend server are handed back, if the scheduler has not done so. It
-	// is above the half second for which net/http waits for a caller to read the answer
-	// to a request whose body it has not read.
-	handBackReserve = 700 * time.Millisecond
-)
+// handBackReserve is the time before the end of a drain at which requests that have not
+// reached a backend server are handed back, if the scheduler has not done so. It is above
+// the half second for which net/http waits for a caller to read the answer to a request
+// whose body it has not read.
+const handBackReserve = 700 * time.Millisecond
 
 // errStopsFirst is returned for an attempt that was not sent, since the daemon stops before
 // it could bring an answer.
@@ -26,6 +22,17 @@
 	BreakOff    time.Time // EndRequests is called then
 }
 
+// handBack returns when requests are handed back that have not reached a backend server.
+// Where a short grace period leaves less than handBackReserve after AcceptUntil, that is when
+// they are no longer accepted.
+func (p *DrainPlan) handBack() time.Time {
+	early := p.BreakOff.Add(-handBackReserve)
+	if p.AcceptUntil.After(early) && p.AcceptUntil.Before(p.BreakOff) {
+		return p.AcceptUntil
+	}
+	return early
+}
+
 // Drain makes each later response close its connection, and keeps requests from beginning
 // what cannot end before BreakOff.
 func (f *Forwarder) Drain(p DrainPlan) {
@@ -73,7 +80,40 @@
 	if !req.deadline.After(p.BreakOff) {
 		return req.deadline
 	}
-	return p.BreakOff.Add(-handBackReserve)
+	return p.handBack()
+}
+
+// waitUntil returns the time until which the request may wait for a backend server.
+func (req *proxyRequest) waitUntil() time.Time {
+	if req.forwarder.isDraining() {
+		return req.handBackTime()
+	}
+	return req.deadline
+}
+
+// sleep waits for a time before the request is sent. While the daemon stops, it returns
+// errStopsFirst at once if the wait would end too late.
+func (req *proxyRequest) sleep(ctx context.Context, wait time.Duration) error {
+	if wait <= 0 {
+		return context.Cause(ctx)
+	}
+	end := req.now().Add(wait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	drain := req.forwarder.drainBegun.Done()
+	for {
+		select {
+		case <-timer.C:
+			return nil
+		case <-drain:
+			drain = nil
+			if limit := req.handBackTime(); limit.Before(req.deadline) && end.After(limit) {
+				return errStopsFirst
+			}
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
 }
 
 // arrivedTooLate reports whether a request whose header or body has just arrived is to be
--- a/forwards/stop_ends_test.go
+++ b/forwards/stop_ends_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -102,9 +103,12 @@
 func TestAnswerCutByAStop(t *testing.T) {
 	f := newStartedFixture(t, newFakeBackend(t, "p1", "plain", respondWith(http.StatusOK, strings.Repeat("x", 16<<20))))
 	conn := f.dialCaller()
-	fmt.Fprint(conn, "POST /safe/ HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: k\r\nContent-Length: 1\r\n\r\nx")
-	time.Sleep(500 * time.Millisecond) // the answer waits for the caller
-	f.forwarder.EndRequests()
+	// The target of the route does not limit the wait for the answer to an unsafe request.
+	fmt.Fprint(conn, "POST /unsafe/ HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: k\r\nContent-Length: 1\r\n\r\nx")
+	if _, err := bufio.NewReader(conn).Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	f.forwarder.EndRequests() // the rest of the answer waits for the caller
 	time.Sleep(100 * time.Millisecond)
 	f.server.CloseClientConnections()
 	f.server.Close() // waits for the end of the request
@@ -172,3 +176,163 @@
 		writeChunk(conn, fmt.Sprintf("id: %d\ndata: x\n\n", i))
 	}
 }
+
+// secondLaterPlacer places the first job at once and the second one after a time. It hands
+// all others back, as a scheduler does that predicts no end before the stop.
+type secondLaterPlacer struct {
+	*fakePlacer
+	after time.Duration
+	jobs  atomic.Int64
+}
+
+func (p *secondLaterPlacer) Place(ctx context.Context, job schedules.Job) (schedules.Decision, error) {
+	switch p.jobs.Add(1) {
+	case 1:
+	case 2:
+		time.Sleep(p.after)
+	default:
+		return schedules.Decision{Job: job.ID, Reason: "the daemon stops before the request could end", HandedBack: true}, nil
+	}
+	return p.fakePlacer.Place(ctx, job)
+}
+
+// Guards against a stream that is cut well before the stop of its daemon, although its engine
+// only pauses: it is given up for another engine, which fails, and no third one is found.
+func TestPausingStreamIsKeptWhenAnotherEngineFails(t *testing.T) {
+	reject := func(_ *http.Request, _ string, conn net.Conn) {
+		fmt.Fprint(conn, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	}
+	for _, c := range []struct {
+		name          string
+		events        int // before the pause
+		other         func(*http.Request, string, net.Conn)
+		beginsAfter   time.Duration // the stop
+		secondDecided time.Duration // after the silence was noticed
+	}{
+		{name: "no event, the other refuses", other: reject},
+		{name: "two events, the other refuses", events: 2, other: reject},
+		{name: "two events, the other resets", events: 2, other: func(_ *http.Request, _ string, conn net.Conn) { resetConnection(conn) }},
+		{name: "the stop begins while another engine is sought", events: 2, other: reject, beginsAfter: minSilence + 300*time.Millisecond, secondDecided: 600 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first := newFakeBackend(t, "e1", "engines", func(r *http.Request, _ string, conn net.Conn) {
+				if c.events > 0 {
+					writeEvents(r, conn, 1, c.events)
+				}
+				time.Sleep(2500 * time.Millisecond)
+				if c.events == 0 {
+					fmt.Fprint(conn, responseHeader(r, http.StatusOK, "Transfer-Encoding: chunked\r\n"))
+				}
+				for i := c.events + 1; i <= 4; i++ {
+					writeChunk(conn, fmt.Sprintf("id: %d\ndata: x\n\n", i))
+				}
+				endChunkedBody(conn)
+			})
+			other := newFakeBackend(t, "e2", "engines", c.other)
+			f := newStartedFixture(t, first, other)
+			f.forwarder.cfg.Placer = &secondLaterPlacer{fakePlacer: f.placer, after: c.secondDecided}
+			time.AfterFunc(c.beginsAfter, func() { f.drainFor(5 * time.Second) })
+			assertAnswer(t, f.send("POST", "/stream/", "x"), http.StatusOK, eventText(1, 4))
+			assertCount(t, other, 0)
+		})
+	}
+}
+
+// Guards against a stream that waits for the whole drain for an engine that is dead, while
+// another one could go on with it.
+func TestStreamOfADeadEngineIsTakenOverDuringAStop(t *testing.T) {
+	hang := func(r *http.Request, _ string, conn net.Conn) { writeEvents(r, conn, 1, 2) }
+	p := newMemoryProtocol()
+	p.report = func() error { return errNoReport }
+	f := newFixtureWith(t, p, newFakeBackend(t, "e1", "engines", hang), newFakeBackend(t, "e2", "engines", resumeAfterLastEvent(4)))
+	f.forwarder.SetCatalog(newCatalog(t))
+	f.forwarder.cfg.MemoryBound = 2 * time.Second
+	f.drainFor(10 * time.Second)
+	assertAnswer(t, f.send("POST", "/stream/", "x"), http.StatusOK, eventText(1, 4))
+}
+
+// Guards against requests that wait for a plain server until the daemon breaks off, although
+// it knew from the begin of the stop that they would not be sent before, and against those
+// that are handed back although they can be served.
+func TestStopHandsBackWhatWaitsForAPlainServer(t *testing.T) {
+	const (
+		breakOff = handBackReserve + 1300*time.Millisecond
+		atOnce   = 500 * time.Millisecond // allows for a busy machine
+	)
+	for _, c := range []struct {
+		name         string
+		wait         time.Duration // until the server has room
+		breakOff     time.Duration // after the begin of the stop
+		noServer     bool
+		wantStatus   int
+		wantAnswered time.Duration // after the begin of the stop, at most
+	}{
+		{name: "room after the stop", wait: 3 * time.Second, breakOff: breakOff, wantStatus: http.StatusServiceUnavailable, wantAnswered: atOnce},
+		{name: "room before the stop, without time for an answer", wait: breakOff, breakOff: breakOff, wantStatus: http.StatusServiceUnavailable, wantAnswered: atOnce},
+		{name: "room in time", wait: time.Second, breakOff: breakOff, wantStatus: http.StatusOK, wantAnswered: breakOff},
+		{name: "no server is known", noServer: true, breakOff: handBackReserve, wantStatus: http.StatusServiceUnavailable, wantAnswered: announcementWait / 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var servers []*fakeBackend
+			if !c.noServer {
+				servers = append(servers, newFakeBackend(t, "p1", "plain", respondWithLimit(http.StatusOK, "1", "")))
+			}
+			f := newStartedFixture(t, servers...)
+			f.forwarder.cfg.Limits = &fakeLimits{admission: schedules.Admission{Server: "p1", Wait: c.wait}}
+			if !c.noServer {
+				f.send("POST", "/safe/", "x", "Id", "names-the-limit")
+			}
+			begun := make(chan time.Time, 1)
+			time.AfterFunc(200*time.Millisecond, func() {
+				begun <- time.Now()
+				f.drainFor(c.breakOff)
+				time.AfterFunc(c.breakOff, f.forwarder.EndRequests)
+			})
+			answer := f.send("POST", "/safe/", "x")
+			assertAnswer(t, answer, c.wantStatus, "")
+			if took := time.Since(<-begun); took > c.wantAnswered {
+				t.Errorf("answered %v after the begin of the stop, want at most %v", took, c.wantAnswered)
+			}
+			if c.wantStatus == http.StatusOK {
+				return
+			}
+			if retry := answer.header.Get("Retry-After"); retry != "0.050" {
+				t.Errorf("Retry-After is %q, want the time of a new connection", retry)
+			}
+			if !c.noServer {
+				assertCount(t, servers[0], 1)
+			}
+			f.assertEndedByStop("r1", outcomeRefused, phaseWaiting)
+		})
+	}
+}
+
+// Guards against causes that name the stop twice.
+func TestCauseOfAnAttemptEndedByAStop(t *testing.T) {
+	for path, service := range map[string]string{"/stream/": "engines", "/unsafe/": "plain"} {
+		t.Run(service, func(t *testing.T) {
+			f := newStartedFixture(t, newFakeBackend(t, "s1", service, func(*http.Request, string, net.Conn) {}))
+			time.AfterFunc(300*time.Millisecond, f.forwarder.EndRequests)
+			assertAnswer(t, f.send("POST", path, "x"), http.StatusBadGateway, "")
+			f.server.Close() // waits for the end of the request
+			if cause := fmt.Sprint(f.logLines("request ended")["r1"]["cause"]); strings.Count(cause, errStopped.Error()) != 1 {
+				t.Errorf("the cause is %q, want %q once", cause, errStopped.Error())
+			}
+		})
+	}
+}
+
+// Guards against requests that a daemon with a short grace period refuses while it still
+// accepts requests.
+func TestShortGracePeriodLeavesTimeToServe(t *testing.T) {
+	const acceptUntil, breakOff = 500 * time.Millisecond, 875 * time.Millisecond // for a grace period of 1 s
+	for _, path := range []string{"/stream/", "/safe/"} {
+		t.Run(path, func(t *testing.T) {
+			f := newStartedFixture(t, newFakeBackend(t, "e1", "engines", resumeAfterLastEvent(2)), newFakeBackend(t, "p1", "plain", respondWith(http.StatusOK, "ok")))
+			now := time.Now()
+			f.forwarder.Drain(DrainPlan{AcceptUntil: now.Add(acceptUntil), BreakOff: now.Add(breakOff)})
+			time.Sleep(breakOff - handBackReserve)
+			assertAnswer(t, f.send("POST", path, "x"), http.StatusOK, "")
+		})
+	}
+}
