--- a/daemons/stop.go
+++ b/daemons/stop.go
@@ -21,10 +21,10 @@
 const handOverTimeout = time.Second
 
 // Shutdown stops the daemon gracefully. It accepts no new requests, refuses those that wait
-// and have not run, and returns nil once every request in progress has ended, its outcome is recorded and its
-// remaining attempts were sent a cancellation. Requests end by their deadlines
-// at the latest. If ctx ends first, Shutdown returns an error, and Interrupt ends the
-// requests that are left.
+// and have not run, and returns nil once every request in progress has ended, its outcome is
+// recorded and its remaining attempts were sent a cancellation. Requests end by their
+// deadlines at the latest. If ctx ends first, Shutdown returns an error, and Interrupt ends
+// the requests that are left.
 func (d *Daemon) Shutdown(ctx context.Context) error {
 	d.loop.Submit(attempts.Stop{})
 	ticker := time.NewTicker(stopPollInterval)
