Read long answers in the soak in the time that the caller states

Cause: a slow caller slept a fixed time after each sixteenth, so that a starved machine made it slower than stated, until after the end of the grace period. The daemon had the answers and wrote them until it closed all connections; that is as designed.

Fix: the caller sleeps until each sixteenth is due.

--- a/soaks/wire.go
+++ b/soaks/wire.go
@@ -95,7 +95,7 @@
 		return Answer{Err: err, Arrived: s.arrived, Read: s.written && w.state() == wireState{tcpCloseWait, 0}}
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(&slowReader{reader: resp.Body, delay: pace.Read / slowPieces, size: SlowAnswerSize / slowPieces})
+	data, err := io.ReadAll(&slowReader{reader: resp.Body, begin: time.Now(), time: pace.Read})
 	return Answer{Response: resp, Body: data, Err: err, Arrived: true, Read: true}
 }
 
@@ -173,19 +173,20 @@
 	}
 }
 
-// slowReader waits after each size bytes.
+// slowReader reads SlowAnswerSize in a time. A caller that is starved does not take longer
+// than that for its own slowness.
 type slowReader struct {
-	reader     io.Reader
-	delay      time.Duration
-	size, read int
+	reader io.Reader
+	begin  time.Time
+	time   time.Duration
+	read   int
 }
 
 // Read implements io.Reader.
 func (r *slowReader) Read(p []byte) (int, error) {
 	n, err := r.reader.Read(p)
-	if r.read += n; r.read >= r.size {
-		r.read -= r.size
-		time.Sleep(r.delay)
-	}
+	r.read += n
+	pieces := r.read / (SlowAnswerSize / slowPieces)
+	time.Sleep(time.Until(r.begin.Add(r.time * time.Duration(pieces) / slowPieces)))
 	return n, err
 }
