Check that a drain ends by itself, not how long it takes on a busy machine

Seen: TestDrainClosesSilentConnections, once beside a load of about 30: the drain took 620 ms. The bound, half of callDrainTimeout, came from no stated target; it was to tell a drain that ends from one that its limit ends.

The drain of the connections now has 10 s and must return no error, which it does only when all are closed before its limit. A silent connection that is waited for fails it on any machine.

--- a/listeners/drain_test.go
+++ b/listeners/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -154,12 +155,13 @@
 	f.assertAnswered(idle)
 	f.dial() // and sends nothing
 	time.Sleep(30 * time.Millisecond)
-	begin := time.Now()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	if err := f.servers.conns.Drain(ctx); err != nil {
+		t.Errorf("the drain waits for silent connections: %v", err)
+	}
 	f.drain()
 	<-f.drained
-	if took := time.Since(begin); took > callDrainTimeout/2 {
-		t.Errorf("the drain took %v", took)
-	}
 	if _, err := net.Dial("tcp", f.listener.Addr().String()); err == nil {
 		t.Error("a connection is accepted after the drain")
 	}
