--- a/soaks/wire.go
+++ b/soaks/wire.go
@@ -15,7 +15,8 @@
 	// slowPieces is the number of pieces in which a slow caller sends a body, and in which
 	// it reads an answer of SlowAnswerSize.
 	slowPieces = 16
-	// SlowAnswerSize is the number of bytes of a long answer: more than the buffers between a daemon and a slow caller hold.
+	// SlowAnswerSize is the number of bytes of a long answer: more than the buffers between a
+	// daemon and a slow caller hold.
 	SlowAnswerSize = 8 << 20
 	// slowReadBuffer is the size of the receive buffer of a slow caller.
 	slowReadBuffer = 32 << 10
