Avoid paths between data centres that lose packets

Entry daemons find stalls in the arrivals of their streams, the scheduler judges the path between two data centres by them and prefers engines over sound ones. Calls for placements are repeated over a second connection, since one lost packet holds up all calls to the leader.

--- a/dispatchers/client.go
+++ b/dispatchers/client.go
@@ -6,6 +6,7 @@
 	"net/rpc"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -74,7 +75,8 @@
 	stop        chan struct{}
 	wg          sync.WaitGroup
 
-	handOverMu sync.Mutex // held while jobs are handed over
+	stalls     atomic.Uint64 // on streams from other data centres
+	handOverMu sync.Mutex    // held while jobs are handed over
 
 	mu             sync.Mutex
 	leader         string
@@ -83,7 +85,9 @@
 	informedLeader string    // leader that the active jobs were handed over to
 	jobs           map[schedules.JobID]*activeJob
 	evidence       evidence
+	samples        pendingSamples
 	limits         knownLimits
+	backup         backup
 	stopAt         time.Time // when this daemon breaks off its requests, zero if it does not stop
 }
 
@@ -101,6 +105,7 @@
 func (c *Client) Close() {
 	close(c.stop)
 	c.wg.Wait()
+	c.backup.close()
 }
 
 // SetLeader sets the leader that a control daemon reported. Reports of an older
@@ -177,6 +182,7 @@
 	known := append(c.evidence.updates(time.Now()), c.limits.updates(time.Now())...)
 	c.mu.Unlock()
 	known = append(known, c.stopUpdates()...)
+	known = append(known, c.pathUpdates()...)
 	err := peers.Call(client, ServiceName+".Adopt", jobs, &struct{}{}, placeTimeout)
 	if err == nil && len(known) > 0 {
 		err = peers.Call(client, ServiceName+".Tell", known, &struct{}{}, placeTimeout)
@@ -282,8 +288,8 @@
 // and places better than the local scheduler. An error means that the leader
 // has lost the job or is not reachable any more.
 func (c *Client) placeAtLeader(ctx context.Context, client *rpc.Client, leader string, job schedules.Job) (*schedules.Decision, error) {
-	reply := &Reply{}
-	if err := peers.Call(client, ServiceName+".Place", job, reply, answerTimeout(job)); err != nil {
+	reply, err := c.callPlace(client, leader, job)
+	if err != nil {
 		return nil, err
 	}
 	lastAnswer := time.Now()
--- a/dispatchers/dispatcher.go
+++ b/dispatchers/dispatcher.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -67,11 +68,12 @@
 
 // Config configures a Dispatcher.
 type Config struct {
-	Daemon   gypsumshelf.DaemonID // selects the engines that a local scheduler uses
-	Log      *logrus.Entry
-	Reporter Reporter // nil if engines are not polled
-	Local    bool     // one of several schedulers that do not know of each other's jobs
-	Policy   schedules.Policy
+	DataCentre string               // of the daemon
+	Daemon     gypsumshelf.DaemonID // selects the engines that a local scheduler uses
+	Log        *logrus.Entry
+	Reporter   Reporter // nil if engines are not polled
+	Local      bool     // one of several schedulers that do not know of each other's jobs
+	Policy     schedules.Policy
 	// HandleQuarantines is called with what this scheduler finds to crash backend
 	// servers, and must not block; nil if nothing is to be done.
 	HandleQuarantines func([]crashes.Quarantine)
@@ -104,11 +106,12 @@
 	quarantines     []crashes.Quarantine                 // in force for all daemons
 	lifts           []crashes.Lift                       // of quarantines
 	lastJobAt       time.Time
+	ended           map[schedules.JobID]time.Time // jobs that ended lately, if placements may be requested twice
 }
 
 // New returns an inactive Dispatcher.
 func New(cfg Config) *Dispatcher {
-	d := &Dispatcher{cfg: cfg, localSchedulers: minLocalSchedulers, pending: map[schedules.JobID]*pendingDecision{}, reportsInFlight: map[gypsumshelf.ServerID]bool{}}
+	d := &Dispatcher{cfg: cfg, localSchedulers: minLocalSchedulers, pending: map[schedules.JobID]*pendingDecision{}, reportsInFlight: map[gypsumshelf.ServerID]bool{}, ended: map[schedules.JobID]time.Time{}}
 	d.scheduler = d.newScheduler()
 	cfg.Timers.Subscribe(tickPeriod, d.tick)
 	if cfg.Reporter != nil {
@@ -126,9 +129,9 @@
 
 func (d *Dispatcher) newScheduler() *schedules.Scheduler {
 	if !d.cfg.Local {
-		return schedules.New(schedules.Config{Policy: d.cfg.Policy})
+		return schedules.New(schedules.Config{DataCentre: d.cfg.DataCentre, Policy: d.cfg.Policy})
 	}
-	return schedules.New(schedules.Config{Policy: d.cfg.Policy, ColdShare: 1 / float64(d.localSchedulers), QuarantineTime: localQuarantineTime})
+	return schedules.New(schedules.Config{DataCentre: d.cfg.DataCentre, Policy: d.cfg.Policy, ColdShare: 1 / float64(d.localSchedulers), QuarantineTime: localQuarantineTime})
 }
 
 // SetLocalSchedulers sets the number of local schedulers. It takes effect for
@@ -202,6 +205,9 @@
 		return nil, ErrInactive
 	}
 	now := d.cfg.Timers.Now()
+	if decision, repeated, err := d.repeatedPlace(now, job.ID); repeated {
+		return decision, err
+	}
 	if d.cfg.Local && d.cfg.Reporter != nil && now.Sub(d.lastJobAt) > reportIdleTimeout {
 		d.pollEngines(maxReportsInFlight) // the last load reports are outdated
 	}
@@ -246,6 +252,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.pending, id)
+	if d.judgesPaths() {
+		d.ended[id] = d.cfg.Timers.Now()
+	}
 	if d.active {
 		d.deliver(d.scheduler.End(d.cfg.Timers.Now(), id, outcome, blamed))
 	}
@@ -326,10 +335,12 @@
 			delete(d.pending, id)
 		}
 	}
+	maps.DeleteFunc(d.ended, func(_ schedules.JobID, at time.Time) bool { return now.Sub(at) > endedTTL })
 	if !d.active {
 		return
 	}
 	d.deliver(d.scheduler.Tick(now))
+	d.logPathChanges()
 	if found := d.scheduler.TakeQuarantines(); len(found) > 0 && d.cfg.HandleQuarantines != nil {
 		d.cfg.HandleQuarantines(found)
 	}
--- /dev/null
+++ b/dispatchers/hedge.go
@@ -0,0 +1,163 @@
+package dispatchers
+
+import (
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf/peers"
+	"gypsumshelf.example/gypsumshelf/schedules"
+)
+
+const (
+	// hedgeDelay is the time without an answer after which a placement is requested a
+	// second time, over another connection. It is several round trips between data
+	// centres, and a fraction of the 200 ms after which a lost packet is sent again.
+	hedgeDelay = 40 * time.Millisecond
+	// backupDialTimeout bounds the attempts to open the second connection.
+	backupDialTimeout = 500 * time.Millisecond
+)
+
+// backup is a second connection to the leader. A lost packet delays all calls on its
+// connection, but none on another one. It is opened at the first call that takes long.
+type backup struct {
+	mu      sync.Mutex
+	address string
+	client  *rpc.Client
+	dialing bool
+}
+
+// get returns the connection to a leader. If there is none, it returns nil and begins to
+// open one.
+func (b *backup) get(address string) *rpc.Client {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.address != address && b.client != nil {
+		b.client.Close()
+		b.client = nil
+	}
+	b.address = address
+	if b.client == nil && !b.dialing {
+		b.dialing = true
+		go (&backupDial{backup: b, address: address}).run()
+	}
+	return b.client
+}
+
+// drop closes a connection that has failed.
+func (b *backup) drop(client *rpc.Client) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.client == client {
+		b.client.Close()
+		b.client = nil
+	}
+}
+
+// close closes the connection.
+func (b *backup) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.client != nil {
+		b.client.Close()
+		b.client = nil
+	}
+	b.dialing = true // opens no other one
+}
+
+// backupDial opens the second connection to a leader.
+type backupDial struct {
+	backup  *backup
+	address string
+}
+
+func (d *backupDial) run() {
+	conn, err := net.DialTimeout("tcp", d.address, backupDialTimeout)
+	b := d.backup
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.dialing = false
+	switch {
+	case err != nil: // the next slow call tries again
+	case b.address != d.address:
+		conn.Close()
+	default:
+		b.client = rpc.NewClient(conn)
+	}
+}
+
+// placeCall is one of the calls that request the same placement.
+type placeCall struct {
+	client  *rpc.Client
+	job     schedules.Job
+	timeout time.Duration
+	results chan placeCallResult
+	first   bool
+}
+
+type placeCallResult struct {
+	reply *Reply
+	err   error
+	call  *placeCall
+}
+
+func (p *placeCall) run() {
+	reply := &Reply{}
+	err := peers.Call(p.client, ServiceName+".Place", p.job, reply, p.timeout)
+	p.results <- placeCallResult{reply: reply, err: err, call: p}
+}
+
+// callPlace requests a placement from the leader. Where paths are judged, the call is
+// repeated over a second connection if it takes long: the leader gives the same answer to
+// both. It answers loads of short prompts while links lose packets.
+func (c *Client) callPlace(client *rpc.Client, leader string, job schedules.Job) (*Reply, error) {
+	timeout := answerTimeout(job)
+	if !c.cfg.Local.judgesPaths() {
+		reply := &Reply{}
+		return reply, peers.Call(client, ServiceName+".Place", job, reply, timeout)
+	}
+	results := make(chan placeCallResult, 2)
+	go (&placeCall{client: client, job: job, timeout: timeout, results: results, first: true}).run()
+	hedge := time.NewTimer(hedgeDelay)
+	defer hedge.Stop()
+	for pending := 1; ; {
+		select {
+		case <-hedge.C:
+			if second := c.backup.get(leader); second != nil {
+				pending++
+				go (&placeCall{client: second, job: job, timeout: timeout - hedgeDelay, results: results}).run()
+			}
+		case result := <-results:
+			pending--
+			if result.err != nil && !result.call.first {
+				c.backup.drop(result.call.client)
+			}
+			if result.err == nil || pending == 0 {
+				c.cfg.Local.MergePaths(job.DataCentre, result.reply.Paths)
+				return result.reply, result.err
+			}
+		}
+	}
+}
+
+// endedTTL is the time for which a repeated call for a job that has ended is recognised. A
+// call on a connection that loses packets may arrive seconds late.
+const endedTTL = 5 * time.Second
+
+var errRepeated = errors.New("the job was placed or has ended already")
+
+// repeatedPlace answers a call for a job whose placement was requested before; mu is held.
+func (d *Dispatcher) repeatedPlace(now time.Time, id schedules.JobID) (decision *schedules.Decision, repeated bool, err error) {
+	if !d.judgesPaths() {
+		return nil, false, nil
+	}
+	if w := d.pending[id]; w != nil {
+		return w.decision, true, nil
+	}
+	if at, ok := d.ended[id]; ok && now.Sub(at) <= endedTTL || d.scheduler.HasJob(id) {
+		return nil, true, errRepeated
+	}
+	return nil, false, nil
+}
--- a/dispatchers/service.go
+++ b/dispatchers/service.go
@@ -7,6 +7,7 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/crashes"
 	"gypsumshelf.example/gypsumshelf/faults"
+	"gypsumshelf.example/gypsumshelf/paths"
 	"gypsumshelf.example/gypsumshelf/schedules"
 )
 
@@ -19,7 +20,10 @@
 const maxAwait = 300 * time.Millisecond
 
 // Reply carries a decision, or nil while the job waits.
-type Reply struct{ Decision *schedules.Decision }
+type Reply struct {
+	Decision *schedules.Decision
+	Paths    []paths.Report // in the answer to Place: those of the job's data centre that are not sound
+}
 
 // JobUpdate reports the first event or the end of a job. Instead of a job, it may carry
 // a crash, the causes of a request that was answered without a job, or what an answer
@@ -32,7 +36,8 @@
 	Crash     *crashes.Report
 	Completed []crashes.Cause
 	Limit     *schedules.ServerLimit
-	Stop      *DaemonStop // of the entry daemon that sends the update
+	Stop      *DaemonStop    // of the entry daemon that sends the update
+	Paths     []paths.Sample // evidence about paths
 }
 
 // DaemonStop says that an entry daemon breaks off its requests for a planned stop.
@@ -50,6 +55,8 @@
 		d.RecordCompleted(u.Completed)
 	case u.Limit != nil:
 		d.RecordLimit(*u.Limit)
+	case u.Paths != nil:
+		d.RecordPaths(u.Paths)
 	case u.Stop != nil:
 		d.StopDaemon(*u.Stop)
 	case u.Started:
@@ -76,6 +83,7 @@
 func (s *Service) Place(job schedules.Job, reply *Reply) (err error) {
 	defer faults.Recover(s.dispatcher.cfg.Log, ServiceName+".Place", &err)
 	reply.Decision, err = s.dispatcher.Place(job)
+	reply.Paths = s.dispatcher.PathReports(job.DataCentre)
 	return err
 }
 
--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -243,7 +243,7 @@
 	if err != nil {
 		return err
 	}
-	reader := newResponseReader(req, a, out)
+	reader := newResponseReader(req, a, out, e.startedAt.Add(e.placement.First))
 	defer reader.close()
 	return e.relayStream(ctx, reader)
 }
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -57,6 +57,7 @@
 	Crashes    CrashReporter // nil if nothing is to be reported
 	Limits     LimitKeeper   // nil if backend servers name no limits
 	Leaves     LeaveReporter // nil if nobody is to be told
+	Paths      PathRecorder  // nil if paths are not judged
 	Retries    RetryBudget
 	BodyBudget int64 // memory for the bodies of requests and responses in bytes, 0 for no limit
 	// MemoryBound is the time within which engine memory reserved for a request must
--- a/forwards/stream.go
+++ b/forwards/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net/http"
+	"time"
 
 	"gypsumshelf.example/gypsumshelf/catalogs"
 	"gypsumshelf.example/gypsumshelf/faults"
@@ -23,14 +24,16 @@
 	request  *proxyRequest
 	attempt  *attempt
 	outgoing *outgoingRequest
+	path     *pathMeter // nil if the path is not judged
 	parts    chan responsePart
 	stop     chan struct{}
 	done     chan struct{}
 }
 
-// newResponseReader returns a responseReader that is already reading.
-func newResponseReader(req *proxyRequest, a *attempt, out *outgoingRequest) *responseReader {
-	reader := &responseReader{request: req, attempt: a, outgoing: out, parts: make(chan responsePart), stop: make(chan struct{}), done: make(chan struct{})}
+// newResponseReader returns a responseReader that is already reading. first is the time at
+// which the first event is expected.
+func newResponseReader(req *proxyRequest, a *attempt, out *outgoingRequest, first time.Time) *responseReader {
+	reader := &responseReader{request: req, attempt: a, outgoing: out, path: req.newPathMeter(a, first), parts: make(chan responsePart), stop: make(chan struct{}), done: make(chan struct{})}
 	go reader.run()
 	return reader
 }
@@ -68,10 +71,15 @@
 	if err == nil {
 		reader.Reset(response.Body)
 	}
+	defer r.path.flush()
 	for err == nil {
 		var event []byte
-		if event, err = readEvent(reader); err == nil && !r.send(responsePart{event: event}) {
-			return nil
+		r.path.wait()
+		if event, err = readEvent(reader); err == nil {
+			r.path.arrived()
+			if !r.send(responsePart{event: event}) {
+				return nil
+			}
 		}
 	}
 	return a.exchange.mapTimeout(err)
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -87,14 +87,18 @@
 	g := &Gateway{cfg: cfg, started: time.Now(), fleet: forwards.NewFleet(cfg.DataCentre, cfg.Timers.Now)}
 	g.dialer = relays.NewDialer(relays.DialerConfig{Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Servers: g.fleet, Dial: cfg.Dial, Log: cfg.Log, Timers: cfg.Timers})
 	protocol := cfg.Protocol(g.dialer.DialContext)
-	g.localDispatcher = dispatchers.New(dispatchers.Config{Daemon: cfg.Daemon, Log: cfg.Log, Timers: cfg.Timers, Reporter: protocol, Local: true, Policy: cfg.Policy, HandleQuarantines: g.quarantineLocally})
+	g.localDispatcher = dispatchers.New(dispatchers.Config{Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Log: cfg.Log, Timers: cfg.Timers, Reporter: protocol, Local: true, Policy: cfg.Policy, HandleQuarantines: g.quarantineLocally})
 	g.subscriber = directories.NewSubscriber(directories.SubscriberConfig{
 		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, AcceptsRequests: true, Seeds: cfg.Seeds, Log: cfg.Log,
 		StateIndex: g.stateIndex, InstallState: g.installState, HandleView: g.receiveView,
 	})
 	g.dispatchClient = dispatchers.NewClient(dispatchers.ClientConfig{Daemon: cfg.Daemon, Feeds: g.subscriber, Local: g.localDispatcher, Log: cfg.Log})
+	var recorder forwards.PathRecorder
+	if cfg.Policy.AvoidBadPaths {
+		recorder = g.dispatchClient
+	}
 	g.forwarder = forwards.New(forwards.Config{
-		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: protocol, Dialer: g.dialer, Fleet: g.fleet, Placer: g.dispatchClient, Crashes: g.dispatchClient, Limits: g.dispatchClient, Leaves: g,
+		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: protocol, Dialer: g.dialer, Fleet: g.fleet, Placer: g.dispatchClient, Crashes: g.dispatchClient, Limits: g.dispatchClient, Leaves: g, Paths: recorder,
 		Retries: cfg.Retries, StateFresh: g.stateFresh, Log: cfg.Log, Recorder: cfg.Recorder, BodyBudget: cfg.Memory / bodyMemoryDivisor,
 		MemoryBound: cfg.FreeMemory,
 	})
@@ -192,6 +196,12 @@
 // this one.
 func (g *Gateway) RelayedConnections() uint64 { return g.dialer.Relayed() }
 
+// PathStalls returns the number of stalls on streams from other data centres.
+func (g *Gateway) PathStalls() uint64 { return g.dispatchClient.PathStalls() }
+
+// BadPaths returns the number of paths to other data centres that are not sound.
+func (g *Gateway) BadPaths() int { return g.dispatchClient.BadPaths() }
+
 // RelayingConnections returns the number of connections that are open for others.
 func (g *Gateway) RelayingConnections() int { return g.relay.Active() }
 
--- a/schedules/placement.go
+++ b/schedules/placement.go
@@ -65,12 +65,49 @@
 type candidateSet struct {
 	engines     []*engine // eligible engines, sorted by ID
 	hasFreeSlot bool      // at least one of the engines has a free slot
+	// reserved is the number of engines at the beginning that are reserved for long
+	// prompts, and firstUnreserved the ID of the next one.
+	reserved        int
+	firstUnreserved gypsumshelf.ServerID
+}
+
+// newCandidateSet returns a set of engines, which are sorted by ID. No engine is reserved
+// without recent long prompts.
+func (p *pool) newCandidateSet(engines []*engine) candidateSet {
+	set := candidateSet{engines: engines, reserved: max(0, min(p.reservedCount(), len(engines)-1))}
+	if set.reserved > 0 {
+		set.firstUnreserved = engines[set.reserved].id()
+	}
+	return set
+}
+
+// restrict returns a set with some of the engines. The same ones are reserved.
+func (s candidateSet) restrict(engines []*engine) candidateSet {
+	s.engines, s.reserved = engines, 0
+	for _, e := range engines {
+		if s.isReserved(e) {
+			s.reserved++
+		}
+	}
+	return s
+}
+
+// isReserved reports whether an engine of the set is reserved for long prompts.
+func (s candidateSet) isReserved(e *engine) bool { return e.id() < s.firstUnreserved }
+
+// longPromptEngines returns the engines that a long prompt may use: the reserved ones, or
+// all engines if none is reserved.
+func (s candidateSet) longPromptEngines() []*engine {
+	if s.reserved > 0 {
+		return s.engines[:s.reserved]
+	}
+	return s.engines
 }
 
 // candidateSet returns the engines that are available to a job that avoids some
 // engines.
 func (p *pool) candidateSet(now time.Time, avoid []gypsumshelf.ServerID) candidateSet {
-	set := candidateSet{engines: p.eligibleEngines(now, avoid)}
+	set := p.newCandidateSet(p.eligibleEngines(now, avoid))
 	for _, e := range set.engines {
 		if e.activeAnswers(now) < p.profile.Slots {
 			set.hasFreeSlot = true
@@ -85,18 +122,16 @@
 	if !candidates.hasFreeSlot {
 		return nil
 	}
-	engines := candidates.engines
 	if j.long {
-		engines = slices.Clone(engines)
-		engines = slices.DeleteFunc(engines, func(e *engine) bool { return e.mayHaveUnreportedLoad(now) })
+		candidates = p.newCandidateSet(slices.DeleteFunc(slices.Clone(candidates.engines), func(e *engine) bool { return e.mayHaveUnreportedLoad(now) }))
 	}
 	if j.request.Prompt+j.request.Answer > int(plannedMemoryFraction*float64(p.profile.MemoryTokens)) {
-		return p.placeOversized(now, j, engines)
+		return p.placeWithinReach(now, j, candidates, p.placeOversized)
 	}
 	if j.long {
-		return p.placeLong(now, j, engines)
+		return p.placeWithinReach(now, j, candidates, p.placeLong)
 	}
-	return p.placeShort(now, j, engines)
+	return p.placeShortByPath(now, j, candidates)
 }
 
 // eligibleEngines returns the engines that a job may use, sorted by ID. It
@@ -125,29 +160,14 @@
 	return usable
 }
 
-// reservedEngines returns the engines that are reserved for long prompts. No
-// engine is reserved without recent long prompts.
-func (p *pool) reservedEngines(engines []*engine) []*engine {
-	return engines[:max(0, min(p.reservedCount(), len(engines)-1))]
-}
-
-// longPromptEngines returns the engines that a long prompt may use: the
-// reserved ones, or all engines if none is reserved.
-func (p *pool) longPromptEngines(engines []*engine) []*engine {
-	if reserved := p.reservedEngines(engines); len(reserved) > 0 {
-		return reserved
-	}
-	return engines
-}
-
 // placeShort selects the engine with the lowest predicted time to the first
 // event, plus penalties, and adds helpers for all but the shortest prompts.
-func (p *pool) placeShort(now time.Time, j *jobState, engines []*engine) *Placement {
-	reserved := len(p.reservedEngines(engines))
+func (p *pool) placeShort(now time.Time, j *jobState, candidates candidateSet) *Placement {
+	engines := candidates.engines
 	parts := 1 + min(maxShortPromptHelpers, int(j.prefillTime/shortPromptPartTime))
 	var best *engine
 	var bestScore, bestPredicted time.Duration
-	for i, e := range engines {
+	for _, e := range engines {
 		if e.activeAnswers(now) >= p.profile.Slots || e.freeTokens() < j.request.Prompt+j.request.Answer {
 			continue
 		}
@@ -155,7 +175,7 @@
 		predicted := e.timeToFirstEvent(now, part, j.request.Prompt)
 		score := predicted + time.Duration(e.activeAnswers(now))*perAnswerPenalty
 		switch {
-		case i >= reserved:
+		case !candidates.isReserved(e):
 		case e.summary.shortAnswers == 0:
 			score += unusedReservedPenalty
 		default:
@@ -176,7 +196,7 @@
 	}
 	placement := &Placement{Server: best.id(), First: bestPredicted}
 	for k := parts - 1; k > 0; k-- {
-		eligible := shortPromptHelpers(now, engines, best, j.prefillTime/time.Duration(k+1))
+		eligible := shortPromptHelpers(now, p.withoutLost(now, engines, best), best, j.prefillTime/time.Duration(k+1))
 		if len(eligible) >= k {
 			placement.Helpers = serverIDs(eligible[:k])
 			break
@@ -218,8 +238,8 @@
 // prefillCandidates returns the engines that may prefill parts of a long
 // prompt, sorted by backlog, and the number of engines for long prompts,
 // including those that are not available at present.
-func (p *pool) prefillCandidates(now time.Time, engines []*engine, urgent bool) (candidates []prefillCandidate, total int) {
-	usable := p.longPromptEngines(engines)
+func (p *pool) prefillCandidates(now time.Time, set candidateSet, urgent bool) (candidates []prefillCandidate, total int) {
+	usable := set.longPromptEngines()
 	for _, e := range usable {
 		if !e.primaryPrefillPending() && !e.longPrefillPending(now) && !e.isCold(now) {
 			candidates = append(candidates, prefillCandidate{engine: e, backlog: e.backlog(now), budget: e.prefillBudget(now, urgent), slowdown: e.slowdown(now)})
@@ -237,8 +257,8 @@
 
 // placeLong splits the prefill among the number of engines that gives the
 // earliest first event without long pauses in their answers.
-func (p *pool) placeLong(now time.Time, j *jobState, engines []*engine) *Placement {
-	candidates, total := p.prefillCandidates(now, engines, p.isUrgent(now, j))
+func (p *pool) placeLong(now time.Time, j *jobState, set candidateSet) *Placement {
+	candidates, total := p.prefillCandidates(now, set, p.isUrgent(now, j))
 	maxPart := max(maxPartTime, time.Duration(maxPartRatio*float64(j.prefillTime)/float64(max(1, total))))
 	var bestGroup []*engine
 	var bestEnd time.Duration
@@ -317,8 +337,8 @@
 // is reserved on the helpers and the primary stores the rest. The placement
 // uses the fewest engines that meet the target: the total prefill work does not
 // depend on their number, and a smaller group becomes free sooner.
-func (p *pool) placeOversized(now time.Time, j *jobState, engines []*engine) *Placement {
-	candidates, total := p.prefillCandidates(now, engines, p.isUrgent(now, j))
+func (p *pool) placeOversized(now time.Time, j *jobState, set candidateSet) *Placement {
+	candidates, total := p.prefillCandidates(now, set, p.isUrgent(now, j))
 	limit := j.due(j.request.Target).Sub(now)
 	if j.prefillTime/time.Duration(min(max(2, total), maxHelpers+1)) > limit {
 		// The target cannot be met, so the caller's patience is the limit. Half of it
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -9,6 +9,7 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/costs"
 	"gypsumshelf.example/gypsumshelf/crashes"
+	"gypsumshelf.example/gypsumshelf/paths"
 )
 
 const (
@@ -79,6 +80,7 @@
 	peakShortAnswers   float64 // decaying peak of concurrent short answers
 	peakShortAnswersAt time.Time
 	refusedCount       int
+	paths              *paths.Table // nil if paths are not judged
 }
 
 // Policy switches on decisions that not every deployment asks for. With the zero value
@@ -92,6 +94,7 @@
 
 // Config configures a Scheduler.
 type Config struct {
+	DataCentre string // of the daemon that runs the scheduler
 	// ColdShare is the fraction of a cold engine's request rate that this
 	// scheduler may use; 0 stands for the whole rate and means that no other
 	// scheduler places jobs on the engines. Schedulers that do not know of each
@@ -114,12 +117,17 @@
 	limits     *limits
 	found      []crashes.Quarantine // not returned by TakeQuarantines yet
 	places     map[string]keptPlace // of jobs that were handed back, by fingerprint
+	paths      *paths.Table         // nil if paths are not judged
 }
 
 // New returns a Scheduler that knows no engines.
 func New(cfg Config) *Scheduler {
 	detector := crashes.NewDetector(cmp.Or(cfg.QuarantineTime, crashes.QuarantineTime))
-	return &Scheduler{cfg: cfg, pools: map[string]*pool{}, jobs: map[JobID]*jobState{}, crashes: detector, limits: newLimits(cfg.ColdShare), places: map[string]keptPlace{}}
+	s := &Scheduler{cfg: cfg, pools: map[string]*pool{}, jobs: map[JobID]*jobState{}, crashes: detector, limits: newLimits(cfg.ColdShare), places: map[string]keptPlace{}}
+	if cfg.Policy.AvoidBadPaths {
+		s.paths = paths.NewTable()
+	}
+	return s
 }
 
 // SetColdShare changes Config.ColdShare for engines that turn cold or name another
@@ -131,9 +139,12 @@
 func (s *Scheduler) UpdateEngines(now time.Time, profiles map[string]*costs.Profile, states []EngineState) {
 	for name, profile := range profiles {
 		if s.pools[name] == nil {
-			s.pools[name] = &pool{engines: map[gypsumshelf.ServerID]*engine{}}
+			s.pools[name] = &pool{engines: map[gypsumshelf.ServerID]*engine{}, paths: s.paths}
 		}
 		s.pools[name].profile = profile
+		if s.paths != nil {
+			s.paths.SetStreamEvents(profile.MeanAnswerTokens / max(1, profile.StepsPerPass))
+		}
 	}
 	listed := map[gypsumshelf.ServerID]bool{}
 	for _, state := range states {
@@ -262,7 +273,7 @@
 	}
 	if e := p.engines[cmp.Or(blamed, j.placement.Server)]; e != nil {
 		switch {
-		case outcome.IsFailure():
+		case outcome.IsFailure() && p.pathState(now, j.request.DataCentre, e.state.DataCentre) == paths.Sound:
 			e.recordFailure(now)
 		case outcome == Completed:
 			e.recordSuccess()
@@ -293,10 +304,11 @@
 	return decisions
 }
 
-// MarkUnresponsive keeps new work off an engine that does not answer.
+// MarkUnresponsive keeps new work off an engine that does not answer, unless the path to
+// it explains that.
 func (s *Scheduler) MarkUnresponsive(now time.Time, id gypsumshelf.ServerID) {
 	for _, p := range s.pools {
-		if e := p.engines[id]; e != nil && !now.Before(e.avoidUntil) {
+		if e := p.engines[id]; e != nil && !now.Before(e.avoidUntil) && p.pathState(now, s.cfg.DataCentre, e.state.DataCentre) == paths.Sound {
 			e.recordFailure(now)
 		}
 	}
--- a/schedules/simulation_test.go
+++ b/schedules/simulation_test.go
@@ -91,6 +91,8 @@
 	submitted  []*simJob
 	queue      simQueue
 	eventCount int
+	network    *simNetwork // nil if events arrive at once
+	spread     bool        // callers are in three data centres
 }
 
 type simEvent struct {
@@ -185,6 +187,9 @@
 		Answer: events * 46, Expected: events * 46, Target: c.target, Deadline: c.deadline, Gap: c.gap,
 		Patience: max(2*time.Second, 4*c.target, 8*c.gap),
 	}
+	if s.spread {
+		j.job.DataCentre = string("abc"[len(s.submitted)%3])
+	}
 	s.submitted = append(s.submitted, j)
 	s.jobs[j.job.ID] = j
 	s.apply(s.scheduler.Submit(s.time(), j.job))
@@ -285,13 +290,17 @@
 const maxDeliveryDelay = 60 * time.Millisecond
 
 func (s *simulation) emitEvent(e *simEngine, w *simJob) {
+	arrived := s.now
+	if s.network != nil {
+		arrived = s.network.deliver(s, w)
+	}
 	if w.lastEventAt == 0 {
-		w.timeToFirstEvent = s.now - w.arrived + time.Duration(s.rand.Float64()*float64(maxDeliveryDelay))
+		w.timeToFirstEvent = arrived - w.arrived + time.Duration(s.rand.Float64()*float64(maxDeliveryDelay))
 		s.apply(s.scheduler.Started(s.time(), w.job.ID))
 	} else {
-		w.maxGap = max(w.maxGap, s.now-w.lastEventAt)
+		w.maxGap = max(w.maxGap, arrived-w.lastEventAt)
 	}
-	w.lastEventAt = s.now
+	w.lastEventAt = arrived
 	w.remainingEvents--
 	if w.remainingEvents > 0 {
 		return
