--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -225,7 +225,7 @@
 		req.triedServers = append(req.triedServers, e.placement.Server)
 		return fmt.Errorf("%w: %s", errServerUnavailable, e.placement.Server)
 	}
-	e.server, req.timing.server = server, server
+	e.server = server
 	call := req.newCall(server.ID)
 	call.Urgency = urgency(e.pending.job)
 	helpers, err := e.reserveHelpers(ctx)
@@ -516,31 +516,10 @@
 		req.headerWritten = true
 	}
 	req.timing.recordEvent(req.now(), req.arrived, req.lastEvent)
-	for _, part := range splitEvent(event, req.forwarder.cfg.EventPackets) {
-		if _, err := req.w.Write(part); err != nil {
-			return fmt.Errorf("cannot write the event to the caller: %w", err)
-		}
-		if err := http.NewResponseController(req.w).Flush(); err != nil {
-			return err
-		}
+	if _, err := req.w.Write(event); err != nil {
+		return fmt.Errorf("cannot write the event to the caller: %w", err)
 	}
-	return nil
-}
-
-// splitEvent returns an event in as many parts as packets are wanted. The loss of a packet
-// of a stream with one packet every 50 ms shows only after three more of them; behind the
-// loss of one of three, the others and the first one of the next event show it.
-func splitEvent(event []byte, packets int) [][]byte {
-	if packets <= 1 || len(event) < packets {
-		return [][]byte{event}
-	}
-	parts := make([][]byte, 0, packets)
-	for n := packets; n > 1; n-- {
-		size := len(event) / n
-		parts = append(parts, event[:size])
-		event = event[size:]
-	}
-	return append(parts, event)
+	return http.NewResponseController(req.w).Flush()
 }
 
 // finishStream handles the regular end of a stream.
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -63,12 +63,9 @@
 	// MemoryBound is the time within which engine memory reserved for a request must
 	// be free after the request has ended, 0 for the default of 4 s.
 	MemoryBound time.Duration
-	// EventPackets is the number of packets in which an event of a stream is sent to the
-	// caller; 0 and 1 stand for one.
-	EventPackets int
-	StateFresh   func() bool // reports whether the replicated state is recent enough to use; nil means always
-	Log          *logrus.Entry
-	Recorder     Recorder
+	StateFresh  func() bool // reports whether the replicated state is recent enough to use; nil means always
+	Log         *logrus.Entry
+	Recorder    Recorder
 }
 
 // Forwarder is the HTTP handler that proxies callers' requests to backend servers.
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -55,11 +55,9 @@
 	Memory     int64         // memory that the process may use in bytes, 0 when unknown
 	FreeMemory time.Duration // forwards.Config.MemoryBound
 	Policy     schedules.Policy
-	// EventPackets is forwards.Config.EventPackets.
-	EventPackets int
-	StaleState   time.Duration // time without contact to a control daemon after which requests are refused, 0 for never
-	Log          *logrus.Entry
-	Timers       *timers.Service
+	StaleState time.Duration // time without contact to a control daemon after which requests are refused, 0 for never
+	Log        *logrus.Entry
+	Timers     *timers.Service
 }
 
 // Gateway is a running entry daemon.
@@ -102,7 +100,7 @@
 	g.forwarder = forwards.New(forwards.Config{
 		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: protocol, Dialer: g.dialer, Fleet: g.fleet, Placer: g.dispatchClient, Crashes: g.dispatchClient, Limits: g.dispatchClient, Leaves: g, Paths: recorder,
 		Retries: cfg.Retries, StateFresh: g.stateFresh, Log: cfg.Log, Recorder: cfg.Recorder, BodyBudget: cfg.Memory / bodyMemoryDivisor,
-		MemoryBound: cfg.FreeMemory, EventPackets: cfg.EventPackets,
+		MemoryBound: cfg.FreeMemory,
 	})
 	cfg.Timers.Subscribe(timers.PauseCheckPeriod, g.forwarder.CheckPause)
 	cfg.Timers.Subscribe(dispatcherUpdatePeriod, g.refreshLocalDispatcher)
--- a/settings/host.go
+++ b/settings/host.go
@@ -45,9 +45,6 @@
 	// It is empty when they are unknown.
 	DataCentres map[string]string `json:"data-centres"`
 	Placement   Placement         `json:"placement"`
-	// EventPackets is the number of packets in which an event of a stream is sent to its
-	// caller. With three, a lost packet is sent again before the caller notices a pause.
-	EventPackets int `json:"event-packets"`
 }
 
 // Placement switches on decisions of the scheduler that a deployment asks for. Without
@@ -87,9 +84,6 @@
 // be told from one whose answers are delayed.
 const minFreeMemory = Duration(1500 * time.Millisecond)
 
-// maxEventPackets bounds event-packets: each packet costs a system call.
-const maxEventPackets = 16
-
 const maxPort = 1<<16 - 1
 
 // PeerAddress returns the address at which the host's daemon listens for peers.
@@ -194,7 +188,6 @@
 		{"bounds.free-memory", h.Bounds.FreeMemory < 0 || h.Bounds.FreeMemory > 0 && h.Bounds.FreeMemory < minFreeMemory},
 		{"memory-mb", h.MemoryMB < 0},
 		{"disk-mb", h.DiskMB < 0},
-		{"event-packets", h.EventPackets < 0 || h.EventPackets > maxEventPackets},
 		{"placement.unread-bytes-mb", h.Placement.UnreadBytesMB < 0},
 		{"bounds.retry-ratio", h.Bounds.RetryRatio < 0},
 		{"data-folder", h.Role == RoleControl && h.DataFolder == ""},
