--- a/forwards/ending.go
+++ b/forwards/ending.go
@@ -145,7 +145,7 @@
 		"catalog-version": version, "prompt-tokens": req.meta.PromptTokens, "last-event": req.lastEvent,
 	})
 	if req.timing.placements > 0 {
-		entry = entry.WithFields(req.timing.fields(req.route))
+		entry = entry.WithFields(req.timing.fields(req.route)).WithField("data-centre", req.forwarder.cfg.DataCentre)
 	}
 	if by != notEnded {
 		entry = entry.WithFields(logrus.Fields{"ended-by": by, "phase": req.phase})
--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -225,7 +225,7 @@
 		req.triedServers = append(req.triedServers, e.placement.Server)
 		return fmt.Errorf("%w: %s", errServerUnavailable, e.placement.Server)
 	}
-	e.server = server
+	e.server, req.timing.server = server, server
 	call := req.newCall(server.ID)
 	call.Urgency = urgency(e.pending.job)
 	helpers, err := e.reserveHelpers(ctx)
--- a/forwards/timing.go
+++ b/forwards/timing.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gypsumshelf.example/gypsumshelf/catalogs"
+	"gypsumshelf.example/gypsumshelf/rosters"
 	"gypsumshelf.example/gypsumshelf/schedules"
 )
 
@@ -22,6 +23,7 @@
 	longestGapEvent int           // ID of the event that ended the longest gap
 	lastEventAt     time.Time
 	helpers         int
+	server          rosters.Entry // of the last placement that was sent to an engine
 }
 
 func (p *streamTiming) recordPlacement(decision schedules.Decision) {
@@ -44,6 +46,7 @@
 		"placements": p.placements, "waited-ms": p.queueWait.Milliseconds(), "waiting": p.queueLength, "helpers": p.helpers,
 		"predicted-first-ms": p.predictedFirst.Milliseconds(), "seen-first-ms": p.measuredFirst.Milliseconds(),
 		"first-ms": p.firstEvent.Milliseconds(), "target-ms": r.Target.Milliseconds(),
+		"server": p.server.ID, "server-data-centre": p.server.DataCentre,
 		"gap-ms": p.longestGap.Milliseconds(), "gap-target-ms": r.GapTarget.Milliseconds(), "gap-event": p.longestGapEvent,
 	}
 }
