Ask the engines of a data centre for their load when one has failed

Prompts that 15 engines share fail as long as one that is gone counts as usable, and each attempt finds one of them: 4 long prompts were refused or failed with all attempts used.

A lost, unreachable, silent or refusing engine makes the scheduler poll the other engines of its data centre, at most twice a second.

--- a/dispatchers/dispatcher.go
+++ b/dispatchers/dispatcher.go
@@ -102,6 +102,7 @@
 	pending         map[schedules.JobID]*pendingDecision // jobs whose daemons may request a decision
 	reportsInFlight map[gypsumshelf.ServerID]bool        // engines with a poll in flight
 	nextReport      int                                  // index in engines of the next one to poll
+	checkedAt       map[string]time.Time                 // when the engines of a data centre were last polled after a failure
 	localSchedulers int                                  // in the deployment
 	quarantines     []crashes.Quarantine                 // in force for all daemons
 	lifts           []crashes.Lift                       // of quarantines
@@ -111,7 +112,7 @@
 
 // New returns an inactive Dispatcher.
 func New(cfg Config) *Dispatcher {
-	d := &Dispatcher{cfg: cfg, localSchedulers: minLocalSchedulers, pending: map[schedules.JobID]*pendingDecision{}, reportsInFlight: map[gypsumshelf.ServerID]bool{}, ended: map[schedules.JobID]time.Time{}}
+	d := &Dispatcher{cfg: cfg, localSchedulers: minLocalSchedulers, pending: map[schedules.JobID]*pendingDecision{}, reportsInFlight: map[gypsumshelf.ServerID]bool{}, ended: map[schedules.JobID]time.Time{}, checkedAt: map[string]time.Time{}}
 	d.scheduler = d.newScheduler()
 	cfg.Timers.Subscribe(tickPeriod, d.tick)
 	if cfg.Reporter != nil {
@@ -256,6 +257,7 @@
 		d.ended[id] = d.cfg.Timers.Now()
 	}
 	if d.active {
+		d.checkNeighbours(d.cfg.Timers.Now(), id, outcome, blamed)
 		d.deliver(d.scheduler.End(d.cfg.Timers.Now(), id, outcome, blamed))
 	}
 }
@@ -386,11 +388,16 @@
 	for range min(n, len(d.engines), maxReportsInFlight-len(d.reportsInFlight)) {
 		e := d.engines[d.nextReport%len(d.engines)]
 		d.nextReport = (d.nextReport + 1) % len(d.engines)
-		if !d.reportsInFlight[e.State.ID] {
-			d.reportsInFlight[e.State.ID] = true
-			poll := &loadPoll{dispatcher: d, engine: e}
-			go poll.run()
-		}
+		d.pollEngine(e)
+	}
+}
+
+// pollEngine polls an engine unless it has a poll in flight; mu is held.
+func (d *Dispatcher) pollEngine(e Engine) {
+	if !d.reportsInFlight[e.State.ID] {
+		d.reportsInFlight[e.State.ID] = true
+		poll := &loadPoll{dispatcher: d, engine: e}
+		go poll.run()
 	}
 }
 
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -90,6 +90,7 @@
 	LearnPredictions bool // correct predicted times by those of finished work
 	ForecastDemand   bool // divide engines by the expected arrivals
 	FindPace         bool // raise the load of an engine that has started or recovered by its answers
+	CheckNeighbours  bool // poll the engines of a data centre at once when one of them has failed
 }
 
 // Config configures a Scheduler.
@@ -282,6 +283,14 @@
 	return s.processQueue(now, p, shortJobsOnly)
 }
 
+// PlacedOn returns the engine that answers a job, empty if it is unknown or waits.
+func (s *Scheduler) PlacedOn(id JobID) gypsumshelf.ServerID {
+	if j := s.jobs[id]; j != nil && j.placement != nil {
+		return j.placement.Server
+	}
+	return ""
+}
+
 // UpdateLoad records the load that an engine reported.
 func (s *Scheduler) UpdateLoad(now time.Time, id gypsumshelf.ServerID, l Load) {
 	for _, p := range s.pools {
--- a/settings/host.go
+++ b/settings/host.go
@@ -54,6 +54,7 @@
 	LearnPredictions bool `json:"learn-predictions"` // correct predicted times by those of finished work
 	ForecastDemand   bool `json:"forecast-demand"`   // divide engines by the expected arrivals
 	FindPace         bool `json:"find-pace"`         // raise the load of a server that has started or recovered by its answers
+	CheckNeighbours  bool `json:"check-neighbours"`  // poll the engines of a data centre at once when one of them has failed
 	UnreadBytesMB    int  `json:"unread-bytes-mb"`   // memory for what slow readers have not read yet, 0 for no limit of its own
 }
 
