Tell entry daemons which engines are busy, for the time without a leader

Of the 129 short prompts of the next 1.5 s 37 were late, most by a second: all daemons of a data centre chose the same idle-looking engine, which prefilled a long prompt.

Answers to Place name the engines with long prefills, which daemons without a leader avoid, and equal engines are chosen by a hash of engine and daemon.

--- a/dispatchers/client.go
+++ b/dispatchers/client.go
@@ -292,6 +292,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.cfg.Local.learn(job, reply)
 	lastAnswer := time.Now()
 	for reply.Decision == nil {
 		if ctx.Err() != nil {
--- a/dispatchers/dispatcher.go
+++ b/dispatchers/dispatcher.go
@@ -130,9 +130,9 @@
 
 func (d *Dispatcher) newScheduler() *schedules.Scheduler {
 	if !d.cfg.Local {
-		return schedules.New(schedules.Config{DataCentre: d.cfg.DataCentre, Policy: d.cfg.Policy})
+		return schedules.New(schedules.Config{Daemon: d.cfg.Daemon, DataCentre: d.cfg.DataCentre, Policy: d.cfg.Policy})
 	}
-	return schedules.New(schedules.Config{DataCentre: d.cfg.DataCentre, Policy: d.cfg.Policy, ColdShare: 1 / float64(d.localSchedulers), QuarantineTime: localQuarantineTime})
+	return schedules.New(schedules.Config{Daemon: d.cfg.Daemon, DataCentre: d.cfg.DataCentre, Policy: d.cfg.Policy, ColdShare: 1 / float64(d.localSchedulers), QuarantineTime: localQuarantineTime})
 }
 
 // SetLocalSchedulers sets the number of local schedulers. It takes effect for
--- a/dispatchers/hedge.go
+++ b/dispatchers/hedge.go
@@ -135,7 +135,6 @@
 				c.backup.drop(result.call.client)
 			}
 			if result.err == nil || pending == 0 {
-				c.cfg.Local.MergePaths(job.DataCentre, result.reply.Paths)
 				return result.reply, result.err
 			}
 		}
--- a/dispatchers/service.go
+++ b/dispatchers/service.go
@@ -23,6 +23,9 @@
 type Reply struct {
 	Decision *schedules.Decision
 	Paths    []paths.Report // in the answer to Place: those of the job's data centre that are not sound
+	// Busy are, in the answer to Place, the engines of the job's service that work for long
+	// prompts.
+	Busy []gypsumshelf.ServerID
 }
 
 // JobUpdate reports the first event or the end of a job. Instead of a job, it may carry
@@ -84,6 +87,7 @@
 	defer faults.Recover(s.dispatcher.cfg.Log, ServiceName+".Place", &err)
 	reply.Decision, err = s.dispatcher.Place(job)
 	reply.Paths = s.dispatcher.PathReports(job.DataCentre)
+	reply.Busy = s.dispatcher.busyEngines(job.Service)
 	return err
 }
 
--- a/schedules/engine.go
+++ b/schedules/engine.go
@@ -62,10 +62,12 @@
 	state               EngineState
 	profile             *costs.Profile
 	assignments         map[JobID]*assignment
-	summary             summary   // of assignments
-	prefillEnd          time.Time // predicted end of all prefills
-	prefills            []prefill // sorted by end
-	avoidUntil          time.Time // no new work before this time
+	summary             summary       // of assignments
+	prefillEnd          time.Time     // predicted end of all prefills
+	prefills            []prefill     // sorted by end
+	avoidUntil          time.Time     // no new work before this time
+	tieBreak            time.Duration // added to scores, so that schedulers choose different ones of equal engines
+	busyUntil           time.Time     // work of another scheduler is assumed until this time
 	consecutiveFailures int
 	load                Load
 	loadAt              time.Time
--- a/schedules/placement.go
+++ b/schedules/placement.go
@@ -155,9 +155,9 @@
 	}
 	fast := slices.DeleteFunc(slices.Clone(usable), func(e *engine) bool { return e.slowdown(now) >= slowdownThreshold })
 	if len(fast)*2 >= len(usable) {
-		return fast
+		return withoutBusy(now, fast)
 	}
-	return usable
+	return withoutBusy(now, usable)
 }
 
 // placeShort selects the engine with the lowest predicted time to the first
@@ -173,7 +173,7 @@
 		}
 		part := j.prefillTime / time.Duration(parts)
 		predicted := e.timeToFirstEvent(now, part, j.request.Prompt)
-		score := predicted + time.Duration(e.activeAnswers(now))*perAnswerPenalty
+		score := predicted + e.tieBreak + time.Duration(e.activeAnswers(now))*perAnswerPenalty
 		switch {
 		case !candidates.isReserved(e):
 		case e.summary.shortAnswers == 0:
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -90,12 +90,14 @@
 	LearnPredictions bool // correct predicted times by those of finished work
 	ForecastDemand   bool // divide engines by the expected arrivals
 	FindPace         bool // raise the load of an engine that has started or recovered by its answers
+	ShareBusyEngines bool // tell other schedulers which engines work for long prompts
 	CheckNeighbours  bool // poll the engines of a data centre at once when one of them has failed
 }
 
 // Config configures a Scheduler.
 type Config struct {
-	DataCentre string // of the daemon that runs the scheduler
+	Daemon     gypsumshelf.DaemonID // that runs the scheduler
+	DataCentre string               // of that daemon
 	// ColdShare is the fraction of a cold engine's request rate that this
 	// scheduler may use; 0 stands for the whole rate and means that no other
 	// scheduler places jobs on the engines. Schedulers that do not know of each
@@ -156,6 +158,7 @@
 		listed[state.ID] = true
 		if p.engines[state.ID] == nil {
 			p.engines[state.ID] = newEngine(state, p.profile, s.limits)
+			p.engines[state.ID].tieBreak = s.tieBreak(state.ID)
 		}
 		p.engines[state.ID].update(now, state, p.profile, s.cfg.ColdShare)
 	}
