Let no prefill make the first event of a placed short prompt late

The prefill that an engine takes is bounded by the slack of its short prompts that have not started, and jobs of lost daemons keep their slots until their answers are expected to end.

--- a/schedules/engine.go
+++ b/schedules/engine.go
@@ -67,6 +67,7 @@
 	prefills            []prefill     // sorted by end
 	avoidUntil          time.Time     // no new work before this time
 	tieBreak            time.Duration // added to scores, so that schedulers choose different ones of equal engines
+	protectFirst        bool          // a prefill may not make first events of short prompts late
 	busyUntil           time.Time     // work of another scheduler is assumed until this time
 	consecutiveFailures int
 	load                Load
@@ -249,6 +250,9 @@
 	for _, r := range e.prefills {
 		budget -= r.duration
 	}
+	if e.protectFirst {
+		budget = min(budget, e.firstEventSlack(now))
+	}
 	return max(0, budget)
 }
 
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -64,6 +64,7 @@
 	placement   *Placement
 	placedAt    time.Time
 	started     bool      // the first event has been reported
+	orphanUntil time.Time // when the answer to a lost daemon ends, zero if the daemon is not lost
 	stopAt      time.Time // when its daemon breaks off its requests, zero if no stop has begun
 }
 
@@ -86,12 +87,13 @@
 // Policy switches on decisions that not every deployment asks for. With the zero value
 // jobs are placed by the configured engine profiles and the reported load alone.
 type Policy struct {
-	AvoidBadPaths    bool // prefer engines over paths that lose no packets
-	LearnPredictions bool // correct predicted times by those of finished work
-	ForecastDemand   bool // divide engines by the expected arrivals
-	FindPace         bool // raise the load of an engine that has started or recovered by its answers
-	ShareBusyEngines bool // tell other schedulers which engines work for long prompts
-	CheckNeighbours  bool // poll the engines of a data centre at once when one of them has failed
+	AvoidBadPaths      bool // prefer engines over paths that lose no packets
+	LearnPredictions   bool // correct predicted times by those of finished work
+	ForecastDemand     bool // divide engines by the expected arrivals
+	FindPace           bool // raise the load of an engine that has started or recovered by its answers
+	ProtectFirstEvents bool // let no prefill make the first event of a placed short prompt late
+	ShareBusyEngines   bool // tell other schedulers which engines work for long prompts
+	CheckNeighbours    bool // poll the engines of a data centre at once when one of them has failed
 }
 
 // Config configures a Scheduler.
@@ -159,6 +161,7 @@
 		if p.engines[state.ID] == nil {
 			p.engines[state.ID] = newEngine(state, p.profile, s.limits)
 			p.engines[state.ID].tieBreak = s.tieBreak(state.ID)
+			p.engines[state.ID].protectFirst = s.cfg.Policy.ProtectFirstEvents
 		}
 		p.engines[state.ID].update(now, state, p.profile, s.cfg.ColdShare)
 	}
@@ -225,7 +228,10 @@
 // Adopt registers a job that another scheduler or a daemon placed.
 func (s *Scheduler) Adopt(now time.Time, job Job, placement Placement, started bool) {
 	p := s.pools[job.Service]
-	if p == nil || s.jobs[job.ID] != nil {
+	if known := s.jobs[job.ID]; p == nil || known != nil {
+		if known != nil {
+			known.orphanUntil = time.Time{} // its daemon is back
+		}
 		return
 	}
 	j := s.addJob(now, p, job)
@@ -309,7 +315,11 @@
 func (s *Scheduler) EndDaemonJobs(now time.Time, daemon gypsumshelf.DaemonID) []Decision {
 	var decisions []Decision
 	for id, j := range s.jobs {
-		if j.request.Daemon == daemon {
+		switch {
+		case j.request.Daemon != daemon:
+		case s.cfg.Policy.ProtectFirstEvents && j.placement != nil:
+			s.orphan(now, j)
+		default:
 			decisions = append(decisions, s.End(now, id, Cancelled, "")...)
 		}
 	}
@@ -332,7 +342,7 @@
 	s.forgetPlaces(now)
 	for id, j := range s.jobs {
 		// The daemon of the job has died, or its message about the end was lost.
-		if j.placement != nil && now.After(j.due(j.request.Deadline+lostJobGrace)) {
+		if j.placement != nil && now.After(j.due(j.request.Deadline+lostJobGrace)) || j.isOrphanOver(now) {
 			decisions = append(decisions, s.End(now, id, Cancelled, "")...)
 		}
 	}
--- a/settings/host.go
+++ b/settings/host.go
@@ -50,13 +50,14 @@
 // Placement switches on decisions of the scheduler that a deployment asks for. Without
 // them requests are placed as by builds that do not know the section.
 type Placement struct {
-	AvoidBadPaths    bool `json:"avoid-bad-paths"`    // measure the paths between data centres and avoid those that lose packets
-	LearnPredictions bool `json:"learn-predictions"`  // correct predicted times by those of finished work
-	ForecastDemand   bool `json:"forecast-demand"`    // divide engines by the expected arrivals
-	FindPace         bool `json:"find-pace"`          // raise the load of a server that has started or recovered by its answers
-	ShareBusyEngines bool `json:"share-busy-engines"` // tell entry daemons which engines work for long prompts, for the time without a leader
-	CheckNeighbours  bool `json:"check-neighbours"`   // poll the engines of a data centre at once when one of them has failed
-	UnreadBytesMB    int  `json:"unread-bytes-mb"`    // memory for what slow readers have not read yet, 0 for no limit of its own
+	AvoidBadPaths      bool `json:"avoid-bad-paths"`      // measure the paths between data centres and avoid those that lose packets
+	LearnPredictions   bool `json:"learn-predictions"`    // correct predicted times by those of finished work
+	ForecastDemand     bool `json:"forecast-demand"`      // divide engines by the expected arrivals
+	FindPace           bool `json:"find-pace"`            // raise the load of a server that has started or recovered by its answers
+	ProtectFirstEvents bool `json:"protect-first-events"` // let no prefill make the first event of a placed short prompt late
+	ShareBusyEngines   bool `json:"share-busy-engines"`   // tell entry daemons which engines work for long prompts, for the time without a leader
+	CheckNeighbours    bool `json:"check-neighbours"`     // poll the engines of a data centre at once when one of them has failed
+	UnreadBytesMB      int  `json:"unread-bytes-mb"`      // memory for what slow readers have not read yet, 0 for no limit of its own
 }
 
 // Ports are ports that are the same on all hosts.
