Wait for others after a pause of the own process before giving up the lead or campaigning

Trace of the control daemons beside load: each loss of the lead followed a pause of the whole process of 0.6 s to 1.3 s (late ticks, idle event queue). The leader found its contact with the quorum outdated at its first tick and stepped down before it read the answers that waited. Nodes that were paused together campaigned together afterwards and split the votes, for 3.6 s and four terms in one run.

A node whose ticks were late by more than 250 ms now extends each silence once: a leader by one election timeout, others to a new random election deadline. A node that is paused again and again still notices a silence.

--- a/controls/storage.go
+++ b/controls/storage.go
@@ -18,6 +18,9 @@
 	// election while the leader is alive.
 	electionTimeout   = 500 * time.Millisecond
 	heartbeatInterval = 100 * time.Millisecond
+	// pauseThreshold is five raft ticks. Beside load, control daemons were not run for
+	// 0.6 s to 1.3 s and then gave up the lead before they read the answers of others.
+	pauseThreshold = 5 * raftTickInterval
 	// replaceAfter is the silence after which a voter is replaced by another
 	// member. Members beyond the wanted number of voters exist only after a host
 	// was replaced, and the old host must no longer count as a lost voter 4 s
@@ -64,7 +67,7 @@
 	}
 	cfg := replicas.Config{
 		ID: replicas.NodeID{Daemon: d.cfg.Daemon}, DataCentre: d.cfg.DataCentre, Durable: true, Peers: seeds,
-		ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, ReplaceAfter: replaceAfter, ForgetAfter: forgetAfter,
+		ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, PauseThreshold: pauseThreshold, ReplaceAfter: replaceAfter, ForgetAfter: forgetAfter,
 		TargetVoters: replicas.MaxVoters, RetainEntries: compactEntries, Seed: rand.Uint64(),
 	}
 	if d.cfg.FirstStart {
--- a/replicas/cluster_test.go
+++ b/replicas/cluster_test.go
@@ -162,7 +162,7 @@
 	h.replica = New(Config{
 		ID: h.member.ID, DataCentre: h.member.DataCentre, Durable: h.member.Durable, Peers: peers, InitialVoters: c.initialVoters,
 		Recovered: h.disk.synced, Session: c.rng.Uint64(), Seed: c.rng.Uint64(), ElectionTimeout: testElectionTimeout,
-		HeartbeatInterval: testHeartbeatInterval, ReplaceAfter: testReplaceAfter, TargetVoters: c.wantedVoters, MaxAppendBytes: 200, MaxChunkBytes: testChunkBytes, RetainEntries: 10,
+		HeartbeatInterval: testHeartbeatInterval, PauseThreshold: testElectionTimeout / 2, ReplaceAfter: testReplaceAfter, TargetVoters: c.wantedVoters, MaxAppendBytes: 200, MaxChunkBytes: testChunkBytes, RetainEntries: 10,
 	})
 }
 
--- a/replicas/election.go
+++ b/replicas/election.go
@@ -5,6 +5,7 @@
 func (r *Replica) resetElectionTimer() {
 	spread := time.Duration(r.rand.Int64N(int64(r.cfg.ElectionTimeout)))
 	r.electionDeadline = r.now.Add(r.cfg.ElectionTimeout + spread)
+	r.pause.extended = false
 	if r.stop.resigned {
 		r.electionDeadline = r.electionDeadline.Add(2 * r.cfg.ElectionTimeout)
 	}
--- a/replicas/replica.go
+++ b/replicas/replica.go
@@ -28,6 +28,7 @@
 
 	ElectionTimeout   time.Duration // minimum; each timeout is random between this and twice this
 	HeartbeatInterval time.Duration
+	PauseThreshold    time.Duration // time between two ticks above which this node counts as paused itself, 0 for never
 	ReplaceAfter      time.Duration // time without contact after which a voter is replaced
 	ForgetAfter       time.Duration // time without contact after which a learner is removed, 0 for never
 	TargetVoters      int           // target number of voters
@@ -92,6 +93,7 @@
 	leader            NodeID
 	lastLeaderContact time.Time
 	electionDeadline  time.Time
+	pause             pauseState
 	votesReceived     map[NodeID]bool
 	quorumConfirmed   time.Time // result of QuorumConfirmed on a follower
 	confirmedCommit   uint64
@@ -134,6 +136,7 @@
 // due.
 func (r *Replica) Tick(now time.Time) {
 	r.advanceClock(now)
+	r.detectPause()
 	if r.isStopped() {
 		return
 	}
--- a/replicas/replication.go
+++ b/replicas/replication.go
@@ -75,7 +75,7 @@
 // tickLeader does the periodic work of a leader. A leader steps down when it has
 // no contact with a quorum or when its own disk completes no writes.
 func (r *Replica) tickLeader() {
-	if r.now.Sub(r.QuorumConfirmed()) > r.cfg.ElectionTimeout && r.now.Sub(r.leaderSince) > r.cfg.ElectionTimeout {
+	if r.lostQuorum() {
 		r.becomeFollower(r.hardState.Term) // no contact with a quorum
 		return
 	}
