Ask relays that have not answered in time a second time

A connection whose direct way failed was given up once its only relay did not answer within relayTimeout. On a busy host, relays took up to 225 ms of the 350 ms in runs of TestAnswerBeforeAResetArrives that passed. In the runs that failed, a single connection was not made: the direct way was refused and the relay had said nothing.

Relays that were silent are now asked again, once, unless another daemon has answered. The cause of a tunnel that ended with its context is no longer replaced by that of the closed connection.

--- a/relays/dialer.go
+++ b/relays/dialer.go
@@ -251,6 +251,9 @@
 	results  chan dialResult
 	done     chan struct{} // closed when a result is no longer waited for
 
+	silent     []Peer // relays that have not answered in time
+	askedAgain bool   // the silent relays were asked a second time
+
 	pending   int
 	direct    error       // of the direct way
 	tried     bool        // the direct way
@@ -274,10 +277,15 @@
 	defer next.Stop()
 	for {
 		if r.pending == 0 && !r.hasRelays() {
-			if r.tried {
+			switch {
+			case !r.tried:
+				r.startDirect(ctx)
+			case r.asksAgain():
+				r.startRelay(relayCtx)
+				next.Reset(relayStagger)
+			default:
 				return nil, r.failure()
 			}
-			r.startDirect(ctx)
 		}
 		select {
 		case <-next.C:
@@ -318,6 +326,18 @@
 	return len(r.relays) > 0
 }
 
+// asksAgain puts the relays that have not answered in time back on the list of those to
+// ask, once, if no other daemon has said anything. A relay on a busy host may need longer
+// than relayTimeout, and then a single relay must not decide that nobody has a path.
+func (r *race) asksAgain() bool {
+	if r.askedAgain || r.judgement != nil || r.noPath || len(r.silent) == 0 {
+		return false
+	}
+	r.askedAgain = true
+	r.relays = r.silent
+	return true
+}
+
 func (r *race) startRelay(ctx context.Context) {
 	if !r.hasRelays() {
 		return
@@ -354,6 +374,8 @@
 		}
 	case result.verdict == pathLost:
 		r.noPath = true
+	case errors.Is(result.err, context.DeadlineExceeded):
+		r.silent = append(r.silent, *result.relay)
 	}
 }
 
--- a/relays/relays_test.go
+++ b/relays/relays_test.go
@@ -91,6 +91,8 @@
 	foreigners bool          // the relay admits nobody
 	paused     time.Duration // time for which the process was paused
 	held       *heldDial     // nil if nothing is held
+	silences   int           // connections to the relay that go to silent from now on
+	silent     *backend      // accepts connections and answers nothing
 }
 
 // heldDial is a connection whose direct way is held until another daemon is asked, which
@@ -156,6 +158,10 @@
 func (p *pair) dialPeer(ctx context.Context, network, address string) (net.Conn, error) {
 	p.mu.Lock()
 	held := p.held
+	if p.silences > 0 {
+		p.silences--
+		address = p.silent.address()
+	}
 	p.mu.Unlock()
 	if held == nil {
 		return p.peerDial(ctx, network, address)
@@ -359,6 +365,28 @@
 	}
 }
 
+// Guards against a server that counts as out of reach because the only relay, on a busy
+// host, did not answer in time once; and against relays that are asked without end.
+func TestSilentRelayIsAskedAgainOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		silences int
+		relayed  bool
+	}{"silent once": {1, true}, "silent twice": {2, false}} {
+		t.Run(name, func(t *testing.T) {
+			idle := func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }
+			b := newBackend(t, idle)
+			p := newPair(t, b.address())
+			p.setCut(syscall.ECONNREFUSED)
+			p.mu.Lock()
+			p.silences, p.silent = c.silences, newBackend(t, idle)
+			p.mu.Unlock()
+			if err := p.connectError(b); (err == nil) != c.relayed {
+				t.Errorf("error %v, want a connection: %v", err, c.relayed)
+			}
+		})
+	}
+}
+
 // Guards against a sound path that is given up for a server which is down or silent, and
 // against servers that count as ended because one daemon cannot reach them.
 func TestOtherDaemonsDecideWhatAFailureMeans(t *testing.T) {
--- a/relays/tunnel.go
+++ b/relays/tunnel.go
@@ -42,8 +42,8 @@
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	n := &tunnel{Conn: conn, reader: bufio.NewReaderSize(conn, maxFrameBytes)}
 	a, err := n.open(t)
-	if !stop() && err == nil {
-		err = ctx.Err()
+	if !stop() {
+		err = ctx.Err() // also why the connection was closed
 	}
 	if err == nil && a.Verdict == connected {
 		return n, connected, nil
