Divide engines by a forecast of short answers

With forecast-demand, the scheduler counts the arrivals of short prompts per 100 ms and continues their trend over the last second. The reserved engines follow the larger of the active and the forecast short answers, parts of long prompts end before the forecast needs their engine, and long prompts with slack wait while a burst begins, for at most urgentWaitFraction of their target.

--- a/schedules/placement.go
+++ b/schedules/placement.go
@@ -123,6 +123,9 @@
 		return nil
 	}
 	if j.long {
+		if p.waitsForBurst(now, j) {
+			return nil
+		}
 		candidates = p.newCandidateSet(slices.DeleteFunc(slices.Clone(candidates.engines), func(e *engine) bool { return e.mayHaveUnreportedLoad(now) }))
 	}
 	if j.request.Prompt+j.request.Answer > int(plannedMemoryFraction*float64(p.profile.MemoryTokens)) {
@@ -233,6 +236,17 @@
 	backlog  time.Duration
 	budget   time.Duration
 	slowdown float64
+	// neededIn is the time until the forecast of short answers needs the engine, if
+	// isNeeded.
+	neededIn time.Duration
+	isNeeded bool
+}
+
+// canPrefill reports whether the engine can prefill a part without long pauses, and before
+// short answers need it.
+func (c *prefillCandidate) canPrefill(part time.Duration) bool {
+	duration := time.Duration(float64(part) * c.slowdown)
+	return c.budget >= duration && (!c.isNeeded || c.backlog+duration <= c.neededIn)
 }
 
 // prefillCandidates returns the engines that may prefill parts of a long
@@ -240,9 +254,13 @@
 // including those that are not available at present.
 func (p *pool) prefillCandidates(now time.Time, set candidateSet, urgent bool) (candidates []prefillCandidate, total int) {
 	usable := set.longPromptEngines()
-	for _, e := range usable {
+	for i, e := range usable {
 		if !e.primaryPrefillPending() && !e.longPrefillPending(now) && !e.isCold(now) {
-			candidates = append(candidates, prefillCandidate{engine: e, backlog: e.backlog(now), budget: e.prefillBudget(now, urgent), slowdown: e.slowdown(now)})
+			c := prefillCandidate{engine: e, backlog: e.backlog(now), budget: e.prefillBudget(now, urgent), slowdown: e.slowdown(now)}
+			if !urgent {
+				c.neededIn, c.isNeeded = p.neededIn(i)
+			}
+			candidates = append(candidates, c)
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b prefillCandidate) int { return cmp.Compare(a.backlog, b.backlog) })
@@ -288,7 +306,7 @@
 	eligible := make([]prefillCandidate, 0, len(candidates))
 	engines := make([]*engine, 0, len(candidates))
 	for _, c := range candidates {
-		if c.budget >= time.Duration(float64(part)*c.slowdown) {
+		if c.canPrefill(part) {
 			eligible = append(eligible, c)
 			engines = append(engines, c.engine)
 		}
@@ -359,7 +377,7 @@
 		part := j.prefillTime / time.Duration(k)
 		var eligible []*engine
 		for _, c := range candidates {
-			if len(eligible) < k && c.budget >= time.Duration(float64(part)*c.slowdown) && c.backlog+part <= limit {
+			if len(eligible) < k && c.canPrefill(part) && c.backlog+part <= limit {
 				eligible = append(eligible, c.engine)
 			}
 		}
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -81,6 +81,9 @@
 	peakShortAnswersAt time.Time
 	refusedCount       int
 	paths              *paths.Table // nil if paths are not judged
+	policy             Policy
+	demand             demand // not used without policy.ForecastDemand
+	reportedBurst      bool   // as of the last DemandChange
 }
 
 // Policy switches on decisions that not every deployment asks for. With the zero value
@@ -118,6 +121,8 @@
 	found      []crashes.Quarantine // not returned by TakeQuarantines yet
 	places     map[string]keptPlace // of jobs that were handed back, by fingerprint
 	paths      *paths.Table         // nil if paths are not judged
+
+	demandChanges []DemandChange // not returned by TakeDemandChanges yet
 }
 
 // New returns a Scheduler that knows no engines.
@@ -139,7 +144,7 @@
 func (s *Scheduler) UpdateEngines(now time.Time, profiles map[string]*costs.Profile, states []EngineState) {
 	for name, profile := range profiles {
 		if s.pools[name] == nil {
-			s.pools[name] = &pool{engines: map[gypsumshelf.ServerID]*engine{}, paths: s.paths}
+			s.pools[name] = &pool{engines: map[gypsumshelf.ServerID]*engine{}, paths: s.paths, policy: s.cfg.Policy}
 		}
 		s.pools[name].profile = profile
 		if s.paths != nil {
@@ -185,6 +190,9 @@
 		return []Decision{{Job: job.ID, RetryAfter: maxRetryAfter, Reason: crashes.QuarantineReason}}
 	}
 	j := s.addJob(now, p, job)
+	if p.policy.ForecastDemand && !j.long {
+		p.demand.arrivals.record(now)
+	}
 	wait := p.predictWait(j, s.jobsAhead(now, p, j))
 	if wait > min(job.Patience, job.Deadline-p.minServiceTime(j)) {
 		delete(s.jobs, job.ID)
@@ -325,8 +333,9 @@
 		}
 	}
 	decisions = append(decisions, s.judgeCrashes(now)...)
-	for _, p := range s.pools {
+	for name, p := range s.pools {
 		decisions = append(decisions, s.processQueue(now, p, allJobs)...)
+		s.recordBurst(name, p)
 	}
 	return decisions
 }
@@ -342,6 +351,7 @@
 func (s *Scheduler) processQueue(now time.Time, p *pool, includeLong bool) []Decision {
 	p.decayDemand(now)
 	p.updateShortAnswers(now)
+	p.updateDemand(now)
 	if len(p.queue) == 0 {
 		return nil
 	}
@@ -528,7 +538,7 @@
 		return 0
 	}
 	perEngine := targetSlotUtilization * float64(p.profile.Slots)
-	need := int(math.Ceil(p.peakShortAnswers/perEngine + shortPromptHeadroom))
+	need := int(math.Ceil(max(p.peakShortAnswers, p.demand.answers)/perEngine + shortPromptHeadroom))
 	return max(1, len(p.sorted)-need)
 }
 
@@ -586,6 +596,9 @@
 		remaining -= h.Tokens
 	}
 	partTime := j.prefillTime / time.Duration(1+len(placement.Helpers))
+	if j.long {
+		p.demand.longPartTime = partTime
+	}
 	for i, id := range placement.engines() {
 		e := p.engines[id]
 		if e == nil {
