Learn from late first events which engines are slow

With learn-predictions, the ratio of the observed to the predicted time to the first event is kept per engine and used as a slowdown where it exceeds the reported one. The second of two late events in a row counts, and the ratio is compared with the median of the other engines, so that a burst marks none.

The excess of a load report over the assigned requests is reconciled with what was placed and ended within the lag of the report; the tolerance of five requests let local schedulers exceed the slots of an engine. Impossible reports are refused and logged once per engine.

--- a/dispatchers/dispatcher.go
+++ b/dispatchers/dispatcher.go
@@ -102,6 +102,7 @@
 	pending         map[schedules.JobID]*pendingDecision // jobs whose daemons may request a decision
 	reportsInFlight map[gypsumshelf.ServerID]bool        // engines with a poll in flight
 	nextReport      int                                  // index in engines of the next one to poll
+	invalidReports  map[gypsumshelf.ServerID]bool        // engines whose last report was invalid
 	localSchedulers int                                  // in the deployment
 	quarantines     []crashes.Quarantine                 // in force for all daemons
 	lifts           []crashes.Lift                       // of quarantines
@@ -111,7 +112,7 @@
 
 // New returns an inactive Dispatcher.
 func New(cfg Config) *Dispatcher {
-	d := &Dispatcher{cfg: cfg, localSchedulers: minLocalSchedulers, pending: map[schedules.JobID]*pendingDecision{}, reportsInFlight: map[gypsumshelf.ServerID]bool{}, ended: map[schedules.JobID]time.Time{}}
+	d := &Dispatcher{cfg: cfg, localSchedulers: minLocalSchedulers, pending: map[schedules.JobID]*pendingDecision{}, reportsInFlight: map[gypsumshelf.ServerID]bool{}, invalidReports: map[gypsumshelf.ServerID]bool{}, ended: map[schedules.JobID]time.Time{}}
 	d.scheduler = d.newScheduler()
 	cfg.Timers.Subscribe(tickPeriod, d.tick)
 	if cfg.Reporter != nil {
@@ -342,6 +343,7 @@
 	d.deliver(d.scheduler.Tick(now))
 	d.logPathChanges()
 	d.logDemandChanges()
+	d.logSlowChanges()
 	if found := d.scheduler.TakeQuarantines(); len(found) > 0 && d.cfg.HandleQuarantines != nil {
 		d.cfg.HandleQuarantines(found)
 	}
@@ -415,5 +417,5 @@
 		d.scheduler.MarkUnresponsive(now, p.engine.State.ID)
 		return
 	}
-	d.scheduler.UpdateLoad(now, p.engine.State.ID, report)
+	d.recordReport(now, p.engine.State.ID, report)
 }
--- a/schedules/demand_replay_test.go
+++ b/schedules/demand_replay_test.go
@@ -97,10 +97,14 @@
 // outcomes are counts by class, and under "burst" those of the short prompts in bursts.
 type outcomes map[string]outcome
 
-func (l demandLoad) replay(t testing.TB, engines int, policy Policy, seeds int) outcomes {
+// replay runs the load with several seeds, each time after some preparations.
+func (l demandLoad) replay(t testing.TB, engines int, policy Policy, seeds int, prepare ...func(*simulation)) outcomes {
 	out := outcomes{}
 	for seed := range seeds {
 		s := newDemandSimulation(t, engines, uint64(seed+21), policy)
+		for _, f := range prepare {
+			f(s)
+		}
 		s.run(demandLength, l.factor)
 		for _, j := range s.submitted {
 			keys := []string{j.class.name}
@@ -135,8 +139,17 @@
 	}
 }
 
+func logShares(t *testing.T, without, with outcomes) {
+	t.Helper()
+	for _, k := range []string{"burst", "draft", "check", "review"} {
+		if with[k].offered > 0 {
+			t.Logf("%-6s late %.4f without and %.4f with the policy (%d offered)", k, without[k].share(), with[k].share(), with[k].offered)
+		}
+	}
+}
+
 // assertFewerLate fails the test if the late share of a class is above a multiple of the
-// one without the forecast.
+// one without the policy.
 func assertFewerLate(t *testing.T, class string, without, with outcomes, most float64) {
 	t.Helper()
 	if a, b := without[class].share(), with[class].share(); b > most*a {
@@ -172,9 +185,8 @@
 			without, with := outcomes{}, outcomes{}
 			for _, n := range demandEngines {
 				a, b := l.replay(t, n, Policy{}, seeds), l.replay(t, n, Policy{ForecastDemand: true}, seeds)
-				for _, k := range []string{"burst", "draft", "check", "review"} {
-					t.Logf("%d engines, %-6s late %.4f without and %.4f with the forecast", n, k, a[k].share(), b[k].share())
-				}
+				t.Log(n, "engines")
+				logShares(t, a, b)
 				without.add(a)
 				with.add(b)
 				byEngines[n][0].add(a)
@@ -187,9 +199,7 @@
 	for _, n := range demandEngines {
 		t.Run(fmt.Sprintf("%d engines, all loads", n), func(t *testing.T) {
 			without, with := byEngines[n][0], byEngines[n][1]
-			for _, k := range []string{"burst", "draft", "check", "review"} {
-				t.Logf("%-6s late %.4f without and %.4f with the forecast (%d offered)", k, without[k].share(), with[k].share(), with[k].offered)
-			}
+			logShares(t, without, with)
 			assertFewerLate(t, "burst", without, with, 0.8)
 			assertLongClassesKeep(t, without, with)
 		})
--- a/schedules/engine.go
+++ b/schedules/engine.go
@@ -30,6 +30,13 @@
 	// 200 ms, in which several short answers end, and include prefills that have
 	// just ended.
 	externalRequestTolerance = 5
+	// reportLag is the age of the load in a report. reconciledRequestTolerance replaces
+	// externalRequestTolerance where the excess is reconciled with the requests that were
+	// placed or ended within it: one whose placement or end passes the report on its way
+	// may still be counted twice. With the larger one, several local schedulers together
+	// exceed the slots of an engine by as many requests.
+	reportLag                  = 200 * time.Millisecond
+	reconciledRequestTolerance = 1
 	// externalRequestGap is the longest pause that the callers of external
 	// requests are assumed to accept. Most answers are short ones, whose callers
 	// accept no longer pause.
@@ -47,10 +54,14 @@
 // assignment is the work of one job on one engine.
 type assignment struct {
 	job          *jobState
-	primary      bool // the engine generates the answer
-	memoryTokens int  // tokens that the job keeps in the engine's memory
+	primary      bool      // the engine generates the answer
+	memoryTokens int       // tokens that the job keeps in the engine's memory
+	placedAt     time.Time // zero if another scheduler placed the job
 }
 
+// endedAssignment is an assignment that ended within reportLag.
+type endedAssignment struct{ placedAt, endedAt time.Time }
+
 // prefill is the prefill of a prompt or of a part of one on an engine.
 type prefill struct {
 	end      time.Time // predicted end
@@ -73,6 +84,11 @@
 	coldLimiter         *rate.Limiter
 	limits              *limits // that engines have named; shared by all of them
 	shared              bool    // other schedulers place jobs here too
+	learns              bool    // Policy.LearnPredictions
+	ended               []endedAssignment
+	ratio               ratio   // not used without Policy.LearnPredictions
+	learnedSlowdown     float64 // ratio compared with those of other engines, 0 if it is not learned
+	reportedSlow        bool    // as of the last SlowChange
 }
 
 func newEngine(state EngineState, profile *costs.Profile, limits *limits) *engine {
@@ -128,8 +144,14 @@
 	e.limits.take(now, e.id())
 }
 
-// slowdown returns the factor by which the engine is slower than its profile.
+// slowdown returns the factor by which the engine is slower than its profile: the larger
+// of the reported and the learned one.
 func (e *engine) slowdown(now time.Time) float64 {
+	return max(e.learnedSlowdown, e.statedSlowdown(now))
+}
+
+// statedSlowdown returns the slowdown that the engine reports.
+func (e *engine) statedSlowdown(now time.Time) float64 {
 	if e.load.Slowdown <= 1 || now.Sub(e.loadAt) > slowdownTTL {
 		return 1
 	}
@@ -140,11 +162,36 @@
 // the placed ones come from entry daemons that schedule locally.
 func (e *engine) recordLoad(now time.Time, l Load) {
 	e.load, e.loadAt = l, now
-	if e.externalRequests = l.Running + l.Queued - len(e.assignments); e.externalRequests <= externalRequestTolerance {
+	expected, tolerance := len(e.assignments), externalRequestTolerance
+	if e.learns {
+		expected, tolerance = e.assignmentsAt(now, now.Add(-reportLag)), reconciledRequestTolerance
+	}
+	if e.externalRequests = l.Running + l.Queued - expected; e.externalRequests <= tolerance {
 		e.externalRequests = 0
 	}
 }
 
+// assignmentsAt returns the number of assignments at an earlier time, at most reportLag ago.
+func (e *engine) assignmentsAt(now, earlier time.Time) int {
+	e.forgetEnded(now)
+	n := 0
+	for _, a := range e.assignments {
+		if !a.placedAt.After(earlier) {
+			n++
+		}
+	}
+	for _, a := range e.ended {
+		if !a.placedAt.After(earlier) && a.endedAt.After(earlier) {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *engine) forgetEnded(now time.Time) {
+	e.ended = slices.DeleteFunc(e.ended, func(a endedAssignment) bool { return now.Sub(a.endedAt) > reportLag })
+}
+
 // recentExternalRequests returns the number of requests that other schedulers
 // placed, or 0 if the last report is too old.
 func (e *engine) recentExternalRequests(now time.Time) int {
@@ -185,8 +232,12 @@
 }
 
 // removeAssignment removes the assignment of a job.
-func (e *engine) removeAssignment(id JobID) {
-	if _, ok := e.assignments[id]; ok {
+func (e *engine) removeAssignment(now time.Time, id JobID) {
+	if a, ok := e.assignments[id]; ok {
+		if e.learns {
+			e.forgetEnded(now)
+			e.ended = append(e.ended, endedAssignment{placedAt: a.placedAt, endedAt: now})
+		}
 		delete(e.assignments, id)
 		e.updateSummary()
 	}
--- a/schedules/job.go
+++ b/schedules/job.go
@@ -4,6 +4,8 @@
 package schedules
 
 import (
+	"fmt"
+	"math"
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
@@ -103,6 +105,24 @@
 	Born     int64   // start of the engine that reports, in ms since 1970, 0 if it does not say
 }
 
+// maxReportedRequests is far above the slots of any engine and far below the integers that
+// overflow when they are added.
+const maxReportedRequests = 1_000_000
+
+// validate returns an error if a load is impossible. A slowdown of 0 is one that the engine
+// does not state.
+func (l Load) validate() error {
+	switch {
+	case math.IsNaN(l.Slowdown), math.IsInf(l.Slowdown, 0), l.Slowdown < 0:
+		return fmt.Errorf("slowdown is %v, want a finite number of at least 0", l.Slowdown)
+	case l.Running < 0, l.Running > maxReportedRequests:
+		return fmt.Errorf("running is %d, want 0 to %d", l.Running, maxReportedRequests)
+	case l.Queued < 0, l.Queued > maxReportedRequests:
+		return fmt.Errorf("queued is %d, want 0 to %d", l.Queued, maxReportedRequests)
+	}
+	return nil
+}
+
 // EngineState is the state of an engine that the scheduler needs.
 type EngineState struct {
 	ID                    gypsumshelf.ServerID
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -63,6 +63,8 @@
 	long        bool          // the prompt is long: its parts are kept away from answers that accept only short pauses
 	placement   *Placement
 	placedAt    time.Time
+	adopted     bool      // another scheduler placed the job
+	slowdown    float64   // of the engine as of the placement, 0 if another scheduler predicted the first event
 	started     bool      // the first event has been reported
 	stopAt      time.Time // when its daemon breaks off its requests, zero if no stop has begun
 }
@@ -122,6 +124,7 @@
 	places     map[string]keptPlace // of jobs that were handed back, by fingerprint
 	paths      *paths.Table         // nil if paths are not judged
 
+	slowChanges   []SlowChange   // not returned by TakeSlowChanges yet
 	demandChanges []DemandChange // not returned by TakeDemandChanges yet
 }
 
@@ -161,6 +164,7 @@
 		if p.engines[state.ID] == nil {
 			p.engines[state.ID] = newEngine(state, p.profile, s.limits)
 		}
+		p.engines[state.ID].learns = s.cfg.Policy.LearnPredictions
 		p.engines[state.ID].update(now, state, p.profile, s.cfg.ColdShare)
 	}
 	for _, p := range s.pools {
@@ -233,6 +237,7 @@
 		return
 	}
 	j := s.addJob(now, p, job)
+	j.adopted = true
 	p.assign(now, j, &placement)
 	if j.started = started; started {
 		p.finishPrefill(now, j)
@@ -247,6 +252,7 @@
 	}
 	j.started = true
 	p := s.pools[j.request.Service]
+	p.learnFirst(now, j)
 	if j.placement != nil {
 		p.finishPrefill(now, j)
 	}
@@ -275,7 +281,7 @@
 	}
 	for _, server := range j.placement.engines() {
 		if e := p.engines[server]; e != nil {
-			e.removeAssignment(id)
+			e.removeAssignment(now, id)
 			e.finishPrefills(now)
 		}
 	}
@@ -290,13 +296,18 @@
 	return s.processQueue(now, p, shortJobsOnly)
 }
 
-// UpdateLoad records the load that an engine reported.
-func (s *Scheduler) UpdateLoad(now time.Time, id gypsumshelf.ServerID, l Load) {
+// UpdateLoad records the load that an engine reported. It returns an error and keeps the
+// last report if the load is invalid.
+func (s *Scheduler) UpdateLoad(now time.Time, id gypsumshelf.ServerID, l Load) error {
+	if err := l.validate(); err != nil {
+		return err
+	}
 	for _, p := range s.pools {
 		if e := p.engines[id]; e != nil {
 			e.recordLoad(now, l)
 		}
 	}
+	return nil
 }
 
 // EndDaemonJobs ends all jobs of an entry daemon that is not reachable any
@@ -334,6 +345,8 @@
 	}
 	decisions = append(decisions, s.judgeCrashes(now)...)
 	for name, p := range s.pools {
+		p.updateRatios(now)
+		s.recordSlow(now, p)
 		decisions = append(decisions, s.processQueue(now, p, allJobs)...)
 		s.recordBurst(name, p)
 	}
@@ -383,6 +396,7 @@
 			d = s.handBack(now, p, j)
 		case placement != nil:
 			placement.Limited = s.limits.get(now, placement.Server) != nil
+			j.slowdown = p.engines[placement.Server].slowdown(now)
 			p.assign(now, j, placement)
 			d.Placement = placement
 			defaultCandidates = p.candidateSet(now, nil)
@@ -578,7 +592,7 @@
 			continue
 		}
 		if a := e.assignments[j.request.ID]; a != nil && !a.primary && a.memoryTokens == 0 {
-			e.removeAssignment(j.request.ID) // a helper without a reservation has no further work
+			e.removeAssignment(now, j.request.ID) // a helper without a reservation has no further work
 		} else {
 			e.updateSummary()
 		}
@@ -605,6 +619,9 @@
 			continue
 		}
 		a := &assignment{job: j, primary: i == 0, memoryTokens: heldTokens[id]}
+		if !j.adopted {
+			a.placedAt = now
+		}
 		if i == 0 {
 			a.memoryTokens = max(0, remaining)
 		}
--- a/schedules/scheduler_test.go
+++ b/schedules/scheduler_test.go
@@ -46,6 +46,13 @@
 	return decisions[0].Placement
 }
 
+func updateLoad(t *testing.T, s *Scheduler, now time.Time, id gypsumshelf.ServerID, l Load) {
+	t.Helper()
+	if err := s.UpdateLoad(now, id, l); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func assertWaits(t *testing.T, decisions []Decision) {
 	t.Helper()
 	if len(decisions) != 0 {
@@ -309,7 +316,7 @@
 // same slots.
 func TestExternalRequestsTakeSlots(t *testing.T) {
 	s := newTestScheduler(2)
-	s.UpdateLoad(origin, "e00", Load{Slowdown: 1, Running: testProfile().Slots})
+	updateLoad(t, s, origin, "e00", Load{Slowdown: 1, Running: testProfile().Slots})
 	for i := range 4 {
 		if p := requirePlacement(t, s.Submit(origin, shortJob(fmt.Sprint("d", i)))); p.Server != "e01" {
 			t.Errorf("a request is placed on engine %s, whose slots are taken", p.Server)
@@ -354,7 +361,7 @@
 		if i >= 2 {
 			l.Running = 0
 		}
-		s.UpdateLoad(origin, state.ID, l)
+		updateLoad(t, s, origin, state.ID, l)
 	}
 	for _, id := range requirePlacement(t, s.Tick(origin)).engines() {
 		if id < "e02" {
--- a/schedules/simulation_test.go
+++ b/schedules/simulation_test.go
@@ -69,6 +69,7 @@
 	prefills []*simPrefill
 	answers  []*simJob
 	inPass   bool
+	slowdown float64 // 0 stands for 1
 }
 
 type simPrefill struct {
@@ -254,6 +255,9 @@
 			e.prefills = e.prefills[1:]
 		}
 	}
+	if e.slowdown > 0 {
+		passMs *= e.slowdown
+	}
 	answers := append([]*simJob(nil), e.answers...)
 	s.after(time.Duration(passMs*1e6), func() {
 		e.inPass = false
