Order waiting jobs by workspace and caller, and spread returns

With forecast-demand, jobs on time precede late ones, then priority counts, then whether the caller repeats its request at once, and then the active answers of the workspaces if one holds more than its share of the slots. Each refusal books a place for the caller, whose retry time follows from the capacity that the expected new callers leave; a caller that returns then is not refused for the length of the queue.

--- a/schedules/crashes.go
+++ b/schedules/crashes.go
@@ -42,7 +42,7 @@
 		p.queue = slices.DeleteFunc(p.queue, func(j *jobState) bool {
 			refused := s.crashes.IsQuarantined(now, j.request.Causes)
 			if refused {
-				delete(s.jobs, j.request.ID)
+				s.removeJob(j)
 				decisions = append(decisions, Decision{Job: j.request.ID, RetryAfter: maxRetryAfter, Reason: crashes.QuarantineReason, Waited: now.Sub(j.arrived)})
 			}
 			return refused
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -63,6 +63,8 @@
 	long        bool          // the prompt is long: its parts are kept away from answers that accept only short pauses
 	placement   *Placement
 	placedAt    time.Time
+	repeated    bool      // its caller repeats the request at once
+	hasPlace    bool      // its caller was refused and returns when it was told to
 	adopted     bool      // another scheduler placed the job
 	slowdown    float64   // of the engine as of the placement, 0 if another scheduler predicted the first event
 	started     bool      // the first event has been reported
@@ -84,8 +86,12 @@
 	refusedCount       int
 	paths              *paths.Table // nil if paths are not judged
 	policy             Policy
-	demand             demand // not used without policy.ForecastDemand
-	reportedBurst      bool   // as of the last DemandChange
+	demand             demand         // not used without policy.ForecastDemand
+	reportedBurst      bool           // as of the last DemandChange
+	answersOf          map[string]int // active answers by workspace
+	shareExceeded      bool           // a workspace holds more than its share of the slots
+	nextShortReturn    time.Time      // from which there is capacity for another refused caller
+	nextLongReturn     time.Time
 }
 
 // Policy switches on decisions that not every deployment asks for. With the zero value
@@ -121,7 +127,8 @@
 	crashes    *crashes.Detector
 	limits     *limits
 	found      []crashes.Quarantine // not returned by TakeQuarantines yet
-	places     map[string]keptPlace // of jobs that were handed back, by fingerprint
+	places     map[string]keptPlace // of jobs that were handed back or refused, by fingerprint
+	copies     map[string]int       // known jobs by fingerprint
 	paths      *paths.Table         // nil if paths are not judged
 
 	slowChanges   []SlowChange   // not returned by TakeSlowChanges yet
@@ -131,7 +138,7 @@
 // New returns a Scheduler that knows no engines.
 func New(cfg Config) *Scheduler {
 	detector := crashes.NewDetector(cmp.Or(cfg.QuarantineTime, crashes.QuarantineTime))
-	s := &Scheduler{cfg: cfg, pools: map[string]*pool{}, jobs: map[JobID]*jobState{}, crashes: detector, limits: newLimits(cfg.ColdShare), places: map[string]keptPlace{}}
+	s := &Scheduler{cfg: cfg, pools: map[string]*pool{}, jobs: map[JobID]*jobState{}, crashes: detector, limits: newLimits(cfg.ColdShare), places: map[string]keptPlace{}, copies: map[string]int{}}
 	if cfg.Policy.AvoidBadPaths {
 		s.paths = paths.NewTable()
 	}
@@ -147,7 +154,7 @@
 func (s *Scheduler) UpdateEngines(now time.Time, profiles map[string]*costs.Profile, states []EngineState) {
 	for name, profile := range profiles {
 		if s.pools[name] == nil {
-			s.pools[name] = &pool{engines: map[gypsumshelf.ServerID]*engine{}, paths: s.paths, policy: s.cfg.Policy}
+			s.pools[name] = &pool{engines: map[gypsumshelf.ServerID]*engine{}, answersOf: map[string]int{}, paths: s.paths, policy: s.cfg.Policy}
 		}
 		s.pools[name].profile = profile
 		if s.paths != nil {
@@ -197,17 +204,16 @@
 	if p.policy.ForecastDemand && !j.long {
 		p.demand.arrivals.record(now)
 	}
+	s.judgeCaller(now, j)
 	wait := p.predictWait(j, s.jobsAhead(now, p, j))
-	if wait > min(job.Patience, job.Deadline-p.minServiceTime(j)) {
-		delete(s.jobs, job.ID)
-		return []Decision{p.refuse(now, j, "the queue is longer than the caller waits")}
+	if wait > min(job.Patience, job.Deadline-p.minServiceTime(j)) && !j.hasPlace {
+		return []Decision{s.refuse(now, p, j, "the queue is longer than the caller waits")}
 	}
 	if p.outlastsStop(now, j, wait) {
 		return []Decision{s.handBack(now, p, j)}
 	}
 	if wait := p.limitedWait(now); wait > max(0, job.Target) {
-		delete(s.jobs, job.ID)
-		d := p.refuse(now, j, "all engines have named limits that are used up")
+		d := s.refuse(now, p, j, "all engines have named limits that are used up")
 		d.RetryAfter = min(maxRetryAfter, max(d.RetryAfter, wait))
 		return []Decision{d}
 	}
@@ -227,6 +233,9 @@
 		p.longPromptDemand += j.prefillTime.Seconds()
 	}
 	s.jobs[job.ID] = j
+	if job.Fingerprint != "" {
+		s.copies[job.Fingerprint]++
+	}
 	return j
 }
 
@@ -270,7 +279,7 @@
 	if j == nil {
 		return nil
 	}
-	delete(s.jobs, id)
+	s.removeJob(j)
 	if outcome == Completed {
 		s.crashes.RecordCompleted(now, j.request.Causes)
 	}
@@ -279,6 +288,7 @@
 		p.queue = slices.DeleteFunc(p.queue, func(o *jobState) bool { return o == j })
 		return nil
 	}
+	p.countAnswer(j, -1)
 	for _, server := range j.placement.engines() {
 		if e := p.engines[server]; e != nil {
 			e.removeAssignment(now, id)
@@ -369,6 +379,7 @@
 		return nil
 	}
 	var decisions []Decision
+	p.updateShares()
 	slices.SortStableFunc(p.queue, func(a, b *jobState) int { return p.compare(now, a, b) })
 	waiting, late := len(p.queue), 0
 	defaultCandidates := p.candidateSet(now, nil) // most jobs avoid no engine
@@ -401,11 +412,9 @@
 			d.Placement = placement
 			defaultCandidates = p.candidateSet(now, nil)
 		case p.isUnservable(now, j):
-			delete(s.jobs, j.request.ID)
-			d = p.refuse(now, j, "no engine was free in time")
-		case late > maxLateJobsPerEngine*len(p.sorted) && !j.long:
-			delete(s.jobs, j.request.ID)
-			d = p.refuse(now, j, "too many late requests wait")
+			d = s.refuse(now, p, j, "no engine was free in time")
+		case late > maxLateJobsPerEngine*len(p.sorted) && !j.long && !j.hasPlace:
+			d = s.refuse(now, p, j, "too many late requests wait")
 		default:
 			remaining = append(remaining, j)
 			continue
@@ -425,6 +434,9 @@
 // have no slack left, and any further delay would make it late. Long jobs are
 // ordered by the time at which their first event is due.
 func (p *pool) compare(now time.Time, a, b *jobState) int {
+	if p.policy.ForecastDemand {
+		return p.compareFairly(now, a, b)
+	}
 	lateA, lateB := p.isLate(now, a), p.isLate(now, b)
 	switch {
 	case lateA != lateB && lateB:
@@ -603,6 +615,7 @@
 // assign records the placement of a job on its engines.
 func (p *pool) assign(now time.Time, j *jobState, placement *Placement) {
 	j.placement, j.placedAt = placement, now
+	p.countAnswer(j, 1)
 	heldTokens := map[gypsumshelf.ServerID]int{}
 	remaining := j.request.Prompt + j.request.Answer
 	for _, h := range placement.Holds {
--- a/schedules/simulation_test.go
+++ b/schedules/simulation_test.go
@@ -92,8 +92,10 @@
 	submitted  []*simJob
 	queue      simQueue
 	eventCount int
-	network    *simNetwork // nil if events arrive at once
-	spread     bool        // callers are in three data centres
+	network    *simNetwork                               // nil if events arrive at once
+	spread     bool                                      // callers are in three data centres
+	identify   func(j *simJob)                           // nil if requests have no fingerprints
+	refused    func(j *simJob, retryAfter time.Duration) // nil if callers do not return
 }
 
 type simEvent struct {
@@ -191,6 +193,9 @@
 	if s.spread {
 		j.job.DataCentre = string("abc"[len(s.submitted)%3])
 	}
+	if s.identify != nil {
+		s.identify(j)
+	}
 	s.submitted = append(s.submitted, j)
 	s.jobs[j.job.ID] = j
 	s.apply(s.scheduler.Submit(s.time(), j.job))
@@ -202,6 +207,9 @@
 		j := s.jobs[d.Job]
 		if d.Placement == nil {
 			j.refused = true
+			if s.refused != nil {
+				s.refused(j, d.RetryAfter)
+			}
 			continue
 		}
 		ids := append([]gypsumshelf.ServerID{d.Placement.Server}, d.Placement.Helpers...)
--- a/schedules/stops.go
+++ b/schedules/stops.go
@@ -19,10 +19,13 @@
 	placeTTL = 2 * time.Second
 )
 
-// keptPlace is the place in the queue of a job that was handed back.
+// keptPlace is the place in the queue of a job that was handed back, or the place that is
+// booked for the caller of one that was refused.
 type keptPlace struct {
-	targetDue time.Time // when the first event of the job was due
+	targetDue time.Time // when the first event of a job that was handed back was due
 	until     time.Time
+	refused   bool
+	returnAt  time.Time // when the caller of a refused job was told to return
 }
 
 // StopDaemon records that an entry daemon breaks off its requests after a time, and hands
@@ -57,7 +60,7 @@
 
 // handBack refuses a job whose daemon stops, and keeps its place.
 func (s *Scheduler) handBack(now time.Time, p *pool, j *jobState) Decision {
-	delete(s.jobs, j.request.ID)
+	s.removeJob(j)
 	if f := j.request.Fingerprint; f != "" {
 		s.places[f] = keptPlace{targetDue: j.due(j.request.Target), until: now.Add(placeTTL)}
 	}
@@ -73,6 +76,9 @@
 // wait behind all.
 func (s *Scheduler) jobsAhead(now time.Time, p *pool, j *jobState) []*jobState {
 	place, kept := s.places[j.request.Fingerprint]
+	if place.refused {
+		return p.queue
+	}
 	delete(s.places, j.request.Fingerprint)
 	if target := place.targetDue.Sub(now); kept && now.Before(place.until) && target < j.request.Target {
 		original := j.request.Target
