--- a/dispatchers/dispatcher.go
+++ b/dispatchers/dispatcher.go
@@ -130,7 +130,7 @@
 
 func (d *Dispatcher) newScheduler() *schedules.Scheduler {
 	if !d.cfg.Local {
-		return schedules.New(schedules.Config{DataCentre: d.cfg.DataCentre, Policy: d.cfg.Policy})
+		return schedules.New(schedules.Config{DataCentre: d.cfg.DataCentre, Policy: d.cfg.Policy, Polled: d.cfg.Reporter != nil})
 	}
 	return schedules.New(schedules.Config{DataCentre: d.cfg.DataCentre, Policy: d.cfg.Policy, ColdShare: 1 / float64(d.localSchedulers), QuarantineTime: localQuarantineTime})
 }
--- a/schedules/demand.go
+++ b/schedules/demand.go
@@ -5,6 +5,27 @@
 	"time"
 )
 
+const (
+	// demandDecayTime is the time constant of the exponential decay of the long
+	// prompt demand. It is close to the time between two long prompts under normal
+	// load.
+	demandDecayTime = time.Second
+	// targetSlotUtilization is the fraction of an engine's slots that short
+	// answers are planned to fill. The rest absorbs bursts.
+	targetSlotUtilization = 0.95
+	// shortPromptHeadroom is the capacity, in engines, that is kept for short
+	// prompts in addition to the planned utilization.
+	shortPromptHeadroom = 0.3
+	// shortAnswersDecayTime is the time constant of the exponential decay of the
+	// peak number of short answers. It is a quarter of the duration of a short
+	// answer, so that the number of reserved engines follows bursts but not single
+	// answers.
+	shortAnswersDecayTime = 500 * time.Millisecond
+	// minReservedDemand is the prefill demand, in engines, below which no engine
+	// is reserved for long prompts.
+	minReservedDemand = 0.02
+)
+
 // demand is the forecast of the short answers of a pool. It answers bursts of short prompts:
 // the prefill of a long prompt that began before a burst blocks an engine that the
 // burst needs, and answers of both on one engine pause for too long.
@@ -46,9 +67,10 @@
 	d.burst = d.trend.isRising(d.burst) && d.answers > p.peakShortAnswers
 }
 
-// shortAnswerTime returns the duration of a usual short answer.
+// shortAnswerTime returns the duration of a usual short answer. It is not 0, even if the
+// profile states no costs.
 func (p *pool) shortAnswerTime() time.Duration {
-	return p.profile.DecodeTime(p.profile.MeanAnswerTokens, p.profile.Slots/2, 0)
+	return max(time.Millisecond, p.profile.DecodeTime(p.profile.MeanAnswerTokens, p.profile.Slots/2, 0))
 }
 
 // recordBurst records whether a burst has begun or ended since the last call.
@@ -83,3 +105,51 @@
 	answers := (float64(len(p.sorted)-1-index) - shortPromptHeadroom) * perEngine
 	return p.demand.trend.timeUntil(math.Max(0, answers) / p.shortAnswerTime().Seconds())
 }
+
+func (p *pool) decayDemand(now time.Time) {
+	if !p.longPromptDemandAt.IsZero() {
+		p.longPromptDemand *= math.Exp(-now.Sub(p.longPromptDemandAt).Seconds() / demandDecayTime.Seconds())
+	}
+	p.longPromptDemandAt = now
+}
+
+// reservedCount returns the number of engines that are reserved for long
+// prompts. These are all engines that short answers do not need, because the
+// prefill of a long prompt takes less time on more engines.
+func (p *pool) reservedCount() int {
+	demand := p.longPromptDemand / demandDecayTime.Seconds() // in engines
+	if demand < minReservedDemand {
+		return 0
+	}
+	perEngine := targetSlotUtilization * float64(p.profile.Slots)
+	need := int(math.Ceil(max(p.peakShortAnswers, p.demand.answers)/perEngine + shortPromptHeadroom))
+	return max(1, len(p.sorted)-need)
+}
+
+// longPromptEngineCount returns the number of engines that long prompts may use: the
+// reserved ones, or all engines if none is reserved.
+func (p *pool) longPromptEngineCount() int {
+	if reserved := p.reservedCount(); reserved > 0 {
+		return reserved
+	}
+	return len(p.sorted)
+}
+
+// updateShortAnswers tracks the peak number of short answers. The peak rises at
+// once and decays slowly, so that the set of reserved engines does not change
+// whenever an answer ends.
+func (p *pool) updateShortAnswers(now time.Time) {
+	n := 0
+	for _, e := range p.sorted {
+		n += e.summary.shortAnswers
+	}
+	for _, j := range p.queue {
+		if !j.long {
+			n++
+		}
+	}
+	if !p.peakShortAnswersAt.IsZero() {
+		p.peakShortAnswers *= math.Exp(-now.Sub(p.peakShortAnswersAt).Seconds() / shortAnswersDecayTime.Seconds())
+	}
+	p.peakShortAnswers, p.peakShortAnswersAt = max(p.peakShortAnswers, float64(n)), now
+}
--- a/schedules/engine.go
+++ b/schedules/engine.go
@@ -98,6 +98,9 @@
 // update sets the state of the engine. Each cold period begins with a new request
 // limiter.
 func (e *engine) update(now time.Time, state EngineState, profile *costs.Profile, share float64) {
+	if e.state.Born != state.Born {
+		e.ratio = ratio{} // it tells of the start before
+	}
 	e.state, e.profile, e.shared = state, profile, share > 0
 	e.limits.restarted(state.ID, state.Born)
 	if !e.isCold(now) {
--- a/schedules/placement.go
+++ b/schedules/placement.go
@@ -145,7 +145,7 @@
 	var usable, suspects []*engine
 	for _, e := range p.sorted {
 		switch {
-		case slices.Contains(avoid, e.id()), !e.hasRoom(now):
+		case slices.Contains(avoid, e.id()), !e.hasRoom(now), p.awaitsReport(now, e):
 		case e.usable(now):
 			usable = append(usable, e)
 		case !e.isCold(now):
--- a/schedules/queue.go
+++ b/schedules/queue.go
@@ -160,3 +160,20 @@
 	*next = at.Add(interval)
 	return at.Sub(now)
 }
+
+// refuse returns the decision that refuses a job. The retry time is the time
+// until the active answers have ended, or for a long job until the waiting long
+// prompts have been prefilled. It varies between refused callers so that they do
+// not return all at once.
+func (p *pool) refuse(now time.Time, j *jobState, reason string) Decision {
+	wait := p.predictWait(j, p.queue)
+	if !j.long {
+		wait = p.profile.DecodeTime(p.profile.MeanAnswerTokens, p.profile.Slots/2, 0)
+	}
+	p.refusedCount++
+	wait += time.Duration(p.refusedCount%retryAfterSteps) * wait / time.Duration(2*retryAfterSteps)
+	return Decision{
+		Job: j.request.ID, Reason: reason, RetryAfter: min(maxRetryAfter, max(minRetryAfter, wait)),
+		Waited: now.Sub(j.arrived), Waiting: len(p.queue),
+	}
+}
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -13,24 +12,6 @@
 )
 
 const (
-	// demandDecayTime is the time constant of the exponential decay of the long
-	// prompt demand. It is close to the time between two long prompts under normal
-	// load.
-	demandDecayTime = time.Second
-	// targetSlotUtilization is the fraction of an engine's slots that short
-	// answers are planned to fill. The rest absorbs bursts.
-	targetSlotUtilization = 0.95
-	// shortPromptHeadroom is the capacity, in engines, that is kept for short
-	// prompts in addition to the planned utilization.
-	shortPromptHeadroom = 0.3
-	// shortAnswersDecayTime is the time constant of the exponential decay of the
-	// peak number of short answers. It is a quarter of the duration of a short
-	// answer, so that the number of reserved engines follows bursts but not single
-	// answers.
-	shortAnswersDecayTime = 500 * time.Millisecond
-	// minReservedDemand is the prefill demand, in engines, below which no engine
-	// is reserved for long prompts.
-	minReservedDemand = 0.02
 	// maxRetryAfter is the upper bound of Decision.RetryAfter.
 	maxRetryAfter = 3 * time.Second
 	// lostJobGrace is the time after its deadline at which a job without a
@@ -50,6 +31,11 @@
 	// queues jobs even if no engine of their service is known. The engines may not
 	// have announced themselves yet.
 	startupGrace = 3 * time.Second
+	// firstReportWait is the time, from its first job on, for which a new scheduler leaves
+	// out the engines that have sent no load report. Without one it does not know of the
+	// jobs that daemons have not handed over yet. A poll takes a round trip; a longer wait
+	// would make most short prompts late.
+	firstReportWait = reportLag / 2
 	// minRetryAfter is the lower bound of Decision.RetryAfter. A caller that
 	// returns earlier meets the same queue.
 	minRetryAfter = 100 * time.Millisecond
@@ -87,6 +73,7 @@
 	paths              *paths.Table // nil if paths are not judged
 	policy             Policy
 	demand             demand         // not used without policy.ForecastDemand
+	awaitReportsUntil  time.Time      // engines without a load report are left out before
 	reportedBurst      bool           // as of the last DemandChange
 	answersOf          map[string]int // active answers by workspace
 	shareExceeded      bool           // a workspace holds more than its share of the slots
@@ -113,6 +100,8 @@
 	ColdShare float64
 	// Policy switches on decisions that a deployment asks for.
 	Policy Policy
+	// Polled states that the engines are polled for load reports from the start.
+	Polled bool
 	// QuarantineTime is the time for which the quarantines found here last; 0 stands
 	// for crashes.QuarantineTime.
 	QuarantineTime time.Duration
@@ -193,6 +182,7 @@
 	p := s.pools[job.Service]
 	if s.firstJobAt.IsZero() {
 		s.firstJobAt = now
+		s.awaitReports(now)
 	}
 	if p == nil || len(p.engines) == 0 && now.Sub(s.firstJobAt) > startupGrace {
 		return []Decision{{Job: job.ID, RetryAfter: minRetryAfter, Reason: "no engine of the service is known"}}
@@ -248,6 +238,7 @@
 	j := s.addJob(now, p, job)
 	j.adopted = true
 	p.assign(now, j, &placement)
+	p.takeFromExternal(j)
 	if j.started = started; started {
 		p.finishPrefill(now, j)
 	}
@@ -531,71 +522,6 @@
 	return time.Duration(max(0, float64(len(p.queue)+1)-room) / perSecond * float64(time.Second))
 }
 
-// refuse returns the decision that refuses a job. The retry time is the time
-// until the active answers have ended, or for a long job until the waiting long
-// prompts have been prefilled. It varies between refused callers so that they do
-// not return all at once.
-func (p *pool) refuse(now time.Time, j *jobState, reason string) Decision {
-	wait := p.predictWait(j, p.queue)
-	if !j.long {
-		wait = p.profile.DecodeTime(p.profile.MeanAnswerTokens, p.profile.Slots/2, 0)
-	}
-	p.refusedCount++
-	wait += time.Duration(p.refusedCount%retryAfterSteps) * wait / time.Duration(2*retryAfterSteps)
-	return Decision{
-		Job: j.request.ID, Reason: reason, RetryAfter: min(maxRetryAfter, max(minRetryAfter, wait)),
-		Waited: now.Sub(j.arrived), Waiting: len(p.queue),
-	}
-}
-
-func (p *pool) decayDemand(now time.Time) {
-	if !p.longPromptDemandAt.IsZero() {
-		p.longPromptDemand *= math.Exp(-now.Sub(p.longPromptDemandAt).Seconds() / demandDecayTime.Seconds())
-	}
-	p.longPromptDemandAt = now
-}
-
-// reservedCount returns the number of engines that are reserved for long
-// prompts. These are all engines that short answers do not need, because the
-// prefill of a long prompt takes less time on more engines.
-func (p *pool) reservedCount() int {
-	demand := p.longPromptDemand / demandDecayTime.Seconds() // in engines
-	if demand < minReservedDemand {
-		return 0
-	}
-	perEngine := targetSlotUtilization * float64(p.profile.Slots)
-	need := int(math.Ceil(max(p.peakShortAnswers, p.demand.answers)/perEngine + shortPromptHeadroom))
-	return max(1, len(p.sorted)-need)
-}
-
-// longPromptEngineCount returns the number of engines that long prompts may use: the
-// reserved ones, or all engines if none is reserved.
-func (p *pool) longPromptEngineCount() int {
-	if reserved := p.reservedCount(); reserved > 0 {
-		return reserved
-	}
-	return len(p.sorted)
-}
-
-// updateShortAnswers tracks the peak number of short answers. The peak rises at
-// once and decays slowly, so that the set of reserved engines does not change
-// whenever an answer ends.
-func (p *pool) updateShortAnswers(now time.Time) {
-	n := 0
-	for _, e := range p.sorted {
-		n += e.summary.shortAnswers
-	}
-	for _, j := range p.queue {
-		if !j.long {
-			n++
-		}
-	}
-	if !p.peakShortAnswersAt.IsZero() {
-		p.peakShortAnswers *= math.Exp(-now.Sub(p.peakShortAnswersAt).Seconds() / shortAnswersDecayTime.Seconds())
-	}
-	p.peakShortAnswers, p.peakShortAnswersAt = max(p.peakShortAnswers, float64(n)), now
-}
-
 // finishPrefill updates the engines of a job after the prefill of its prompt.
 func (p *pool) finishPrefill(now time.Time, j *jobState) {
 	for _, id := range j.placement.engines() {
