--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -13,24 +12,6 @@
 )
 
 const (
-	// demandDecayTime is the time constant of the exponential decay of the long
-	// prompt demand. It is close to the time between two long prompts under normal
-	// load.
-	demandDecayTime = time.Second
-	// targetSlotUtilization is the fraction of an engine's slots that short
-	// answers are planned to fill. The rest absorbs bursts.
-	targetSlotUtilization = 0.95
-	// shortPromptHeadroom is the capacity, in engines, that is kept for short
-	// prompts in addition to the planned utilization.
-	shortPromptHeadroom = 0.3
-	// shortAnswersDecayTime is the time constant of the exponential decay of the
-	// peak number of short answers. It is a quarter of the duration of a short
-	// answer, so that the number of reserved engines follows bursts but not single
-	// answers.
-	shortAnswersDecayTime = 500 * time.Millisecond
-	// minReservedDemand is the prefill demand, in engines, below which no engine
-	// is reserved for long prompts.
-	minReservedDemand = 0.02
 	// maxRetryAfter is the upper bound of Decision.RetryAfter.
 	maxRetryAfter = 3 * time.Second
 	// lostJobGrace is the time after its deadline at which a job without a
@@ -50,6 +31,11 @@
 	// queues jobs even if no engine of their service is known. The engines may not
 	// have announced themselves yet.
 	startupGrace = 3 * time.Second
+	// firstReportWait is the time, from its first job on, for which a new scheduler leaves
+	// out the engines that have sent no load report. Without one it does not know of the
+	// jobs that daemons have not handed over yet. A poll takes a round trip; a longer wait
+	// would make most short prompts late.
+	firstReportWait = reportLag / 2
 	// minRetryAfter is the lower bound of Decision.RetryAfter. A caller that
 	// returns earlier meets the same queue.
 	minRetryAfter = 100 * time.Millisecond
@@ -63,6 +49,10 @@
 	long        bool          // the prompt is long: its parts are kept away from answers that accept only short pauses
 	placement   *Placement
 	placedAt    time.Time
+	repeated    bool      // its caller repeats the request at once
+	hasPlace    bool      // its caller was refused and returns when it was told to
+	adopted     bool      // another scheduler placed the job
+	slowdown    float64   // of the engine as of the placement, 0 if another scheduler predicted the first event
 	started     bool      // the first event has been reported
 	orphanUntil time.Time // when the answer to a lost daemon ends, zero if the daemon is not lost
 	stopAt      time.Time // when its daemon breaks off its requests, zero if no stop has begun
@@ -82,6 +72,14 @@
 	peakShortAnswersAt time.Time
 	refusedCount       int
 	paths              *paths.Table // nil if paths are not judged
+	policy             Policy
+	demand             demand         // not used without policy.ForecastDemand
+	awaitReportsUntil  time.Time      // engines without a load report are left out before
+	reportedBurst      bool           // as of the last DemandChange
+	answersOf          map[string]int // active answers by workspace
+	shareExceeded      bool           // a workspace holds more than its share of the slots
+	nextShortReturn    time.Time      // from which there is capacity for another refused caller
+	nextLongReturn     time.Time
 }
 
 // Policy switches on decisions that not every deployment asks for. With the zero value
@@ -107,6 +105,8 @@
 	ColdShare float64
 	// Policy switches on decisions that a deployment asks for.
 	Policy Policy
+	// Polled states that the engines are polled for load reports from the start.
+	Polled bool
 	// QuarantineTime is the time for which the quarantines found here last; 0 stands
 	// for crashes.QuarantineTime.
 	QuarantineTime time.Duration
@@ -121,14 +121,18 @@
 	crashes    *crashes.Detector
 	limits     *limits
 	found      []crashes.Quarantine // not returned by TakeQuarantines yet
-	places     map[string]keptPlace // of jobs that were handed back, by fingerprint
+	places     map[string]keptPlace // of jobs that were handed back or refused, by fingerprint
+	copies     map[string]int       // known jobs by fingerprint
 	paths      *paths.Table         // nil if paths are not judged
+
+	slowChanges   []SlowChange   // not returned by TakeSlowChanges yet
+	demandChanges []DemandChange // not returned by TakeDemandChanges yet
 }
 
 // New returns a Scheduler that knows no engines.
 func New(cfg Config) *Scheduler {
 	detector := crashes.NewDetector(cmp.Or(cfg.QuarantineTime, crashes.QuarantineTime))
-	s := &Scheduler{cfg: cfg, pools: map[string]*pool{}, jobs: map[JobID]*jobState{}, crashes: detector, limits: newLimits(cfg.ColdShare), places: map[string]keptPlace{}}
+	s := &Scheduler{cfg: cfg, pools: map[string]*pool{}, jobs: map[JobID]*jobState{}, crashes: detector, limits: newLimits(cfg.ColdShare), places: map[string]keptPlace{}, copies: map[string]int{}}
 	if cfg.Policy.AvoidBadPaths {
 		s.paths = paths.NewTable()
 	}
@@ -144,7 +148,7 @@
 func (s *Scheduler) UpdateEngines(now time.Time, profiles map[string]*costs.Profile, states []EngineState) {
 	for name, profile := range profiles {
 		if s.pools[name] == nil {
-			s.pools[name] = &pool{engines: map[gypsumshelf.ServerID]*engine{}, paths: s.paths}
+			s.pools[name] = &pool{engines: map[gypsumshelf.ServerID]*engine{}, answersOf: map[string]int{}, paths: s.paths, policy: s.cfg.Policy}
 		}
 		s.pools[name].profile = profile
 		if s.paths != nil {
@@ -163,6 +167,7 @@
 			p.engines[state.ID].tieBreak = s.tieBreak(state.ID)
 			p.engines[state.ID].protectFirst = s.cfg.Policy.ProtectFirstEvents
 		}
+		p.engines[state.ID].learns = s.cfg.Policy.LearnPredictions
 		p.engines[state.ID].update(now, state, p.profile, s.cfg.ColdShare)
 	}
 	for _, p := range s.pools {
@@ -184,6 +189,7 @@
 	p := s.pools[job.Service]
 	if s.firstJobAt.IsZero() {
 		s.firstJobAt = now
+		s.awaitReports(now)
 	}
 	if p == nil || len(p.engines) == 0 && now.Sub(s.firstJobAt) > startupGrace {
 		return []Decision{{Job: job.ID, RetryAfter: minRetryAfter, Reason: "no engine of the service is known"}}
@@ -192,17 +198,19 @@
 		return []Decision{{Job: job.ID, RetryAfter: maxRetryAfter, Reason: crashes.QuarantineReason}}
 	}
 	j := s.addJob(now, p, job)
+	if p.policy.ForecastDemand && !j.long {
+		p.demand.arrivals.record(now)
+	}
+	s.judgeCaller(now, j)
 	wait := p.predictWait(j, s.jobsAhead(now, p, j))
-	if wait > min(job.Patience, job.Deadline-p.minServiceTime(j)) {
-		delete(s.jobs, job.ID)
-		return []Decision{p.refuse(now, j, "the queue is longer than the caller waits")}
+	if wait > min(job.Patience, job.Deadline-p.minServiceTime(j)) && !j.hasPlace {
+		return []Decision{s.refuse(now, p, j, "the queue is longer than the caller waits")}
 	}
 	if p.outlastsStop(now, j, wait) {
 		return []Decision{s.handBack(now, p, j)}
 	}
 	if wait := p.limitedWait(now); wait > max(0, job.Target) {
-		delete(s.jobs, job.ID)
-		d := p.refuse(now, j, "all engines have named limits that are used up")
+		d := s.refuse(now, p, j, "all engines have named limits that are used up")
 		d.RetryAfter = min(maxRetryAfter, max(d.RetryAfter, wait))
 		return []Decision{d}
 	}
@@ -222,6 +230,9 @@
 		p.longPromptDemand += j.prefillTime.Seconds()
 	}
 	s.jobs[job.ID] = j
+	if job.Fingerprint != "" {
+		s.copies[job.Fingerprint]++
+	}
 	return j
 }
 
@@ -235,7 +246,9 @@
 		return
 	}
 	j := s.addJob(now, p, job)
+	j.adopted = true
 	p.assign(now, j, &placement)
+	p.takeFromExternal(j)
 	if j.started = started; started {
 		p.finishPrefill(now, j)
 	}
@@ -249,6 +262,7 @@
 	}
 	j.started = true
 	p := s.pools[j.request.Service]
+	p.learnFirst(now, j)
 	if j.placement != nil {
 		p.finishPrefill(now, j)
 	}
@@ -266,7 +280,7 @@
 	if j == nil {
 		return nil
 	}
-	delete(s.jobs, id)
+	s.removeJob(j)
 	if outcome == Completed {
 		s.crashes.RecordCompleted(now, j.request.Causes)
 	}
@@ -275,9 +289,10 @@
 		p.queue = slices.DeleteFunc(p.queue, func(o *jobState) bool { return o == j })
 		return nil
 	}
+	p.countAnswer(j, -1)
 	for _, server := range j.placement.engines() {
 		if e := p.engines[server]; e != nil {
-			e.removeAssignment(id)
+			e.removeAssignment(now, id)
 			e.finishPrefills(now)
 		}
 	}
@@ -300,13 +315,18 @@
 	return ""
 }
 
-// UpdateLoad records the load that an engine reported.
-func (s *Scheduler) UpdateLoad(now time.Time, id gypsumshelf.ServerID, l Load) {
+// UpdateLoad records the load that an engine reported. It returns an error and keeps the
+// last report if the load is invalid.
+func (s *Scheduler) UpdateLoad(now time.Time, id gypsumshelf.ServerID, l Load) error {
+	if err := l.validate(); err != nil {
+		return err
+	}
 	for _, p := range s.pools {
 		if e := p.engines[id]; e != nil {
 			e.recordLoad(now, l)
 		}
 	}
+	return nil
 }
 
 // EndDaemonJobs ends all jobs of an entry daemon that is not reachable any
@@ -347,8 +367,11 @@
 		}
 	}
 	decisions = append(decisions, s.judgeCrashes(now)...)
-	for _, p := range s.pools {
+	for name, p := range s.pools {
+		p.updateRatios(now)
+		s.recordSlow(now, p)
 		decisions = append(decisions, s.processQueue(now, p, allJobs)...)
+		s.recordBurst(name, p)
 	}
 	return decisions
 }
@@ -364,10 +387,12 @@
 func (s *Scheduler) processQueue(now time.Time, p *pool, includeLong bool) []Decision {
 	p.decayDemand(now)
 	p.updateShortAnswers(now)
+	p.updateDemand(now)
 	if len(p.queue) == 0 {
 		return nil
 	}
 	var decisions []Decision
+	p.updateShares()
 	slices.SortStableFunc(p.queue, func(a, b *jobState) int { return p.compare(now, a, b) })
 	waiting, late := len(p.queue), 0
 	defaultCandidates := p.candidateSet(now, nil) // most jobs avoid no engine
@@ -395,15 +420,14 @@
 			d = s.handBack(now, p, j)
 		case placement != nil:
 			placement.Limited = s.limits.get(now, placement.Server) != nil
+			j.slowdown = p.engines[placement.Server].slowdown(now)
 			p.assign(now, j, placement)
 			d.Placement = placement
 			defaultCandidates = p.candidateSet(now, nil)
 		case p.isUnservable(now, j):
-			delete(s.jobs, j.request.ID)
-			d = p.refuse(now, j, "no engine was free in time")
-		case late > maxLateJobsPerEngine*len(p.sorted) && !j.long:
-			delete(s.jobs, j.request.ID)
-			d = p.refuse(now, j, "too many late requests wait")
+			d = s.refuse(now, p, j, "no engine was free in time")
+		case late > maxLateJobsPerEngine*len(p.sorted) && !j.long && !j.hasPlace:
+			d = s.refuse(now, p, j, "too many late requests wait")
 		default:
 			remaining = append(remaining, j)
 			continue
@@ -423,6 +447,9 @@
 // have no slack left, and any further delay would make it late. Long jobs are
 // ordered by the time at which their first event is due.
 func (p *pool) compare(now time.Time, a, b *jobState) int {
+	if p.policy.ForecastDemand {
+		return p.compareFairly(now, a, b)
+	}
 	lateA, lateB := p.isLate(now, a), p.isLate(now, b)
 	switch {
 	case lateA != lateB && lateB:
@@ -517,71 +544,6 @@
 	return time.Duration(max(0, float64(len(p.queue)+1)-room) / perSecond * float64(time.Second))
 }
 
-// refuse returns the decision that refuses a job. The retry time is the time
-// until the active answers have ended, or for a long job until the waiting long
-// prompts have been prefilled. It varies between refused callers so that they do
-// not return all at once.
-func (p *pool) refuse(now time.Time, j *jobState, reason string) Decision {
-	wait := p.predictWait(j, p.queue)
-	if !j.long {
-		wait = p.profile.DecodeTime(p.profile.MeanAnswerTokens, p.profile.Slots/2, 0)
-	}
-	p.refusedCount++
-	wait += time.Duration(p.refusedCount%retryAfterSteps) * wait / time.Duration(2*retryAfterSteps)
-	return Decision{
-		Job: j.request.ID, Reason: reason, RetryAfter: min(maxRetryAfter, max(minRetryAfter, wait)),
-		Waited: now.Sub(j.arrived), Waiting: len(p.queue),
-	}
-}
-
-func (p *pool) decayDemand(now time.Time) {
-	if !p.longPromptDemandAt.IsZero() {
-		p.longPromptDemand *= math.Exp(-now.Sub(p.longPromptDemandAt).Seconds() / demandDecayTime.Seconds())
-	}
-	p.longPromptDemandAt = now
-}
-
-// reservedCount returns the number of engines that are reserved for long
-// prompts. These are all engines that short answers do not need, because the
-// prefill of a long prompt takes less time on more engines.
-func (p *pool) reservedCount() int {
-	demand := p.longPromptDemand / demandDecayTime.Seconds() // in engines
-	if demand < minReservedDemand {
-		return 0
-	}
-	perEngine := targetSlotUtilization * float64(p.profile.Slots)
-	need := int(math.Ceil(p.peakShortAnswers/perEngine + shortPromptHeadroom))
-	return max(1, len(p.sorted)-need)
-}
-
-// longPromptEngineCount returns the number of engines that long prompts may use: the
-// reserved ones, or all engines if none is reserved.
-func (p *pool) longPromptEngineCount() int {
-	if reserved := p.reservedCount(); reserved > 0 {
-		return reserved
-	}
-	return len(p.sorted)
-}
-
-// updateShortAnswers tracks the peak number of short answers. The peak rises at
-// once and decays slowly, so that the set of reserved engines does not change
-// whenever an answer ends.
-func (p *pool) updateShortAnswers(now time.Time) {
-	n := 0
-	for _, e := range p.sorted {
-		n += e.summary.shortAnswers
-	}
-	for _, j := range p.queue {
-		if !j.long {
-			n++
-		}
-	}
-	if !p.peakShortAnswersAt.IsZero() {
-		p.peakShortAnswers *= math.Exp(-now.Sub(p.peakShortAnswersAt).Seconds() / shortAnswersDecayTime.Seconds())
-	}
-	p.peakShortAnswers, p.peakShortAnswersAt = max(p.peakShortAnswers, float64(n)), now
-}
-
 // finishPrefill updates the engines of a job after the prefill of its prompt.
 func (p *pool) finishPrefill(now time.Time, j *jobState) {
 	for _, id := range j.placement.engines() {
@@ -590,7 +552,7 @@
 			continue
 		}
 		if a := e.assignments[j.request.ID]; a != nil && !a.primary && a.memoryTokens == 0 {
-			e.removeAssignment(j.request.ID) // a helper without a reservation has no further work
+			e.removeAssignment(now, j.request.ID) // a helper without a reservation has no further work
 		} else {
 			e.updateSummary()
 		}
@@ -601,6 +563,7 @@
 // assign records the placement of a job on its engines.
 func (p *pool) assign(now time.Time, j *jobState, placement *Placement) {
 	j.placement, j.placedAt = placement, now
+	p.countAnswer(j, 1)
 	heldTokens := map[gypsumshelf.ServerID]int{}
 	remaining := j.request.Prompt + j.request.Answer
 	for _, h := range placement.Holds {
@@ -608,12 +571,18 @@
 		remaining -= h.Tokens
 	}
 	partTime := j.prefillTime / time.Duration(1+len(placement.Helpers))
+	if j.long {
+		p.demand.longPartTime = partTime
+	}
 	for i, id := range placement.engines() {
 		e := p.engines[id]
 		if e == nil {
 			continue
 		}
 		a := &assignment{job: j, primary: i == 0, memoryTokens: heldTokens[id]}
+		if !j.adopted {
+			a.placedAt = now
+		}
 		if i == 0 {
 			a.memoryTokens = max(0, remaining)
 		}
