Grow the load of a started or recovered engine by its answers

With Policy.FindPace, the scheduler keeps a pace for each engine: the requests at once that it may have. It begins with one, or with what the stated cold rate brings, doubles with first events that come in time, and is halved at failures and at late first events that the engine's backlog does not explain.

--- a/paces/pace.go
+++ b/paces/pace.go
@@ -155,15 +155,16 @@
 	p.onTime++
 	p.peak = max(p.peak, active)
 	linear := now.Before(p.linearUntil)
-	// While the pace doubles, half of it is new in each round.
-	round := int(math.Ceil(p.limit / 2))
-	if linear {
-		round = int(p.limit)
+	if linear && (float64(active) < p.limit || now.Sub(p.reducedAt) < p.cfg.AnswerTime) {
+		// The requests from before the reduction may still run, or the last step is not tested.
+		p.onTime--
+		return
 	}
-	if p.onTime < max(1, round) {
+	round := p.newRequests(linear)
+	if p.onTime < round {
 		return
 	}
-	if p.isFlapping(now) && p.onTime < flapFactor*max(1, round) {
+	if p.isFlapping(now) && p.onTime < flapFactor*round {
 		p.refuse(ReasonFlapping)
 		return
 	}
@@ -186,6 +187,16 @@
 	p.setPhase(Growing, ReasonOnTime)
 }
 
+// newRequests returns the number of requests by which the pace has grown last. Their
+// answers make up a round: the other requests are of earlier rounds, and waiting for new
+// ones in their place would take as long as an answer for each step.
+func (p *Pace) newRequests(linear bool) int {
+	if linear {
+		return 1
+	}
+	return int(math.Ceil(p.limit / 2))
+}
+
 // reduce halves the pace at a sign of stress. Several signs within the duration of an
 // answer count once.
 func (p *Pace) reduce(now time.Time, s Sign) {
@@ -202,7 +213,7 @@
 	} else {
 		p.linearUntil = now.Add(EvidenceTTL)
 	}
-	p.limit = max(1, math.Floor(p.limit/2))
+	p.limit = max(1, math.Ceil(p.limit/2))
 	p.beginRound()
 	p.setPhase(BackingOff, s.Reason)
 }
--- a/paces/table.go
+++ b/paces/table.go
@@ -107,10 +107,13 @@
 	}
 }
 
-// Prune forgets servers that have not been listed for a while.
-func (t *Table) Prune(now time.Time) {
+// Prune forgets servers that have not been listed for a while. isListed tells which ones
+// still are.
+func (t *Table) Prune(now time.Time, isListed func(gypsumshelf.ServerID) bool) {
 	for id, e := range t.servers {
-		if now.Sub(e.listedAt) > forgetTime {
+		if isListed(id) {
+			e.listedAt = now
+		} else if now.Sub(e.listedAt) > forgetTime {
 			delete(t.servers, id)
 		}
 	}
--- a/schedules/engine.go
+++ b/schedules/engine.go
@@ -47,8 +47,9 @@
 // assignment is the work of one job on one engine.
 type assignment struct {
 	job          *jobState
-	primary      bool // the engine generates the answer
-	memoryTokens int  // tokens that the job keeps in the engine's memory
+	primary      bool          // the engine generates the answer
+	memoryTokens int           // tokens that the job keeps in the engine's memory
+	prefillTotal time.Duration // of the engine, with the job's own part
 }
 
 // prefill is the prefill of a prompt or of a part of one on an engine.
@@ -71,8 +72,10 @@
 	loadAt              time.Time
 	externalRequests    int // requests that other schedulers placed, as of loadAt
 	coldLimiter         *rate.Limiter
-	limits              *limits // that engines have named; shared by all of them
-	shared              bool    // other schedulers place jobs here too
+	limits              *limits       // that engines have named; shared by all of them
+	shared              bool          // other schedulers place jobs here too
+	pace                *enginePace   // nil if the pace of servers is not found out
+	prefillTotal        time.Duration // predicted time of all prefills since the engine is known
 }
 
 func newEngine(state EngineState, profile *costs.Profile, limits *limits) *engine {
@@ -110,7 +113,7 @@
 
 // usable reports whether the engine may get new work.
 func (e *engine) usable(now time.Time) bool {
-	if now.Before(e.avoidUntil) || !e.hasRoom(now) {
+	if now.Before(e.avoidUntil) || !e.hasRoom(now) || !e.keepsPace(now) {
 		return false
 	}
 	return !e.isCold(now) || e.coldLimiter.TokensAt(now) >= 1
@@ -126,6 +129,7 @@
 		e.coldLimiter.AllowN(now, 1)
 	}
 	e.limits.take(now, e.id())
+	e.pace.take(now)
 }
 
 // slowdown returns the factor by which the engine is slower than its profile.
@@ -281,6 +285,7 @@
 func (e *engine) addPrefill(now time.Time, part time.Duration) {
 	duration := time.Duration(float64(part) * e.slowdown(now))
 	e.prefillEnd = now.Add(e.backlog(now) + duration)
+	e.prefillTotal += duration
 	e.prefills = append(e.prefills, prefill{end: e.prefillEnd, duration: duration})
 	if len(e.prefills) > maxPrefills {
 		e.prefills = e.prefills[1:]
--- a/schedules/placement.go
+++ b/schedules/placement.go
@@ -145,7 +145,7 @@
 		case slices.Contains(avoid, e.id()), !e.hasRoom(now):
 		case e.usable(now):
 			usable = append(usable, e)
-		case !e.isCold(now):
+		case !e.isCold(now) && e.keepsPace(now):
 			suspects = append(suspects, e)
 		}
 	}
@@ -175,7 +175,7 @@
 		predicted := e.timeToFirstEvent(now, part, j.request.Prompt)
 		score := predicted + time.Duration(e.activeAnswers(now))*perAnswerPenalty
 		switch {
-		case !candidates.isReserved(e):
+		case !candidates.isReserved(e), e.isUnproven():
 		case e.summary.shortAnswers == 0:
 			score += unusedReservedPenalty
 		default:
@@ -210,7 +210,7 @@
 func shortPromptHelpers(now time.Time, engines []*engine, primary *engine, part time.Duration) []*engine {
 	var eligible []*engine
 	for _, e := range engines {
-		if e != primary && !e.primaryPrefillPending() && e.prefillBudget(now, true) >= part && e.backlog(now) < maxHelperBacklog && e.slowdown(now) < slowdownThreshold && !e.isCold(now) {
+		if e != primary && !e.primaryPrefillPending() && e.prefillBudget(now, true) >= part && e.backlog(now) < maxHelperBacklog && e.slowdown(now) < slowdownThreshold && !e.isCold(now) && !e.isUnproven() {
 			eligible = append(eligible, e)
 		}
 	}
@@ -241,7 +241,7 @@
 func (p *pool) prefillCandidates(now time.Time, set candidateSet, urgent bool) (candidates []prefillCandidate, total int) {
 	usable := set.longPromptEngines()
 	for _, e := range usable {
-		if !e.primaryPrefillPending() && !e.longPrefillPending(now) && !e.isCold(now) {
+		if !e.primaryPrefillPending() && !e.longPrefillPending(now) && !e.isCold(now) && p.isProven(e) {
 			candidates = append(candidates, prefillCandidate{engine: e, backlog: e.backlog(now), budget: e.prefillBudget(now, urgent), slowdown: e.slowdown(now)})
 		}
 	}
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -9,6 +9,7 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/costs"
 	"gypsumshelf.example/gypsumshelf/crashes"
+	"gypsumshelf.example/gypsumshelf/paces"
 	"gypsumshelf.example/gypsumshelf/paths"
 )
 
@@ -64,6 +65,7 @@
 	placement   *Placement
 	placedAt    time.Time
 	started     bool      // the first event has been reported
+	adopted     bool      // another scheduler placed it
 	stopAt      time.Time // when its daemon breaks off its requests, zero if no stop has begun
 }
 
@@ -118,6 +120,7 @@
 	found      []crashes.Quarantine // not returned by TakeQuarantines yet
 	places     map[string]keptPlace // of jobs that were handed back, by fingerprint
 	paths      *paths.Table         // nil if paths are not judged
+	paces      *paces.Table         // nil if the paces of servers are not found out
 }
 
 // New returns a Scheduler that knows no engines.
@@ -127,6 +130,9 @@
 	if cfg.Policy.AvoidBadPaths {
 		s.paths = paths.NewTable()
 	}
+	if cfg.Policy.FindPace {
+		s.paces = paces.NewTable()
+	}
 	return s
 }
 
@@ -157,6 +163,7 @@
 			p.engines[state.ID] = newEngine(state, p.profile, s.limits)
 		}
 		p.engines[state.ID].update(now, state, p.profile, s.cfg.ColdShare)
+		s.updatePace(now, p.engines[state.ID])
 	}
 	for _, p := range s.pools {
 		for id := range p.engines {
@@ -226,6 +233,7 @@
 	}
 	j := s.addJob(now, p, job)
 	p.assign(now, j, &placement)
+	s.settleAdopted(j, started)
 	if j.started = started; started {
 		p.finishPrefill(now, j)
 	}
@@ -239,6 +247,7 @@
 	}
 	j.started = true
 	p := s.pools[j.request.Service]
+	s.judgeFirstEvent(now, p, j)
 	if j.placement != nil {
 		p.finishPrefill(now, j)
 	}
@@ -265,6 +274,7 @@
 		p.queue = slices.DeleteFunc(p.queue, func(o *jobState) bool { return o == j })
 		return nil
 	}
+	s.judgeEnd(now, p, j, outcome, p.engines[cmp.Or(blamed, j.placement.Server)])
 	for _, server := range j.placement.engines() {
 		if e := p.engines[server]; e != nil {
 			e.removeAssignment(id)
@@ -318,6 +328,7 @@
 func (s *Scheduler) Tick(now time.Time) []Decision {
 	var decisions []Decision
 	s.forgetPlaces(now)
+	s.tickPaces(now)
 	for id, j := range s.jobs {
 		// The daemon of the job has died, or its message about the end was lost.
 		if j.placement != nil && now.After(j.due(j.request.Deadline+lostJobGrace)) {
@@ -597,6 +608,7 @@
 		}
 		e.addAssignment(a)
 		e.addPrefill(now, partTime)
+		a.prefillTotal = e.prefillTotal
 		if i == 0 {
 			e.countRequest(now)
 		}
--- a/schedules/simulation_test.go
+++ b/schedules/simulation_test.go
@@ -69,6 +69,7 @@
 	prefills []*simPrefill
 	answers  []*simJob
 	inPass   bool
+	cold     *simCold // nil if it is warm
 }
 
 type simPrefill struct {
@@ -91,8 +92,9 @@
 	submitted  []*simJob
 	queue      simQueue
 	eventCount int
-	network    *simNetwork // nil if events arrive at once
-	spread     bool        // callers are in three data centres
+	network    *simNetwork                     // nil if events arrive at once
+	spread     bool                            // callers are in three data centres
+	failing    func(gypsumshelf.ServerID) bool // tells which engines break off requests, nil for none
 }
 
 type simEvent struct {
@@ -204,6 +206,10 @@
 			continue
 		}
 		ids := append([]gypsumshelf.ServerID{d.Placement.Server}, d.Placement.Helpers...)
+		if s.failing != nil && s.failing(d.Placement.Server) {
+			s.fail(j, d.Placement.Server)
+			continue
+		}
 		j.pendingParts = len(ids)
 		j.placement, j.placedAt = d.Placement, s.now
 		ms := float64(s.profile.PrefillTime(j.job.Prompt)) / 1e6 / float64(len(ids))
@@ -255,6 +261,7 @@
 		}
 	}
 	answers := append([]*simJob(nil), e.answers...)
+	passMs *= e.cold.slowdown(s.now, len(e.answers)+len(e.prefills)+len(finished))
 	s.after(time.Duration(passMs*1e6), func() {
 		e.inPass = false
 		for _, w := range answers {
