Grow the load of a started or recovered plain server by its answers

Entry daemons ask the leader for room on plain servers that have started, are cold or have broken off requests lately, and report how their requests ended. Servers that have run for long are never asked for.

--- a/dispatchers/dispatcher.go
+++ b/dispatchers/dispatcher.go
@@ -341,6 +341,7 @@
 	}
 	d.deliver(d.scheduler.Tick(now))
 	d.logPathChanges()
+	d.logPaceChanges()
 	if found := d.scheduler.TakeQuarantines(); len(found) > 0 && d.cfg.HandleQuarantines != nil {
 		d.cfg.HandleQuarantines(found)
 	}
--- /dev/null
+++ b/dispatchers/pace_test.go
@@ -0,0 +1,62 @@
+package dispatchers
+
+import (
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf/paces"
+	"gypsumshelf.example/gypsumshelf/schedules"
+	"gypsumshelf.example/gypsumshelf/timers"
+)
+
+// newPacingLeader returns a leader that finds out the pace of servers.
+func newPacingLeader(t *testing.T) *leader {
+	t.Helper()
+	service := timers.New(timers.Config{})
+	t.Cleanup(service.Close)
+	l := &leader{Dispatcher: New(Config{Log: discardLog(), Timers: service, Policy: schedules.Policy{FindPace: true}})}
+	l.SetActive(true)
+	l.address, _ = serveDispatcher(t, l.Dispatcher)
+	return l
+}
+
+// Guards against daemons that raise the load of a started server each for itself, and
+// against answers that the leader does not hear of.
+func TestPaceIsSharedByDaemons(t *testing.T) {
+	l := newPacingLeader(t)
+	one, two := newClient(t, l.address), newClient(t, l.address)
+	one.SetLeader(l.address, 1)
+	two.SetLeader(l.address, 1)
+	pace := schedules.ServerPace{Slots: 4, AnswerTime: time.Second}
+	born := time.Now().UnixMilli()
+	server := schedules.ServerLimit{Server: "p1", Born: born, Age: time.Hour, Pace: &pace}
+	time.Sleep(10 * time.Millisecond)
+	if n := admissions(t, one, server, 5) + admissions(t, two, server, 5); n != 1 {
+		t.Errorf("%d requests of two daemons admitted at once after the start, want 1", n)
+	}
+	for range 2 {
+		two.ReportAnswer(schedules.ServerAnswer{Server: "p1", Born: born, Pace: pace, Admitted: true, Outcome: schedules.Completed})
+	}
+	for begin := time.Now(); l.PaceCounts()[paces.Steady] != 1; time.Sleep(10 * time.Millisecond) {
+		if time.Since(begin) > 5*time.Second {
+			t.Fatalf("the paces are %v, want one that is steady", l.PaceCounts())
+		}
+	}
+	if n := admissions(t, one, server, 10); n != 10 {
+		t.Errorf("%d of 10 requests admitted to a steady server", n)
+	}
+}
+
+// Guards against a leader that does not know of paces and takes the question for room on a
+// started server for the end of a limit.
+func TestOlderLeaderKeepsLimits(t *testing.T) {
+	l := newLeader(t)
+	c := newClient(t, l.address)
+	c.SetLeader(l.address, 1)
+	now := time.Now().UnixMilli()
+	admissions(t, c, schedules.ServerLimit{Server: "p1", Born: now, Named: true, PerSecond: 1}, 1)
+	started := schedules.ServerLimit{Server: "p1", Born: now, Age: time.Hour, Pace: &schedules.ServerPace{Slots: 4, AnswerTime: time.Second}}
+	if n := admissions(t, c, started, 10); n > 0 {
+		t.Errorf("%d requests admitted beyond the limit of a server", n)
+	}
+}
--- a/dispatchers/service.go
+++ b/dispatchers/service.go
@@ -27,7 +27,7 @@
 
 // JobUpdate reports the first event or the end of a job. Instead of a job, it may carry
 // a crash, the causes of a request that was answered without a job, or what an answer
-// said about the limit of its server, or that the entry daemon stops.
+// said about the limit or the pace of its server, or that the entry daemon stops.
 type JobUpdate struct {
 	Job       schedules.JobID
 	Started   bool // true for the first event, false for the end of the job
@@ -36,8 +36,9 @@
 	Crash     *crashes.Report
 	Completed []crashes.Cause
 	Limit     *schedules.ServerLimit
-	Stop      *DaemonStop    // of the entry daemon that sends the update
-	Paths     []paths.Sample // evidence about paths
+	Stop      *DaemonStop             // of the entry daemon that sends the update
+	Paths     []paths.Sample          // evidence about paths
+	Answer    *schedules.ServerAnswer // of a plain server that has started or recovered
 }
 
 // DaemonStop says that an entry daemon breaks off its requests for a planned stop.
@@ -57,6 +58,8 @@
 		d.RecordLimit(*u.Limit)
 	case u.Paths != nil:
 		d.RecordPaths(u.Paths)
+	case u.Answer != nil:
+		d.RecordAnswer(*u.Answer)
 	case u.Stop != nil:
 		d.StopDaemon(*u.Stop)
 	case u.Started:
--- a/forwards/fleet.go
+++ b/forwards/fleet.go
@@ -38,6 +38,7 @@
 	noRoomUntil         time.Time   // its rate is used up until this time, as of askedAt
 	askedAt             time.Time
 	pausedUntil         time.Time // it wants nothing from this daemon until this time
+	pace                serverPace
 }
 
 // Fleet is an entry daemon's view of the backend servers.
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -54,10 +54,11 @@
 	Dialer     Dialer // connects to backend servers, nil for direct connections
 	Fleet      *Fleet
 	Placer     Placer
-	Crashes    CrashReporter // nil if nothing is to be reported
-	Limits     LimitKeeper   // nil if backend servers name no limits
-	Leaves     LeaveReporter // nil if nobody is to be told
-	Paths      PathRecorder  // nil if paths are not judged
+	Crashes    CrashReporter  // nil if nothing is to be reported
+	Limits     LimitKeeper    // nil if backend servers name no limits
+	Leaves     LeaveReporter  // nil if nobody is to be told
+	Paths      PathRecorder   // nil if paths are not judged
+	Answers    AnswerReporter // nil if the pace of servers is not found out
 	Retries    RetryBudget
 	BodyBudget int64 // memory for the bodies of requests and responses in bytes, 0 for no limit
 	// MemoryBound is the time within which engine memory reserved for a request must
@@ -269,6 +270,8 @@
 	failureResponse *bufferedResponse // 5xx response of a backend server, relayed if no other attempt succeeds
 	abortConnection bool              // close the connection without completing the response
 	timing          streamTiming
+	pacedServer     gypsumshelf.ServerID // plain server at which the scheduler counts the request
+	awaitsPace      bool                 // a plain server that has started or recovered may have room soon
 	phase           phase
 	handedBack      bool // refused since the daemon stops
 	status          int
--- a/forwards/limits.go
+++ b/forwards/limits.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -114,6 +113,7 @@
 		coldRate = 0
 	}
 	candidates := fleet.candidates(req.service.Name, coldRate, req.triedServers)
+	req.markPaced(candidates)
 	limited, unlimited := splitLimited(candidates)
 	if len(limited) == 0 {
 		return unlimited.Entry, 0, unlimited.ID != "", nil
@@ -133,11 +133,21 @@
 		admission, err := req.forwarder.cfg.Limits.Admit(ctx, r)
 		if err != nil {
 			req.forwarder.cfg.Log.WithField(logs.KeyRequest, req.meta.ID).WithError(err).Warn("cannot ask for room on servers with limits")
+			if r.Servers[0].Pace != nil && !r.Servers[0].Named {
+				// No limit is known, and one daemon's requests without the pace are better than refusals.
+				entry, known := fleet.Get(r.Servers[0].Server)
+				return entry, 0, known, nil
+			}
 			admission = schedules.Admission{Wait: failedAdmissionDelay}
 		}
+		req.recordAdmission(r.Servers, admission)
 		if admission.Server != "" {
 			entry, _ := fleet.Get(admission.Server)
-			return entry, 0, true, req.sleep(ctx, admission.Wait)
+			begin := req.now()
+			if err = req.sleep(ctx, admission.Wait); err != nil {
+				req.recordPlainAnswer(entry, begin, schedules.Cancelled, nil)
+			}
+			return entry, 0, true, err
 		}
 		fleet.setNoRoom(r.Servers, req.now(), admission.Wait)
 		retryAfter = shorterWait(retryAfter, admission.Wait)
@@ -176,7 +186,7 @@
 
 // refuseLimited ends a request for which the servers that are left have no room.
 func (req *proxyRequest) refuseLimited(retryAfter time.Duration) {
-	cause := fmt.Sprintf("the limits that the backend servers have named are used up for %d ms", retryAfter.Milliseconds())
+	cause := req.limitCause(retryAfter)
 	if req.verdict != gypsumshelf.NotRun || req.failureResponse != nil {
 		req.finishUnanswered(cause)
 		return
--- a/forwards/plain.go
+++ b/forwards/plain.go
@@ -35,6 +35,13 @@
 			req.finishUnchosen(err)
 			return
 		}
+		if !found && req.mayAwaitPace(retryAfter) {
+			if err := req.sleep(ctx, retryAfter); err != nil {
+				req.finishUnchosen(err)
+				return
+			}
+			continue
+		}
 		if !found && retryAfter > 0 {
 			req.refuseLimited(retryAfter)
 			return
@@ -99,6 +106,7 @@
 		}
 		outcome = req.attributed(ctx, a, outcome)
 		load.end(outcome, a.reply)
+		req.recordPlainAnswer(server, began, outcome, nil)
 		if outcome == schedules.Lost {
 			req.forwarder.crashChecks.recordLost(req, server, began)
 		}
@@ -111,6 +119,7 @@
 		req.recordFailedAttempt(server.ID, outcome, fmt.Errorf("the backend server responded with status %d", response.status))
 	}
 	load.end(outcome, a.reply)
+	req.recordPlainAnswer(server, began, outcome, response)
 	if reporter := req.forwarder.cfg.Crashes; reporter != nil {
 		reporter.ReportCompleted(req.causes) // also with a 5xx status: the backend server lives
 	}
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -97,8 +97,12 @@
 	if cfg.Policy.AvoidBadPaths {
 		recorder = g.dispatchClient
 	}
+	var answers forwards.AnswerReporter
+	if cfg.Policy.FindPace {
+		answers = g.dispatchClient
+	}
 	g.forwarder = forwards.New(forwards.Config{
-		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: protocol, Dialer: g.dialer, Fleet: g.fleet, Placer: g.dispatchClient, Crashes: g.dispatchClient, Limits: g.dispatchClient, Leaves: g, Paths: recorder,
+		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: protocol, Dialer: g.dialer, Fleet: g.fleet, Placer: g.dispatchClient, Crashes: g.dispatchClient, Limits: g.dispatchClient, Leaves: g, Paths: recorder, Answers: answers,
 		Retries: cfg.Retries, StateFresh: g.stateFresh, Log: cfg.Log, Recorder: cfg.Recorder, BodyBudget: cfg.Memory / bodyMemoryDivisor,
 		MemoryBound: cfg.FreeMemory,
 	})
--- a/schedules/limits.go
+++ b/schedules/limits.go
@@ -26,6 +26,7 @@
 	Named     bool          // false if the answer named no limit, so that an earlier one has ended
 	PerSecond float64       // requests per second, if Named
 	Age       time.Duration // since the answer, or since the sending of its request if it named no limit
+	Pace      *ServerPace   // in an AdmissionRequest, of a server that has started or recovered; nil for others
 }
 
 // AdmissionRequest asks for a request to be admitted to one of several servers that
@@ -39,6 +40,8 @@
 type Admission struct {
 	Server gypsumshelf.ServerID // empty if the request would have to wait for too long
 	Wait   time.Duration        // until the request may be sent, or until a server has room
+	Busy   bool                 // without a server: one that has started or recovered may have room after Wait
+	Steady bool                 // the server takes its full load, so that nobody has to ask for room on it
 }
 
 // serverLimit is the limit of one start of a server. It is kept for a while after its
@@ -168,4 +171,9 @@
 
 // Admit chooses a server for a request that needs no scheduling, among servers that
 // have named limits.
-func (s *Scheduler) Admit(now time.Time, r AdmissionRequest) Admission { return s.limits.admit(now, r) }
+func (s *Scheduler) Admit(now time.Time, r AdmissionRequest) Admission {
+	if s.paces != nil {
+		return s.admitPaced(now, r)
+	}
+	return s.limits.admit(now, r)
+}
--- a/schedules/pace.go
+++ b/schedules/pace.go
@@ -43,14 +43,7 @@
 	if e.pace == nil || e.pace.Pace != pace {
 		e.pace = &enginePace{Pace: pace}
 	}
-	if e.pace.share != s.cfg.ColdShare {
-		e.pace.share, e.pace.limiter = s.cfg.ColdShare, nil
-	}
-	if e.pace.share > 0 && e.pace.limiter == nil {
-		// Start without a burst, since the bursts of all schedulers would add up.
-		e.pace.limiter = rate.NewLimiter(e.pace.rate(), 1)
-		e.pace.limiter.AllowN(now, 1)
-	}
+	e.pace.setShare(now, s.cfg.ColdShare)
 }
 
 // rate returns the rate of a scheduler that uses a share of the pace.
@@ -185,6 +178,7 @@
 		}
 		return false
 	})
+	s.forgetPlain()
 	if s.cfg.ColdShare > 0 {
 		s.paces.SettleByAge(now)
 	}
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -117,10 +117,11 @@
 	jobs       map[JobID]*jobState
 	crashes    *crashes.Detector
 	limits     *limits
-	found      []crashes.Quarantine // not returned by TakeQuarantines yet
-	places     map[string]keptPlace // of jobs that were handed back, by fingerprint
-	paths      *paths.Table         // nil if paths are not judged
-	paces      *paces.Table         // nil if the paces of servers are not found out
+	found      []crashes.Quarantine                  // not returned by TakeQuarantines yet
+	places     map[string]keptPlace                  // of jobs that were handed back, by fingerprint
+	paths      *paths.Table                          // nil if paths are not judged
+	paces      *paces.Table                          // nil if the paces of servers are not found out
+	plain      map[gypsumshelf.ServerID]*plainServer // those whose pace is found out
 }
 
 // New returns a Scheduler that knows no engines.
@@ -131,7 +132,7 @@
 		s.paths = paths.NewTable()
 	}
 	if cfg.Policy.FindPace {
-		s.paces = paces.NewTable()
+		s.paces, s.plain = paces.NewTable(), map[gypsumshelf.ServerID]*plainServer{}
 	}
 	return s
 }
