--- a/dispatchers/pace.go
+++ b/dispatchers/pace.go
@@ -16,12 +16,14 @@
 	}
 }
 
-// logPaceChanges logs the servers whose pace has entered another phase; mu is held.
+// logPaceChanges logs the servers whose pace has entered another phase; mu is held. A local
+// scheduler logs them while it is in use only, since every entry daemon has one.
 func (d *Dispatcher) logPaceChanges() {
-	for _, c := range d.scheduler.TakePaceChanges() {
-		if !d.active {
-			continue // it decides nothing, and its view of servers is that of their announcements
-		}
+	changes := d.scheduler.TakePaceChanges()
+	if d.cfg.Local && d.cfg.Timers.Now().Sub(d.lastJobAt) > reportIdleTimeout {
+		return
+	}
+	for _, c := range changes {
 		d.cfg.Log.WithFields(logrus.Fields{
 			"server": c.Server, "phase": c.Phase.String(), "requests-at-once": c.Limit, "reason": c.Reason, "local": d.cfg.Local,
 		}).Info("the pace of a backend server has entered another phase")
--- a/dispatchers/pace_test.go
+++ b/dispatchers/pace_test.go
@@ -4,6 +4,9 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
+
 	"gypsumshelf.example/gypsumshelf/paces"
 	"gypsumshelf.example/gypsumshelf/schedules"
 	"gypsumshelf.example/gypsumshelf/timers"
@@ -20,6 +23,34 @@
 	return l
 }
 
+// Guards against a change of phase that is not logged, and against one that each entry daemon
+// logs although it does not schedule.
+func TestPaceChangesAreLogged(t *testing.T) {
+	for _, local := range []bool{false, true} {
+		service := timers.New(timers.Config{})
+		t.Cleanup(service.Close)
+		log, hook := test.NewNullLogger()
+		d := New(Config{Log: logrus.NewEntry(log), Timers: service, Local: local, Policy: schedules.Policy{FindPace: true}})
+		d.SetActive(true)
+		_, err := d.Admit(schedules.AdmissionRequest{Servers: []schedules.ServerLimit{
+			{Server: "p1", Born: time.Now().UnixMilli(), Age: time.Hour, Pace: &schedules.ServerPace{Slots: 4, AnswerTime: time.Second}},
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.tick(service.Now())
+		logged := 0
+		for _, entry := range hook.AllEntries() {
+			if entry.Data["phase"] == "starting" && entry.Data["reason"] == paces.ReasonStarted {
+				logged++
+			}
+		}
+		if want := map[bool]int{false: 1, true: 0}[local]; logged != want {
+			t.Errorf("local %v: %d lines about the start of a server, want %d", local, logged, want)
+		}
+	}
+}
+
 // Guards against daemons that raise the load of a started server each for itself, and
 // against answers that the leader does not hear of.
 func TestPaceIsSharedByDaemons(t *testing.T) {
--- a/paces/pace.go
+++ b/paces/pace.go
@@ -61,6 +61,9 @@
 	ReasonStress   = "stress"   // the server has shown stress lately
 )
 
+// RefusalReasons are the reasons of refused growth.
+var RefusalReasons = []string{ReasonUnused, ReasonFlapping, ReasonStress}
+
 // Config describes a server.
 type Config struct {
 	Slots      int           // requests that the server runs at once
