Settle servers that have run for long without stress, and describe the pace

A server with little load never uses half of its pace, so that the first burst would hold it back long after its start. Jobs of a daemon that has died are no evidence, and engines at their pace do not count as failed ones.

--- a/forwards/pace.go
+++ b/forwards/pace.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"time"
 
-	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/paces"
 	"gypsumshelf.example/gypsumshelf/rosters"
 	"gypsumshelf.example/gypsumshelf/schedules"
@@ -25,15 +24,21 @@
 type serverPace struct {
 	settled    bool      // the scheduler has said that the server takes its full load
 	troubledAt time.Time // of the last failure that this daemon has seen
+	admittedAt time.Time // when the scheduler last admitted a request without saying that it is settled
 }
 
 // needsPace reports whether the load of a plain server has to be raised step by step: it has
-// started, is cold or has failed lately. Others are never asked for.
+// started, is cold or has failed lately, or the scheduler still limits its load. Others are
+// never asked for.
 func (h *serverHealth) needsPace(now time.Time, entry rosters.Entry) bool {
 	if now.Before(entry.ColdUntil) {
 		return true
 	}
-	return !h.pace.settled && (now.Sub(time.UnixMilli(entry.Born)) < paces.SettledAge || now.Sub(h.pace.troubledAt) < paces.SettledAge)
+	if h.pace.settled {
+		return false
+	}
+	since := now.Add(-paces.SettledAge)
+	return time.UnixMilli(entry.Born).After(since) || h.pace.troubledAt.After(since) || h.pace.admittedAt.After(since)
 }
 
 // paced returns what the scheduler is to know of a server.
@@ -76,23 +81,20 @@
 			continue
 		}
 		req.pacedServer = a.Server
-		if a.Steady {
-			req.forwarder.cfg.Fleet.setSettled(s.Server, s.Born, true)
-		}
+		req.forwarder.cfg.Fleet.recordPace(s, func(p *serverPace) {
+			if p.settled = a.Steady; !a.Steady {
+				p.admittedAt = req.now()
+			}
+		})
 	}
 }
 
-// setSettled records whether a start of a server takes its full load.
-func (f *Fleet) setSettled(id gypsumshelf.ServerID, born int64, settled bool) {
+// recordPace updates what this daemon knows of the pace of a start of a server.
+func (f *Fleet) recordPace(s schedules.ServerLimit, update func(*serverPace)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	h := f.health[id]
-	if h == nil || h.serverStart != born {
-		return
-	}
-	h.pace.settled = settled
-	if !settled {
-		h.pace.troubledAt = f.now()
+	if h := f.health[s.Server]; h != nil && h.serverStart == s.Born {
+		update(&h.pace)
 	}
 }
 
@@ -109,7 +111,9 @@
 	admitted := req.pacedServer == server.ID
 	req.pacedServer = ""
 	if failed {
-		req.forwarder.cfg.Fleet.setSettled(server.ID, server.Born, false)
+		req.forwarder.cfg.Fleet.recordPace(schedules.ServerLimit{Server: server.ID, Born: server.Born}, func(p *serverPace) {
+			p.settled, p.troubledAt = false, req.now()
+		})
 	}
 	if !admitted && !failed {
 		return
--- a/paces/pace.go
+++ b/paces/pace.go
@@ -51,7 +51,7 @@
 // Reasons of changes and of refused growth.
 const (
 	ReasonStarted  = "started"  // the server has started or turned cold
-	ReasonAge      = "age"      // the server has run for long
+	ReasonAge      = "age"      // the server has run for long without stress
 	ReasonRan      = "ran"      // the server has run requests for another scheduler
 	ReasonOnTime   = "on-time"  // a round of answers was on time
 	ReasonLate     = "late"     // a first event was late
--- a/paces/pace_test.go
+++ b/paces/pace_test.go
@@ -270,3 +270,40 @@
 		}
 	})
 }
+
+// Guards against a server with little load that is held back by a burst long after its
+// start, and against one under stress that gets full load because it has run for long.
+func TestServersSettleByAge(t *testing.T) {
+	long := origin.Add(SettledAge)
+	for _, c := range []struct {
+		name     string
+		reason   string        // of evidence, empty for none
+		at       time.Duration // of the evidence, after the start
+		cold     bool
+		unjudged bool
+		want     Phase
+	}{
+		{name: "on time", reason: ReasonOnTime, at: time.Second, want: Steady},
+		{name: "recent stress", reason: ReasonLate, at: 20 * time.Second, want: BackingOff},
+		{name: "stress that a scheduler with few answers has seen", reason: ReasonLate, at: SettledAge - EvidenceTTL, unjudged: true, want: Steady},
+		{name: "cold", reason: ReasonOnTime, at: time.Second, cold: true, want: Growing},
+		{name: "no answer", want: Starting},
+		{name: "no answer that this scheduler could see", unjudged: true, want: Steady},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := NewTable()
+			p := table.Update(origin, "s", origin.UnixMilli(), c.cold, Config{Slots: 40, AnswerTime: testAnswer})
+			if c.reason != "" {
+				p.Record(origin.Add(c.at), sign(origin.Add(c.at), c.reason, 1))
+			}
+			table.SettleByAge(long.Add(-time.Millisecond), c.unjudged)
+			if p.Phase() == Steady {
+				t.Error("the server is steady too early")
+			}
+			table.SettleByAge(long, c.unjudged)
+			if p.Phase() != c.want {
+				t.Errorf("the pace is %s, want %s", p.Phase(), c.want)
+			}
+		})
+	}
+}
--- a/paces/table.go
+++ b/paces/table.go
@@ -96,12 +96,21 @@
 	}
 }
 
-// SettleByAge makes the servers steady that have run for SettledAge and have shown no
-// stress lately. It is for schedulers that see too few answers to judge them.
-func (t *Table) SettleByAge(now time.Time) {
+// SettleByAge makes the servers steady that have run for SettledAge without stress. A server
+// with little load, whose pace does not grow, would otherwise be held back by the first burst
+// long after its start. It leaves out servers without an answer, unless unjudged is set: a
+// scheduler that sees few answers can neither judge a server nor see that it has recovered.
+func (t *Table) SettleByAge(now time.Time, unjudged bool) {
+	calm := SettledAge
+	if unjudged {
+		calm = EvidenceTTL
+	}
 	for _, e := range t.servers {
 		p := e.pace
-		if !e.cold && p.phase != Steady && now.Sub(p.startedAt) >= SettledAge && now.Sub(p.reducedAt) >= EvidenceTTL {
+		if e.cold || p.phase == Steady || p.phase == Starting && !unjudged {
+			continue
+		}
+		if now.Sub(p.startedAt) >= SettledAge && now.Sub(p.reducedAt) >= calm {
 			p.settle(ReasonAge)
 		}
 	}
--- a/schedules/pace.go
+++ b/schedules/pace.go
@@ -94,7 +94,7 @@
 // judgeFirstEvent takes the first event of a job, or the end of one without any, as
 // evidence about its engines.
 func (s *Scheduler) judgeFirstEvent(now time.Time, p *pool, j *jobState) {
-	if s.paces == nil || j.placement == nil || j.adopted {
+	if s.paces == nil || j.placement == nil || j.unjudged {
 		return
 	}
 	late := s.isUnexplainedlyLate(now, p, j)
@@ -158,14 +158,15 @@
 
 // settleAdopted makes the engine steady that has run a job for another scheduler.
 func (s *Scheduler) settleAdopted(j *jobState, started bool) {
-	j.adopted = true
+	j.unjudged = true // when it was placed is not known
 	if s.paces != nil && started {
 		s.paces.Settle(j.placement.Server)
 	}
 }
 
-// tickPaces forgets the paces of servers that are gone. A scheduler that shares the
-// servers with others sees too few answers to judge them, and goes by their age.
+// tickPaces forgets the paces of servers that are gone, and settles those of servers that
+// have run for long without stress. A scheduler that shares the servers with others sees too
+// few answers to judge them, and goes by their age alone.
 func (s *Scheduler) tickPaces(now time.Time) {
 	if s.paces == nil {
 		return
@@ -179,9 +180,7 @@
 		return false
 	})
 	s.forgetPlain()
-	if s.cfg.ColdShare > 0 {
-		s.paces.SettleByAge(now)
-	}
+	s.paces.SettleByAge(now, s.cfg.ColdShare > 0)
 }
 
 // TakePaceChanges returns the changes of the paces of servers since the last call.
--- a/schedules/pace_test.go
+++ b/schedules/pace_test.go
@@ -236,6 +236,12 @@
 				end := 3*time.Second + time.Duration(engines/3)*2*time.Second + 4*time.Second
 				without, with := comparePace(t, engines, 3*time.Second, end, sizedLoad(engines, 0.9), release)
 				assertNoWorse(t, without, with)
+				if cold > 0 && with.bad() >= without.bad() {
+					t.Errorf("%.3f of the requests are late, refused or lost with the pace, want fewer than %.3f", with.bad(), without.bad())
+				}
+				if cold == 0 && (with.carries > without.carries+time.Second || with.never > without.never) {
+					t.Errorf("warm engines carry their share after %s and %d never, want at most %s later than after %s", with.carries, with.never, time.Second, without.carries)
+				}
 			})
 		}
 	}
@@ -453,3 +459,25 @@
 		t.Errorf("%d jobs from %d daemons in 2 s on an engine that starts, want at most 3", n, daemons)
 	}
 }
+
+// Guards against work on engines that have just failed while the others are sound and only
+// at their pace, and against the jobs of a daemon that has died as evidence about engines.
+func TestPaceAndFailures(t *testing.T) {
+	s := New(Config{Policy: Policy{FindPace: true}})
+	states := spreadStates(3)
+	for i := range states {
+		states[i].Born = origin.UnixMilli()
+	}
+	s.UpdateEngines(origin, map[string]*costs.Profile{"llm": testProfile()}, states)
+	s.MarkUnresponsive(origin, states[0].ID)
+	if n := len(placed(s, origin, "j", 3)); n != 2 {
+		t.Errorf("%d jobs placed at once on two started engines and a failed one, want 2", n)
+	}
+	if got := s.PaceCounts()[paces.BackingOff]; got != 0 {
+		t.Errorf("%d engines back off because one has sent no load report", got)
+	}
+	s.EndDaemonJobs(origin.Add(5*time.Second), "")
+	if got := s.PaceCounts()[paces.BackingOff]; got != 0 {
+		t.Errorf("%d engines back off because a daemon has died", got)
+	}
+}
--- a/schedules/placement.go
+++ b/schedules/placement.go
@@ -140,6 +140,7 @@
 // half of the usable engines are not slow.
 func (p *pool) eligibleEngines(now time.Time, avoid []gypsumshelf.ServerID) []*engine {
 	var usable, suspects []*engine
+	atPace := 0 // engines without recent failures that have as many requests as their pace allows
 	for _, e := range p.sorted {
 		switch {
 		case slices.Contains(avoid, e.id()), !e.hasRoom(now):
@@ -147,9 +148,11 @@
 			usable = append(usable, e)
 		case !e.isCold(now) && e.keepsPace(now):
 			suspects = append(suspects, e)
+		case !now.Before(e.avoidUntil) && !e.keepsPace(now):
+			atPace++
 		}
 	}
-	if len(usable)*2 < len(p.sorted) {
+	if (len(usable)+atPace)*2 < len(p.sorted) {
 		usable = append(usable, suspects...)
 		slices.SortFunc(usable, func(a, b *engine) int { return cmp.Compare(a.id(), b.id()) })
 	}
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -65,7 +65,7 @@
 	placement   *Placement
 	placedAt    time.Time
 	started     bool      // the first event has been reported
-	adopted     bool      // another scheduler placed it
+	unjudged    bool      // its events say nothing about its engines
 	stopAt      time.Time // when its daemon breaks off its requests, zero if no stop has begun
 }
 
@@ -309,6 +309,7 @@
 	var decisions []Decision
 	for id, j := range s.jobs {
 		if j.request.Daemon == daemon {
+			j.unjudged = true
 			decisions = append(decisions, s.End(now, id, Cancelled, "")...)
 		}
 	}
@@ -333,6 +334,7 @@
 	for id, j := range s.jobs {
 		// The daemon of the job has died, or its message about the end was lost.
 		if j.placement != nil && now.After(j.due(j.request.Deadline+lostJobGrace)) {
+			j.unjudged = true
 			decisions = append(decisions, s.End(now, id, Cancelled, "")...)
 		}
 	}
