--- a/schedules/pace_test.go
+++ b/schedules/pace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -481,3 +482,41 @@
 		t.Errorf("%d engines back off because a daemon has died", got)
 	}
 }
+
+// changeLeader lets another scheduler take over, which knows the jobs that entry daemons
+// hand over.
+func (p *paceTrial) changeLeader(policy Policy) {
+	old := p.scheduler
+	p.scheduler = New(Config{Policy: policy, DataCentre: "a"})
+	p.list(func(EngineState) bool { return true })
+	for _, id := range slices.Sorted(maps.Keys(old.jobs)) {
+		if j := old.jobs[id]; j.placement != nil {
+			p.scheduler.Adopt(p.time(), j.request, *j.placement, j.started)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(old.jobs)) {
+		if j := old.jobs[id]; j.placement == nil {
+			p.apply(p.scheduler.Submit(p.time(), j.request))
+		}
+	}
+}
+
+// Guards against a new leader that holds back sound engines under load, or gives full load
+// to those that have started a moment before its election.
+func TestChangeOfLeadersUnderLoad(t *testing.T) {
+	for _, engines := range []int{12, 24} {
+		for _, started := range []int{0, 3} {
+			t.Run(fmt.Sprintf("%d engines, %d started", engines, started), func(t *testing.T) {
+				without, with := comparePace(t, engines, 3*time.Second, 14*time.Second, sizedLoad(engines, 0.9), func(p *paceTrial) {
+					indices := []int{engines - 1, engines - 2, engines - 3}[:started]
+					p.after(3*time.Second, func() { p.restart(indices, time.Second, 3*time.Second) })
+					p.after(4500*time.Millisecond, func() { p.changeLeader(p.scheduler.cfg.Policy) })
+				})
+				assertNoWorse(t, without, with)
+				if started == 0 && with != without {
+					t.Errorf("callers got %+v with the pace, want %+v as without", with, without)
+				}
+			})
+		}
+	}
+}
