--- a/dispatchers/dispatcher.go
+++ b/dispatchers/dispatcher.go
@@ -346,6 +346,7 @@
 	d.logPathChanges()
 	d.logDemandChanges()
 	d.logSlowChanges()
+	d.logPaceChanges()
 	if found := d.scheduler.TakeQuarantines(); len(found) > 0 && d.cfg.HandleQuarantines != nil {
 		d.cfg.HandleQuarantines(found)
 	}
--- a/schedules/engine.go
+++ b/schedules/engine.go
@@ -54,9 +54,10 @@
 // assignment is the work of one job on one engine.
 type assignment struct {
 	job          *jobState
-	primary      bool      // the engine generates the answer
-	memoryTokens int       // tokens that the job keeps in the engine's memory
-	placedAt     time.Time // zero if another scheduler placed the job
+	primary      bool          // the engine generates the answer
+	memoryTokens int           // tokens that the job keeps in the engine's memory
+	placedAt     time.Time     // zero if another scheduler placed the job
+	prefillTotal time.Duration // of the engine, with the job's own part
 }
 
 // endedAssignment is an assignment that ended within reportLag.
@@ -89,9 +90,11 @@
 	shared              bool    // other schedulers place jobs here too
 	learns              bool    // Policy.LearnPredictions
 	ended               []endedAssignment
-	ratio               ratio   // not used without Policy.LearnPredictions
-	learnedSlowdown     float64 // ratio compared with those of other engines, 0 if it is not learned
-	reportedSlow        bool    // as of the last SlowChange
+	ratio               ratio         // not used without Policy.LearnPredictions
+	learnedSlowdown     float64       // ratio compared with those of other engines, 0 if it is not learned
+	reportedSlow        bool          // as of the last SlowChange
+	pace                *enginePace   // nil if the pace of servers is not found out
+	prefillTotal        time.Duration // predicted time of all prefills since the engine is known
 }
 
 func newEngine(state EngineState, profile *costs.Profile, limits *limits) *engine {
@@ -132,7 +135,7 @@
 
 // usable reports whether the engine may get new work.
 func (e *engine) usable(now time.Time) bool {
-	if now.Before(e.avoidUntil) || !e.hasRoom(now) {
+	if now.Before(e.avoidUntil) || !e.hasRoom(now) || !e.keepsPace(now) {
 		return false
 	}
 	return !e.isCold(now) || e.coldLimiter.TokensAt(now) >= 1
@@ -148,6 +151,7 @@
 		e.coldLimiter.AllowN(now, 1)
 	}
 	e.limits.take(now, e.id())
+	e.pace.take(now)
 }
 
 // slowdown returns the factor by which the engine is slower than its profile: the larger
@@ -341,6 +345,7 @@
 func (e *engine) addPrefill(now time.Time, part time.Duration) {
 	duration := time.Duration(float64(part) * e.slowdown(now))
 	e.prefillEnd = now.Add(e.backlog(now) + duration)
+	e.prefillTotal += duration
 	e.prefills = append(e.prefills, prefill{end: e.prefillEnd, duration: duration})
 	if len(e.prefills) > maxPrefills {
 		e.prefills = e.prefills[1:]
--- a/schedules/placement.go
+++ b/schedules/placement.go
@@ -143,16 +143,19 @@
 // half of the usable engines are not slow.
 func (p *pool) eligibleEngines(now time.Time, avoid []gypsumshelf.ServerID) []*engine {
 	var usable, suspects []*engine
+	atPace := 0 // engines without recent failures that have as many requests as their pace allows
 	for _, e := range p.sorted {
 		switch {
 		case slices.Contains(avoid, e.id()), !e.hasRoom(now), p.awaitsReport(now, e):
 		case e.usable(now):
 			usable = append(usable, e)
-		case !e.isCold(now):
+		case !e.isCold(now) && e.keepsPace(now):
 			suspects = append(suspects, e)
+		case !now.Before(e.avoidUntil) && !e.keepsPace(now):
+			atPace++
 		}
 	}
-	if len(usable)*2 < len(p.sorted) {
+	if (len(usable)+atPace)*2 < len(p.sorted) {
 		usable = append(usable, suspects...)
 		slices.SortFunc(usable, func(a, b *engine) int { return cmp.Compare(a.id(), b.id()) })
 	}
@@ -178,7 +181,7 @@
 		predicted := e.timeToFirstEvent(now, part, j.request.Prompt)
 		score := predicted + e.tieBreak + time.Duration(e.activeAnswers(now))*perAnswerPenalty
 		switch {
-		case !candidates.isReserved(e):
+		case !candidates.isReserved(e), e.isUnproven():
 		case e.summary.shortAnswers == 0:
 			score += unusedReservedPenalty
 		default:
@@ -213,7 +216,7 @@
 func shortPromptHelpers(now time.Time, engines []*engine, primary *engine, part time.Duration) []*engine {
 	var eligible []*engine
 	for _, e := range engines {
-		if e != primary && !e.primaryPrefillPending() && e.prefillBudget(now, true) >= part && e.backlog(now) < maxHelperBacklog && e.slowdown(now) < slowdownThreshold && !e.isCold(now) {
+		if e != primary && !e.primaryPrefillPending() && e.prefillBudget(now, true) >= part && e.backlog(now) < maxHelperBacklog && e.slowdown(now) < slowdownThreshold && !e.isCold(now) && !e.isUnproven() {
 			eligible = append(eligible, e)
 		}
 	}
@@ -255,7 +258,7 @@
 func (p *pool) prefillCandidates(now time.Time, set candidateSet, urgent bool) (candidates []prefillCandidate, total int) {
 	usable := set.longPromptEngines()
 	for i, e := range usable {
-		if !e.primaryPrefillPending() && !e.longPrefillPending(now) && !e.isCold(now) {
+		if !e.primaryPrefillPending() && !e.longPrefillPending(now) && !e.isCold(now) && p.isProven(e) {
 			c := prefillCandidate{engine: e, backlog: e.backlog(now), budget: e.prefillBudget(now, urgent), slowdown: e.slowdown(now)}
 			if !urgent {
 				c.neededIn, c.isNeeded = p.neededIn(i)
--- a/schedules/scheduler.go
+++ b/schedules/scheduler.go
@@ -8,6 +8,7 @@
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/costs"
 	"gypsumshelf.example/gypsumshelf/crashes"
+	"gypsumshelf.example/gypsumshelf/paces"
 	"gypsumshelf.example/gypsumshelf/paths"
 )
 
@@ -55,6 +56,7 @@
 	slowdown    float64   // of the engine as of the placement, 0 if another scheduler predicted the first event
 	started     bool      // the first event has been reported
 	orphanUntil time.Time // when the answer to a lost daemon ends, zero if the daemon is not lost
+	unjudged    bool      // its events say nothing about its engines
 	stopAt      time.Time // when its daemon breaks off its requests, zero if no stop has begun
 }
 
@@ -125,8 +127,10 @@
 	copies     map[string]int       // known jobs by fingerprint
 	paths      *paths.Table         // nil if paths are not judged
 
-	slowChanges   []SlowChange   // not returned by TakeSlowChanges yet
-	demandChanges []DemandChange // not returned by TakeDemandChanges yet
+	slowChanges   []SlowChange                          // not returned by TakeSlowChanges yet
+	demandChanges []DemandChange                        // not returned by TakeDemandChanges yet
+	paces         *paces.Table                          // nil if the paces of servers are not found out
+	plain         map[gypsumshelf.ServerID]*plainServer // those whose pace is found out
 }
 
 // New returns a Scheduler that knows no engines.
@@ -136,6 +140,9 @@
 	if cfg.Policy.AvoidBadPaths {
 		s.paths = paths.NewTable()
 	}
+	if cfg.Policy.FindPace {
+		s.paces, s.plain = paces.NewTable(), map[gypsumshelf.ServerID]*plainServer{}
+	}
 	return s
 }
 
@@ -169,6 +176,7 @@
 		}
 		p.engines[state.ID].learns = s.cfg.Policy.LearnPredictions
 		p.engines[state.ID].update(now, state, p.profile, s.cfg.ColdShare)
+		s.updatePace(now, p.engines[state.ID])
 	}
 	for _, p := range s.pools {
 		for id := range p.engines {
@@ -241,7 +249,7 @@
 	p := s.pools[job.Service]
 	if known := s.jobs[job.ID]; p == nil || known != nil {
 		if known != nil {
-			known.orphanUntil = time.Time{} // its daemon is back
+			known.orphanUntil, known.unjudged = time.Time{}, false // its daemon is back
 		}
 		return
 	}
@@ -249,6 +257,7 @@
 	j.adopted = true
 	p.assign(now, j, &placement)
 	p.takeFromExternal(j)
+	s.settleAdopted(j, started)
 	if j.started = started; started {
 		p.finishPrefill(now, j)
 	}
@@ -263,6 +272,7 @@
 	j.started = true
 	p := s.pools[j.request.Service]
 	p.learnFirst(now, j)
+	s.judgeFirstEvent(now, p, j)
 	if j.placement != nil {
 		p.finishPrefill(now, j)
 	}
@@ -290,6 +300,7 @@
 		return nil
 	}
 	p.countAnswer(j, -1)
+	s.judgeEnd(now, p, j, outcome, p.engines[cmp.Or(blamed, j.placement.Server)])
 	for _, server := range j.placement.engines() {
 		if e := p.engines[server]; e != nil {
 			e.removeAssignment(now, id)
@@ -340,6 +351,7 @@
 		case s.cfg.Policy.ProtectFirstEvents && j.placement != nil:
 			s.orphan(now, j)
 		default:
+			j.unjudged = true
 			decisions = append(decisions, s.End(now, id, Cancelled, "")...)
 		}
 	}
@@ -360,9 +372,11 @@
 func (s *Scheduler) Tick(now time.Time) []Decision {
 	var decisions []Decision
 	s.forgetPlaces(now)
+	s.tickPaces(now)
 	for id, j := range s.jobs {
 		// The daemon of the job has died, or its message about the end was lost.
 		if j.placement != nil && now.After(j.due(j.request.Deadline+lostJobGrace)) || j.isOrphanOver(now) {
+			j.unjudged = true
 			decisions = append(decisions, s.End(now, id, Cancelled, "")...)
 		}
 	}
@@ -468,82 +482,6 @@
 	return a.due(a.request.Target).Compare(b.due(b.request.Target))
 }
 
-// isLate reports whether a waiting job cannot meet its target any more.
-func (p *pool) isLate(now time.Time, j *jobState) bool {
-	return now.Add(p.minTimeToFirstEvent(j)).After(j.due(j.request.Target))
-}
-
-// minTimeToFirstEvent returns the time to the first event of a job on engines
-// without other prefills.
-func (p *pool) minTimeToFirstEvent(j *jobState) time.Duration {
-	pass := p.profile.PassTime(p.profile.Slots, p.profile.Slots*p.profile.MeanPromptTokens/2)
-	if j.long {
-		return j.prefillTime/time.Duration(max(1, p.reservedCount())) + pass
-	}
-	return j.prefillTime + pass + pass/2 // the pass in progress has to end first
-}
-
-// minServiceTime returns the shortest possible time from the placement of a job
-// to the end of its answer.
-func (p *pool) minServiceTime(j *jobState) time.Duration {
-	return p.prefillAtBest(j) + p.profile.DecodeTime(j.request.Expected, 1, j.request.Prompt)
-}
-
-// prefillAtBest returns the prefill time of a job that all engines share.
-func (p *pool) prefillAtBest(j *jobState) time.Duration {
-	return p.profile.SharedPrefillTime(j.request.Prompt, min(maxHelpers, len(p.sorted)))
-}
-
-// isUnservable reports whether a waiting job can no longer get its first event
-// before the caller disconnects, or its answer before the deadline. The check
-// is refusalMargin early, so that the refusal and its retry time still reach
-// the caller.
-func (p *pool) isUnservable(now time.Time, j *jobState) bool {
-	return now.Add(p.minTimeToFirstEvent(j)+refusalMargin).After(j.due(j.request.Patience)) || now.Add(p.minServiceTime(j)).After(j.due(j.request.Deadline))
-}
-
-// predictWait returns the predicted time until those of the jobs that are of the same
-// kind as j, short or long, have been placed.
-func (p *pool) predictWait(j *jobState, jobs []*jobState) time.Duration {
-	var work time.Duration
-	shortJobs := 0
-	for _, o := range jobs {
-		if o == j {
-			continue
-		}
-		if o.long {
-			work += o.prefillTime
-		} else {
-			shortJobs++
-		}
-	}
-	if j.long {
-		return work / time.Duration(max(1, p.longPromptEngineCount()))
-	}
-	// All slots together end one answer each in about the duration of a usual
-	// answer.
-	slots := max(1, len(p.sorted)*p.profile.Slots)
-	return time.Duration(shortJobs) * p.profile.DecodeTime(p.profile.MeanAnswerTokens, p.profile.Slots/2, 0) / time.Duration(slots)
-}
-
-// limitedWait returns the time until the limits of the engines leave room for the
-// waiting jobs and another one. It is 0 if an engine has named no limit.
-func (p *pool) limitedWait(now time.Time) time.Duration {
-	perSecond, room := 0.0, 0.0
-	for _, e := range p.sorted {
-		l := e.limits.get(now, e.id())
-		if l == nil {
-			return 0
-		}
-		perSecond += l.rate
-		room += max(0, l.limiter.TokensAt(now))
-	}
-	if perSecond == 0 {
-		return 0
-	}
-	return time.Duration(max(0, float64(len(p.queue)+1)-room) / perSecond * float64(time.Second))
-}
-
 // finishPrefill updates the engines of a job after the prefill of its prompt.
 func (p *pool) finishPrefill(now time.Time, j *jobState) {
 	for _, id := range j.placement.engines() {
@@ -588,6 +526,7 @@
 		}
 		e.addAssignment(a)
 		e.addPrefill(now, partTime)
+		a.prefillTotal = e.prefillTotal
 		if i == 0 {
 			e.countRequest(now)
 		}
--- a/schedules/simulation_test.go
+++ b/schedules/simulation_test.go
@@ -69,7 +69,8 @@
 	prefills []*simPrefill
 	answers  []*simJob
 	inPass   bool
-	slowdown float64 // 0 stands for 1
+	slowdown float64  // 0 stands for 1
+	cold     *simCold // nil if it is warm
 }
 
 type simPrefill struct {
@@ -96,6 +97,7 @@
 	spread     bool                                      // callers are in three data centres
 	identify   func(j *simJob)                           // nil if requests have no fingerprints
 	refused    func(j *simJob, retryAfter time.Duration) // nil if callers do not return
+	failing    func(gypsumshelf.ServerID) bool           // tells which engines break off requests, nil for none
 }
 
 type simEvent struct {
@@ -213,6 +215,10 @@
 			continue
 		}
 		ids := append([]gypsumshelf.ServerID{d.Placement.Server}, d.Placement.Helpers...)
+		if s.failing != nil && s.failing(d.Placement.Server) {
+			s.fail(j, d.Placement.Server)
+			continue
+		}
 		j.pendingParts = len(ids)
 		j.placement, j.placedAt = d.Placement, s.now
 		ms := float64(s.profile.PrefillTime(j.job.Prompt)) / 1e6 / float64(len(ids))
@@ -267,6 +273,7 @@
 		passMs *= e.slowdown
 	}
 	answers := append([]*simJob(nil), e.answers...)
+	passMs *= e.cold.slowdown(s.now, len(e.answers)+len(e.prefills)+len(finished))
 	s.after(time.Duration(passMs*1e6), func() {
 		e.inPass = false
 		for _, w := range answers {
