--- a/dispatchers/dispatcher.go
+++ b/dispatchers/dispatcher.go
@@ -103,6 +103,7 @@
 	reportsInFlight map[gypsumshelf.ServerID]bool        // engines with a poll in flight
 	nextReport      int                                  // index in engines of the next one to poll
 	checkedAt       map[string]time.Time                 // when the engines of a data centre were last polled after a failure
+	invalidReports  map[gypsumshelf.ServerID]bool        // engines whose last report was invalid
 	localSchedulers int                                  // in the deployment
 	quarantines     []crashes.Quarantine                 // in force for all daemons
 	lifts           []crashes.Lift                       // of quarantines
@@ -112,7 +113,7 @@
 
 // New returns an inactive Dispatcher.
 func New(cfg Config) *Dispatcher {
-	d := &Dispatcher{cfg: cfg, localSchedulers: minLocalSchedulers, pending: map[schedules.JobID]*pendingDecision{}, reportsInFlight: map[gypsumshelf.ServerID]bool{}, ended: map[schedules.JobID]time.Time{}, checkedAt: map[string]time.Time{}}
+	d := &Dispatcher{cfg: cfg, localSchedulers: minLocalSchedulers, pending: map[schedules.JobID]*pendingDecision{}, reportsInFlight: map[gypsumshelf.ServerID]bool{}, invalidReports: map[gypsumshelf.ServerID]bool{}, ended: map[schedules.JobID]time.Time{}, checkedAt: map[string]time.Time{}}
 	d.scheduler = d.newScheduler()
 	cfg.Timers.Subscribe(tickPeriod, d.tick)
 	if cfg.Reporter != nil {
@@ -130,7 +131,7 @@
 
 func (d *Dispatcher) newScheduler() *schedules.Scheduler {
 	if !d.cfg.Local {
-		return schedules.New(schedules.Config{Daemon: d.cfg.Daemon, DataCentre: d.cfg.DataCentre, Policy: d.cfg.Policy})
+		return schedules.New(schedules.Config{Daemon: d.cfg.Daemon, DataCentre: d.cfg.DataCentre, Policy: d.cfg.Policy, Polled: d.cfg.Reporter != nil})
 	}
 	return schedules.New(schedules.Config{Daemon: d.cfg.Daemon, DataCentre: d.cfg.DataCentre, Policy: d.cfg.Policy, ColdShare: 1 / float64(d.localSchedulers), QuarantineTime: localQuarantineTime})
 }
@@ -343,6 +344,9 @@
 	}
 	d.deliver(d.scheduler.Tick(now))
 	d.logPathChanges()
+	d.logDemandChanges()
+	d.logSlowChanges()
+	d.logPaceChanges()
 	if found := d.scheduler.TakeQuarantines(); len(found) > 0 && d.cfg.HandleQuarantines != nil {
 		d.cfg.HandleQuarantines(found)
 	}
@@ -421,5 +425,5 @@
 		d.scheduler.MarkUnresponsive(now, p.engine.State.ID)
 		return
 	}
-	d.scheduler.UpdateLoad(now, p.engine.State.ID, report)
+	d.recordReport(now, p.engine.State.ID, report)
 }
--- a/schedules/engine.go
+++ b/schedules/engine.go
@@ -30,6 +30,13 @@
 	// 200 ms, in which several short answers end, and include prefills that have
 	// just ended.
 	externalRequestTolerance = 5
+	// reportLag is the age of the load in a report. reconciledRequestTolerance replaces
+	// externalRequestTolerance where the excess is reconciled with the requests that were
+	// placed or ended within it: one whose placement or end passes the report on its way
+	// may still be counted twice. With the larger one, several local schedulers together
+	// exceed the slots of an engine by as many requests.
+	reportLag                  = 200 * time.Millisecond
+	reconciledRequestTolerance = 1
 	// externalRequestGap is the longest pause that the callers of external
 	// requests are assumed to accept. Most answers are short ones, whose callers
 	// accept no longer pause.
@@ -47,10 +54,15 @@
 // assignment is the work of one job on one engine.
 type assignment struct {
 	job          *jobState
-	primary      bool // the engine generates the answer
-	memoryTokens int  // tokens that the job keeps in the engine's memory
+	primary      bool          // the engine generates the answer
+	memoryTokens int           // tokens that the job keeps in the engine's memory
+	placedAt     time.Time     // zero if another scheduler placed the job
+	prefillTotal time.Duration // of the engine, with the job's own part
 }
 
+// endedAssignment is an assignment that ended within reportLag.
+type endedAssignment struct{ placedAt, endedAt time.Time }
+
 // prefill is the prefill of a prompt or of a part of one on an engine.
 type prefill struct {
 	end      time.Time // predicted end
@@ -76,6 +88,13 @@
 	coldLimiter         *rate.Limiter
 	limits              *limits // that engines have named; shared by all of them
 	shared              bool    // other schedulers place jobs here too
+	learns              bool    // Policy.LearnPredictions
+	ended               []endedAssignment
+	ratio               ratio         // not used without Policy.LearnPredictions
+	learnedSlowdown     float64       // ratio compared with those of other engines, 0 if it is not learned
+	reportedSlow        bool          // as of the last SlowChange
+	pace                *enginePace   // nil if the pace of servers is not found out
+	prefillTotal        time.Duration // predicted time of all prefills since the engine is known
 }
 
 func newEngine(state EngineState, profile *costs.Profile, limits *limits) *engine {
@@ -85,6 +104,9 @@
 // update sets the state of the engine. Each cold period begins with a new request
 // limiter.
 func (e *engine) update(now time.Time, state EngineState, profile *costs.Profile, share float64) {
+	if e.state.Born != state.Born {
+		e.ratio = ratio{} // it tells of the start before
+	}
 	e.state, e.profile, e.shared = state, profile, share > 0
 	e.limits.restarted(state.ID, state.Born)
 	if !e.isCold(now) {
@@ -113,7 +135,7 @@
 
 // usable reports whether the engine may get new work.
 func (e *engine) usable(now time.Time) bool {
-	if now.Before(e.avoidUntil) || !e.hasRoom(now) {
+	if now.Before(e.avoidUntil) || !e.hasRoom(now) || !e.keepsPace(now) {
 		return false
 	}
 	return !e.isCold(now) || e.coldLimiter.TokensAt(now) >= 1
@@ -129,10 +151,17 @@
 		e.coldLimiter.AllowN(now, 1)
 	}
 	e.limits.take(now, e.id())
+	e.pace.take(now)
 }
 
-// slowdown returns the factor by which the engine is slower than its profile.
+// slowdown returns the factor by which the engine is slower than its profile: the larger
+// of the reported and the learned one.
 func (e *engine) slowdown(now time.Time) float64 {
+	return max(e.learnedSlowdown, e.statedSlowdown(now))
+}
+
+// statedSlowdown returns the slowdown that the engine reports.
+func (e *engine) statedSlowdown(now time.Time) float64 {
 	if e.load.Slowdown <= 1 || now.Sub(e.loadAt) > slowdownTTL {
 		return 1
 	}
@@ -143,11 +172,36 @@
 // the placed ones come from entry daemons that schedule locally.
 func (e *engine) recordLoad(now time.Time, l Load) {
 	e.load, e.loadAt = l, now
-	if e.externalRequests = l.Running + l.Queued - len(e.assignments); e.externalRequests <= externalRequestTolerance {
+	expected, tolerance := len(e.assignments), externalRequestTolerance
+	if e.learns {
+		expected, tolerance = e.assignmentsAt(now, now.Add(-reportLag)), reconciledRequestTolerance
+	}
+	if e.externalRequests = l.Running + l.Queued - expected; e.externalRequests <= tolerance {
 		e.externalRequests = 0
 	}
 }
 
+// assignmentsAt returns the number of assignments at an earlier time, at most reportLag ago.
+func (e *engine) assignmentsAt(now, earlier time.Time) int {
+	e.forgetEnded(now)
+	n := 0
+	for _, a := range e.assignments {
+		if !a.placedAt.After(earlier) {
+			n++
+		}
+	}
+	for _, a := range e.ended {
+		if !a.placedAt.After(earlier) && a.endedAt.After(earlier) {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *engine) forgetEnded(now time.Time) {
+	e.ended = slices.DeleteFunc(e.ended, func(a endedAssignment) bool { return now.Sub(a.endedAt) > reportLag })
+}
+
 // recentExternalRequests returns the number of requests that other schedulers
 // placed, or 0 if the last report is too old.
 func (e *engine) recentExternalRequests(now time.Time) int {
@@ -188,8 +242,12 @@
 }
 
 // removeAssignment removes the assignment of a job.
-func (e *engine) removeAssignment(id JobID) {
-	if _, ok := e.assignments[id]; ok {
+func (e *engine) removeAssignment(now time.Time, id JobID) {
+	if a, ok := e.assignments[id]; ok {
+		if e.learns {
+			e.forgetEnded(now)
+			e.ended = append(e.ended, endedAssignment{placedAt: a.placedAt, endedAt: now})
+		}
 		delete(e.assignments, id)
 		e.updateSummary()
 	}
@@ -287,6 +345,7 @@
 func (e *engine) addPrefill(now time.Time, part time.Duration) {
 	duration := time.Duration(float64(part) * e.slowdown(now))
 	e.prefillEnd = now.Add(e.backlog(now) + duration)
+	e.prefillTotal += duration
 	e.prefills = append(e.prefills, prefill{end: e.prefillEnd, duration: duration})
 	if len(e.prefills) > maxPrefills {
 		e.prefills = e.prefills[1:]
--- a/schedules/orphans.go
+++ b/schedules/orphans.go
@@ -15,7 +15,7 @@
 	if end.Before(now) {
 		end = now
 	}
-	j.orphanUntil = end
+	j.orphanUntil, j.unjudged = end, true
 }
 
 // isOrphanOver reports whether the answer to a lost daemon is expected to have ended.
--- a/schedules/placement.go
+++ b/schedules/placement.go
@@ -123,6 +123,9 @@
 		return nil
 	}
 	if j.long {
+		if p.waitsForBurst(now, j) {
+			return nil
+		}
 		candidates = p.newCandidateSet(slices.DeleteFunc(slices.Clone(candidates.engines), func(e *engine) bool { return e.mayHaveUnreportedLoad(now) }))
 	}
 	if j.request.Prompt+j.request.Answer > int(plannedMemoryFraction*float64(p.profile.MemoryTokens)) {
@@ -140,16 +143,19 @@
 // half of the usable engines are not slow.
 func (p *pool) eligibleEngines(now time.Time, avoid []gypsumshelf.ServerID) []*engine {
 	var usable, suspects []*engine
+	atPace := 0 // engines without recent failures that have as many requests as their pace allows
 	for _, e := range p.sorted {
 		switch {
-		case slices.Contains(avoid, e.id()), !e.hasRoom(now):
+		case slices.Contains(avoid, e.id()), !e.hasRoom(now), p.awaitsReport(now, e):
 		case e.usable(now):
 			usable = append(usable, e)
-		case !e.isCold(now):
+		case !e.isCold(now) && e.keepsPace(now):
 			suspects = append(suspects, e)
+		case !now.Before(e.avoidUntil) && !e.keepsPace(now):
+			atPace++
 		}
 	}
-	if len(usable)*2 < len(p.sorted) {
+	if (len(usable)+atPace)*2 < len(p.sorted) {
 		usable = append(usable, suspects...)
 		slices.SortFunc(usable, func(a, b *engine) int { return cmp.Compare(a.id(), b.id()) })
 	}
@@ -175,7 +181,7 @@
 		predicted := e.timeToFirstEvent(now, part, j.request.Prompt)
 		score := predicted + e.tieBreak + time.Duration(e.activeAnswers(now))*perAnswerPenalty
 		switch {
-		case !candidates.isReserved(e):
+		case !candidates.isReserved(e), e.isUnproven():
 		case e.summary.shortAnswers == 0:
 			score += unusedReservedPenalty
 		default:
@@ -210,7 +216,7 @@
 func shortPromptHelpers(now time.Time, engines []*engine, primary *engine, part time.Duration) []*engine {
 	var eligible []*engine
 	for _, e := range engines {
-		if e != primary && !e.primaryPrefillPending() && e.prefillBudget(now, true) >= part && e.backlog(now) < maxHelperBacklog && e.slowdown(now) < slowdownThreshold && !e.isCold(now) {
+		if e != primary && !e.primaryPrefillPending() && e.prefillBudget(now, true) >= part && e.backlog(now) < maxHelperBacklog && e.slowdown(now) < slowdownThreshold && !e.isCold(now) && !e.isUnproven() {
 			eligible = append(eligible, e)
 		}
 	}
@@ -233,6 +239,17 @@
 	backlog  time.Duration
 	budget   time.Duration
 	slowdown float64
+	// neededIn is the time until the forecast of short answers needs the engine, if
+	// isNeeded.
+	neededIn time.Duration
+	isNeeded bool
+}
+
+// canPrefill reports whether the engine can prefill a part without long pauses, and before
+// short answers need it.
+func (c *prefillCandidate) canPrefill(part time.Duration) bool {
+	duration := time.Duration(float64(part) * c.slowdown)
+	return c.budget >= duration && (!c.isNeeded || c.backlog+duration <= c.neededIn)
 }
 
 // prefillCandidates returns the engines that may prefill parts of a long
@@ -240,9 +257,13 @@
 // including those that are not available at present.
 func (p *pool) prefillCandidates(now time.Time, set candidateSet, urgent bool) (candidates []prefillCandidate, total int) {
 	usable := set.longPromptEngines()
-	for _, e := range usable {
-		if !e.primaryPrefillPending() && !e.longPrefillPending(now) && !e.isCold(now) {
-			candidates = append(candidates, prefillCandidate{engine: e, backlog: e.backlog(now), budget: e.prefillBudget(now, urgent), slowdown: e.slowdown(now)})
+	for i, e := range usable {
+		if !e.primaryPrefillPending() && !e.longPrefillPending(now) && !e.isCold(now) && p.isProven(e) {
+			c := prefillCandidate{engine: e, backlog: e.backlog(now), budget: e.prefillBudget(now, urgent), slowdown: e.slowdown(now)}
+			if !urgent {
+				c.neededIn, c.isNeeded = p.neededIn(i)
+			}
+			candidates = append(candidates, c)
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b prefillCandidate) int { return cmp.Compare(a.backlog, b.backlog) })
@@ -288,7 +309,7 @@
 	eligible := make([]prefillCandidate, 0, len(candidates))
 	engines := make([]*engine, 0, len(candidates))
 	for _, c := range candidates {
-		if c.budget >= time.Duration(float64(part)*c.slowdown) {
+		if c.canPrefill(part) {
 			eligible = append(eligible, c)
 			engines = append(engines, c.engine)
 		}
@@ -359,7 +380,7 @@
 		part := j.prefillTime / time.Duration(k)
 		var eligible []*engine
 		for _, c := range candidates {
-			if len(eligible) < k && c.budget >= time.Duration(float64(part)*c.slowdown) && c.backlog+part <= limit {
+			if len(eligible) < k && c.canPrefill(part) && c.backlog+part <= limit {
 				eligible = append(eligible, c.engine)
 			}
 		}
