--- a/paces/pace.go
+++ b/paces/pace.go
@@ -14,9 +14,10 @@
 	// overloaded once is not slowed down for its whole life.
 	EvidenceTTL = 10 * time.Second
 	// SettledAge is the time after its start from which a server counts as steady if
-	// nothing else is known of it. It is several times EvidenceTTL, so that whoever
-	// used the server before has judged it.
-	SettledAge = 30 * time.Second
+	// nothing else is known of it. Whoever used the server before has judged it, and
+	// older evidence does not count: a new leader would hold back all servers of a
+	// deployment that has just started.
+	SettledAge = EvidenceTTL
 	// flapWindow is the time in which flapCount starts or failures of a server make it
 	// a flapping one. With fewer of them, a release and one failure after it would
 	// already slow the server down.
