Add gypsumshelf where: where a request would go now, and why

An entry daemon answers GET /where at its metrics address. It asks the scheduler that would decide, through the new call Desk.Preview, which submits the job to a copy of its state. TestPreviewChangesNothing runs a load with and without previews and requires the same decisions.

--- a/catalogs/catalog.go
+++ b/catalogs/catalog.go
@@ -198,6 +198,15 @@
 // Workspace returns the workspace with an API key, or nil if there is none.
 func (c *Catalog) Workspace(key string) *Workspace { return c.workspacesByKey[key] }
 
+// WorkspaceNamed returns the workspace with a name, or nil if there is none.
+func (c *Catalog) WorkspaceNamed(name string) *Workspace {
+	i := slices.IndexFunc(c.spec.Workspaces, func(w Workspace) bool { return w.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return &c.spec.Workspaces[i]
+}
+
 // Route returns the route of the host name with the longest prefix of the path,
 // or nil if there is none. The host may include a port.
 func (c *Catalog) Route(host, path string) *Route {
--- a/cmd/gypsumshelf/main.go
+++ b/cmd/gypsumshelf/main.go
@@ -51,7 +51,7 @@
 		SilenceErrors: false,
 	}
 	root.AddCommand(newServe(), newConfig(), newHost(), newSoak(), newDemo(), newStandIns(), newMeasure(), newLoad())
-	root.AddCommand(newStatus(), newClass(), newDataCentre(), newName(), newExplain(), newQuarantines(), newAccount())
+	root.AddCommand(newStatus(), newClass(), newDataCentre(), newName(), newExplain(), newQuarantines(), newAccount(), newWhere())
 	return root
 }
 
--- a/dispatchers/dispatcher.go
+++ b/dispatchers/dispatcher.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/costs"
@@ -107,11 +108,12 @@
 	lifts           []crashes.Lift                       // of quarantines
 	lastJobAt       time.Time
 	ended           map[schedules.JobID]time.Time // jobs that ended lately, if placements may be requested twice
+	previews        *rate.Limiter
 }
 
 // New returns an inactive Dispatcher.
 func New(cfg Config) *Dispatcher {
-	d := &Dispatcher{cfg: cfg, localSchedulers: minLocalSchedulers, pending: map[schedules.JobID]*pendingDecision{}, reportsInFlight: map[gypsumshelf.ServerID]bool{}, ended: map[schedules.JobID]time.Time{}}
+	d := &Dispatcher{cfg: cfg, localSchedulers: minLocalSchedulers, pending: map[schedules.JobID]*pendingDecision{}, reportsInFlight: map[gypsumshelf.ServerID]bool{}, ended: map[schedules.JobID]time.Time{}, previews: newPreviewLimiter()}
 	d.scheduler = d.newScheduler()
 	cfg.Timers.Subscribe(tickPeriod, d.tick)
 	if cfg.Reporter != nil {
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -58,6 +58,7 @@
 	Limits     LimitKeeper   // nil if backend servers name no limits
 	Leaves     LeaveReporter // nil if nobody is to be told
 	Paths      PathRecorder  // nil if paths are not judged
+	Previewer  Previewer     // nil if previews are not answered
 	Retries    RetryBudget
 	BodyBudget int64 // memory for the bodies of requests and responses in bytes, 0 for no limit
 	// MemoryBound is the time within which engine memory reserved for a request must
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -98,7 +98,7 @@
 		recorder = g.dispatchClient
 	}
 	g.forwarder = forwards.New(forwards.Config{
-		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: protocol, Dialer: g.dialer, Fleet: g.fleet, Placer: g.dispatchClient, Crashes: g.dispatchClient, Limits: g.dispatchClient, Leaves: g, Paths: recorder,
+		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: protocol, Dialer: g.dialer, Fleet: g.fleet, Placer: g.dispatchClient, Crashes: g.dispatchClient, Limits: g.dispatchClient, Leaves: g, Paths: recorder, Previewer: g.dispatchClient,
 		Retries: cfg.Retries, StateFresh: g.stateFresh, Log: cfg.Log, Recorder: cfg.Recorder, BodyBudget: cfg.Memory / bodyMemoryDivisor,
 		MemoryBound: cfg.FreeMemory,
 	})
--- a/paths/table.go
+++ b/paths/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -253,3 +254,17 @@
 	t.changes = nil
 	return changes
 }
+
+// Copy returns a table with the same states, of which changes do not affect the original.
+func (t *Table) Copy(now time.Time) *Table {
+	out := &Table{streamEvents: t.streamEvents, paths: make(map[pair]*path, len(t.paths)), reported: maps.Clone(t.reported)}
+	for key, p := range t.paths {
+		c := *p
+		c.trials = rate.NewLimiter(trialsPerSecond, 1)
+		if p.trials.TokensAt(now) < 1 {
+			c.trials.AllowN(now, 1)
+		}
+		out.paths[key] = &c
+	}
+	return out
+}
