--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -59,6 +59,7 @@
 	Leaves     LeaveReporter  // nil if nobody is to be told
 	Paths      PathRecorder   // nil if paths are not judged
 	Answers    AnswerReporter // nil if the pace of servers is not found out
+	Previewer  Previewer      // nil if previews are not answered
 	Retries    RetryBudget
 	BodyBudget int64 // memory for the bodies of requests and responses in bytes, 0 for no limit
 	// MemoryBound is the time within which engine memory reserved for a request must
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -103,7 +103,7 @@
 		answers = g.dispatchClient
 	}
 	g.forwarder = forwards.New(forwards.Config{
-		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: protocol, Dialer: g.dialer, Fleet: g.fleet, Placer: g.dispatchClient, Crashes: g.dispatchClient, Limits: g.dispatchClient, Leaves: g, Paths: recorder, Answers: answers,
+		Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Protocol: protocol, Dialer: g.dialer, Fleet: g.fleet, Placer: g.dispatchClient, Crashes: g.dispatchClient, Limits: g.dispatchClient, Leaves: g, Paths: recorder, Answers: answers, Previewer: g.dispatchClient,
 		Retries: cfg.Retries, StateFresh: g.stateFresh, Log: cfg.Log, Recorder: cfg.Recorder, BodyBudget: cfg.Memory / bodyMemoryDivisor,
 		MemoryBound: cfg.FreeMemory,
 	})
