Compute the identities of a request when they are needed

The hashes that identify copies of a request were computed right after its body, also for requests that are then refused. They are now computed for the first job, report or log line that carries them, or once a quarantine is in force. The fields before the body are hashed from one buffer. The values are the same; a test holds them.

--- a/forwards/crash_check.go
+++ b/forwards/crash_check.go
@@ -74,6 +74,7 @@
 	if c.forwarder.cfg.Crashes == nil || known && current.Born == server.Born && !current.Usable() {
 		return
 	}
+	run := crashes.Run{Causes: req.identify().causes, Duration: req.now().Sub(began)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	key := serverStart{id: server.ID, born: server.Born}
@@ -83,7 +84,7 @@
 		c.pending[key] = check
 		go check.run()
 	}
-	check.runs = append(check.runs, crashes.Run{Causes: req.causes, Duration: req.now().Sub(began)})
+	check.runs = append(check.runs, run)
 	req.lostServers = append(req.lostServers, check)
 }
 
--- a/forwards/ending.go
+++ b/forwards/ending.go
@@ -176,7 +176,8 @@
 		"after-ms": req.now().Sub(req.arrived).Milliseconds(), "last-event": req.lastEvent,
 	}).WithError(err)
 	if outcome == schedules.Lost {
-		entry = entry.WithFields(logrus.Fields{"request-hash": req.identities[0], "wider-hashes": req.identities[1:]})
+		copies := req.identify().copies
+		entry = entry.WithFields(logrus.Fields{"request-hash": copies[0], "wider-hashes": copies[1:]})
 	}
 	entry.Warn("attempt failed")
 }
--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -62,7 +62,7 @@
 		Service: req.service.Name, Daemon: req.forwarder.cfg.Daemon, DataCentre: req.forwarder.cfg.DataCentre,
 		Prompt: prompt, Answer: answer, Expected: min(expected, answer), Priority: req.route.Priority,
 		Target: req.arrived.Add(req.route.Target).Sub(now), Patience: req.arrived.Add(req.patience()).Sub(now),
-		Deadline: req.remaining(), Gap: req.route.GapTarget, Causes: req.causes, Fingerprint: req.fingerprint,
+		Deadline: req.remaining(), Gap: req.route.GapTarget, Causes: req.identify().causes, Fingerprint: req.identify().fingerprint,
 		Avoid: append(req.forwarder.cfg.Fleet.Avoided(req.service.Name), req.triedServers...),
 	}
 	if req.headerWritten {
--- a/forwards/fake_test.go
+++ b/forwards/fake_test.go
@@ -95,7 +95,7 @@
 // fakeBackend is a backend server that passes each request and its connection to
 // handler.
 type fakeBackend struct {
-	t       *testing.T
+	t       testing.TB
 	record  rosters.Record
 	handler func(r *http.Request, body string, conn net.Conn)
 
@@ -104,7 +104,7 @@
 	disconnected chan struct{} // receives a value when the client closes a connection that handler left open
 }
 
-func newFakeBackend(t *testing.T, id, service string, handler func(r *http.Request, body string, conn net.Conn)) *fakeBackend {
+func newFakeBackend(t testing.TB, id, service string, handler func(r *http.Request, body string, conn net.Conn)) *fakeBackend {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -112,7 +112,7 @@
 	return newFakeBackendAt(t, l, id, service, handler)
 }
 
-func newFakeBackendAt(t *testing.T, l net.Listener, id, service string, handler func(r *http.Request, body string, conn net.Conn)) *fakeBackend {
+func newFakeBackendAt(t testing.TB, l net.Listener, id, service string, handler func(r *http.Request, body string, conn net.Conn)) *fakeBackend {
 	t.Cleanup(func() { l.Close() })
 	b := &fakeBackend{t: t, handler: handler, disconnected: make(chan struct{}, 16), record: rosters.Record{
 		ID: gypsumshelf.ServerID(id), Born: 1, Sequence: 1, Service: service, Address: l.Addr().String(), DataCentre: "a", Slots: 4,
@@ -216,7 +216,7 @@
 
 // fixture is a forwarder in front of fake backend servers.
 type fixture struct {
-	t         *testing.T
+	t         testing.TB
 	forwarder *Forwarder
 	server    *httptest.Server
 	client    *http.Client
@@ -233,11 +233,11 @@
 	testMemoryBound = 4 * time.Second
 )
 
-func newFixture(t *testing.T, backends ...*fakeBackend) *fixture {
+func newFixture(t testing.TB, backends ...*fakeBackend) *fixture {
 	return newFixtureWith(t, fakeProtocol{}, backends...)
 }
 
-func newFixtureWith(t *testing.T, protocol Protocol, backends ...*fakeBackend) *fixture {
+func newFixtureWith(t testing.TB, protocol Protocol, backends ...*fakeBackend) *fixture {
 	f := newForwarderFixture(t, protocol, nil, backends...)
 	f.server, f.client = httptest.NewServer(f.forwarder), http.DefaultClient
 	f.closeAtEnd()
@@ -265,7 +265,7 @@
 	})
 }
 
-func newForwarderFixture(t *testing.T, protocol Protocol, dialer Dialer, backends ...*fakeBackend) *fixture {
+func newForwarderFixture(t testing.TB, protocol Protocol, dialer Dialer, backends ...*fakeBackend) *fixture {
 	f := &fixture{t: t, placer: &fakePlacer{}, metrics: metrics.New(), log: &bytes.Buffer{}}
 	fleet := NewFleet("a", time.Now)
 	for _, b := range backends {
@@ -285,11 +285,11 @@
 	return f
 }
 
-func newCatalog(t *testing.T) *catalogs.Catalog { return newCatalogWith(t, 2) }
+func newCatalog(t testing.TB) *catalogs.Catalog { return newCatalogWith(t, 2) }
 
 // newCatalogWith returns a catalog whose routes for requests that may be repeated allow
 // a number of attempts.
-func newCatalogWith(t *testing.T, attempts int) *catalogs.Catalog {
+func newCatalogWith(t testing.TB, attempts int) *catalogs.Catalog {
 	route := func(prefix, service string, kind catalogs.RouteKind, attempts int) catalogs.Route {
 		return catalogs.Route{
 			Name: prefix, Host: "127.0.0.1", Prefix: prefix, Kind: kind, Timeout: 5 * time.Second, Target: 100 * time.Millisecond,
--- a/forwards/fingerprint.go
+++ b/forwards/fingerprint.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"hash"
 	"slices"
 
 	"gypsumshelf.example/gypsumshelf/crashes"
@@ -14,6 +13,9 @@
 // different requests have the same one with a probability below 1e-20.
 const fingerprintBytes = 16
 
+// hashedHeadBytes is above the size of what is hashed before the body of most requests.
+const hashedHeadBytes = 512
+
 // caller returns what identifies the caller of the request: its workspace or its key.
 func (req *proxyRequest) caller() string {
 	if req.workspace != nil {
@@ -31,14 +33,16 @@
 
 // hashOf returns the hash of fields, prompt parts and a body.
 func hashOf(body []byte, parts []crashes.Cause, fields ...string) []byte {
-	h := sha256.New()
+	head := make([]byte, 0, hashedHeadBytes)
 	for _, s := range fields {
-		writeField(h, s)
+		head = appendField(head, s)
 	}
 	for _, p := range parts {
-		writeField(h, string(p))
+		head = appendField(head, string(p))
 	}
-	_, _ = h.Write(body) // a hash.Hash never returns an error
+	h := sha256.New()
+	_, _ = h.Write(head) // a hash.Hash never returns an error
+	_, _ = h.Write(body)
 	return h.Sum(nil)
 }
 
@@ -48,9 +52,9 @@
 // first. A caller repeats its path and body, but may send them in another session, with
 // another prompt, or to another name of the host. Answers show which of these
 // identities sound requests have, too.
-func (req *proxyRequest) newIdentities() []crashes.Cause {
+func (req *proxyRequest) newIdentities(fingerprint string) []crashes.Cause {
 	content := hashOf(req.body, nil, req.caller(), req.r.URL.Path)
-	identities := []crashes.Cause{crashes.RequestCause(req.fingerprint)}
+	identities := []crashes.Cause{crashes.RequestCause(fingerprint)}
 	query, shared := req.r.URL.RawQuery, req.meta.Parts[:max(0, len(req.meta.Parts)-1)]
 	if query != "" || len(shared) > 0 { // otherwise it is the same as with any prompt
 		identities = append(identities, crashes.AnySessionCause(encodeHash(hashOf(content, shared, query))))
@@ -58,18 +62,25 @@
 	return append(identities, crashes.AnyPromptCause(encodeHash(content)))
 }
 
-// identifyCauses sets the fingerprint, and what the request has in common with others that
-// may crash backend servers.
-func (req *proxyRequest) identifyCauses() {
-	req.fingerprint = req.newFingerprint()
-	req.identities = req.newIdentities()
-	req.causes = slices.Concat(req.meta.Parts, req.identities)
+// identity is what a request has in common with others that may crash backend servers.
+type identity struct {
+	fingerprint string          // the same for all exact copies that the caller sends
+	copies      []crashes.Cause // what copies have in common, the narrowest first
+	causes      []crashes.Cause // the prompt parts and copies
+}
+
+// identify returns the identity of a request whose body was read. It is computed when it
+// is first needed, since it takes two hashes of the body. It is not safe for concurrent use.
+func (req *proxyRequest) identify() *identity {
+	if req.identity == nil {
+		fingerprint := req.newFingerprint()
+		copies := req.newIdentities(fingerprint)
+		req.identity = &identity{fingerprint: fingerprint, copies: copies, causes: slices.Concat(req.meta.Parts, copies)}
+	}
+	return req.identity
 }
 
-// writeField adds a field with its length, so that no two lists of fields are alike.
-func writeField(h hash.Hash, s string) {
-	var length [8]byte
-	binary.BigEndian.PutUint64(length[:], uint64(len(s)))
-	_, _ = h.Write(length[:])
-	_, _ = h.Write([]byte(s))
+// appendField appends a field with its length, so that no two lists of fields are alike.
+func appendField(b []byte, s string) []byte {
+	return append(binary.BigEndian.AppendUint64(b, uint64(len(s))), s...)
 }
--- a/forwards/fingerprint_test.go
+++ b/forwards/fingerprint_test.go
@@ -17,12 +17,13 @@
 		meta: RequestMeta{ID: "r1", Key: "k1", Parts: []crashes.Cause{"aa", "bb"}},
 	}
 	change(req)
-	req.identifyCauses()
 	return req
 }
 
 // fingerprintOf returns the fingerprint of a request after a change.
-func fingerprintOf(change func(*proxyRequest)) string { return identified(change).fingerprint }
+func fingerprintOf(change func(*proxyRequest)) string {
+	return identified(change).identify().fingerprint
+}
 
 // Guards against copies of a request that are not recognized, and against different
 // requests that are taken for copies.
@@ -92,11 +93,32 @@
 // assertNarrowest fails unless the narrowest identity that two requests share has a prefix.
 func assertNarrowest(t *testing.T, a, b *proxyRequest, prefix string) {
 	t.Helper()
-	i := slices.IndexFunc(a.identities, func(c crashes.Cause) bool { return slices.Contains(b.identities, c) })
+	i := slices.IndexFunc(a.identify().copies, func(c crashes.Cause) bool { return slices.Contains(b.identify().copies, c) })
 	switch {
 	case i < 0 && prefix != "":
-		t.Errorf("%v and %v share nothing, want %s", a.identities, b.identities, prefix)
-	case i >= 0 && (prefix == "" || !strings.HasPrefix(string(a.identities[i]), prefix)):
-		t.Errorf("%v and %v share %s, want %q", a.identities, b.identities, a.identities[i], prefix)
+		t.Errorf("%v and %v share nothing, want %s", a.identify().copies, b.identify().copies, prefix)
+	case i >= 0 && (prefix == "" || !strings.HasPrefix(string(a.identify().copies[i]), prefix)):
+		t.Errorf("%v and %v share %s, want %q", a.identify().copies, b.identify().copies, a.identify().copies[i], prefix)
+	}
+}
+
+// BenchmarkIdentities measures the identities of a request.
+func BenchmarkIdentities(b *testing.B) {
+	req := identified(func(req *proxyRequest) { req.body = make([]byte, benchmarkBodyBytes) })
+	b.ReportAllocs()
+	for b.Loop() {
+		req.identity = nil
+		req.identify()
+	}
+}
+
+// Guards against hashes that another build computes in another way: quarantines come from
+// daemons of all builds of a deployment.
+func TestIdentitiesStayTheSame(t *testing.T) {
+	want := []crashes.Cause{
+		"request:bca54684aa43fe66721e544ec0eadd1a", "any-session:484546a9fc234e28a3ec0d9dc2945642", "any-prompt:e1cbdcae3819a937cba5096038a76fb4",
+	}
+	if got := identified(func(*proxyRequest) {}).identify().copies; !slices.Equal(got, want) {
+		t.Errorf("the identities are %v, want %v", got, want)
 	}
 }
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -142,11 +142,11 @@
 	f.localQuarantines.Store(&set)
 }
 
-// isQuarantined reports whether any of the causes is quarantined.
-func (f *Forwarder) isQuarantined(causes []crashes.Cause) bool {
+// isQuarantined reports whether any cause of the request is quarantined.
+func (f *Forwarder) isQuarantined(req *proxyRequest) bool {
 	now := f.cfg.Fleet.now()
 	for _, set := range []*crashes.QuarantineSet{f.quarantines.Load(), f.localQuarantines.Load()} {
-		if set != nil && set.ContainsAny(now, causes) {
+		if set != nil && len(*set) > 0 && set.ContainsAny(now, req.identify().causes) {
 			return true
 		}
 	}
@@ -247,13 +247,10 @@
 	service   *catalogs.Service
 	workspace *catalogs.Workspace
 	body      []byte
-	bodyRead  bool // completely
-	// fingerprint is the same for all exact copies that the caller sends.
-	fingerprint string
-	identities  []crashes.Cause // what copies have in common, the narrowest first
-	causes      []crashes.Cause // what it has in common with others that may crash backend servers
-	arrived     time.Time
-	deadline    time.Time
+	bodyRead  bool      // completely
+	identity  *identity // nil until identify is called
+	arrived   time.Time
+	deadline  time.Time
 
 	requestMemory  *buffers.Reservation // of the body
 	responseMemory *buffers.Reservation // of the buffered response
@@ -293,7 +290,7 @@
 		return
 	}
 	f := req.forwarder
-	if req.identifyCauses(); f.isQuarantined(req.causes) {
+	if f.isQuarantined(req) {
 		req.refuse(http.StatusServiceUnavailable, quarantineRetryAfter, crashes.QuarantineReason)
 		return
 	}
@@ -561,7 +558,7 @@
 		return false, "all attempts are used"
 	case len(req.triedServers) >= maxTriedServers:
 		return false, "too many backend servers failed"
-	case req.forwarder.isQuarantined(req.causes):
+	case req.forwarder.isQuarantined(req):
 		return false, crashes.QuarantineCause
 	case req.forwarder.cfg.Dialer.HasNoWay(req.service.Name):
 		return false, noWayReason
--- a/forwards/plain.go
+++ b/forwards/plain.go
@@ -112,7 +112,7 @@
 	}
 	load.end(outcome, a.reply)
 	if reporter := req.forwarder.cfg.Crashes; reporter != nil {
-		reporter.ReportCompleted(req.causes) // also with a 5xx status: the backend server lives
+		reporter.ReportCompleted(req.identify().causes) // also with a 5xx status: the backend server lives
 	}
 	return response, a.verdict, nil
 }
