--- a/forwards/bench_test.go
+++ b/forwards/bench_test.go
@@ -34,11 +34,11 @@
 func (onlyPlacer) End(schedules.JobID, schedules.Outcome, gypsumshelf.ServerID) {}
 
 // streamOf returns a handler that sends the chunks one by one.
-func streamOf(chunks []string) func(*http.Request, string, net.Conn) {
+func streamOf(chunks [][]byte) func(*http.Request, string, net.Conn) {
 	return func(r *http.Request, _ string, conn net.Conn) {
 		_, _ = io.WriteString(conn, responseHeader(r, http.StatusOK, "Transfer-Encoding: chunked\r\n"))
 		for _, c := range chunks {
-			if _, err := io.WriteString(conn, c); err != nil {
+			if _, err := conn.Write(c); err != nil {
 				return
 			}
 		}
@@ -74,12 +74,12 @@
 // benchmarkEvents events, all over connections in memory.
 func newBenchmarkCaller(b *testing.B) (*benchmarkCaller, *pipeNetwork) {
 	n := newPipeNetwork()
-	var chunks []string
+	var chunks [][]byte
 	for i := 1; i <= benchmarkEvents; i++ {
 		event := fmt.Sprintf("id: %d\ndata: {\"text\":\" word\",\"index\":0}\n\n", i)
-		chunks = append(chunks, fmt.Sprintf("%x\r\n%s\r\n", len(event), event))
+		chunks = append(chunks, fmt.Appendf(nil, "%x\r\n%s\r\n", len(event), event))
 	}
-	engine := newFakeBackendAt(b, n.listen(), "e1", "engines", streamOf(append(chunks, "0\r\n\r\n")))
+	engine := newFakeBackendAt(b, n.listen(), "e1", "engines", streamOf(append(chunks, []byte("0\r\n\r\n"))))
 	f := newForwarderFixture(b, fakeProtocol{}, n, engine)
 	f.forwarder.cfg.Placer = onlyPlacer{engine.record.ID}
 	f.forwarder.cfg.Log.Logger.SetOutput(io.Discard)
--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -437,8 +437,11 @@
 		req.forwarder.cfg.Placer.Started(e.pending.job.ID)
 		req.forwarder.cfg.Recorder.FirstEvent(req.service.Name, req.now().Sub(req.arrived))
 	}
-	event := append(e.heldComments, part.event...)
-	e.heldComments = nil
+	event := part.event
+	if len(e.heldComments) > 0 {
+		event = append(e.heldComments, event...)
+		e.heldComments = nil
+	}
 	return true, false, e.writeEvent(event)
 }
 
