Read an event of a stream with one allocation

The buffer of an event grew with its second line. It now starts with room for what is buffered behind the first line, 256 bytes at most. Blank lines are found without building a character set for each line.

BenchmarkStreamedRequest, 200 events, four runs of 2 s beside load: before 1.05 to 1.12 ms, 93.7 kB, 792 allocs after 1.08 to 1.14 ms, 92.1 kB, 592 allocs The time is that of the scheduler between five goroutines and does not change measurably.

--- a/forwards/exchange.go
+++ b/forwards/exchange.go
@@ -31,6 +31,9 @@
 	// maxEventBytes limits the size of one stream event, which holds the text of
 	// some hundred tokens at most.
 	maxEventBytes = 256 << 10
+	// maxReadAhead bounds the memory that an event gets for its further lines before they
+	// are read. The event of one token has about 200 bytes.
+	maxReadAhead = 256
 	// maxInterimResponses limits the interim responses before an answer. A backend server has
 	// at most a few things to say about a request before it answers.
 	maxInterimResponses = 16
@@ -212,6 +215,10 @@
 	lineStart := 0
 	for {
 		part, err := r.ReadSlice('\n')
+		if event == nil {
+			// Most events are in the buffer as a whole when their first line is read.
+			event = make([]byte, 0, len(part)+min(r.Buffered(), maxReadAhead))
+		}
 		event = append(event, part...)
 		switch {
 		case len(event) > maxEventBytes:
@@ -223,9 +230,19 @@
 		case err != nil:
 			return nil, err
 		}
-		if len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0 {
+		if isBlank(event[lineStart:]) {
 			return event, nil
 		}
 		lineStart = len(event)
 	}
 }
+
+// isBlank reports whether a line has nothing but its end.
+func isBlank(line []byte) bool {
+	for _, b := range line {
+		if b != '\r' && b != '\n' {
+			return false
+		}
+	}
+	return true
+}
