--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -62,7 +62,7 @@
 		Service: req.service.Name, Daemon: req.forwarder.cfg.Daemon, DataCentre: req.forwarder.cfg.DataCentre,
 		Prompt: prompt, Answer: answer, Expected: min(expected, answer), Priority: req.route.Priority,
 		Target: req.arrived.Add(req.route.Target).Sub(now), Patience: req.arrived.Add(req.patience()).Sub(now),
-		Deadline: req.remaining(), Gap: req.route.GapTarget, Causes: req.causes, Fingerprint: req.fingerprint,
+		Deadline: req.remaining(), Gap: req.route.GapTarget, Causes: req.identify().causes, Fingerprint: req.identify().fingerprint,
 		Avoid: append(req.forwarder.cfg.Fleet.Avoided(req.service.Name), req.triedServers...),
 	}
 	if req.headerWritten {
@@ -437,8 +437,11 @@
 		req.forwarder.cfg.Placer.Started(e.pending.job.ID)
 		req.forwarder.cfg.Recorder.FirstEvent(req.service.Name, req.now().Sub(req.arrived))
 	}
-	event := append(e.heldComments, part.event...)
-	e.heldComments = nil
+	event := part.event
+	if len(e.heldComments) > 0 {
+		event = append(e.heldComments, event...)
+		e.heldComments = nil
+	}
 	return true, false, e.writeEvent(event)
 }
 
