--- a/schedules/preview.go
+++ b/schedules/preview.go
@@ -75,6 +75,7 @@
 	out := *s
 	out.limits = s.limits.copy(now)
 	out.found, out.places, out.jobs = nil, maps.Clone(s.places), map[JobID]*jobState{}
+	out.copies, out.slowChanges, out.demandChanges = maps.Clone(s.copies), nil, nil
 	if s.paths != nil {
 		out.paths = s.paths.Copy(now)
 	}
@@ -87,7 +88,7 @@
 
 func (p *pool) copy(now time.Time, l *limits, table *paths.Table) *pool {
 	out := *p
-	out.paths = table
+	out.paths, out.answersOf = table, maps.Clone(p.answersOf)
 	out.queue = make([]*jobState, 0, len(p.queue)+1)
 	for _, j := range p.queue {
 		waiting := *j
@@ -97,13 +98,25 @@
 	for _, e := range p.sorted {
 		c := *e
 		c.assignments, c.prefills, c.limits = maps.Clone(e.assignments), slices.Clone(e.prefills), l
-		c.coldLimiter = copyLimiter(now, e.coldLimiter)
+		c.coldLimiter, c.ended = copyLimiter(now, e.coldLimiter), slices.Clone(e.ended)
+		c.pace = e.pace.copy(now)
 		out.engines[c.id()] = &c
 		out.sorted = append(out.sorted, &c)
 	}
 	return &out
 }
 
+// copy returns a pace whose limiter is not shared. What an engine has shown of itself
+// does not change with a submitted job.
+func (p *enginePace) copy(now time.Time) *enginePace {
+	if p == nil {
+		return nil
+	}
+	out := *p
+	out.limiter = copyLimiter(now, p.limiter)
+	return &out
+}
+
 func (l *limits) copy(now time.Time) *limits {
 	out := newLimits(l.share)
 	for id, limit := range l.byServer {
--- a/schedules/preview_test.go
+++ b/schedules/preview_test.go
@@ -22,7 +22,9 @@
 	for _, engines := range []int{9, 30} {
 		t.Run(fmt.Sprintf("%d engines", engines), func(t *testing.T) {
 			run := func(previews bool) *simulation {
-				s := newSpreadSimulation(t, engines, Policy{AvoidBadPaths: true})
+				s := newSpreadSimulation(t, engines, Policy{
+					AvoidBadPaths: true, LearnPredictions: true, ForecastDemand: true, FindPace: true, ProtectFirstEvents: true, ShareBusyEngines: true,
+				})
 				s.network = &simNetwork{bad: "c", loss: 0.04, begin: 2 * time.Second, end: 6 * time.Second, streams: map[JobID]*simStream{}}
 				disturb(s, engines)
 				if previews {
