--- a/schedules/engine.go
+++ b/schedules/engine.go
@@ -95,6 +95,7 @@
 	reportedSlow        bool          // as of the last SlowChange
 	pace                *enginePace   // nil if the pace of servers is not found out
 	prefillTotal        time.Duration // predicted time of all prefills since the engine is known
+	isSlow              bool          // the learned slowdown applies
 }
 
 func newEngine(state EngineState, profile *costs.Profile, limits *limits) *engine {
