--- a/settings/host.go
+++ b/settings/host.go
@@ -57,7 +57,6 @@
 	ProtectFirstEvents bool `json:"protect-first-events"` // let no prefill make the first event of a placed short prompt late
 	ShareBusyEngines   bool `json:"share-busy-engines"`   // tell entry daemons which engines work for long prompts, for the time without a leader
 	CheckNeighbours    bool `json:"check-neighbours"`     // poll the engines of a data centre at once when one of them has failed
-	UnreadBytesMB      int  `json:"unread-bytes-mb"`      // memory for what slow readers have not read yet, 0 for no limit of its own
 }
 
 // Ports are ports that are the same on all hosts.
@@ -191,7 +190,6 @@
 		{"bounds.free-memory", h.Bounds.FreeMemory < 0 || h.Bounds.FreeMemory > 0 && h.Bounds.FreeMemory < minFreeMemory},
 		{"memory-mb", h.MemoryMB < 0},
 		{"disk-mb", h.DiskMB < 0},
-		{"placement.unread-bytes-mb", h.Placement.UnreadBytesMB < 0},
 		{"bounds.retry-ratio", h.Bounds.RetryRatio < 0},
 		{"data-folder", h.Role == RoleControl && h.DataFolder == ""},
 		{"listen.control", h.Role == RoleControl && !isAddress(h.Listen.Control)},
