--- a/forwards/preview.go
+++ b/forwards/preview.go
@@ -120,7 +120,8 @@
 		now := f.cfg.Fleet.now()
 		req := &proxyRequest{
 			forwarder: f, route: route, service: service, workspace: workspace, arrived: now, deadline: now.Add(route.Timeout),
-			meta: RequestMeta{PromptTokens: r.PromptTokens, MaxAnswerTokens: r.AnswerTokens, LastEvent: NoEvent},
+			meta:     RequestMeta{PromptTokens: r.PromptTokens, MaxAnswerTokens: r.AnswerTokens, LastEvent: NoEvent},
+			identity: &identity{}, // no caller has sent the request
 		}
 		job := req.newJob()
 		job.ID = previewJob
