--- a/settings/host.go
+++ b/settings/host.go
@@ -12,6 +12,7 @@
 	"github.com/tailscale/hujson"
 
 	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/schedules"
 )
 
 // Roles of daemons in a deployment with discovery by seed addresses.
@@ -59,6 +60,14 @@
 	CheckNeighbours    bool `json:"check-neighbours"`     // poll the engines of a data centre at once when one of them has failed
 }
 
+// Policy returns the decisions that the settings ask for.
+func (p Placement) Policy() schedules.Policy {
+	return schedules.Policy{
+		AvoidBadPaths: p.AvoidBadPaths, LearnPredictions: p.LearnPredictions, ForecastDemand: p.ForecastDemand, FindPace: p.FindPace,
+		CheckNeighbours: p.CheckNeighbours, ShareBusyEngines: p.ShareBusyEngines, ProtectFirstEvents: p.ProtectFirstEvents,
+	}
+}
+
 // Ports are ports that are the same on all hosts.
 type Ports struct {
 	Internal uint16 `json:"internal"` // of the replicated log; the directory uses the next port
