Use one rendezvous hash, and take no lock for paths that are not judged

The tie between equal engines and the sample of a local scheduler hashed engine and daemon alike, each in its own code. Every placement locked the dispatcher once more to ask for paths, also where none are judged. Two tests stalled a connection with the same lines. Behaviour is unchanged.

--- a/dispatchers/hedge_test.go
+++ b/dispatchers/hedge_test.go
@@ -39,6 +39,17 @@
 	return c, nil
 }
 
+// stallFirst makes the first connection deliver nothing for a time.
+func (l *stallingListener) stallFirst(d time.Duration) *stallingConn {
+	l.mu.Lock()
+	first := l.conns[0]
+	l.mu.Unlock()
+	first.mu.Lock()
+	defer first.mu.Unlock()
+	first.until = time.Now().Add(d)
+	return first
+}
+
 func (c *stallingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
@@ -85,12 +96,7 @@
 	assertPlacedBy(t, c, "first", address)
 	c.backup.get(address)
 	waitFor(t, func() bool { return c.backup.get(address) != nil })
-	link.mu.Lock()
-	first := link.conns[0]
-	link.mu.Unlock()
-	first.mu.Lock()
-	first.until = time.Now().Add(time.Second)
-	first.mu.Unlock()
+	link.stallFirst(time.Second)
 	begin := time.Now()
 	assertPlacedBy(t, c, "second", address)
 	if took := time.Since(begin); took > 500*time.Millisecond {
@@ -212,12 +218,7 @@
 	}
 	c.SetLeader(address, 1)
 	assertPlacedBy(t, c, "before", address)
-	link.mu.Lock()
-	first := link.conns[0]
-	link.mu.Unlock()
-	first.mu.Lock()
-	first.until = time.Now().Add(time.Minute)
-	first.mu.Unlock()
+	first := link.stallFirst(time.Minute)
 	t.Cleanup(func() { first.Conn.Close() })
 	if _, err := c.Place(t.Context(), job("while the detour is opened")); err != nil {
 		t.Fatal(err)
--- a/dispatchers/paths.go
+++ b/dispatchers/paths.go
@@ -40,6 +40,9 @@
 
 // PathReports returns the paths of a data centre that are not sound.
 func (d *Dispatcher) PathReports(dataCentre string) []paths.Report {
+	if !d.judgesPaths() {
+		return nil // without the lock, which every placement takes
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.scheduler.PathReports(d.cfg.Timers.Now(), dataCentre)
--- a/dispatchers/sample.go
+++ b/dispatchers/sample.go
@@ -2,11 +2,10 @@
 
 import (
 	"cmp"
-	"hash/fnv"
-	"io"
 	"slices"
 
 	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/schedules"
 )
 
 // maxSampledEngines is the number of engines of one service that a local scheduler
@@ -41,10 +40,7 @@
 	}
 	all := make([]scored, 0, len(engines))
 	for _, e := range engines {
-		h := fnv.New64a()
-		// A hash.Hash never returns an error.
-		_, _ = io.WriteString(h, string(e.State.ID)+"@"+string(daemon))
-		all = append(all, scored{engine: e, score: h.Sum64()})
+		all = append(all, scored{engine: e, score: schedules.RendezvousScore(e.State.ID, daemon)})
 	}
 	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	sample := make([]Engine, 0, maxSampledEngines)
--- a/schedules/busy.go
+++ b/schedules/busy.go
@@ -68,8 +68,14 @@
 	if s.cfg.ColdShare == 0 || !s.cfg.Policy.ShareBusyEngines {
 		return 0
 	}
+	return time.Duration(RendezvousScore(id, s.cfg.Daemon) % uint64(maxTieBreak))
+}
+
+// RendezvousScore returns a hash of an engine and a daemon, by which daemons that do not
+// know of each other choose different engines.
+func RendezvousScore(id gypsumshelf.ServerID, daemon gypsumshelf.DaemonID) uint64 {
 	h := fnv.New64a()
 	// A hash.Hash never returns an error.
-	_, _ = io.WriteString(h, string(id)+"@"+string(s.cfg.Daemon))
-	return time.Duration(h.Sum64() % uint64(maxTieBreak))
+	_, _ = io.WriteString(h, string(id)+"@"+string(daemon))
+	return h.Sum64()
 }
