--- a/review/standins-2/config_streams.go
+++ b/review/standins-2/config_streams.go
@@ -23,7 +23,7 @@
 	streamsPerS      = 14
 	streamLimitMs    = 15000 // of the sheet
 	streamBigConfigs = 16
-	stormTime        = 40 * time.Second
+	stormTime        = 16 * time.Second // four times config_storm with the longest time of the site file, 4 s
 )
 
 // streams counts how the requests of one entry machine have ended.
@@ -113,6 +113,7 @@
 		request.Header.Set(name, value)
 	}
 	begin := time.Now()
+	p.record.printf("requester: sends %s to %s", id, entry.name)
 	client := &http.Client{Timeout: streamLimitMs * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	counts.mu.Lock()
@@ -133,6 +134,7 @@
 	switch {
 	case response.StatusCode == http.StatusOK && err == nil && whole:
 		counts.whole++
+		p.record.printf("requester: %s: whole answer", id)
 	case response.StatusCode == http.StatusOK:
 		counts.cut++
 		if time.Since(begin) < streamLimitMs*time.Millisecond*7/10 {
@@ -141,6 +143,7 @@
 		p.record.printf("requester: %s: cut after %.1f s and %d bytes: %v", id, time.Since(begin).Seconds(), len(body), err)
 	case response.StatusCode == http.StatusServiceUnavailable:
 		counts.refused++
+		p.record.printf("requester: %s: refused with 503", id)
 	default:
 		counts.other++
 		p.record.printf("requester: %s: status %d: %s", id, response.StatusCode, strings.TrimSpace(string(body)))
--- a/review/standins-2/operator.go
+++ b/review/standins-2/operator.go
@@ -39,6 +39,7 @@
 		status, _, err := o.send(m, method, path, body)
 		switch {
 		case err == nil && status == http.StatusOK:
+			o.platform.record.printf("operator: %s %s of %d bytes acknowledged by %s", method, path, len(body), m.name)
 			return nil
 		case err == nil && status >= 400 && status < 500:
 			return fmt.Errorf("%s %s at %s: status %d", method, path, m.name, status)
--- a/review/standins-2/runner.go
+++ b/review/standins-2/runner.go
@@ -82,6 +82,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	s.record.printf("runner %s: runs %s", s.id, id)
 	defer s.end()
 	w.Header().Set("X-Gypsumshelf-Server-Seal", "seal."+id)
 	s.serve(w, r)
