--- a/review/standins-2/runner.go
+++ b/review/standins-2/runner.go
@@ -34,6 +34,36 @@
 	running int
 	runs    map[string]int // by request ID
 	stop    chan struct{}
+	dark    chan struct{} // closed when the runner is silent, nil if it never is
+}
+
+// silentWriter sends nothing once the runner is silent.
+type silentWriter struct {
+	http.ResponseWriter
+	runner  *runner
+	request *http.Request
+}
+
+// Unwrap lets a http.ResponseController flush.
+func (w *silentWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// Write implements io.Writer.
+func (w *silentWriter) Write(b []byte) (int, error) {
+	if w.runner.isDark() {
+		<-w.request.Context().Done()
+		return 0, w.request.Context().Err()
+	}
+	return w.ResponseWriter.Write(b)
+}
+
+// isDark reports whether the runner is silent.
+func (s *runner) isDark() bool {
+	select {
+	case <-s.dark:
+		return true
+	default:
+		return false
+	}
 }
 
 // startRunner starts a runner at a loopback address.
@@ -42,13 +72,18 @@
 	if err != nil {
 		return nil, err
 	}
+	return newRunner(p, name, service, zone, slots, engine, l, serve), nil
+}
+
+// newRunner starts a runner on a listener.
+func newRunner(p *platform, name, service, zone string, slots int, engine bool, l net.Listener, serve func(http.ResponseWriter, *http.Request)) *runner {
 	s := &runner{
 		record: p.record, platform: p, id: fmt.Sprintf("i-%s-%08x", name, rand.Uint32()), service: service, zone: zone, slots: slots, engine: engine,
 		born: time.Now().UnixMilli(), listener: l, serve: serve, runs: map[string]int{}, stop: make(chan struct{}),
 	}
 	go func() { _ = (&http.Server{Handler: s}).Serve(l) }()
 	go s.announceLoop()
-	return s, nil
+	return s
 }
 
 func (s *runner) close() {
@@ -58,6 +93,11 @@
 
 // ServeHTTP implements http.Handler.
 func (s *runner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.isDark() {
+		<-r.Context().Done()
+		return
+	}
+	w = &silentWriter{ResponseWriter: w, runner: s, request: r}
 	expected := r.Header.Get("X-Gypsumshelf-Expect-Instance")
 	if expected != "" && expected != s.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
