Review case 8: a request that makes runners silent is never held back

Cause: only an attempt whose channel is lost starts a check of its runner. A runner that goes silent makes the attempt stalled; the request moves on to the next runner, and nothing remembers what it did.

Change: a script with stand-ins of its own sends one request 7 times in 17 s among usual ones; each runner that begins it is silent for 3 s and comes back as a new lifetime.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(*record) (int, error){
 	"config-memory":  runConfigMemory,
 	"config-streams": runConfigStreams,
+	"dark":           runDark,
 	"quarantine":     runQuarantine,
 }
 
