Reject responses whose status is below 100

What callers saw: a backend server that answered with status 000 ended the caller's connection without an answer. In serve, a plain service with such a status ended it likewise, a cancellation counted as done, and a health probe took the status for a sign of life.

Cause: http.ReadResponse accepts any three characters that are a non-negative number. The status reached http.ResponseWriter.WriteHeader, which panics below 100, and the contained panic aborted the connection.

Change: answers.Conn checks the head of each response, and of the interim responses before it, as its bytes are read. A malformed head fails the read, so that every reader on such a connection rejects it: requests of the forwarder, checks of crashed servers, load reports, reservations and releases, and all calls of serve. The attempt counts as broken, has the verdict may-have-run and is repeated only where the route allows it. The log line of the attempt names the status.

The check of crashed servers handled the status before; its cases are kept.

--- /dev/null
+++ b/answers/head.go
@@ -0,0 +1,103 @@
+package answers
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// ErrMalformed is returned for a response whose head is not valid in HTTP/1.1. Neither its
+// status nor the length of its body can be trusted.
+var ErrMalformed = errors.New("the head of the response is malformed")
+
+// headPart is the part of a head that the next byte belongs to.
+type headPart int
+
+const (
+	partVersion headPart = iota
+	partStatus
+	partReason
+	partLineStart
+	partField
+	partBlankLine // its line feed
+	partBody      // nothing more is checked
+)
+
+const statusDigits = 3
+
+// headChecker checks the heads of the responses on one connection as their bytes arrive:
+// those of interim responses and that of the answer. It detects what http.ReadResponse
+// accepts: a status below 100.
+type headChecker struct {
+	part   headPart
+	digits int // of the status
+	status int
+	err    error
+}
+
+// check checks the next bytes of the connection. After an error it fails for good.
+func (h *headChecker) check(data []byte) error {
+	for i := 0; i < len(data) && h.err == nil && h.part != partBody; i++ {
+		h.err = h.next(data[i])
+	}
+	return h.err
+}
+
+func (h *headChecker) next(b byte) error {
+	switch h.part {
+	case partVersion:
+		if b == ' ' {
+			h.part = partStatus
+		}
+	case partStatus:
+		return h.nextOfStatus(b)
+	case partReason, partField:
+		if b == '\n' {
+			h.part = partLineStart
+		}
+	case partLineStart:
+		h.startLine(b)
+	case partBlankLine:
+		h.endHead()
+	}
+	return nil
+}
+
+// nextOfStatus reads a digit of the status. Blanks before it are skipped, as by net/http.
+func (h *headChecker) nextOfStatus(b byte) error {
+	switch {
+	case b == ' ' && h.digits == 0:
+		return nil
+	case b < '0' || b > '9':
+		return fmt.Errorf("%w: the status has %q in place of a digit", ErrMalformed, b)
+	}
+	h.status = 10*h.status + int(b-'0')
+	if h.digits++; h.digits < statusDigits {
+		return nil
+	}
+	if h.status < http.StatusContinue {
+		return fmt.Errorf("%w: status %03d", ErrMalformed, h.status)
+	}
+	h.part = partReason
+	return nil
+}
+
+func (h *headChecker) startLine(b byte) {
+	switch b {
+	case '\r':
+		h.part = partBlankLine
+	case '\n':
+		h.endHead()
+	default:
+		h.part = partField
+	}
+}
+
+// endHead expects the next head after that of an interim response, and the body otherwise.
+func (h *headChecker) endHead() {
+	if h.status/100 == 1 && h.status != http.StatusSwitchingProtocols {
+		*h = headChecker{}
+		return
+	}
+	h.part = partBody
+}
--- /dev/null
+++ b/daemons/broken_answer_test.go
@@ -0,0 +1,46 @@
+package daemons
+
+import (
+	"io"
+	"net/http"
+	"testing"
+
+	"gypsumshelf.example/gypsumshelf/entries"
+)
+
+// rawService sends text in place of an answer.
+type rawService struct{ text string }
+
+func (s rawService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/healthz" {
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, s.text)
+}
+
+// Guards against broken answers of plain services that reach callers as answers, or end their
+// connections without one.
+func TestBrokenAnswersOfPlainServices(t *testing.T) {
+	for name, text := range map[string]string{
+		"status zero": "HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\ntext",
+	} {
+		t.Run(name, func(t *testing.T) {
+			url, _ := startDaemon(t, defaultDaemonConfig(), rawService{text: text}, &fakeService{})
+			resp, body := sendRequest(t, http.MethodPost, url+"/services/book/orders", "body")
+			if resp.StatusCode != http.StatusBadGateway || resp.Header.Get(entries.HeaderVerdict) != "may-have-run" {
+				t.Errorf("status %d, verdict %q, answer %q; want %d with verdict may-have-run", resp.StatusCode, resp.Header.Get(entries.HeaderVerdict), body, http.StatusBadGateway)
+			}
+			url, _ = startDaemon(t, defaultDaemonConfig(), rawService{text: text}, &fakeService{})
+			resp, body = sendRequest(t, http.MethodGet, url+"/services/book/orders", "body")
+			if want := "GET /orders body"; resp.StatusCode != http.StatusTeapot || body != want {
+				t.Errorf("status %d, answer %q; want %q of the other server", resp.StatusCode, body, want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/engines/broken_answer_test.go
@@ -0,0 +1,135 @@
+package engines
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/streams"
+)
+
+// rawServer passes each request, before its body is read, and its connection to handle. It
+// answers health probes.
+type rawServer struct {
+	listener net.Listener
+	handle   func(r *http.Request, conn net.Conn)
+	probe    string // answer to health probes
+	probes   atomic.Int64
+}
+
+const soundProbe = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+func newRawServer(t *testing.T, handle func(r *http.Request, conn net.Conn)) *rawServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &rawServer{listener: l, handle: handle, probe: soundProbe}
+	go s.run()
+	return s
+}
+
+func (s *rawServer) address() string { return s.listener.Addr().String() }
+
+func (s *rawServer) run() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(conn)
+	}
+}
+
+func (s *rawServer) serve(conn net.Conn) {
+	defer conn.Close()
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	switch {
+	case err != nil:
+	case r.URL.Path == "/healthz":
+		s.probes.Add(1)
+		_, _ = io.WriteString(conn, s.probe)
+	default:
+		s.handle(r, conn)
+	}
+}
+
+// recordingSink records what of an answer is passed on.
+type recordingSink struct {
+	discardSink
+	body bytes.Buffer
+	text string
+}
+
+func (s *recordingSink) Body(p []byte) error { s.body.Write(p); return nil }
+
+func (s *recordingSink) Chunk(c streams.Chunk) error { s.text += c.Text(); return nil }
+
+// respondRaw returns a handler that sends text, reads the body and closes the connection.
+func respondRaw(text string) func(*http.Request, net.Conn) {
+	return func(r *http.Request, conn net.Conn) {
+		_, _ = io.WriteString(conn, text)
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+}
+
+const (
+	okHead       = "HTTP/1.1 200 OK\r\n"
+	endOfHead    = "Content-Length: 4\r\n\r\ntext"
+	malformed    = "malformed"
+	headOfStatus = "HTTP/1.1 000 X\r\n"
+)
+
+// assertMalformed checks that no call takes an answer, and that each error names the cause.
+func assertMalformed(t *testing.T, text string) {
+	t.Helper()
+	s := newRawServer(t, respondRaw(text))
+	c := newTestClient(t, ClientConfig{})
+	check := func(call string, err error) {
+		t.Helper()
+		if err == nil || !strings.Contains(err.Error(), malformed) {
+			t.Errorf("%s ends with %v, want an error with %q", call, err, malformed)
+		}
+	}
+	ctx := context.Background()
+	plain := keyedCall("a.1")
+	plain.Address = s.address()
+	sink := &recordingSink{}
+	err := c.Forward(ctx, plain, sink)
+	assertCallError(t, err, gypsumshelf.MayHaveRun, gypsumshelf.CodeBackendFailed)
+	check("a call of a plain service", err)
+	err = c.Complete(ctx, Call{Attempt: "a.1", Address: s.address(), Path: "/"}, sink)
+	assertCallError(t, err, gypsumshelf.MayHaveRun, gypsumshelf.CodeBackendFailed)
+	check("a completion", err)
+	if sink.status != 0 || sink.body.Len() > 0 || sink.text != "" {
+		t.Errorf("the caller gets status %d, body %q and text %q, want nothing", sink.status, sink.body.String(), sink.text)
+	}
+	check("a cancellation", c.Cancel(ctx, s.address(), "a.1"))
+	check("an order", c.Order(ctx, s.address(), Order{ID: "o", Kind: OrderLoadModel}))
+	s.probe = text
+	if c.probe(ctx, s.address()) || s.probes.Load() == 0 {
+		t.Error("a probe takes the answer for a sign of life")
+	}
+}
+
+// Guards against a status that is none, for which the caller's connection was closed without
+// an answer.
+func TestStatusBelowTheLowestIsNoAnswer(t *testing.T) {
+	for name, text := range map[string]string{
+		"zero":             headOfStatus + endOfHead,
+		"not run":          headOfStatus + HeaderNotRun + ": true\r\n" + endOfHead,
+		"of an interim":    headOfStatus + "\r\n" + okHead + endOfHead,
+		"after an interim": "HTTP/1.1 102 Processing\r\n\r\n" + headOfStatus + endOfHead,
+	} {
+		t.Run(name, func(t *testing.T) { assertMalformed(t, text) })
+	}
+}
--- a/engines/client.go
+++ b/engines/client.go
@@ -79,7 +79,7 @@
 }
 
 func newHTTPClient(cfg ClientConfig, dial dialFunc) *http.Client {
-	var transport http.RoundTripper = &http.Transport{DialContext: rejectExpired(dial), DisableKeepAlives: true, DisableCompression: true}
+	var transport http.RoundTripper = &http.Transport{DialContext: checkAnswers(rejectExpired(dial)), DisableKeepAlives: true, DisableCompression: true}
 	if cfg.Wrap != nil {
 		transport = cfg.Wrap(transport)
 	}
--- a/forwards/attempt.go
+++ b/forwards/attempt.go
@@ -63,7 +63,7 @@
 		return a, nil, err
 	}
 	a.exchange = x
-	req.recordConnection(server, x.conn)
+	req.recordConnection(server, x)
 	header := endToEnd(req.r.Header)
 	call.Remaining = req.remaining()
 	req.forwarder.cfg.Protocol.SetHeaders(header, call)
--- /dev/null
+++ b/forwards/broken_answer_test.go
@@ -0,0 +1,153 @@
+package forwards
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gypsumshelf.example/gypsumshelf/schedules"
+)
+
+// brokenAnswer is what a backend server sends in place of a valid and complete answer.
+type brokenAnswer struct {
+	answer  func(r *http.Request, conn net.Conn) // before the body of the request is read
+	upload  string                               // body of the request
+	cause   string                               // that a log line names
+	outcome schedules.Outcome                    // of the attempt
+}
+
+func (a brokenAnswer) newServer(t *testing.T, service string) *fakeBackend {
+	b := newFakeBackend(t, "b1", service, nil)
+	b.earlyHandler = a.answer
+	return b
+}
+
+// assertReplaced checks what callers get in place of the answer: a failure where the request
+// must not run twice, otherwise the answer of another server.
+func (a brokenAnswer) assertReplaced(t *testing.T) {
+	t.Helper()
+	t.Run("unsafe", func(t *testing.T) {
+		first := a.newServer(t, "plain")
+		f := newStartedFixture(t, first)
+		assertAnswer(t, f.send("POST", "/unsafe/", a.upload), http.StatusBadGateway, "")
+		assertCount(t, first, 1)
+		f.assertJudged(first)
+		f.assertCauseLogged(a.cause)
+	})
+	t.Run("safe", func(t *testing.T) {
+		first, second := a.newServer(t, "plain"), newFakeBackend(t, "b2", "plain", respondWith(http.StatusOK, "fine"))
+		second.record.DataCentre = "b" // chosen after the first
+		f := newStartedFixture(t, first, second)
+		assertAnswer(t, f.send("POST", "/safe/", a.upload), http.StatusOK, "fine")
+		assertCount(t, first, 1)
+		assertCount(t, second, 1)
+		f.assertJudged(first)
+		f.assertCauseLogged(a.cause)
+	})
+	t.Run("stream", func(t *testing.T) {
+		first := a.newServer(t, "engines")
+		f := newStartedFixture(t, first, newFakeBackend(t, "b2", "engines", resumeAfterLastEvent(3)))
+		assertAnswer(t, f.send("POST", "/stream/", a.upload), http.StatusOK, eventText(1, 3))
+		f.assertOutcomes(a.outcome, schedules.Completed)
+		f.assertJudged(first)
+		f.assertCauseLogged(a.cause)
+	})
+}
+
+// assertJudged checks that a backend server counts as failed.
+func (f *fixture) assertJudged(b *fakeBackend) {
+	f.t.Helper()
+	fleet := f.forwarder.cfg.Fleet
+	entry, _ := fleet.Get(b.record.ID)
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	if fleet.healthOf(entry).consecutiveFailures == 0 {
+		f.t.Errorf("%s does not count as failed", b.record.ID)
+	}
+}
+
+// assertCauseLogged checks that the log line of an attempt names its cause. The caller can
+// send nothing more.
+func (f *fixture) assertCauseLogged(cause string) {
+	f.t.Helper()
+	f.server.Close() // ends the writes to the log
+	for line := range strings.Lines(f.log.String()) {
+		var entry struct{ Msg, Error string }
+		if err := json.Unmarshal([]byte(line), &entry); err == nil && entry.Msg == "attempt failed" && strings.Contains(entry.Error, cause) {
+			return
+		}
+	}
+	f.t.Errorf("no log line of an attempt names the cause %q", cause)
+}
+
+const (
+	sealedHead = "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\n"
+	endOfHead  = "Content-Length: 4\r\n\r\ntext"
+)
+
+// rawAnswer returns the handler of an early answer: it sends text with the ID of the request
+// in place of ID.
+func rawAnswer(text string) func(*http.Request, net.Conn) {
+	return func(r *http.Request, conn net.Conn) {
+		fmt.Fprint(conn, strings.ReplaceAll(text, "ID", r.Header.Get("Id")))
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+}
+
+// Guards against a status that is none: the caller's connection was closed without an
+// answer.
+func TestStatusBelowTheLowestIsNoAnswer(t *testing.T) {
+	for name, text := range map[string]string{
+		"zero":                "HTTP/1.1 000 X\r\nId: ID\r\nSeal: s\r\n" + endOfHead,
+		"below 100":           "HTTP/1.1 099 X\r\nId: ID\r\nSeal: s\r\n" + endOfHead,
+		"with a sign":         "HTTP/1.1 +20 X\r\nId: ID\r\nSeal: s\r\n" + endOfHead,
+		"not run":             "HTTP/1.1 000 X\r\nId: ID\r\nSeal: s\r\nNot-Run: 1\r\n" + endOfHead,
+		"of an interim":       "HTTP/1.1 000 X\r\n\r\n" + sealedHead + endOfHead,
+		"after an interim":    "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 000 X\r\nId: ID\r\nSeal: s\r\n" + endOfHead,
+		"without a length":    "HTTP/1.1 000 X\r\nId: ID\r\nSeal: s\r\n\r\ntext",
+		"without line breaks": "HTTP/1.1 000 X\nId: ID\nSeal: s\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			brokenAnswer{answer: rawAnswer(text), upload: "x", cause: "status", outcome: schedules.Broken}.assertReplaced(t)
+		})
+	}
+}
+
+// Guards against a broken answer to a check that counts as the word of another server, so that
+// the request counts as one that crashes servers.
+func TestBrokenAnswerToACheckIsNoEvidence(t *testing.T) {
+	for name, test := range map[string]struct {
+		text    string
+		crashed bool
+	}{
+		"control: another start answers": {"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n", true},
+		"after an interim":               {"HTTP/1.1 000 X\r\n\r\nHTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n", false},
+		"status zero":                    {"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var requests atomic.Int64
+			b := newFakeBackend(t, "b1", "plain", nil)
+			b.earlyHandler = func(r *http.Request, conn net.Conn) {
+				if requests.Add(1) == 1 {
+					resetConnection(conn)
+					return
+				}
+				rawAnswer(test.text)(r, conn)
+			}
+			f := newStartedFixture(t, b)
+			recorder := &crashRecorder{}
+			f.forwarder.cfg.Crashes = recorder
+			assertAnswer(t, f.send("POST", "/unsafe/x", "body"), http.StatusBadGateway, "")
+			time.Sleep(probeTimeout + 200*time.Millisecond)
+			if reports, _ := recorder.count(); (reports > 0) != test.crashed || requests.Load() < 2 {
+				t.Errorf("%d crashes reported after %d requests, want any: %v", reports, requests.Load(), test.crashed)
+			}
+		})
+	}
+}
--- a/forwards/exchange.go
+++ b/forwards/exchange.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"gypsumshelf.example/gypsumshelf/answers"
 	"gypsumshelf.example/gypsumshelf/buffers"
 	"gypsumshelf.example/gypsumshelf/relays"
 )
@@ -103,7 +104,7 @@
 // reused one could carry the late response to an earlier request or be closed
 // while idle.
 type exchange struct {
-	conn             net.Conn
+	conn             *answers.Conn
 	header           *io.LimitedReader // limits what is read from conn while the header is read
 	reader           *bufio.Reader
 	response         *http.Response
@@ -120,9 +121,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errConnect, err)
 	}
-	header := &io.LimitedReader{R: conn, N: maxResponseHeaderBytes}
-	x := &exchange{conn: conn, header: header, reader: bufio.NewReaderSize(header, readBufferBytes), writeResult: make(chan error, 1)}
-	x.stopContextWatch = context.AfterFunc(ctx, func() { conn.Close() })
+	x := &exchange{conn: answers.NewConn(answers.Config{Conn: conn, CheckHeads: true}), writeResult: make(chan error, 1)}
+	x.header = &io.LimitedReader{R: x.conn, N: maxResponseHeaderBytes}
+	x.reader = bufio.NewReaderSize(x.header, readBufferBytes)
+	x.stopContextWatch = context.AfterFunc(ctx, func() { x.conn.Close() })
 	return x, nil
 }
 
@@ -141,6 +143,9 @@
 	x.writeResult <- err
 }
 
+// isRelayed reports whether the connection goes through another daemon.
+func (x *exchange) isRelayed() bool { return relays.IsRelayed(x.conn.NetConn()) }
+
 // readHeader reads the status line and header of the response. Interim responses before
 // it are skipped; they share its limits of time and bytes.
 func (x *exchange) readHeader(o *outgoingRequest, timeout time.Duration) (*http.Response, error) {
--- a/forwards/fake_test.go
+++ b/forwards/fake_test.go
@@ -98,6 +98,9 @@
 	t       testing.TB
 	record  rosters.Record
 	handler func(r *http.Request, body string, conn net.Conn)
+	// earlyHandler, if not nil, is called in place of handler before the body is read. The
+	// connection is closed when it returns.
+	earlyHandler func(r *http.Request, conn net.Conn)
 
 	mu           sync.Mutex
 	requests     []*http.Request
@@ -138,19 +141,28 @@
 	if err != nil {
 		return
 	}
+	if b.earlyHandler != nil {
+		b.recordRequest(r)
+		b.earlyHandler(r, conn)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	b.mu.Lock()
-	b.requests = append(b.requests, r)
-	b.mu.Unlock()
+	b.recordRequest(r)
 	b.handler(r, string(body), conn)
 	if _, err := reader.ReadByte(); err != nil {
 		b.disconnected <- struct{}{}
 	}
 }
 
+func (b *fakeBackend) recordRequest(r *http.Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.requests = append(b.requests, r)
+}
+
 func (b *fakeBackend) count() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/forwards/path_meter.go
+++ b/forwards/path_meter.go
@@ -1,11 +1,9 @@
 package forwards
 
 import (
-	"net"
 	"time"
 
 	"gypsumshelf.example/gypsumshelf/paths"
-	"gypsumshelf.example/gypsumshelf/relays"
 	"gypsumshelf.example/gypsumshelf/rosters"
 )
 
@@ -26,8 +24,8 @@
 
 // recordConnection records that a connection could not be made directly. The first packet
 // of a connection counts like an event of a stream.
-func (req *proxyRequest) recordConnection(server rosters.Entry, conn net.Conn) {
-	if req.judgesPath(server) && relays.IsRelayed(conn) {
+func (req *proxyRequest) recordConnection(server rosters.Entry, x *exchange) {
+	if req.judgesPath(server) && x.isRelayed() {
 		cfg := req.forwarder.cfg
 		cfg.Paths.RecordPath(paths.Sample{From: cfg.DataCentre, To: server.DataCentre, Events: 1, Stalls: 1, Unreached: 1})
 	}
@@ -46,7 +44,7 @@
 // newPathMeter returns the meter of an attempt whose first event is expected at a time, or
 // nil if its path is not judged.
 func (req *proxyRequest) newPathMeter(a *attempt, first time.Time) *pathMeter {
-	if !req.judgesPath(a.server) || relays.IsRelayed(a.exchange.conn) {
+	if !req.judgesPath(a.server) || a.exchange.isRelayed() {
 		return nil
 	}
 	return &pathMeter{request: req, dataCentre: a.server.DataCentre, stream: paths.NewStream(first)}
--- a/forwards/paths.go
+++ b/forwards/paths.go
@@ -47,7 +47,7 @@
 // attributed returns the outcome that counts for a backend server. What an attempt over
 // a direct connection lost with the path is not its fault.
 func (req *proxyRequest) attributed(ctx context.Context, a *attempt, outcome schedules.Outcome) schedules.Outcome {
-	if a == nil || a.exchange == nil || relays.IsRelayed(a.exchange.conn) {
+	if a == nil || a.exchange == nil || a.exchange.isRelayed() {
 		return outcome
 	}
 	lost := false
