Reject responses with a malformed field name

What callers saw: a backend server sent a head in which the name of a field held a blank, or a line began with one. The caller got it as an answer: with that line passed on, or with a body that was not the server's, since a length behind such a name is not seen. A load report, a granted reservation and the word of another server to a crash check were taken from such heads as well.

Cause: net/textproto accepts a blank within the name of a field, and joins a line that begins with a blank or a tab to the value before it.

Change: answers.Conn accepts tokens only as names of fields. A folded line cannot be told from a name that begins with a blank and is rejected too, as RFC 9112 allows a gateway to do. golang.org/x/net/http/httpguts, so far an indirect dependency, says what a token is.

--- a/answers/head.go
+++ b/answers/head.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed is returned for a response whose head is not valid in HTTP/1.1. Neither its
@@ -18,7 +20,8 @@
 	partStatus
 	partReason
 	partLineStart
-	partField
+	partFieldName
+	partFieldValue
 	partBlankLine // its line feed
 	partBody      // nothing more is checked
 )
@@ -27,7 +30,8 @@
 
 // headChecker checks the heads of the responses on one connection as their bytes arrive:
 // those of interim responses and that of the answer. It detects what http.ReadResponse
-// accepts: a status below 100.
+// accepts: a status below 100, and a blank within, before or after the name of a field,
+// which hides the length of the body. A folded line cannot be told from such a name.
 type headChecker struct {
 	part   headPart
 	digits int // of the status
@@ -51,13 +55,18 @@
 		}
 	case partStatus:
 		return h.nextOfStatus(b)
-	case partReason, partField:
+	case partReason, partFieldValue:
 		if b == '\n' {
 			h.part = partLineStart
 		}
 	case partLineStart:
-		h.startLine(b)
+		return h.startLine(b)
+	case partFieldName:
+		return h.nextOfName(b)
 	case partBlankLine:
+		if b != '\n' {
+			return fmt.Errorf("%w: a line begins with a carriage return", ErrMalformed)
+		}
 		h.endHead()
 	}
 	return nil
@@ -82,15 +91,29 @@
 	return nil
 }
 
-func (h *headChecker) startLine(b byte) {
+func (h *headChecker) startLine(b byte) error {
 	switch b {
 	case '\r':
 		h.part = partBlankLine
+		return nil
 	case '\n':
 		h.endHead()
-	default:
-		h.part = partField
+		return nil
+	case ':':
+		return fmt.Errorf("%w: a field has no name", ErrMalformed)
 	}
+	h.part = partFieldName
+	return h.nextOfName(b)
+}
+
+func (h *headChecker) nextOfName(b byte) error {
+	switch {
+	case b == ':':
+		h.part = partFieldValue
+	case !httpguts.IsTokenRune(rune(b)):
+		return fmt.Errorf("%w: the name of a field has the byte %q", ErrMalformed, b)
+	}
+	return nil
 }
 
 // endHead expects the next head after that of an interim response, and the body otherwise.
--- a/answers/head_test.go
+++ b/answers/head_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"net/http"
+	"strings"
 	"testing"
 )
 
@@ -45,6 +46,17 @@
 		{"short status", "HTTP/1.1 20\r\n\r\n", false},
 		{"no status", "HTTP/1.1 \r\n\r\n", false},
 		{"zero after an interim", "HTTP/1.1 102 X\r\n\r\nHTTP/1.1 000 X\r\n\r\n", false},
+		{"blank in a name", ok + "A b: c\r\n\r\n", false},
+		{"blank after a name", ok + "A : c\r\n\r\n", false},
+		{"folded line", ok + "A: b\r\n c\r\n\r\n", false},
+		{"folded by a tab", ok + "A: b\r\n\tc: d\r\n\r\n", false},
+		{"only blanks", ok + "A: b\r\n \r\n\r\n", false},
+		{"control byte in a name", ok + "A\x02b: c\r\n\r\n", false},
+		{"high byte in a name", ok + "A\xc3\xa4: c\r\n\r\n", false},
+		{"no name", ok + ": c\r\n\r\n", false},
+		{"no colon", ok + "A\r\n\r\n", false},
+		{"carriage return before a name", ok + "\rA: b\r\n\r\n", false},
+		{"in an interim", "HTTP/1.1 102 X\r\nA : b\r\n\r\n" + ok + "\r\n", false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			for size := 1; size <= len(test.text); size++ {
@@ -56,8 +68,8 @@
 	}
 }
 
-// FuzzHead guards against heads that pass although net/http reads a status from them that is
-// none, and against a result that depends on how the bytes arrive.
+// FuzzHead guards against heads that pass although net/http reads names of fields or a status
+// from them that are none, and against a result that depends on how the bytes arrive.
 func FuzzHead(f *testing.F) {
 	for _, text := range []string{
 		"HTTP/1.1 200 OK\r\nA: b\r\n\r\n", "HTTP/1.1 000 OK\r\nA: b\r\n\r\n", "HTTP/1.1 200 OK\r\nA : b\r\n c\r\n\r\n", "HTTP/1.0 204 \n\n",
@@ -76,5 +88,10 @@
 		if response.StatusCode < 100 {
 			t.Errorf("status %d passes", response.StatusCode)
 		}
+		for name := range response.Header {
+			if strings.ContainsAny(name, " \t\r\n\x00") || name == "" {
+				t.Errorf("field name %q passes", name)
+			}
+		}
 	})
 }
--- a/daemons/broken_answer_test.go
+++ b/daemons/broken_answer_test.go
@@ -27,8 +27,13 @@
 // Guards against broken answers of plain services that reach callers as answers, or end their
 // connections without one.
 func TestBrokenAnswersOfPlainServices(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nX: y\r\n"
 	for name, text := range map[string]string{
-		"status zero": "HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\ntext",
+		"status zero":       "HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\ntext",
+		"blank in a name":   ok + "Other Name: x\r\nContent-Length: 4\r\n\r\ntext",
+		"hidden chunks":     ok + "Transfer-Encoding : chunked\r\n\r\n4\r\ntext\r\n0\r\n\r\n",
+		"tab before a name": ok + "\tContent-Length: 2\r\n\r\ntext",
+		"interim":           "HTTP/1.1 102 X\r\nOther : x\r\n\r\n" + ok + "Content-Length: 4\r\n\r\ntext",
 	} {
 		t.Run(name, func(t *testing.T) {
 			url, _ := startDaemon(t, defaultDaemonConfig(), rawService{text: text}, &fakeService{})
--- a/engines/broken_answer_test.go
+++ b/engines/broken_answer_test.go
@@ -85,6 +85,8 @@
 const (
 	okHead       = "HTTP/1.1 200 OK\r\n"
 	endOfHead    = "Content-Length: 4\r\n\r\ntext"
+	soundChunk   = `data: {"id":"a.1","position":0,"choices":[{"text":"x","finish_reason":"stop"}]}` + "\n\n"
+	endOfStream  = "data: [DONE]\n\n"
 	malformed    = "malformed"
 	headOfStatus = "HTTP/1.1 000 X\r\n"
 )
@@ -133,3 +135,31 @@
 		t.Run(name, func(t *testing.T) { assertMalformed(t, text) })
 	}
 }
+
+// Guards against names of fields that hide the length of the body, or that are passed on.
+func TestMalformedFieldNameIsNoAnswer(t *testing.T) {
+	for name, field := range map[string]string{
+		"blank within the name": "Other Name: x", "hidden length": "Content-Length : 2", "hidden chunks": "Transfer-Encoding : chunked",
+		"blank before the name": " Other: x", "tab before the name": "\tTransfer-Encoding: chunked", "control byte": "Ot\x01her: x",
+	} {
+		for place, text := range map[string]string{
+			"":                  okHead + "X: y\r\n" + field + "\r\n" + endOfHead,
+			", of a stream":     okHead + "X: y\r\n" + field + "\r\n\r\n" + soundChunk + endOfStream,
+			", of an interim":   "HTTP/1.1 102 Processing\r\nX: y\r\n" + field + "\r\n\r\n" + okHead + endOfHead,
+			", of a status 204": "HTTP/1.1 204 X\r\nX: y\r\n" + field + "\r\n\r\n",
+			", not run":         "HTTP/1.1 503 X\r\n" + HeaderNotRun + ": true\r\n" + field + "\r\n" + endOfHead,
+		} {
+			t.Run(name+place, func(t *testing.T) {
+				if strings.Contains(name, "control byte") {
+					// net/http rejects it with an error of its own.
+					s := newRawServer(t, respondRaw(text))
+					call := keyedCall("a.1")
+					call.Address = s.address()
+					assertCallError(t, newTestClient(t, ClientConfig{}).Forward(context.Background(), call, &discardSink{}), gypsumshelf.MayHaveRun, gypsumshelf.CodeBackendFailed)
+					return
+				}
+				assertMalformed(t, text)
+			})
+		}
+	}
+}
--- a/forwards/broken_answer_test.go
+++ b/forwards/broken_answer_test.go
@@ -119,6 +119,42 @@
 	}
 }
 
+// Guards against names of fields that hide the length of the body, or that are passed on.
+func TestMalformedFieldNameIsNoAnswer(t *testing.T) {
+	for name, field := range map[string]string{
+		"blank within the name":      "Other Name: x",
+		"blank before the colon":     "Other : x",
+		"hidden length":              "Content-Length : 2",
+		"hidden chunks":              "Transfer-Encoding : chunked",
+		"blank before the name":      " Other: x",
+		"tab before the name":        "\tTransfer-Encoding: chunked",
+		"folded line":                " more",
+		"tab within the name":        "Other\tName: x",
+		"control byte in the name":   "Ot\x01her: x",
+		"zero byte in the name":      "Ot\x00her: x",
+		"carriage return in a name":  "Ot\rher: x",
+		"delete character in a name": "Other\x7f: x",
+		"no name":                    ": x",
+		"only a blank":               " : x",
+		"no colon":                   "Other",
+	} {
+		for place, text := range map[string]string{
+			"":                    sealedHead + field + "\r\n" + endOfHead,
+			", last":              sealedHead + "Content-Length: 4\r\n" + field + "\r\n\r\ntext",
+			", of a stream":       sealedHead + field + "\r\n\r\n" + eventText(1, 3),
+			", of an interim":     "HTTP/1.1 102 Processing\r\nX: y\r\n" + field + "\r\n\r\n" + sealedHead + endOfHead,
+			", after an interim":  "HTTP/1.1 102 Processing\r\n\r\n" + sealedHead + field + "\r\n" + endOfHead,
+			", without CR":        strings.ReplaceAll(sealedHead+field+"\r\n"+endOfHead, "\r\n", "\n"),
+			", of a status 500":   strings.Replace(sealedHead, "200 OK", "500 X", 1) + field + "\r\n" + endOfHead,
+			", of a not run head": "HTTP/1.1 503 X\r\nNot-Run: 1\r\n" + field + "\r\n" + endOfHead,
+		} {
+			t.Run(name+place, func(t *testing.T) {
+				brokenAnswer{answer: rawAnswer(text), upload: "x", cause: "malformed", outcome: schedules.Broken}.assertReplaced(t)
+			})
+		}
+	}
+}
+
 // Guards against a broken answer to a check that counts as the word of another server, so that
 // the request counts as one that crashes servers.
 func TestBrokenAnswerToACheckIsNoEvidence(t *testing.T) {
@@ -127,6 +163,7 @@
 		crashed bool
 	}{
 		"control: another start answers": {"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n", true},
+		"blank in the name of a field":   {"HTTP/1.1 421 X\r\nOther Name: x\r\nContent-Length: 0\r\n\r\n", false},
 		"after an interim":               {"HTTP/1.1 000 X\r\n\r\nHTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n", false},
 		"status zero":                    {"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n", false},
 	} {
