Treat an answer as incomplete if the write of its request was reset

What callers saw: a backend server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was being written. The caller got that part as a complete answer; a stream ended as complete before its last event.

Cause: the kernel reports a reset once. While the upload blocks, the write gets the report, and the read returns io.EOF, which ends an answer without a length. Nothing looked at the result of the write. net/http has the same gap in serve: there the part was passed on as complete too, or the error named a closed connection, so that the server did not count as lost.

Change: answers.Conn records failed writes. At the end of the connection, a read waits for the request in progress and fails if a write has failed; it keeps its read deadline, and Close ends the wait. This also covers a server that closes its side and then resets before it has read the upload. A server that closes its side early and reads on keeps its answer. The attempt counts as lost: the verdict is may-have-run, it is repeated or resumed only where the route allows it, the crash check begins, and the log line names the reset.

--- a/answers/doc.go
+++ b/answers/doc.go
@@ -1,3 +1,3 @@
 // Package answers reads what backend servers send, and detects answers that are malformed
-// where net/http would let them pass.
+// or incomplete where net/http and the kernel would let them pass.
 package answers
--- a/daemons/broken_answer_test.go
+++ b/daemons/broken_answer_test.go
@@ -2,26 +2,37 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gypsumshelf.example/gypsumshelf/entries"
 )
 
-// rawService sends text in place of an answer.
-type rawService struct{ text string }
+// rawService sends text in place of an answer, and then resets the connection before it has
+// read the request, or closes it after.
+type rawService struct {
+	text  string
+	reset bool
+}
 
 func (s rawService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/healthz" {
 		return
 	}
-	_, _ = io.Copy(io.Discard, r.Body)
+	if !s.reset {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
 	conn, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
 	defer conn.Close()
 	_, _ = io.WriteString(conn, s.text)
+	if s.reset {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
 }
 
 // Guards against broken answers of plain services that reach callers as answers, or end their
@@ -48,4 +59,18 @@
 			}
 		})
 	}
+	t.Run("reset during the upload", func(t *testing.T) {
+		url, _ := startDaemon(t, defaultDaemonConfig(), rawService{text: ok + "\r\npart", reset: true})
+		for range 5 {
+			resp, err := http.Post(url+"/services/book/orders", "text/plain", strings.NewReader(strings.Repeat("x", 4<<20)))
+			if err != nil {
+				continue // ended before the head was passed on
+			}
+			body, err := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if err == nil && resp.StatusCode < http.StatusInternalServerError {
+				t.Errorf("status %d with answer %q is complete", resp.StatusCode, body)
+			}
+		}
+	})
 }
--- a/engines/broken_answer_test.go
+++ b/engines/broken_answer_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gypsumshelf.example/gypsumshelf"
 	"gypsumshelf.example/gypsumshelf/streams"
@@ -163,3 +165,75 @@
 		}
 	}
 }
+
+const longUploadBytes = 8 << 20
+
+// Guards against a part of an answer that is taken for the whole one, since the write of the
+// request gets the report of the reset and the end of the connection looks regular.
+func TestResetAnswerIsIncomplete(t *testing.T) {
+	const pause = 20 * time.Millisecond
+	reset := func(conn net.Conn) {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	}
+	halfClose := func(conn net.Conn) { _ = conn.(*net.TCPConn).CloseWrite() }
+	for end, lost := range map[string]struct {
+		end      func(net.Conn)
+		longOnly bool // the end is regular for a request that is written by then
+	}{
+		"reset":                    {reset, false},
+		"reset after a pause":      {func(conn net.Conn) { time.Sleep(pause); reset(conn) }, false},
+		"closed with unread bytes": {func(net.Conn) {}, true},
+		"reset after a half-close": {func(conn net.Conn) { halfClose(conn); time.Sleep(pause); reset(conn) }, true},
+	} {
+		for size, n := range map[string]int{"short upload": 1, "upload of 64 KB": 64 << 10, "long upload": longUploadBytes} {
+			if lost.longOnly && n < longUploadBytes {
+				continue
+			}
+			t.Run(end+", "+size, func(t *testing.T) {
+				s := newRawServer(t, func(_ *http.Request, conn net.Conn) {
+					_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+					_, _ = io.WriteString(conn, okHead+"\r\npart")
+					lost.end(conn)
+				})
+				c := newTestClient(t, ClientConfig{})
+				for range 5 {
+					call := keyedCall("a.1")
+					call.Address, call.Body = s.address(), make([]byte, n)
+					err := c.Forward(context.Background(), call, &discardSink{})
+					if f := AsCallError(err); err == nil || f.Err.Verdict != gypsumshelf.MayHaveRun || !f.ConnectionBroken || f.ServerUnreachable || !strings.Contains(err.Error(), "reset") {
+						t.Fatalf("got %v, want a connection that was reset at a server that lives", err)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Guards against a sound answer that is lost because it comes before the upload has been read.
+func TestEarlyAnswerIsKept(t *testing.T) {
+	for framing, text := range map[string]string{
+		"no length": okHead + "\r\ntext", "length": okHead + endOfHead, "chunked": okHead + "Transfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n0\r\n\r\n",
+	} {
+		for _, n := range []int{1, 64 << 10, longUploadBytes} {
+			for end, closeWrite := range map[string]bool{"closes after the upload": false, "closes its side before": true} {
+				t.Run(fmt.Sprintf("%s, %d bytes, %s", framing, n, end), func(t *testing.T) {
+					s := newRawServer(t, func(r *http.Request, conn net.Conn) {
+						_, _ = io.WriteString(conn, text)
+						if closeWrite {
+							_ = conn.(*net.TCPConn).CloseWrite()
+						}
+						time.Sleep(20 * time.Millisecond)
+						_, _ = io.Copy(io.Discard, r.Body)
+					})
+					call, sink := keyedCall("a.1"), &recordingSink{}
+					call.Address, call.Body = s.address(), make([]byte, n)
+					err := newTestClient(t, ClientConfig{}).Forward(context.Background(), call, sink)
+					if err != nil || sink.body.String() != "text" {
+						t.Errorf("got %q and error %v, want the whole answer", sink.body.String(), err)
+					}
+				})
+			}
+		}
+	}
+}
--- a/engines/client.go
+++ b/engines/client.go
@@ -98,10 +98,10 @@
 // error is a *CallError.
 func (c *Client) do(client *http.Client, r *http.Request, sent func()) (*http.Response, error) {
 	var wrote atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+	trace := traceRequest(func() {
 		wrote.Store(true)
 		sent()
-	}}
+	})
 	r.GetBody = nil // prevents net/http from resending the request
 	resp, err := client.Do(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err == nil {
--- a/forwards/broken_answer_test.go
+++ b/forwards/broken_answer_test.go
@@ -28,13 +28,19 @@
 	return b
 }
 
+func (a brokenAnswer) newFixture(t *testing.T, backends ...*fakeBackend) *fixture {
+	f := newStartedFixture(t, backends...)
+	f.forwarder.cfg.Dialer = unbufferedDialer{}
+	return f
+}
+
 // assertReplaced checks what callers get in place of the answer: a failure where the request
 // must not run twice, otherwise the answer of another server.
 func (a brokenAnswer) assertReplaced(t *testing.T) {
 	t.Helper()
 	t.Run("unsafe", func(t *testing.T) {
 		first := a.newServer(t, "plain")
-		f := newStartedFixture(t, first)
+		f := a.newFixture(t, first)
 		assertAnswer(t, f.send("POST", "/unsafe/", a.upload), http.StatusBadGateway, "")
 		assertCount(t, first, 1)
 		f.assertJudged(first)
@@ -43,7 +49,7 @@
 	t.Run("safe", func(t *testing.T) {
 		first, second := a.newServer(t, "plain"), newFakeBackend(t, "b2", "plain", respondWith(http.StatusOK, "fine"))
 		second.record.DataCentre = "b" // chosen after the first
-		f := newStartedFixture(t, first, second)
+		f := a.newFixture(t, first, second)
 		assertAnswer(t, f.send("POST", "/safe/", a.upload), http.StatusOK, "fine")
 		assertCount(t, first, 1)
 		assertCount(t, second, 1)
@@ -52,7 +58,7 @@
 	})
 	t.Run("stream", func(t *testing.T) {
 		first := a.newServer(t, "engines")
-		f := newStartedFixture(t, first, newFakeBackend(t, "b2", "engines", resumeAfterLastEvent(3)))
+		f := a.newFixture(t, first, newFakeBackend(t, "b2", "engines", resumeAfterLastEvent(3)))
 		assertAnswer(t, f.send("POST", "/stream/", a.upload), http.StatusOK, eventText(1, 3))
 		f.assertOutcomes(a.outcome, schedules.Completed)
 		f.assertJudged(first)
@@ -155,6 +161,101 @@
 	}
 }
 
+// uploads are bodies of requests that a write to the kernel takes at once, partly, or not
+// before the backend server reads.
+var uploads = map[string]string{
+	"short upload": "x", "upload of 64 KB": strings.Repeat("x", 64<<10), longUploadSize: strings.Repeat("x", defaultBodyLimit-1),
+}
+
+const longUploadSize = "long upload"
+
+// earlyEnd returns the handler of a backend server that reads none of the body, sends text and
+// then ends the connection.
+func earlyEnd(text string, end func(net.Conn)) func(*http.Request, net.Conn) {
+	return func(r *http.Request, conn net.Conn) {
+		_ = conn.(*net.TCPConn).SetReadBuffer(readBufferBytes)
+		fmt.Fprint(conn, strings.ReplaceAll(text, "ID", r.Header.Get("Id")))
+		end(conn)
+	}
+}
+
+// lostEnd is a way in which a backend server gives up a connection.
+type lostEnd struct {
+	end func(net.Conn)
+	// longOnly is set if the end is regular for a request that is written by then.
+	longOnly bool
+}
+
+var lostEnds = map[string]lostEnd{
+	"reset":                         {resetConnection, false},
+	"reset after a pause":           {func(conn net.Conn) { time.Sleep(resetPause); resetConnection(conn) }, false},
+	"closed with unread bytes":      {func(net.Conn) {}, true},
+	"reset after a half-close":      {func(conn net.Conn) { halfClose(conn); resetConnection(conn) }, true},
+	"reset long after a half-close": {func(conn net.Conn) { halfClose(conn); time.Sleep(resetPause); resetConnection(conn) }, true},
+}
+
+// resetPause is a time in which the write of a long request blocks.
+const resetPause = 20 * time.Millisecond
+
+func halfClose(conn net.Conn) { _ = conn.(*net.TCPConn).CloseWrite() }
+
+// Guards against a part of an answer that is taken for the whole one, since the write of the
+// request gets the report of the reset and the end of the connection looks regular.
+func TestResetAnswerIsIncomplete(t *testing.T) {
+	for end, lost := range lostEnds {
+		for size, upload := range uploads {
+			if lost.longOnly && size != longUploadSize {
+				continue
+			}
+			for moment, text := range map[string]string{
+				"after the head": sealedHead + "\r\n", "in the body": sealedHead + "\r\n" + eventText(1, 2),
+				"after the body": sealedHead + "\r\n" + eventText(1, 3), "after an interim": "HTTP/1.1 102 Processing\r\n\r\n",
+				"in a body with a length": sealedHead + "Content-Length: 1000\r\n\r\n" + eventText(1, 2),
+				"in a chunked body":       sealedHead + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(eventText(1, 2)), eventText(1, 2)),
+			} {
+				t.Run(fmt.Sprintf("%s %s, %s", end, moment, size), func(t *testing.T) {
+					brokenAnswer{answer: earlyEnd(text, lost.end), upload: upload, cause: "reset", outcome: schedules.Lost}.assertReplaced(t)
+				})
+			}
+		}
+	}
+}
+
+// Guards against a sound answer that is lost because it comes before the upload has been read.
+func TestEarlyAnswerIsKept(t *testing.T) {
+	const pause = 20 * time.Millisecond
+	events := eventText(1, 3)
+	for framing, text := range map[string]string{
+		"no length": sealedHead + "\r\n" + events, "length": sealedHead + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(events)) + events,
+		"chunked": sealedHead + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(events), events),
+	} {
+		for size, upload := range uploads {
+			for end, closeWrite := range map[string]bool{"closes after the upload": false, "closes its side before": true} {
+				for _, path := range []string{"/unsafe/", "/safe/", "/stream/"} {
+					t.Run(fmt.Sprintf("%s, %s, %s, %s", framing, size, end, path), func(t *testing.T) {
+						service := "plain"
+						if strings.HasPrefix(path, "/stream/") {
+							service = "engines"
+						}
+						b := newFakeBackend(t, "b1", service, nil)
+						b.earlyHandler = func(r *http.Request, conn net.Conn) {
+							fmt.Fprint(conn, strings.ReplaceAll(text, "ID", r.Header.Get("Id")))
+							if closeWrite {
+								halfClose(conn)
+							}
+							time.Sleep(pause)
+							_, _ = io.Copy(io.Discard, r.Body)
+						}
+						f := newStartedFixture(t, b)
+						assertAnswer(t, f.send("POST", path, upload), http.StatusOK, events)
+						assertCount(t, b, 1)
+					})
+				}
+			}
+		}
+	}
+}
+
 // Guards against a broken answer to a check that counts as the word of another server, so that
 // the request counts as one that crashes servers.
 func TestBrokenAnswerToACheckIsNoEvidence(t *testing.T) {
--- a/forwards/exchange.go
+++ b/forwards/exchange.go
@@ -108,7 +108,6 @@
 	header           *io.LimitedReader // limits what is read from conn while the header is read
 	reader           *bufio.Reader
 	response         *http.Response
-	writeResult      chan error
 	stopContextWatch func() bool // stops closing conn when the context ends
 }
 
@@ -121,7 +120,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errConnect, err)
 	}
-	x := &exchange{conn: answers.NewConn(answers.Config{Conn: conn, CheckHeads: true}), writeResult: make(chan error, 1)}
+	x := &exchange{conn: answers.NewConn(answers.Config{Conn: conn, CheckHeads: true})}
 	x.header = &io.LimitedReader{R: x.conn, N: maxResponseHeaderBytes}
 	x.reader = bufio.NewReaderSize(x.header, readBufferBytes)
 	x.stopContextWatch = context.AfterFunc(ctx, func() { x.conn.Close() })
@@ -136,16 +135,26 @@
 
 // send writes the request in the background, since a backend server may respond
 // before it has read a long body.
-func (x *exchange) send(data buffers.Chunks) { go x.write(data) }
-
-func (x *exchange) write(data buffers.Chunks) {
-	_, err := data.WriteTo(x.conn)
-	x.writeResult <- err
+func (x *exchange) send(data buffers.Chunks) {
+	w := &requestWriter{conn: x.conn, data: data, end: x.conn.BeginRequest()}
+	go w.run()
 }
 
 // isRelayed reports whether the connection goes through another daemon.
 func (x *exchange) isRelayed() bool { return relays.IsRelayed(x.conn.NetConn()) }
 
+// requestWriter writes a request to a backend server.
+type requestWriter struct {
+	conn *answers.Conn
+	data buffers.Chunks
+	end  func() // reports that the request has been written
+}
+
+func (w *requestWriter) run() {
+	defer w.end()
+	_, _ = w.data.WriteTo(w.conn) // reads of the response report the error
+}
+
 // readHeader reads the status line and header of the response. Interim responses before
 // it are skipped; they share its limits of time and bytes.
 func (x *exchange) readHeader(o *outgoingRequest, timeout time.Duration) (*http.Response, error) {
