Report a reset behind a relay as a reset

What callers saw: with a connection through another daemon, a part of an answer without a length reached them as a complete one when the backend server reset the connection while a long upload was being relayed.

Cause: as for direct connections, the relay's write of the request got the report of the reset, and its read saw the end of the connection. The relay sent the frame that says that the server has ended its answer.

Change: the relay reads from backend servers through answers.Conn, and sends the frame of a lost connection if a write has failed. It did not know when a request was complete, so that a server which closes its side first and resets later would still pass; daemons now send the size of a request before it. The opening and its answer agree on that, so that earlier builds are neither sent a size nor asked for one. A failed write to a relay counts as the loss of the relay, which says nothing about the server.

--- a/forwards/exchange.go
+++ b/forwards/exchange.go
@@ -116,6 +116,7 @@
 func (f *Forwarder) dial(ctx context.Context, t relays.Target) (*exchange, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
+	t.Sized = true
 	conn, err := f.cfg.Dialer.Dial(dialCtx, t)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errConnect, err)
@@ -136,6 +137,9 @@
 // send writes the request in the background, since a backend server may respond
 // before it has read a long body.
 func (x *exchange) send(data buffers.Chunks) {
+	if prefix := relays.RequestPrefix(x.conn.NetConn(), data.Len()); len(prefix) > 0 {
+		data = append(buffers.Chunks{prefix}, data...)
+	}
 	w := &requestWriter{conn: x.conn, data: data, end: x.conn.BeginRequest()}
 	go w.run()
 }
--- a/relays/protocol.go
+++ b/relays/protocol.go
@@ -27,6 +27,10 @@
 	// NewWork is set for a connection that carries a request. Others release memory
 	// or ask for the state of a backend server that may be leaving.
 	NewWork bool
+	// Sized is set if RequestPrefix is sent before the one request on the connection. A
+	// relay then does not report the end of an answer before it has passed the request on:
+	// a backend server that is reset meanwhile has not answered completely.
+	Sized bool
 	// Lifetime is the time after which a relay ends the connection, 0 for
 	// defaultLifetime.
 	Lifetime time.Duration
@@ -48,7 +52,8 @@
 type opening struct {
 	Address    string `json:"address"` // of the backend server
 	NewWork    bool   `json:"new-work"`
-	LifetimeMs int64  `json:"lifetime-ms"` // time after which the relay closes the connection
+	LifetimeMs int64  `json:"lifetime-ms"`     // time after which the relay closes the connection
+	Sized      bool   `json:"sized,omitempty"` // the size of the request can be sent before it
 }
 
 // verdict is the relay's answer to an opening.
@@ -63,10 +68,11 @@
 )
 
 // answer is the message that carries a verdict, one line of JSON. After connected the
-// frames of the backend server follow.
+// frames of the backend server follow. Sized is set only if the opening had it.
 type answer struct {
 	Verdict verdict `json:"verdict"`
 	Reason  string  `json:"reason,omitempty"` // of a rejection
+	Sized   bool    `json:"sized,omitempty"`  // the size of the request must be sent before it
 }
 
 // maxLineBytes limits an opening and an answer.
@@ -113,6 +119,8 @@
 )
 
 const (
+	// requestSizeBytes is the length of the size of a request, a big-endian number.
+	requestSizeBytes = 8
 	frameHeaderBytes = 3
 	// maxFrameBytes is the size of a copy buffer; a frame holds what one read returns.
 	maxFrameBytes = 16 << 10
--- a/relays/relay.go
+++ b/relays/relay.go
@@ -14,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"gypsumshelf.example/gypsumshelf/answers"
 	"gypsumshelf.example/gypsumshelf/faults"
 	"gypsumshelf.example/gypsumshelf/listeners"
 )
@@ -147,7 +148,7 @@
 	conn   net.Conn
 	from   netip.Addr
 	reader *bufio.Reader
-	server net.Conn
+	server *answers.Conn
 }
 
 // run relays the connection, or rejects it for a reason that is not empty.
@@ -176,11 +177,17 @@
 	if err := writeLine(c.conn, a); err != nil || a.Verdict != connected {
 		return // the other daemon closes the connection without waiting longer than it wants
 	}
+	requests := &requestWriter{server: c.server}
+	if a.Sized {
+		requests.end = c.server.BeginRequest()
+	}
 	responses := &responseCopier{conn: c, done: make(chan struct{})}
 	go responses.run()
+	if a.Sized {
+		requests.left = c.readSize()
+	}
 	// Until the other daemon closes the connection; the backend server then cancels its
 	// work.
-	requests := &requestWriter{server: c.server}
 	_, _ = io.CopyBuffer(requests, struct{ io.Reader }{c.reader}, make([]byte, maxFrameBytes))
 	if requests.failed {
 		// What the backend server has sent before it took no more is still on its way, and
@@ -195,15 +202,31 @@
 type requestWriter struct {
 	server net.Conn
 	failed bool
+	left   int64  // bytes of the request
+	end    func() // called once the request has been written; nil if its size is not known
 }
 
 // Write implements io.Writer.
 func (w *requestWriter) Write(b []byte) (int, error) {
 	n, err := w.server.Write(b)
 	w.failed = err != nil
+	w.left -= int64(n)
+	if w.end != nil && (w.failed || w.left <= 0) {
+		w.end()
+		w.end = nil
+	}
 	return n, err
 }
 
+// readSize reads the size of the request. It returns 0 if the other daemon sends none.
+func (c *relayedConn) readSize() int64 {
+	var size [requestSizeBytes]byte
+	if _, err := io.ReadFull(c.reader, size[:]); err != nil {
+		return 0 // the copy of the request fails as well
+	}
+	return int64(binary.BigEndian.Uint64(size[:]))
+}
+
 // open reads the opening and connects to the backend server.
 func (c *relayedConn) open() (answer, error) {
 	if err := c.conn.SetDeadline(time.Now().Add(openingTimeout)); err != nil {
@@ -243,12 +266,11 @@
 	case err != nil:
 		return answer{Verdict: unreachable}
 	}
-	if err := server.SetDeadline(time.Now().Add(lifetime)); err != nil {
-		server.Close()
+	c.server = answers.NewConn(answers.Config{Conn: server})
+	if err := c.server.SetDeadline(time.Now().Add(lifetime)); err != nil {
 		return answer{Verdict: unreachable}
 	}
-	c.server = server
-	return answer{Verdict: connected}
+	return answer{Verdict: connected, Sized: o.Sized}
 }
 
 // responseCopier sends what the backend server sends, in frames.
--- a/relays/tunnel.go
+++ b/relays/tunnel.go
@@ -19,6 +19,7 @@
 	net.Conn
 	reader *bufio.Reader
 	left   int   // bytes of the current frame
+	sized  bool  // the relay expects the size of the request before it
 	ended  error // set after the last frame
 }
 
@@ -32,6 +33,15 @@
 // about the backend server.
 func IsRelayLost(err error) bool { return errors.Is(err, errRelayLost) }
 
+// RequestPrefix returns what is to be sent on a connection before a request of a size in
+// bytes. It is empty on direct connections. The Target of conn must be Sized.
+func RequestPrefix(conn net.Conn, size int) []byte {
+	if n, relayed := conn.(*tunnel); relayed && n.sized {
+		return binary.BigEndian.AppendUint64(nil, uint64(size))
+	}
+	return nil
+}
+
 // openTunnel asks a relay for a connection. The error is errRefused or errUnreachable if
 // the relay could not connect either.
 func openTunnel(ctx context.Context, dial Dial, relay string, t Target) (*tunnel, verdict, error) {
@@ -64,10 +74,11 @@
 func (n *tunnel) open(t Target) (answer, error) {
 	var a answer
 	lifetime := cmp.Or(t.Lifetime, defaultLifetime)
-	if err := writeLine(n.Conn, opening{Address: t.Address, NewWork: t.NewWork, LifetimeMs: lifetime.Milliseconds()}); err != nil {
+	if err := writeLine(n.Conn, opening{Address: t.Address, NewWork: t.NewWork, LifetimeMs: lifetime.Milliseconds(), Sized: t.Sized}); err != nil {
 		return a, err
 	}
 	err := readLine(n.reader, &a)
+	n.sized = a.Sized
 	return a, err
 }
 
@@ -90,6 +101,15 @@
 	return got, nil
 }
 
+// Write implements net.Conn.
+func (n *tunnel) Write(b []byte) (int, error) {
+	written, err := n.Conn.Write(b)
+	if err != nil {
+		err = lost(err)
+	}
+	return written, err
+}
+
 func (n *tunnel) readFrameHeader() {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(n.reader, header[:]); err != nil {
