--- a/answers/conn.go
+++ b/answers/conn.go
@@ -1,6 +1,7 @@
 package answers
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -42,6 +43,17 @@
 	return c
 }
 
+// CheckDial wraps dial. Its connections check heads, so that each must carry one request only.
+func CheckDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(Config{Conn: conn, CheckHeads: true}), nil
+	}
+}
+
 // NetConn returns the underlying connection.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
--- a/answers/head.go
+++ b/answers/head.go
@@ -101,6 +101,8 @@
 		return nil
 	case ':':
 		return fmt.Errorf("%w: a field has no name", ErrMalformed)
+	case ' ', '\t':
+		return fmt.Errorf("%w: a line begins with the byte %q", ErrMalformed, b)
 	}
 	h.part = partFieldName
 	return h.nextOfName(b)
--- a/engines/client.go
+++ b/engines/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"gypsumshelf.example/gypsumshelf"
+	"gypsumshelf.example/gypsumshelf/answers"
 	"gypsumshelf.example/gypsumshelf/streams"
 )
 
@@ -79,7 +80,7 @@
 }
 
 func newHTTPClient(cfg ClientConfig, dial dialFunc) *http.Client {
-	var transport http.RoundTripper = &http.Transport{DialContext: checkAnswers(rejectExpired(dial)), DisableKeepAlives: true, DisableCompression: true}
+	var transport http.RoundTripper = &http.Transport{DialContext: answers.CheckDial(rejectExpired(dial)), DisableKeepAlives: true, DisableCompression: true}
 	if cfg.Wrap != nil {
 		transport = cfg.Wrap(transport)
 	}
