--- a/engines/broken_answer_test.go
+++ b/engines/broken_answer_test.go
@@ -85,12 +85,12 @@
 }
 
 const (
-	okHead       = "HTTP/1.1 200 OK\r\n"
-	endOfHead    = "Content-Length: 4\r\n\r\ntext"
-	soundChunk   = `data: {"id":"a.1","position":0,"choices":[{"text":"x","finish_reason":"stop"}]}` + "\n\n"
-	endOfStream  = "data: [DONE]\n\n"
-	malformed    = "malformed"
-	headOfStatus = "HTTP/1.1 000 X\r\n"
+	okHead      = "HTTP/1.1 200 OK\r\n"
+	endOfHead   = "Content-Length: 4\r\n\r\ntext"
+	soundChunk  = `data: {"id":"a.1","position":0,"choices":[{"text":"x","finish_reason":"stop"}]}` + "\n\n"
+	endOfStream = "data: [DONE]\n\n"
+	malformed   = "malformed"
+	zeroStatus  = "HTTP/1.1 000 X\r\n"
 )
 
 // assertMalformed checks that no call takes an answer, and that each error names the cause.
@@ -129,10 +129,10 @@
 // an answer.
 func TestStatusBelowTheLowestIsNoAnswer(t *testing.T) {
 	for name, text := range map[string]string{
-		"zero":             headOfStatus + endOfHead,
-		"not run":          headOfStatus + HeaderNotRun + ": true\r\n" + endOfHead,
-		"of an interim":    headOfStatus + "\r\n" + okHead + endOfHead,
-		"after an interim": "HTTP/1.1 102 Processing\r\n\r\n" + headOfStatus + endOfHead,
+		"zero":             zeroStatus + endOfHead,
+		"not run":          zeroStatus + HeaderNotRun + ": true\r\n" + endOfHead,
+		"of an interim":    zeroStatus + "\r\n" + okHead + endOfHead,
+		"after an interim": "HTTP/1.1 102 Processing\r\n\r\n" + zeroStatus + endOfHead,
 	} {
 		t.Run(name, func(t *testing.T) { assertMalformed(t, text) })
 	}
@@ -151,17 +151,7 @@
 			", of a status 204": "HTTP/1.1 204 X\r\nX: y\r\n" + field + "\r\n\r\n",
 			", not run":         "HTTP/1.1 503 X\r\n" + HeaderNotRun + ": true\r\n" + field + "\r\n" + endOfHead,
 		} {
-			t.Run(name+place, func(t *testing.T) {
-				if strings.Contains(name, "control byte") {
-					// net/http rejects it with an error of its own.
-					s := newRawServer(t, respondRaw(text))
-					call := keyedCall("a.1")
-					call.Address = s.address()
-					assertCallError(t, newTestClient(t, ClientConfig{}).Forward(context.Background(), call, &discardSink{}), gypsumshelf.MayHaveRun, gypsumshelf.CodeBackendFailed)
-					return
-				}
-				assertMalformed(t, text)
-			})
+			t.Run(name+place, func(t *testing.T) { assertMalformed(t, text) })
 		}
 	}
 }
