review: case 12, copies of a crashing request that run at once count as one crash

Cause: crashes within 50 ms count as one, also when exact copies of one request run on different backend servers. Change: a script with three copies at a time.

--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -20,6 +20,7 @@
 // run.
 var cases = map[string]func(rec *record, trouble bool) (int, error){
 	"changes": runChanges,
+	"copies":  runCopies,
 }
 
 func main() {
