--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(rec *record, trouble bool) (int, error){
 	"changes": runChanges,
 	"copies":  runCopies,
+	"tenants": runTenants,
 }
 
 func main() {
--- a/review/standins-3/server.go
+++ b/review/standins-3/server.go
@@ -133,7 +133,7 @@
 	f.mu.Lock()
 	f.runs = append(f.runs, run{at: time.Now(), id: r.Header.Get(headerPrefix + "Request-Id"), body: string(body), server: s.id})
 	f.mu.Unlock()
-	f.deployment.record.printf("%s runs request %s", s.id, r.Header.Get(headerPrefix+"Request-Id"))
+	f.deployment.record.printf("%s runs request %s of tenant %q, %d keys passed on", s.id, r.Header.Get(headerPrefix+"Request-Id"), r.Header.Get(headerPrefix+"Tenant"), len(r.Header["Authorization"]))
 	h.Set(headerPrefix+"Server-Seal", "seal."+s.id)
 	if !f.behave(string(body), w) {
 		f.mu.Lock()
@@ -148,6 +148,11 @@
 // send sends a request of a caller on a channel of its own and returns the status, 0 if
 // the channel was closed without an answer.
 func send(d *deployment, entry *machine, id, path, body string) int {
+	return sendWithKey(d, entry, id, path, body, apiKey)
+}
+
+// sendWithKey is send with another key.
+func sendWithKey(d *deployment, entry *machine, id, path, body, key string) int {
 	request, err := http.NewRequest(http.MethodPost, "http://"+address(entry.ip, d.ports.callers)+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return 0
@@ -155,7 +160,7 @@
 	request.Host = hostName
 	request.Header.Set(headerPrefix+"Request-Id", id)
 	request.Header.Set(headerPrefix+"Deadline-Ms", "1000")
-	request.Header.Set("Authorization", "Bearer "+apiKey)
+	request.Header.Set("Authorization", "Bearer "+key)
 	d.record.printf("request %s sent to %s", id, entry.name)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 1500 * time.Millisecond}
 	response, err := client.Do(request)
