--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(rec *record, trouble bool) (int, error){
 	"copies":     runCopies,
 	"firststart": runFirstStart,
+	"left":       runLeft,
 	"tenants":    runTenants,
 }
 
--- a/review/standins-3/server.go
+++ b/review/standins-3/server.go
@@ -145,31 +145,44 @@
 	}
 }
 
+// usualPatience is the time after which a requester that does not leave gives up.
+const usualPatience = 1500 * time.Millisecond
+
+// call is a request of a caller.
+type call struct {
+	id, path, body, key string
+	patience            time.Duration // after which the caller leaves
+}
+
 // send sends a request of a caller on a channel of its own and returns the status, 0 if
 // the channel was closed without an answer.
 func send(d *deployment, entry *machine, id, path, body string) int {
-	return sendWithKey(d, entry, id, path, body, apiKey)
+	return call{id: id, path: path, body: body, key: apiKey, patience: usualPatience}.send(d, entry)
 }
 
 // sendWithKey is send with another key.
 func sendWithKey(d *deployment, entry *machine, id, path, body, key string) int {
-	request, err := http.NewRequest(http.MethodPost, "http://"+address(entry.ip, d.ports.callers)+path, bytes.NewReader([]byte(body)))
+	return call{id: id, path: path, body: body, key: key, patience: usualPatience}.send(d, entry)
+}
+
+func (c call) send(d *deployment, entry *machine) int {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address(entry.ip, d.ports.callers)+c.path, bytes.NewReader([]byte(c.body)))
 	if err != nil {
 		return 0
 	}
 	request.Host = hostName
-	request.Header.Set(headerPrefix+"Request-Id", id)
+	request.Header.Set(headerPrefix+"Request-Id", c.id)
 	request.Header.Set(headerPrefix+"Deadline-Ms", "1000")
-	request.Header.Set("Authorization", "Bearer "+key)
-	d.record.printf("request %s sent to %s", id, entry.name)
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 1500 * time.Millisecond}
+	request.Header.Set("Authorization", "Bearer "+c.key)
+	d.record.printf("request %s sent to %s", c.id, entry.name)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: c.patience}
 	response, err := client.Do(request)
 	if err != nil {
-		d.record.printf("request %s: %v", id, err)
+		d.record.printf("request %s: %v", c.id, err)
 		return 0
 	}
 	defer response.Body.Close()
 	answer, err := io.ReadAll(response.Body)
-	d.record.printf("request %s: status %d, seal %q, %q, error %v", id, response.StatusCode, response.Header.Get(headerPrefix+"Server-Seal"), bytes.TrimSpace(answer), err)
+	d.record.printf("request %s: status %d, seal %q, %q, error %v", c.id, response.StatusCode, response.Header.Get(headerPrefix+"Server-Seal"), bytes.TrimSpace(answer), err)
 	return response.StatusCode
 }
