review: case 11, an acknowledged configuration is lost with two disks at the first start

Cause: the group begins with three voters, and changes are acknowledged before it has five, although two disks may be lost at once. Change: a script that takes two disks away right after the first acknowledgement.

--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -20,6 +20,7 @@
 // run.
 var cases = map[string]func(rec *record, trouble bool) (int, error){
 	"copies":     runCopies,
+	"firstack":   runFirstAck,
 	"firststart": runFirstStart,
 	"left":       runLeft,
 	"tenants":    runTenants,
