Require keys when a configuration lists no tenants

Cause: whether requests need a key was derived from the number of workspaces, so that an empty list was the same as none. The document travels as it was sent; the difference was lost where it is decoded.

An empty key belongs to nobody. The same class elsewhere: limits below 0 unbounded headers and idle connections, and empty or null lists, tables and numbers of settings files opened or unbounded what a missing key does; they are errors now.

--- a/catalogs/catalog.go
+++ b/catalogs/catalog.go
@@ -96,7 +96,10 @@
 	Routes     []Route
 	Services   []Service
 	Workspaces []Workspace
-	Limits     Limits
+	// RequiresKeys states that requests need the key of a workspace, also if there is no
+	// workspace left. With any workspace they do.
+	RequiresKeys bool
+	Limits       Limits
 }
 
 // Catalog is a validated configuration. It is immutable.
@@ -193,10 +196,16 @@
 }
 
 // RequiresKey reports whether requests need the API key of a workspace.
-func (c *Catalog) RequiresKey() bool { return len(c.spec.Workspaces) > 0 }
+func (c *Catalog) RequiresKey() bool { return c.spec.RequiresKeys || len(c.spec.Workspaces) > 0 }
 
-// Workspace returns the workspace with an API key, or nil if there is none.
-func (c *Catalog) Workspace(key string) *Workspace { return c.workspacesByKey[key] }
+// Workspace returns the workspace with an API key, or nil if there is none. A request
+// without a key has an empty one, which belongs to no workspace.
+func (c *Catalog) Workspace(key string) *Workspace {
+	if key == "" {
+		return nil
+	}
+	return c.workspacesByKey[key]
+}
 
 // WorkspaceNamed returns the workspace with a name, or nil if there is none.
 func (c *Catalog) WorkspaceNamed(name string) *Workspace {
--- a/entries/handler.go
+++ b/entries/handler.go
@@ -31,7 +31,7 @@
 	Submit       func(gypsumshelf.Event)
 	Ready        func(context.Context) bool
 	Class        func(ctx context.Context, name string) (gypsumshelf.Class, bool)
-	Workspaces   []string // allowed workspaces, any when empty
+	Workspaces   []string // allowed workspaces, any when nil
 	MaxBodyBytes int64
 	BodyBudget   int64         // memory for long bodies kept for a retry, in bytes; unlimited when 0
 	WriteTimeout time.Duration // timeout of each write to a caller; 20 s when 0
@@ -43,7 +43,7 @@
 	cfg            Config
 	mux            *http.ServeMux
 	activeRequests activeRequests
-	// workspaces is the set of allowed workspaces. A linear search in a list of
+	// workspaces is the set of allowed workspaces, nil when any is. A linear search in a list of
 	// 47,000 took half of the time for reading a request.
 	workspaces map[string]bool
 	bodyBudget *buffers.Budget
@@ -55,7 +55,9 @@
 		cfg.WriteTimeout = defaultWriteTimeout
 	}
 	h := &Handler{cfg: cfg, mux: http.NewServeMux(), bodyBudget: buffers.NewBudget(cfg.BodyBudget)}
-	h.workspaces = make(map[string]bool, len(cfg.Workspaces))
+	if cfg.Workspaces != nil {
+		h.workspaces = make(map[string]bool, len(cfg.Workspaces))
+	}
 	for _, workspace := range cfg.Workspaces {
 		h.workspaces[workspace] = true
 	}
--- a/entries/request.go
+++ b/entries/request.go
@@ -120,7 +120,7 @@
 
 // resolveWorkspaceAndClass checks the workspace and sets the class of a request.
 func (h *Handler) resolveWorkspaceAndClass(r *http.Request, req *gypsumshelf.Request) *gypsumshelf.Error {
-	if len(h.workspaces) > 0 && !h.workspaces[req.Workspace] {
+	if h.workspaces != nil && !h.workspaces[req.Workspace] {
 		return gypsumshelf.Errorf(gypsumshelf.NotRun, gypsumshelf.CodeUnknownWorkspace, "workspace %q does not exist", req.Workspace)
 	}
 	name := r.Header.Get(HeaderClass)
--- a/entries/request_test.go
+++ b/entries/request_test.go
@@ -57,6 +57,34 @@
 	}
 }
 
+// Guards against an empty list of workspaces that lets requests of any workspace in.
+func TestListOfWorkspaces(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		workspaces []string
+		want       gypsumshelf.Code
+	}{
+		{"no list", nil, gypsumshelf.CodeUnknownClass}, // the class is checked next
+		{"empty list", []string{}, gypsumshelf.CodeUnknownWorkspace},
+		{"list without it", []string{"v"}, gypsumshelf.CodeUnknownWorkspace},
+		{"list with it", []string{"w"}, gypsumshelf.CodeUnknownClass},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := New(Config{MaxBodyBytes: 1 << 10, Now: time.Now, Workspaces: c.workspaces, Class: func(context.Context, string) (gypsumshelf.Class, bool) {
+				return gypsumshelf.Class{}, false
+			}})
+			r := httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(`{"model":"m","prompt":"p"}`))
+			r.Header.Set(HeaderWorkspace, "w")
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, r)
+			var body errorBody
+			if err := json.Unmarshal(w.Body.Bytes(), &body); err != nil || body.Code != c.want {
+				t.Errorf("status %d, body %s, want code %s", w.Code, w.Body, c.want)
+			}
+		})
+	}
+}
+
 // FuzzRequest guards against a body that causes a panic, is admitted without its
 // required fields, or is sent to the engine without streaming.
 func FuzzRequest(f *testing.F) {
--- a/forwards/forwarder_test.go
+++ b/forwards/forwarder_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"gypsumshelf.example/gypsumshelf/catalogs"
 )
 
 // Guards against changes to a relayed request or response, and against forwarding
@@ -144,6 +146,34 @@
 	assertAnswer(t, f.send("GET", "/safe/", "", "Wait", "1000"), http.StatusOK, "fine")
 }
 
+// Guards against requests with any key that run since the last workspace was taken away.
+func TestNoWorkspaceLeft(t *testing.T) {
+	var keys []string
+	b := newFakeBackend(t, "s1", "plain", func(r *http.Request, body string, conn net.Conn) {
+		keys = append(keys, r.Header["Key"]...)
+		respondWith(http.StatusOK, "fine")(r, body, conn)
+	})
+	f := newFixture(t, b)
+	route := catalogs.Route{Name: "closed", Host: "127.0.0.1", Prefix: "/closed/", Timeout: 5 * time.Second, MaxAttempts: 1, Split: []catalogs.WeightedService{{Service: "plain", Weight: 1}}}
+	anonymous := route
+	anonymous.Name, anonymous.Prefix, anonymous.Anonymous = "anonymous", "/anonymous/", true
+	c, err := catalogs.New(catalogs.Spec{Version: 1, Routes: []catalogs.Route{route, anonymous}, Services: []catalogs.Service{{Name: "plain"}}, RequiresKeys: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.forwarder.SetCatalog(c)
+	for _, key := range []string{"k", "other", ""} {
+		t.Run(fmt.Sprintf("key %q", key), func(t *testing.T) {
+			assertAnswer(t, f.send("GET", "/closed/", "", "Key", key), http.StatusUnauthorized, "")
+			assertAnswer(t, f.send("GET", "/anonymous/", "", "Key", key), http.StatusOK, "fine")
+		})
+	}
+	assertCount(t, b, 3)
+	if len(keys) > 0 {
+		t.Errorf("the keys %q are passed on", keys)
+	}
+}
+
 // Guards against sending requests to backend servers whose callers disconnected
 // while the process was paused. An entry daemon of Schriftgilde sent 128 such
 // requests to engines after a pause of its host of 4 s.
--- a/gateways/callers.go
+++ b/gateways/callers.go
@@ -1,7 +1,6 @@
 package gateways
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	stdlog "log"
@@ -63,8 +62,8 @@
 // setLimits applies the limits to connections that are accepted from now on.
 func (s *callerServer) setLimits(l catalogs.Limits) {
 	l = catalogs.Limits{
-		HeaderBytes: cmp.Or(l.HeaderBytes, defaultHeaderBytes), HeaderTimeout: cmp.Or(l.HeaderTimeout, defaultHeaderTimeout),
-		IdleTimeout: cmp.Or(l.IdleTimeout, defaultIdleTimeout),
+		HeaderBytes: positiveOr(l.HeaderBytes, defaultHeaderBytes), HeaderTimeout: positiveOr(l.HeaderTimeout, defaultHeaderTimeout),
+		IdleTimeout: positiveOr(l.IdleTimeout, defaultIdleTimeout),
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -89,6 +88,15 @@
 	}).Info("limits on callers' connections in force")
 }
 
+// positiveOr returns v, or a default if v is not positive: net/http takes a negative timeout
+// as none.
+func positiveOr[T int | time.Duration](v, byDefault T) T {
+	if v > 0 {
+		return v
+	}
+	return byDefault
+}
+
 // run accepts connections and hands them to the server with the limits in force.
 func (s *callerServer) run() {
 	defer s.wg.Done()
--- a/gateways/callers_test.go
+++ b/gateways/callers_test.go
@@ -75,6 +75,19 @@
 	}
 }
 
+// Guards against limits of the catalog that unbound headers or connections: net/http takes
+// a negative timeout as none.
+func TestLimitsThatAreNotPositiveAreDefaults(t *testing.T) {
+	s, _ := newTestServer(t)
+	want := s.limits
+	for _, l := range []catalogs.Limits{{}, {HeaderTimeout: -time.Second, IdleTimeout: -time.Second, HeaderBytes: -1}} {
+		s.setLimits(l)
+		if s.limits != want {
+			t.Errorf("limits in force are %+v, want %+v", s.limits, want)
+		}
+	}
+}
+
 // Guards against limits of the catalog that are read and not applied.
 func TestLimitsOfTheCatalogApply(t *testing.T) {
 	s, address := newTestServer(t)
--- a/settings/check.go
+++ b/settings/check.go
@@ -57,6 +57,9 @@
 	if len(s.AllowedNetworks) == 0 {
 		d.addError("allowed-networks", "is empty; no backend server could announce itself")
 	}
+	if s.Workspaces != nil && len(s.Workspaces) == 0 {
+		d.addError("workspaces", "is empty; no workspace could send a request")
+	}
 	if !slices.Contains(routes.Names(), s.Routing.Policy) {
 		d.addError("routing.policy", "unknown policy %q, want one of %v", s.Routing.Policy, routes.Names())
 	}
--- a/settings/document.go
+++ b/settings/document.go
@@ -58,6 +58,10 @@
 func (d *document) checkScalar(v hujson.Value, t reflect.Type, key string) {
 	v = v.Clone()
 	v.Standardize()
+	if literal, ok := v.Value.(hujson.Literal); ok && literal.Kind() == 'n' {
+		d.addError(key, "is null; leave the key out to use its default")
+		return
+	}
 	if err := json.Unmarshal(v.Pack(), reflect.New(t).Interface()); err != nil {
 		d.addError(key, "%s", strings.TrimPrefix(err.Error(), "json: "))
 	}
--- a/settings/host.go
+++ b/settings/host.go
@@ -43,7 +43,7 @@
 	// state without a limit.
 	StaleState Duration `json:"stale-state"`
 	// DataCentres holds the region by data centre, of all in which backend servers may be.
-	// It is empty when they are unknown.
+	// It is nil when they are unknown.
 	DataCentres map[string]string `json:"data-centres"`
 	Placement   Placement         `json:"placement"`
 }
@@ -191,6 +191,7 @@
 		{"address", !h.Address.IsValid()},
 		{"data-centre", h.DataCentre == ""},
 		{"seeds", len(h.Seeds) == 0},
+		{"data-centres", h.DataCentres != nil && len(h.DataCentres) == 0},
 		{"ports.internal", h.Ports.Internal == 0 || h.Ports.Internal == maxPort},
 		{"bounds.grace", h.Bounds.Grace <= 0},
 		{"bounds.heartbeat", h.Bounds.Heartbeat <= 0},
--- a/settings/host_test.go
+++ b/settings/host_test.go
@@ -126,21 +126,24 @@
 	if _, err := ParseHost([]byte(good)); err != nil {
 		t.Fatal(err)
 	}
-	for key, change := range map[string][2]string{
-		"role":           {`"control","address"`, `"other","address"`},
-		"data-folder":    {`"/d"`, `""`},
-		"seeds":          {`["10.0.0.1:1"]`, `[]`},
-		"listen.control": {`"10.0.0.1:2"`, `"host:2"`},
-		"memory-mb":      {`"data-folder"`, `"memory-mb":-1,"data-folder"`},
-		"disk-mb":        {`"data-folder"`, `"disk-mb":-1,"data-folder"`},
-		"bounds.grace":   {`"8s"`, `"0s"`},
-		"daemonn":        {`"daemon"`, `"daemonn"`},
-		"data-centres":   {`"data-folder"`, `"data-centres":["a"],"data-folder"`},
+	for _, c := range []struct{ key, old, replacement string }{
+		{"role", `"control","address"`, `"other","address"`},
+		{"data-folder", `"/d"`, `""`},
+		{"seeds", `["10.0.0.1:1"]`, `[]`},
+		{"listen.control", `"10.0.0.1:2"`, `"host:2"`},
+		{"memory-mb", `"data-folder"`, `"memory-mb":-1,"data-folder"`},
+		{"disk-mb", `"data-folder"`, `"disk-mb":-1,"data-folder"`},
+		{"bounds.grace", `"8s"`, `"0s"`},
+		{"daemonn", `"daemon"`, `"daemonn"`},
+		{"data-centres", `"data-folder"`, `"data-centres":["a"],"data-folder"`},
+		{"data-centres", `"data-folder"`, `"data-centres":{},"data-folder"`},
+		{"data-centres", `"data-folder"`, `"data-centres":null,"data-folder"`},
+		{"memory-mb", `"data-folder"`, `"memory-mb":null,"data-folder"`},
 	} {
-		_, err := ParseHost([]byte(strings.Replace(good, change[0], change[1], 1)))
+		_, err := ParseHost([]byte(strings.Replace(good, c.old, c.replacement, 1)))
 		var invalid ValidationErrors
-		if !errors.As(err, &invalid) || invalid[0].Key != key {
-			t.Errorf("got error %v, want an error of key %s", err, key)
+		if !errors.As(err, &invalid) || invalid[0].Key != c.key {
+			t.Errorf("got error %v, want an error of key %s after the change to %s", err, c.key, c.replacement)
 		}
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -20,7 +20,7 @@
 	Peers           []Peer               `json:"peers"`  // all daemons of the deployment, this one included
 	Voters          []string             `json:"voters"` // initial voters of the replicated log
 	AllowedNetworks []netip.Prefix       `json:"allowed-networks"`
-	Workspaces      []string             `json:"workspaces"` // allowed workspaces; empty allows all
+	Workspaces      []string             `json:"workspaces"` // allowed workspaces; nil allows all
 	Services        []Service            `json:"services"`
 	Limits          Limits               `json:"limits"`
 	Routing         Routing              `json:"routing"`
