Go on checking a backend server that did not answer the first probe

A backend server to which a connection was lost was probed once, 20 ms later. Without an answer within 0.5 s the crash counted against nobody, although the server was back as another start some seconds later. The same if the address accepted connections again at once and the service has no health check, since a connection says nothing about who accepted it. It needs a relay that does not answer, a server that goes silent as it ends, or packets that are lost; a request that crashes servers then reaches more of them for each strike that is lost.

What its answers to other requests say counts as well.

--- a/forwards/attempt.go
+++ b/forwards/attempt.go
@@ -37,6 +37,7 @@
 	reply    ResponseMeta
 	verdict  gypsumshelf.Verdict
 	sentAt   time.Time
+	complete bool // a whole response was read
 }
 
 // sendAndReadHeader sends the request to a backend server and reads the response
@@ -94,6 +95,7 @@
 		req.recordLimit(a)
 		req.recordLeave(a)
 		req.recordPause(a)
+		req.forwarder.crashChecks.recordAlive(a.server, a.sentAt)
 	}
 	switch {
 	case a.reply.WrongServer:
@@ -144,5 +146,6 @@
 	if err != nil {
 		return nil, err
 	}
+	a.complete = true
 	return &bufferedResponse{status: a.response.StatusCode, header: endToEnd(a.response.Header), body: body}, nil
 }
--- a/forwards/crash_check_test.go
+++ b/forwards/crash_check_test.go
@@ -47,22 +47,28 @@
 // losingServer loses the first connection. Then it ends, or answers with a status.
 type losingServer struct {
 	listener       net.Listener
-	status         int // 0 if it ends
+	status         int           // 0 if it ends
+	silentFor      time.Duration // after the loss
 	bytesAfterLoss atomic.Int64
 }
 
 func newLosingServer(t *testing.T, status int) (*losingServer, rosters.Record) {
+	return newSilentServer(t, status, 0)
+}
+
+func newSilentServer(t *testing.T, status int, silentFor time.Duration) (*losingServer, rosters.Record) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	s := &losingServer{listener: l, status: status}
+	s := &losingServer{listener: l, status: status, silentFor: silentFor}
 	go s.run()
 	return s, rosters.Record{ID: "p1", Born: 7, Sequence: 1, Service: "plain", Address: l.Addr().String(), DataCentre: "a", Slots: 4}
 }
 
 func (s *losingServer) run() {
+	var lostAt time.Time
 	for first := true; ; first = false {
 		conn, err := s.listener.Accept()
 		if err != nil {
@@ -81,7 +87,10 @@
 			if s.status == 0 {
 				s.listener.Close()
 			}
+			lostAt = time.Now()
 			resetConnection(conn)
+		case time.Since(lostAt) < s.silentFor:
+			// The connection stays open without an answer.
 		case s.status > 0:
 			fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n", s.status)
 			conn.Close()
@@ -120,7 +129,7 @@
 			}
 			if c.leaving {
 				// The announcement arrives while the request runs.
-				f.forwarder.crashChecks.recordLost(&proxyRequest{forwarder: f.forwarder}, leavingEntry(f, record), time.Now())
+				f.forwarder.crashChecks.recordEnd(&proxyRequest{forwarder: f.forwarder}, &attempt{server: leavingEntry(f, record)}, time.Now(), schedules.Lost)
 			} else {
 				assertAnswer(t, f.send("POST", "/unsafe/x", "body"), http.StatusBadGateway, "")
 			}
@@ -142,6 +151,56 @@
 	}
 }
 
+// assertReports checks the number of reported crashes after a time.
+func (c *crashRecorder) assertReports(t *testing.T, after time.Duration, want int) {
+	t.Helper()
+	end := time.Now().Add(after)
+	for reports := 0; time.Now().Before(end) && (want == 0 || reports < want); reports, _ = c.count() {
+		time.Sleep(20 * time.Millisecond)
+	}
+	if reports, _ := c.count(); reports != want {
+		t.Errorf("%d crashes are reported after %v, want %d", reports, after, want)
+	}
+}
+
+// Guards against a crash that counts against nobody since the first probe of its backend
+// server had no answer in time, or its address was taken again at once.
+func TestCrashIsFoundAfterTheFirstProbe(t *testing.T) {
+	const silence = probeTimeout + lossCollectTime + 100*time.Millisecond
+	for _, c := range []struct {
+		name      string
+		status    int // after the silence
+		silentFor time.Duration
+		noHealth  bool // the service has no health check
+		announced bool // a later start has announced itself at the address
+		reports   int
+	}{
+		{name: "silent, then another start answers", status: http.StatusMisdirectedRequest, silentFor: silence, reports: 1},
+		{name: "silent, then healthy", status: http.StatusOK, silentFor: silence},
+		{name: "silent, and another start announces itself", status: http.StatusOK, silentFor: time.Minute, announced: true, reports: 1},
+		{name: "no health check, and another start announces itself", status: http.StatusOK, noHealth: true, announced: true, reports: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newStartedFixture(t)
+			recorder := &crashRecorder{}
+			f.forwarder.cfg.Crashes = recorder
+			_, record := newSilentServer(t, c.status, c.silentFor)
+			f.forwarder.cfg.Fleet.Merge([]rosters.Record{record})
+			if c.noHealth {
+				f.forwarder.Catalog().Service("plain").HealthPath = ""
+			}
+			assertAnswer(t, f.send("POST", "/unsafe/x", "body"), http.StatusBadGateway, "")
+			if c.announced {
+				time.Sleep(probeTimeout + 2*lossCollectTime) // the first round is over
+				record.ID, record.Born = "p2", record.Born+1
+				f.forwarder.cfg.Fleet.Merge([]rosters.Record{record})
+			}
+			recorder.assertReports(t, 3*time.Second, c.reports)
+		})
+	}
+}
+
 // leavingEntry announces the end of a backend server and returns its earlier record.
 func leavingEntry(f *fixture, record rosters.Record) rosters.Entry {
 	entry, _ := f.forwarder.cfg.Fleet.Get(record.ID)
--- a/forwards/engine.go
+++ b/forwards/engine.go
@@ -188,9 +188,9 @@
 		e.load.end(e.outcome, e.attempt.reply)
 		e.verdict = e.attempt.verdict
 		e.blamed = e.attempt.reply.Blamed
-	}
-	if e.outcome == schedules.Lost && (e.blamed == "" || e.blamed == e.server.ID) {
-		req.forwarder.crashChecks.recordLost(req, e.server, e.startedAt)
+		if e.blamed == "" || e.blamed == e.server.ID {
+			req.forwarder.crashChecks.recordEnd(req, e.attempt, e.startedAt, e.outcome)
+		}
 	}
 	e.ended = true
 	return err
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -257,7 +257,7 @@
 	requestMemory  *buffers.Reservation // of the body
 	responseMemory *buffers.Reservation // of the buffered response
 
-	lostServers     []*crashCheck          // of attempts whose connection was lost
+	lostServers     []*serverLoss          // of attempts whose connection was lost
 	placedOnLimited bool                   // the scheduler knows of a limit of the engine in use
 	submittedJobs   int                    // number of jobs submitted to the scheduler
 	sentAttempts    int                    // number of attempts sent to a backend server
--- a/forwards/plain.go
+++ b/forwards/plain.go
@@ -107,9 +107,7 @@
 		outcome = req.attributed(ctx, a, outcome)
 		load.end(outcome, a.reply)
 		req.recordPlainAnswer(server, began, outcome, nil)
-		if outcome == schedules.Lost {
-			req.forwarder.crashChecks.recordLost(req, server, began)
-		}
+		req.forwarder.crashChecks.recordEnd(req, a, began, outcome)
 		req.recordFailedAttempt(server.ID, outcome, err)
 		return nil, a.verdict, err
 	}
