Count crashes from before a change of leaders against copies in any session

Cause: a new leader is told of the crashes of the last two minutes, but counted none from before its own start against what different requests may share (any session, any prompt), since it did not know which of these had been answered. The strikes began again at each change of leaders.

Change: these strikes are kept aside. The leader names their causes to the entry daemons, which remember for a minute or two what they have answered and say so; 1.5 s after the leader's start the strikes that are left count. Crashes of more than half a minute before its start, from before answers are surely remembered, still count against no such cause, nor do those that are handed over later.

Evidence: TestChangeOfLeadersKeepsCrashesOfCopiesInOtherSessions, case "not answered", failed before; two of the cases with answers fail if the daemons do not say what they have answered.

--- a/crashes/cause.go
+++ b/crashes/cause.go
@@ -58,8 +58,8 @@
 // IsRequest reports whether the cause identifies a request, and not a part of its prompt.
 func (c Cause) IsRequest() bool { return c.breadth() < promptPart }
 
-// isWide reports whether the cause identifies a request, but different requests may have it.
-func (c Cause) isWide() bool { return c.breadth() == anySession || c.breadth() == anyPrompt }
+// IsWide reports whether the cause identifies a request, but different requests may have it.
+func (c Cause) IsWide() bool { return c.breadth() == anySession || c.breadth() == anyPrompt }
 
 // Run is a request that was lost with the connection to its backend server.
 type Run struct {
--- a/crashes/detector.go
+++ b/crashes/detector.go
@@ -35,6 +35,12 @@
 	// wideSuccessRetention is the same for identities that different requests may have.
 	// Some callers send the sound ones rarely.
 	wideSuccessRetention = time.Minute
+	// AnswerRetention is the time for which entry daemons remember what they have
+	// answered, for a leader that was elected meanwhile.
+	AnswerRetention = wideSuccessRetention
+	// handOverTime is the age of a crash at the start of a detector up to which answers
+	// from well before it are still remembered.
+	handOverTime = AnswerRetention / 2
 )
 
 // start identifies one start of a backend server.
@@ -57,6 +63,9 @@
 	began time.Time // of the lost run
 	at    time.Time
 	runs  [][]Cause // causes of the lost runs that have the cause
+	// handedOver is set for a crash from before the start of the detector, if sound
+	// requests may well have the cause.
+	handedOver bool
 }
 
 // involves reports whether a lost run with the struck cause also had another one.
@@ -92,15 +101,17 @@
 	strikes        map[Cause][]strike
 	quarantined    QuarantineSet
 	lifted         map[Cause]time.Time
-	answers                // of exact requests and prompt parts
-	wideAnswers    answers // of identities that different requests may have
+	answers        *Answers // of exact requests and prompt parts
+	wideAnswers    *Answers // of identities that different requests may have
+	answersKnown   bool     // also those from before since
+	judgeDue       bool     // evidence other than a crash has come
 }
 
 // NewDetector returns a Detector whose quarantines last for a time.
 func NewDetector(quarantineTime time.Duration) *Detector {
 	return &Detector{
 		quarantineTime: quarantineTime, crashes: map[start]*crash{}, strikes: map[Cause][]strike{},
-		quarantined: QuarantineSet{}, answers: newAnswers(successRetention), wideAnswers: newAnswers(wideSuccessRetention),
+		quarantined: QuarantineSet{}, answers: NewAnswers(successRetention), wideAnswers: NewAnswers(wideSuccessRetention),
 	}
 }
 
@@ -130,7 +141,7 @@
 func (d *Detector) RecordCompleted(now time.Time, causes []Cause) {
 	d.begin(now)
 	for _, c := range causes {
-		d.answersOf(c).add(now, c)
+		d.answersOf(c).Add(now, c)
 		delete(d.strikes, c)
 	}
 }
@@ -143,17 +154,46 @@
 }
 
 // isClear reports whether a crash does not count against a cause: requests with it were
-// answered, or, if sound requests may well have it, their answers are not known.
+// answered, or, if sound requests may well have it, their answers will not be known.
 func (d *Detector) isClear(at time.Time, c Cause) bool {
-	return d.answersOf(c).contain(c) || c.isWide() && at.Before(d.since)
+	unknown := at.Before(d.since) && (d.answersKnown || d.since.Sub(at) > handOverTime)
+	return d.answersOf(c).Contain(c) || c.IsWide() && unknown
+}
+
+// Questioned returns the causes against which crashes from before the start of the detector
+// count only if no request with them was answered since.
+func (d *Detector) Questioned() []Cause {
+	var causes []Cause
+	for c, strikes := range d.strikes {
+		if slices.ContainsFunc(strikes, func(s strike) bool { return s.handedOver }) {
+			causes = append(causes, c)
+		}
+	}
+	return causes
+}
+
+// CountHandedOver makes the crashes from before the start of the detector count. The answers
+// to requests with the questioned causes are known now.
+func (d *Detector) CountHandedOver() {
+	if !d.answersKnown {
+		d.answersKnown, d.judgeDue = true, true
+	}
+}
+
+// counted returns the strikes that count against a cause.
+func (d *Detector) counted(c Cause) []strike {
+	if d.answersKnown {
+		return d.strikes[c]
+	}
+	return slices.DeleteFunc(slices.Clone(d.strikes[c]), func(s strike) bool { return s.handedOver })
 }
 
 // answersOf returns the answers to requests with the kind of a cause.
-func (d *Detector) answersOf(c Cause) *answers {
-	if c.isWide() {
-		return &d.wideAnswers
+func (d *Detector) answersOf(c Cause) *Answers {
+	if c.IsWide() {
+		return d.wideAnswers
 	}
-	return &d.answers
+	return d.answers
 }
 
 // RecordCrash records a report of an entry daemon. Several daemons may report the same
@@ -188,9 +228,10 @@
 			due = append(due, c)
 		}
 	}
-	if len(due) == 0 {
+	if len(due) == 0 && !d.judgeDue {
 		return nil
 	}
+	d.judgeDue = false
 	slices.SortFunc(due, func(a, b *crash) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.id, b.id)) })
 	for _, c := range due {
 		d.strike(c)
@@ -213,14 +254,21 @@
 			return
 		}
 		for _, cause := range r.Causes {
-			next[cause] = strike{crash: c.id, began: c.at.Add(-r.Duration), at: c.at, runs: append(next[cause].runs, r.Causes)}
+			next[cause] = strike{
+				crash: c.id, began: c.at.Add(-r.Duration), at: c.at, runs: append(next[cause].runs, r.Causes),
+				handedOver: cause.IsWide() && c.at.Before(d.since),
+			}
 		}
 	}
 	for cause, n := range next {
-		if d.isClear(c.at, cause) || slices.ContainsFunc(d.strikes[cause], n.samePeriod) {
+		if d.isClear(c.at, cause) {
 			continue
 		}
-		d.strikes[cause] = append(d.strikes[cause], n)
+		known := slices.DeleteFunc(d.strikes[cause], func(s strike) bool { return s.handedOver && !n.handedOver && s.samePeriod(n) })
+		if !slices.ContainsFunc(known, n.samePeriod) {
+			known = append(known, n)
+		}
+		d.setStrikes(cause, known)
 	}
 }
 
@@ -261,16 +309,16 @@
 	var worst Cause
 	causes := slices.Sorted(maps.Keys(d.strikes))
 	for _, c := range causes {
-		if len(d.strikes[c]) > len(d.strikes[worst]) {
+		if len(d.counted(c)) > len(d.counted(worst)) {
 			worst = c
 		}
 	}
-	most := d.strikes[worst]
+	most := d.counted(worst)
 	if len(most) < quarantineStrikes {
 		return nil
 	}
 	tied := slices.DeleteFunc(causes, func(c Cause) bool {
-		return len(d.strikes[c]) < len(most) || !shareCrash(d.strikes[c], most)
+		return len(d.counted(c)) < len(most) || !shareCrash(d.counted(c), most)
 	})
 	culprits := d.narrowest(tied)
 	if len(culprits) > 1 && len(most) < ambiguousStrikes {
@@ -284,7 +332,7 @@
 func (d *Detector) narrowest(causes []Cause) []Cause {
 	var narrow []Cause
 	for _, c := range causes {
-		if !slices.ContainsFunc(causes, func(o Cause) bool { return o.breadth() < c.breadth() && allInvolve(d.strikes[c], o) }) {
+		if !slices.ContainsFunc(causes, func(o Cause) bool { return o.breadth() < c.breadth() && allInvolve(d.counted(c), o) }) {
 			narrow = append(narrow, c)
 		}
 	}
--- a/crashes/detector_test.go
+++ b/crashes/detector_test.go
@@ -407,7 +407,7 @@
 	for n := range 3 * maxRecentCauses {
 		l.d.RecordCompleted(l.now, prompt(Cause(fmt.Sprint(n)), AnyPromptCause(fmt.Sprint(n))))
 	}
-	for _, a := range []answers{l.d.answers, l.d.wideAnswers} {
+	for _, a := range []*Answers{l.d.answers, l.d.wideAnswers} {
 		if n := len(a.recent) + len(a.older); n > 2*maxRecentCauses {
 			t.Errorf("%d causes are remembered, want at most %d", n, 2*maxRecentCauses)
 		}
--- a/dispatchers/client.go
+++ b/dispatchers/client.go
@@ -75,6 +75,7 @@
 	cfg         ClientConfig
 	updates     chan JobUpdate
 	handOverDue chan struct{} // receives a value when the leader does not know of a placement
+	handedOver  chan struct{} // receives a value after a hand-over
 	stop        chan struct{}
 	wg          sync.WaitGroup
 
@@ -97,7 +98,7 @@
 
 // NewClient returns a running Client.
 func NewClient(cfg ClientConfig) *Client {
-	c := &Client{cfg: cfg, updates: make(chan JobUpdate, updateQueueSize), handOverDue: make(chan struct{}, 1), stop: make(chan struct{}), jobs: map[schedules.JobID]*activeJob{}, limits: knownLimits{}}
+	c := &Client{cfg: cfg, updates: make(chan JobUpdate, updateQueueSize), handOverDue: make(chan struct{}, 1), handedOver: make(chan struct{}, 1), stop: make(chan struct{}), jobs: map[schedules.JobID]*activeJob{}, limits: knownLimits{}}
 	if c.backup.dial = cfg.DialLeader; c.backup.dial == nil {
 		c.backup.dial = func(ctx context.Context, address string) (net.Conn, error) {
 			return new(net.Dialer).DialContext(ctx, "tcp", address)
@@ -195,6 +196,10 @@
 	}
 	switch {
 	case err == nil:
+		select {
+		case c.handedOver <- struct{}{}:
+		default:
+		}
 		return true
 	case isInactive(err):
 		c.forgetHandOver()
@@ -445,8 +450,9 @@
 // that were placed locally, since the leader may have adopted them.
 func (c *Client) sendUpdates() {
 	defer c.wg.Done()
-	var retry, resend <-chan time.Time
+	var retry, resend, question <-chan time.Time
 	var unsent []JobUpdate
+	questions := 0
 	for {
 		updates := unsent
 		select {
@@ -459,6 +465,15 @@
 		case <-retry:
 			retry = c.handOver()
 			continue
+		case <-c.handedOver:
+			question, questions = time.After(questionPeriod), questionTries
+			continue
+		case <-question:
+			c.answerQuestions()
+			if questions--; questions > 0 {
+				question = time.After(questionPeriod)
+			}
+			continue
 		case <-resend:
 		case u := <-c.updates:
 			updates = append(updates, u)
--- a/dispatchers/dispatcher.go
+++ b/dispatchers/dispatcher.go
@@ -97,6 +97,7 @@
 
 	mu              sync.Mutex
 	active          bool
+	activeSince     time.Time
 	scheduler       *schedules.Scheduler
 	profiles        map[string]*costs.Profile
 	engines         []Engine
@@ -155,7 +156,7 @@
 	if d.active == active {
 		return
 	}
-	d.active = active
+	d.active, d.activeSince = active, d.cfg.Timers.Now()
 	d.scheduler = d.newScheduler()
 	for id, w := range d.pending {
 		if w.decision == nil {
@@ -283,6 +284,14 @@
 	}
 }
 
+// questionedCauses returns the causes against which handed-over crashes count only if no
+// request with them was answered since.
+func (d *Dispatcher) questionedCauses() []crashes.Cause {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.QuestionedCauses()
+}
+
 // RecordLimit records what an answer of a backend server said about its limit.
 func (d *Dispatcher) RecordLimit(l schedules.ServerLimit) {
 	d.mu.Lock()
@@ -344,6 +353,9 @@
 	if !d.active {
 		return
 	}
+	if now.Sub(d.activeSince) > answersCollectTime {
+		d.scheduler.CountHandedOverCrashes()
+	}
 	d.deliver(d.scheduler.Tick(now))
 	d.logPathChanges()
 	d.logDemandChanges()
--- a/dispatchers/evidence.go
+++ b/dispatchers/evidence.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gypsumshelf.example/gypsumshelf/crashes"
+	"gypsumshelf.example/gypsumshelf/peers"
 )
 
 const (
@@ -15,6 +16,14 @@
 	maxCompletions = 1 << 14
 	// maxKeptCrashes bounds the crashes that are handed over to a new leader.
 	maxKeptCrashes = 256
+	// answersCollectTime is the time after the start of a leader in which the entry daemons
+	// in touch hand over their crashes, and say what they have answered.
+	answersCollectTime = 1500 * time.Millisecond
+	// questionPeriod is the time after a hand-over, and then between two questions, at which
+	// an entry daemon asks whose answers the leader needs to know; it asks questionTries
+	// times, since other daemons may hand over later.
+	questionPeriod = 400 * time.Millisecond
+	questionTries  = 3
 )
 
 // keptCrash is a crash that this daemon has reported.
@@ -29,6 +38,7 @@
 	crashes        []keptCrash
 	completed      map[crashes.Cause]bool // reported in the current period
 	completedSince time.Time
+	answered       *crashes.Answers // to requests whose identities others may have, nil before the first one
 }
 
 // keep stores a report for later leaders.
@@ -61,6 +71,7 @@
 		if !e.completed[c] {
 			e.completed[c] = true
 			unreported = append(unreported, c)
+			e.rememberAnswer(now, c)
 		}
 	}
 	if len(e.crashes) > 0 {
@@ -69,6 +80,25 @@
 	return unreported
 }
 
+// rememberAnswer remembers an answer for a leader that is elected later.
+func (e *evidence) rememberAnswer(now time.Time, c crashes.Cause) {
+	if !c.IsWide() {
+		return
+	}
+	if e.answered == nil {
+		e.answered = crashes.NewAnswers(crashes.AnswerRetention)
+	}
+	e.answered.Add(now, c)
+}
+
+// answeredOf returns those of the causes whose requests were answered lately.
+func (e *evidence) answeredOf(causes []crashes.Cause) []crashes.Cause {
+	if e.answered == nil {
+		return nil
+	}
+	return slices.DeleteFunc(causes, func(c crashes.Cause) bool { return !e.answered.Contain(c) })
+}
+
 // clear removes completed causes from the kept reports.
 func (e *evidence) clear(causes []crashes.Cause) {
 	for _, k := range e.crashes {
@@ -90,6 +120,25 @@
 	c.queueUpdate(JobUpdate{Crash: &r}, notLocal)
 }
 
+// answerQuestions tells the leader which of the causes that it questions were answered here.
+func (c *Client) answerQuestions() {
+	client, leader := c.connection()
+	if client == nil {
+		return // the next hand-over asks again
+	}
+	var causes []crashes.Cause
+	if err := peers.Call(client, ServiceName+".Questioned", struct{}{}, &causes, placeTimeout); err != nil {
+		c.cfg.Log.WithField("leader", leader).WithError(err).Debug("the leader does not say whose answers it needs to know")
+		return
+	}
+	c.mu.Lock()
+	answered := c.evidence.answeredOf(causes)
+	c.mu.Unlock()
+	if len(answered) > 0 {
+		c.queueUpdate(JobUpdate{Completed: answered}, notLocal)
+	}
+}
+
 // ReportCompleted reports that a request with the causes was answered without a job.
 func (c *Client) ReportCompleted(causes []crashes.Cause) {
 	c.mu.Lock()
--- a/dispatchers/evidence_test.go
+++ b/dispatchers/evidence_test.go
@@ -117,3 +117,60 @@
 	}
 	local.assertFinds(t, "request:r")
 }
+
+// Guards against a change of leaders that lets a request crash more backend servers, whose
+// copies come in other sessions, and against sound requests that the next leader refuses
+// since it does not know of their answers.
+func TestChangeOfLeadersKeepsCrashesOfCopiesInOtherSessions(t *testing.T) {
+	const wide = crashes.Cause("any-session:r")
+	for _, c := range []struct {
+		name     string
+		answered int // client that answers a request with the identity before the change, 0 for none
+	}{
+		{name: "not answered"},
+		{name: "answered by the daemon that has lost the requests", answered: 1},
+		{name: "answered by another daemon", answered: 2},
+		{name: "answered by another daemon that loses the next one", answered: 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			first, second := newLeader(t), newLeader(t)
+			second.SetActive(false)
+			var clients []*Client
+			for range 3 {
+				client := newClient(t, first.address, second.address)
+				client.SetLeader(first.address, 1)
+				clients = append(clients, client)
+			}
+			sessions := 0
+			crash := func(client *Client) {
+				sessions++
+				time.Sleep(100 * time.Millisecond) // separate crashes, not a common failure
+				client.ReportCrash(crashes.Report{
+					Server: gypsumshelf.ServerID(fmt.Sprint(c.name, sessions)),
+					Runs:   []crashes.Run{{Causes: []crashes.Cause{crashes.RequestCause(fmt.Sprint(c.name, sessions)), wide}, Duration: 30 * time.Millisecond}},
+				})
+			}
+			crash(clients[0])
+			crash(clients[0])
+			first.assertFindsNothing(t)
+			if c.answered > 0 {
+				// The old leader ends before it could hear of the answer.
+				first.SetActive(false)
+				clients[c.answered-1].ReportCompleted([]crashes.Cause{wide})
+				time.Sleep(10 * updateBatchDelay)
+			}
+			second.SetActive(true)
+			for _, client := range clients {
+				client.SetLeader(second.address, 2)
+			}
+			time.Sleep(answersCollectTime)
+			crash(clients[2])
+			if c.answered > 0 {
+				second.assertFindsNothing(t)
+			} else {
+				second.assertFinds(t, wide)
+			}
+		})
+	}
+}
--- a/dispatchers/service.go
+++ b/dispatchers/service.go
@@ -119,6 +119,14 @@
 	return nil
 }
 
+// Questioned returns the causes of handed-over crashes of which a new leader does not know
+// whether requests with them were answered.
+func (s *Service) Questioned(_ struct{}, causes *[]crashes.Cause) (err error) {
+	defer faults.Recover(s.dispatcher.cfg.Log, ServiceName+".Questioned", &err)
+	*causes = s.dispatcher.questionedCauses()
+	return nil
+}
+
 // Adopt takes over active jobs. It fails while the scheduler is not active.
 func (s *Service) Adopt(jobs []AdoptedJob, _ *struct{}) (err error) {
 	defer faults.Recover(s.dispatcher.cfg.Log, ServiceName+".Adopt", &err)
--- a/schedules/crashes.go
+++ b/schedules/crashes.go
@@ -21,6 +21,13 @@
 	s.crashes.RecordCompleted(now, causes)
 }
 
+// QuestionedCauses returns the causes against which handed-over crashes count only if no
+// request with them was answered since.
+func (s *Scheduler) QuestionedCauses() []crashes.Cause { return s.crashes.Questioned() }
+
+// CountHandedOverCrashes makes the crashes from before the start of the scheduler count.
+func (s *Scheduler) CountHandedOverCrashes() { s.crashes.CountHandedOver() }
+
 // TakeQuarantines returns the quarantines that this scheduler has found. Each is
 // returned once.
 func (s *Scheduler) TakeQuarantines() []crashes.Quarantine {
