Name requests whose attempts were given up when their servers end

Cause: evidence about a crash was collected only where an attempt saw its connection lost. Whoever ended the context of an attempt, it counted as cancelled and nobody remembered that the request was at work there. So it was with callers that leave, deadlines, first attempts that were given up for another server or for silence, lost relays and daemons that stop; on plain routes, engine routes and streams, directly and through another daemon.

Change: the check of a server also watches requests whose attempt was sent and ended without a whole response. They count until the server has given a sign of life 2 s after the attempt, has announced its end, or was silent for 6 s. Answers to other requests are signs of life, so that probes go only to servers of which nothing else is heard. A daemon that stops passes it on to the leader, which counts it if another daemon reports the end of the server in time.

--- a/crashes/detector.go
+++ b/crashes/detector.go
@@ -38,6 +38,11 @@
 	// AnswerRetention is the time for which entry daemons remember what they have
 	// answered, for a leader that was elected meanwhile.
 	AnswerRetention = wideSuccessRetention
+	// AbandonedTime is the time for which a backend server may go on with a request after
+	// its attempt was given up. If it lives after that, it has not ended under the request.
+	AbandonedTime = 2 * time.Second
+	// maxAbandonedRuns bounds the requests that daemons which have stopped leave behind.
+	maxAbandonedRuns = 4096
 	// handOverTime is the age of a crash at the start of a detector up to which answers
 	// from well before it are still remembered.
 	handOverTime = AnswerRetention / 2
@@ -49,6 +54,12 @@
 	born   int64
 }
 
+// abandonedRun is a request that a daemon was watching at a backend server when it stopped.
+type abandonedRun struct {
+	run   Run
+	until time.Time // when the backend server has not ended under it any more
+}
+
 // crash is the end of one start of a backend server.
 type crash struct {
 	id      int
@@ -98,6 +109,8 @@
 	since          time.Time // from when on all evidence is known
 	crashCount     int
 	crashes        map[start]*crash
+	abandoned      map[start][]abandonedRun
+	abandonedRuns  int
 	strikes        map[Cause][]strike
 	quarantined    QuarantineSet
 	lifted         map[Cause]time.Time
@@ -110,7 +123,7 @@
 // NewDetector returns a Detector whose quarantines last for a time.
 func NewDetector(quarantineTime time.Duration) *Detector {
 	return &Detector{
-		quarantineTime: quarantineTime, crashes: map[start]*crash{}, strikes: map[Cause][]strike{},
+		quarantineTime: quarantineTime, crashes: map[start]*crash{}, abandoned: map[start][]abandonedRun{}, strikes: map[Cause][]strike{},
 		quarantined: QuarantineSet{}, answers: NewAnswers(successRetention), wideAnswers: NewAnswers(wideSuccessRetention),
 	}
 }
@@ -212,12 +225,50 @@
 		c.dueAt = now.Add(settleTime)
 	}
 	c.pending = append(c.pending, r.Runs...)
+	for _, a := range d.abandoned[key] {
+		if !c.at.After(a.until) {
+			c.pending = append(c.pending, a.run)
+		}
+	}
+	d.forgetAbandoned(key)
+}
+
+// RecordAbandoned records requests that a daemon was watching when it stopped. They count if
+// another daemon reports the end of the backend server in time.
+func (d *Detector) RecordAbandoned(now time.Time, r Report) {
+	key := start{server: r.Server, born: r.Born}
+	if d.crashes[key] != nil {
+		d.RecordCrash(now, r)
+		return
+	}
+	until := now.Add(AbandonedTime - r.Age)
+	for _, run := range r.Runs[:min(len(r.Runs), maxAbandonedRuns-d.abandonedRuns)] {
+		d.abandoned[key] = append(d.abandoned[key], abandonedRun{run: run, until: until})
+		d.abandonedRuns++
+	}
+}
+
+// forgetAbandoned forgets what daemons that have stopped left behind at a backend server.
+func (d *Detector) forgetAbandoned(key start) {
+	d.abandonedRuns -= len(d.abandoned[key])
+	delete(d.abandoned, key)
+}
+
+// pruneAbandoned forgets requests under which no backend server can end any more. Reports of
+// its end come some time after it.
+func (d *Detector) pruneAbandoned(now time.Time) {
+	for key, runs := range d.abandoned {
+		if now.Sub(runs[len(runs)-1].until) > AbandonedTime {
+			d.forgetAbandoned(key)
+		}
+	}
 }
 
 // Settle evaluates the crashes whose lost runs are all known, and returns the new
 // quarantines.
 func (d *Detector) Settle(now time.Time) []Quarantine {
 	d.begin(now)
+	d.pruneAbandoned(now)
 	if len(d.crashes) == 0 {
 		return nil
 	}
--- a/dispatchers/dispatcher.go
+++ b/dispatchers/dispatcher.go
@@ -275,6 +275,15 @@
 	}
 }
 
+// RecordAbandoned records requests that a daemon was watching when it stopped.
+func (d *Dispatcher) RecordAbandoned(r crashes.Report) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.active {
+		d.scheduler.RecordAbandoned(d.cfg.Timers.Now(), r)
+	}
+}
+
 // RecordCompleted records that a request with the causes was answered without a job.
 func (d *Dispatcher) RecordCompleted(causes []crashes.Cause) {
 	d.mu.Lock()
--- a/dispatchers/evidence.go
+++ b/dispatchers/evidence.go
@@ -120,6 +120,11 @@
 	c.queueUpdate(JobUpdate{Crash: &r}, notLocal)
 }
 
+// ReportAbandoned reports requests that this daemon watches as it stops.
+func (c *Client) ReportAbandoned(r crashes.Report) {
+	c.queueUpdate(JobUpdate{Abandoned: &r}, notLocal)
+}
+
 // answerQuestions tells the leader which of the causes that it questions were answered here.
 func (c *Client) answerQuestions() {
 	client, leader := c.connection()
--- a/dispatchers/service.go
+++ b/dispatchers/service.go
@@ -38,6 +38,7 @@
 	Blamed    gypsumshelf.ServerID // engine at fault, empty for the primary
 	Crash     *crashes.Report
 	Completed []crashes.Cause
+	Abandoned *crashes.Report // of requests whose backend server may yet end, from a daemon that stops
 	Limit     *schedules.ServerLimit
 	Stop      *DaemonStop             // of the entry daemon that sends the update
 	Paths     []paths.Sample          // evidence about paths
@@ -55,6 +56,8 @@
 	switch {
 	case u.Crash != nil:
 		d.RecordCrash(*u.Crash)
+	case u.Abandoned != nil:
+		d.RecordAbandoned(*u.Abandoned)
 	case u.Completed != nil:
 		d.RecordCompleted(u.Completed)
 	case u.Limit != nil:
--- a/forwards/crash_check.go
+++ b/forwards/crash_check.go
@@ -36,10 +36,6 @@
 	// nothing else is heard, maxProbePeriod that of the later ones.
 	probePeriod    = 500 * time.Millisecond
 	maxProbePeriod = time.Second
-	// abandonedTime is the time for which a backend server may go on with a request after
-	// its attempt was given up here. If it lives after that, it has not ended under the
-	// request.
-	abandonedTime = 2 * time.Second
 	// maxSilentTime is the time in which a backend server that ends without a trace is
 	// back at its address, or is announced to be elsewhere.
 	maxSilentTime = 6 * time.Second
@@ -57,6 +53,9 @@
 	// ReportCompleted reports that a request with the causes was answered. Requests to
 	// engines are reported by Placer.End instead.
 	ReportCompleted(causes []crashes.Cause)
+	// ReportAbandoned reports requests that are watched while the daemon stops: their
+	// backend server may yet end.
+	ReportAbandoned(r crashes.Report)
 }
 
 // crashChecks finds out whether backend servers have ended under requests: those that lost
@@ -100,7 +99,7 @@
 	if r.lost {
 		return alive.After(r.endedAt)
 	}
-	return alive.Sub(r.endedAt) >= abandonedTime
+	return alive.Sub(r.endedAt) >= crashes.AbandonedTime
 }
 
 // serverLoss is a connection that a request has lost.
@@ -128,7 +127,8 @@
 // checked.
 func (c *crashChecks) recordEnd(req *proxyRequest, a *attempt, began time.Time, outcome schedules.Outcome) {
 	lost := outcome == schedules.Lost
-	if !lost || c.forwarder.cfg.Crashes == nil {
+	abandoned := !lost && !a.sentAt.IsZero() && a.verdict == gypsumshelf.MayHaveRun && !a.complete
+	if !lost && !abandoned || c.forwarder.cfg.Crashes == nil {
 		return
 	}
 	if current, known := c.forwarder.cfg.Fleet.Get(a.server.ID); known && current.Born == a.server.Born && !current.Usable() {
@@ -183,6 +183,34 @@
 	}
 }
 
+// ReportWatchedRequests passes on the requests under which backend servers may yet end. It is
+// called at the end of the daemon.
+func (f *Forwarder) ReportWatchedRequests() {
+	if f.cfg.Crashes == nil {
+		return
+	}
+	for _, r := range f.crashChecks.watched() {
+		f.cfg.Crashes.ReportAbandoned(r)
+	}
+}
+
+// watched returns the reports of what is watched, as if its backend servers had ended.
+func (c *crashChecks) watched() []crashes.Report {
+	now := c.forwarder.cfg.Fleet.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var reports []crashes.Report
+	for _, check := range c.pending {
+		if check.recordAnnouncement(); check.announced {
+			continue
+		}
+		if r := check.newReport(now); len(r.Runs) > 0 {
+			reports = append(reports, r)
+		}
+	}
+	return reports
+}
+
 // maxEndedServers is the number of backend servers that may end under one request. A
 // second one decides for nearly all requests whose server ended by itself.
 const maxEndedServers = 2
--- a/forwards/crash_check_test.go
+++ b/forwards/crash_check_test.go
@@ -24,6 +24,7 @@
 	mu        sync.Mutex
 	reports   []crashes.Report
 	completed [][]crashes.Cause
+	abandoned []crashes.Report
 }
 
 func (c *crashRecorder) ReportCrash(r crashes.Report) {
@@ -38,6 +39,12 @@
 	c.completed = append(c.completed, causes)
 }
 
+func (c *crashRecorder) ReportAbandoned(r crashes.Report) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.abandoned = append(c.abandoned, r)
+}
+
 func (c *crashRecorder) count() (reports, completed int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/forwards/fake_test.go
+++ b/forwards/fake_test.go
@@ -23,6 +23,7 @@
 	"gypsumshelf.example/gypsumshelf/costs"
 	"gypsumshelf.example/gypsumshelf/crashes"
 	"gypsumshelf.example/gypsumshelf/metrics"
+	"gypsumshelf.example/gypsumshelf/relays"
 	"gypsumshelf.example/gypsumshelf/rosters"
 	"gypsumshelf.example/gypsumshelf/schedules"
 )
@@ -235,6 +236,7 @@
 	metrics   *metrics.Recorder
 	placer    *fakePlacer
 	log       *bytes.Buffer
+	relays    []*relays.Relay // of other daemons, if connections go through them
 }
 
 const (
--- a/forwards/relayed_test.go
+++ b/forwards/relayed_test.go
@@ -42,29 +42,42 @@
 
 // relayThrough makes a forwarder reach its backend servers through another daemon only.
 func (f *fixture) relayThrough(t *testing.T, backends ...*fakeBackend) {
+	t.Helper()
+	f.relayThroughAny(t, 1, backends...)
+}
+
+// relayThroughAny is relayThrough with a number of other daemons. It returns their relays.
+func (f *fixture) relayThroughAny(t *testing.T, n int, backends ...*fakeBackend) []*relays.Relay {
 	t.Helper()
 	var servers relayedServers
 	for _, b := range backends {
 		servers = append(servers, b.record.Address)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	log := logrus.NewEntry(logger)
-	relay := relays.NewRelay(relays.RelayConfig{
-		Listener: l, Servers: servers, Dial: dialUnbuffered, Log: log,
-		Admits: func(netip.Addr) bool { return true }, IsServiceLost: func(string) bool { return false },
-	})
-	t.Cleanup(relay.Close)
+	var peers []relays.Peer
+	var others []*relays.Relay
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		relay := relays.NewRelay(relays.RelayConfig{
+			Listener: l, Servers: servers, Dial: dialUnbuffered, Log: log,
+			Admits: func(netip.Addr) bool { return true }, IsServiceLost: func(string) bool { return false },
+		})
+		t.Cleanup(relay.Close)
+		peers = append(peers, relays.Peer{Daemon: gypsumshelf.DaemonID(l.Addr().String()), DataCentre: "a"})
+		others = append(others, relay)
+	}
 	service := timers.New(timers.Config{Now: time.Now})
 	t.Cleanup(service.Close)
 	dialer := relays.NewDialer(relays.DialerConfig{
 		Daemon: "127.0.0.1:1", DataCentre: "a", Servers: servers, Log: log, Timers: service,
 		Dial: func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED },
 	})
-	dialer.SetPeers("control", []relays.Peer{{Daemon: gypsumshelf.DaemonID(l.Addr().String()), DataCentre: "a"}})
+	dialer.SetPeers("control", peers)
 	f.forwarder.cfg.Dialer = dialer
+	return others
 }
--- a/gateways/stop.go
+++ b/gateways/stop.go
@@ -71,6 +71,7 @@
 	refused, broken := g.forwarder.StoppedRequests()
 	g.cfg.Log.WithFields(logrus.Fields{"handed-back": refused, "broken-off": broken}).Info("requests that the stop has ended")
 	g.relay.Close()
+	g.forwarder.ReportWatchedRequests()
 	g.dispatchClient.Close()
 	g.subscriber.Close()
 }
--- a/schedules/crashes.go
+++ b/schedules/crashes.go
@@ -16,6 +16,11 @@
 // RecordCrash records which requests were lost with a backend server that has ended.
 func (s *Scheduler) RecordCrash(now time.Time, r crashes.Report) { s.crashes.RecordCrash(now, r) }
 
+// RecordAbandoned records requests that a daemon was watching when it stopped.
+func (s *Scheduler) RecordAbandoned(now time.Time, r crashes.Report) {
+	s.crashes.RecordAbandoned(now, r)
+}
+
 // RecordCompleted clears the causes of a request that was answered without a job.
 func (s *Scheduler) RecordCompleted(now time.Time, causes []crashes.Cause) {
 	s.crashes.RecordCompleted(now, causes)
