Clear prompt parts of requests that outlive the crash of a server

Cause: a part has a strike from each crash under any request with it, and only an answer within 5 s clears it. The requests that were lost, and others with the part, ran on elsewhere for much longer than the lost ones had, and were answered; neither was counted, and nothing but an operator ends a quarantine.

Change: at a crash the scheduler names its jobs in progress to the detector. A cause of one that has had its first event and has run for more than 1 s longer than the lost requests, on a server that has not ended, is cleared. The same, and each answer, refutes a quarantine in force; the leader lifts it by an order, after it was committed and only if it is not a later one.

--- a/controls/daemon.go
+++ b/controls/daemon.go
@@ -107,7 +107,7 @@
 	d.reducer.maxLogBytes = int(cfg.DiskBytes / diskShareOfLog)
 	d.leadership.Store(&Leadership{})
 	d.status.Store(&Status{Condition: replicas.NotMember, LeaderHeard: cfg.Timers.Now()})
-	d.dispatcher = dispatchers.New(dispatchers.Config{DataCentre: cfg.DataCentre, Policy: cfg.Policy, Log: cfg.Log, Reporter: cfg.Reporter, Timers: cfg.Timers, HandleQuarantines: d.quarantine})
+	d.dispatcher = dispatchers.New(dispatchers.Config{DataCentre: cfg.DataCentre, Policy: cfg.Policy, Log: cfg.Log, Reporter: cfg.Reporter, Timers: cfg.Timers, HandleQuarantines: d.quarantine, HandleRefuted: d.liftRefuted})
 	d.registry = newRegistry(cfg, d.publisher, d.dispatcher)
 	d.links = peers.New(peers.Config{Daemon: cfg.Daemon, AllowUnlisted: true, Receive: d.handleEnvelope, Log: cfg.Log}, cfg.Peers)
 	d.server, err = directories.NewServer(cfg.Directory, map[string]any{
--- a/controls/orders_test.go
+++ b/controls/orders_test.go
@@ -458,3 +458,49 @@
 		t.Errorf("%d orders and status %d, want one and 503", len(state.lifted), w.Code)
 	}
 }
+
+// refutedState has quarantines that appear after a number of reads, and lifts them.
+type refutedState struct {
+	quarantines []crashes.Quarantine
+	after       int // reads
+	lifted      []crashes.Cause
+}
+
+func (s *refutedState) ReadState(context.Context) (catalogs.State, error) {
+	if s.after--; s.after >= 0 {
+		return catalogs.State{}, nil
+	}
+	return catalogs.State{Quarantines: s.quarantines}, nil
+}
+
+func (s *refutedState) ProposeOrder(_ context.Context, c catalogs.Command) error {
+	s.lifted = append(s.lifted, c.Lift.Cause)
+	return nil
+}
+
+// Guards against a quarantine that stays in force after it was refuted, since it is committed
+// later than that, and against the end of a later one.
+func TestRefutedQuarantineIsLifted(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	now := time.Now()
+	for _, c := range []struct {
+		name  string
+		until time.Time
+		after int
+		want  []crashes.Cause
+	}{
+		{name: "in force", until: now.Add(crashes.QuarantineTime - time.Minute), want: []crashes.Cause{"part"}},
+		{name: "committed later", until: now.Add(crashes.QuarantineTime - time.Second), after: 1, want: []crashes.Cause{"part"}},
+		{name: "a later one", until: now.Add(crashes.QuarantineTime + time.Second)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			state := &refutedState{quarantines: []crashes.Quarantine{{Cause: "part", Until: c.until}}, after: c.after}
+			(&refutation{state: state, lifts: []crashes.Lift{{Cause: "part", At: now}}, log: logrus.NewEntry(log)}).run()
+			if !slices.Equal(state.lifted, c.want) {
+				t.Errorf("lifted are %v, want %v", state.lifted, c.want)
+			}
+		})
+	}
+}
--- a/controls/quarantine.go
+++ b/controls/quarantine.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -51,3 +53,59 @@
 	}
 	return err
 }
+
+// refutation lifts quarantines that turned out to be wrong, on all daemons.
+type refutation struct {
+	state QuarantineState
+	lifts []crashes.Lift
+	log   *logrus.Entry
+}
+
+// liftRefuted starts to lift quarantines that the scheduler of this daemon has refuted.
+func (d *Daemon) liftRefuted(lifts []crashes.Lift) {
+	go (&refutation{state: d, lifts: lifts, log: d.cfg.Log}).run()
+}
+
+func (r *refutation) run() {
+	for _, l := range r.lifts {
+		log := r.log.WithField("crash-cause", l.Cause)
+		log.Warn("requests with a quarantined cause run without harm to their backend servers; the quarantine is lifted")
+		if err := r.lift(l); err != nil {
+			log.WithError(err).Error("a quarantine that turned out to be wrong could not be lifted")
+		}
+	}
+}
+
+// errNoQuarantine is the error of a lift without a quarantine. It may be committed yet.
+var errNoQuarantine = errors.New("no quarantine of this cause is in force")
+
+func (r *refutation) lift(l crashes.Lift) (err error) {
+	ctx := context.Background()
+	for range quarantineTries {
+		if err = r.tryLift(ctx, l); err == nil {
+			return nil
+		}
+		timers.Sleep(ctx, quarantineRetryDelay)
+	}
+	if errors.Is(err, errNoQuarantine) {
+		return nil
+	}
+	return err
+}
+
+func (r *refutation) tryLift(ctx context.Context, l crashes.Lift) error {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	s, err := r.state.ReadState(ctx)
+	if err != nil {
+		return err
+	}
+	// A later quarantine of the cause has evidence of its own.
+	refuted := func(q crashes.Quarantine) bool {
+		return q.Cause == l.Cause && !q.Until.After(l.At.Add(crashes.QuarantineTime))
+	}
+	if !slices.ContainsFunc(s.Quarantines, refuted) {
+		return errNoQuarantine
+	}
+	return r.state.ProposeOrder(ctx, catalogs.Command{Action: catalogs.LiftQuarantine, Lift: l})
+}
--- a/crashes/detector.go
+++ b/crashes/detector.go
@@ -74,6 +74,8 @@
 	began time.Time // of the lost run
 	at    time.Time
 	runs  [][]Cause // causes of the lost runs that have the cause
+	// longest is the duration of the longest of these runs.
+	longest time.Duration
 	// handedOver is set for a crash from before the start of the detector, if sound
 	// requests may well have the cause.
 	handedOver bool
@@ -101,9 +103,11 @@
 
 // Detector finds the causes that crash backend servers. A cause is struck by the crash
 // of a backend server that ran a request with it; backend servers that end at the same
-// moment count once. A completed request clears its causes, before and after a crash.
-// So what sound requests have in common with the crashing ones stays clear. Crashes in
-// which a quarantined cause ran count against no other cause, also after a lift.
+// moment count once. A completed request clears its causes, before and after a crash, and
+// so does one that runs for longer than the lost ones did. So what sound requests have in
+// common with the crashing ones stays clear; if they show it only after the quarantine, it
+// is refuted. Crashes in which a quarantined cause ran count against no other cause, also
+// after a lift.
 type Detector struct {
 	quarantineTime time.Duration
 	since          time.Time // from when on all evidence is known
@@ -118,13 +122,19 @@
 	wideAnswers    *Answers // of identities that different requests may have
 	answersKnown   bool     // also those from before since
 	judgeDue       bool     // evidence other than a crash has come
+
+	survived   map[Cause]time.Duration // for which requests in progress have run
+	comparedAt time.Time               // when survived was last recorded
+	found      map[Cause]time.Duration // longest lost run of each cause that this detector has quarantined
+	refuted    []Lift                  // not returned by TakeRefuted yet
+	refutedAt  map[Cause]time.Time
 }
 
 // NewDetector returns a Detector whose quarantines last for a time.
 func NewDetector(quarantineTime time.Duration) *Detector {
 	return &Detector{
 		quarantineTime: quarantineTime, crashes: map[start]*crash{}, abandoned: map[start][]abandonedRun{}, strikes: map[Cause][]strike{},
-		quarantined: QuarantineSet{}, answers: NewAnswers(successRetention), wideAnswers: NewAnswers(wideSuccessRetention),
+		found: map[Cause]time.Duration{}, refutedAt: map[Cause]time.Time{}, quarantined: QuarantineSet{}, answers: NewAnswers(successRetention), wideAnswers: NewAnswers(wideSuccessRetention),
 	}
 }
 
@@ -156,6 +166,7 @@
 	for _, c := range causes {
 		d.answersOf(c).Add(now, c)
 		delete(d.strikes, c)
+		d.refute(now, c)
 	}
 }
 
@@ -273,17 +284,11 @@
 		return nil
 	}
 	d.prune(now)
-	var due []*crash
-	for _, c := range d.crashes {
-		if len(c.pending) > 0 && !now.Before(c.dueAt) {
-			due = append(due, c)
-		}
-	}
+	due := d.dueCrashes(now)
 	if len(due) == 0 && !d.judgeDue {
 		return nil
 	}
 	d.judgeDue = false
-	slices.SortFunc(due, func(a, b *crash) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.id, b.id)) })
 	for _, c := range due {
 		d.strike(c)
 		c.pending = nil
@@ -291,6 +296,19 @@
 	return d.judge(now)
 }
 
+// dueCrashes returns the crashes whose lost runs are all known and not evaluated, in their
+// order.
+func (d *Detector) dueCrashes(now time.Time) []*crash {
+	var due []*crash
+	for _, c := range d.crashes {
+		if len(c.pending) > 0 && !now.Before(c.dueAt) {
+			due = append(due, c)
+		}
+	}
+	slices.SortFunc(due, func(a, b *crash) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.id, b.id)) })
+	return due
+}
+
 // isExplained reports whether a crash at a time has a known culprit among causes: one that
 // is quarantined, or whose quarantine was lifted afterwards.
 func (d *Detector) isExplained(at time.Time, causes []Cause) bool {
@@ -307,12 +325,13 @@
 		for _, cause := range r.Causes {
 			next[cause] = strike{
 				crash: c.id, began: c.at.Add(-r.Duration), at: c.at, runs: append(next[cause].runs, r.Causes),
+				longest:    max(next[cause].longest, r.Duration),
 				handedOver: cause.IsWide() && c.at.Before(d.since),
 			}
 		}
 	}
 	for cause, n := range next {
-		if d.isClear(c.at, cause) {
+		if d.isClear(c.at, cause) || d.isOutlived(cause, n.longest) {
 			continue
 		}
 		known := slices.DeleteFunc(d.strikes[cause], func(s strike) bool { return s.handedOver && !n.handedOver && s.samePeriod(n) })
@@ -329,6 +348,7 @@
 	for cause, strikes := range d.strikes {
 		d.setStrikes(cause, slices.DeleteFunc(strikes, func(s strike) bool { return now.Sub(s.at) > Retention }))
 	}
+	d.pruneRefuted(now)
 	maps.DeleteFunc(d.quarantined, func(_ Cause, until time.Time) bool { return !now.Before(until) })
 }
 
@@ -342,6 +362,9 @@
 		}
 		for _, c := range culprits {
 			d.quarantined[c] = now.Add(d.quarantineTime)
+			for _, s := range d.counted(c) {
+				d.found[c] = max(d.found[c], s.longest)
+			}
 			quarantines = append(quarantines, Quarantine{Cause: c, Until: d.quarantined[c]})
 		}
 		explained := slices.Clone(d.strikes[culprits[0]])
--- a/dispatchers/dispatcher.go
+++ b/dispatchers/dispatcher.go
@@ -78,7 +78,10 @@
 	// HandleQuarantines is called with what this scheduler finds to crash backend
 	// servers, and must not block; nil if nothing is to be done.
 	HandleQuarantines func([]crashes.Quarantine)
-	Timers            *timers.Service
+	// HandleRefuted is called with the quarantines that turned out to be wrong, and must
+	// not block; nil if nothing is to be done.
+	HandleRefuted func([]crashes.Lift)
+	Timers        *timers.Service
 }
 
 // pendingDecision is the decision about a job, or a placeholder for it. A
@@ -373,6 +376,9 @@
 	if found := d.scheduler.TakeQuarantines(); len(found) > 0 && d.cfg.HandleQuarantines != nil {
 		d.cfg.HandleQuarantines(found)
 	}
+	if refuted := d.scheduler.TakeRefutedQuarantines(); len(refuted) > 0 && d.cfg.HandleRefuted != nil {
+		d.cfg.HandleRefuted(refuted)
+	}
 }
 
 // deliver passes decisions to the calls that wait for them; mu is held. It
--- a/forwards/crash_check_test.go
+++ b/forwards/crash_check_test.go
@@ -237,6 +237,10 @@
 				t.Error("the refusal has no Retry-After")
 			}
 			assertAnswer(t, f.send("POST", "/safe/x", "another body"), http.StatusOK, "answer")
+			if name == "by this daemon" {
+				f.forwarder.RemoveLocalQuarantines([]crashes.Cause{"another", q[0].Cause})
+				assertAnswer(t, f.send("POST", "/safe/x", "body", "Id", "r3"), http.StatusOK, "answer")
+			}
 			f.forwarder.SetQuarantines(nil)
 		})
 	}
--- a/forwards/forwarder.go
+++ b/forwards/forwarder.go
@@ -6,8 +6,10 @@
 	"errors"
 	"hash/fnv"
 	"io"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -144,6 +146,18 @@
 	f.localQuarantines.Store(&set)
 }
 
+// RemoveLocalQuarantines ends quarantines that this daemon has found by itself. It must not be
+// called concurrently with itself or AddLocalQuarantines.
+func (f *Forwarder) RemoveLocalQuarantines(causes []crashes.Cause) {
+	old := f.localQuarantines.Load()
+	if old == nil {
+		return
+	}
+	set := maps.Clone(*old)
+	maps.DeleteFunc(set, func(c crashes.Cause, _ time.Time) bool { return slices.Contains(causes, c) })
+	f.localQuarantines.Store(&set)
+}
+
 // isQuarantined reports whether any cause of the request is quarantined.
 func (f *Forwarder) isQuarantined(req *proxyRequest) bool {
 	now := f.cfg.Fleet.now()
--- a/gateways/gateway.go
+++ b/gateways/gateway.go
@@ -92,7 +92,7 @@
 	targets := relayTargets{Fleet: g.fleet, controls: g.subscriber}
 	g.dialer = relays.NewDialer(relays.DialerConfig{Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Servers: targets, Dial: cfg.Dial, Log: cfg.Log, Timers: cfg.Timers})
 	protocol := cfg.Protocol(g.dialer.DialContext)
-	g.localDispatcher = dispatchers.New(dispatchers.Config{Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Log: cfg.Log, Timers: cfg.Timers, Reporter: protocol, Local: true, Policy: cfg.Policy, HandleQuarantines: g.quarantineLocally})
+	g.localDispatcher = dispatchers.New(dispatchers.Config{Daemon: cfg.Daemon, DataCentre: cfg.DataCentre, Log: cfg.Log, Timers: cfg.Timers, Reporter: protocol, Local: true, Policy: cfg.Policy, HandleQuarantines: g.quarantineLocally, HandleRefuted: g.liftLocally})
 	g.dispatchClient = dispatchers.NewClient(dispatchers.ClientConfig{Daemon: cfg.Daemon, Feeds: g.subscriber, Local: g.localDispatcher, DialLeader: g.dialLeader, Log: cfg.Log})
 	var recorder forwards.PathRecorder
 	if cfg.Policy.AvoidBadPaths {
@@ -163,6 +163,16 @@
 	g.forwarder.AddLocalQuarantines(found)
 }
 
+// liftLocally ends quarantines of this daemon alone that turned out to be wrong. The leader
+// lifts those that are in force on all daemons.
+func (g *Gateway) liftLocally(refuted []crashes.Lift) {
+	var causes []crashes.Cause
+	for _, l := range refuted {
+		causes = append(causes, l.Cause)
+	}
+	g.forwarder.RemoveLocalQuarantines(causes)
+}
+
 // receiveView processes a view received from a control daemon.
 func (g *Gateway) receiveView(from string, v directories.View) {
 	g.updatePeers(from, v)
--- a/schedules/crashes.go
+++ b/schedules/crashes.go
@@ -41,9 +41,28 @@
 	return found
 }
 
+// TakeRefutedQuarantines returns the quarantines that turned out to be wrong. Each is
+// returned once.
+func (s *Scheduler) TakeRefutedQuarantines() []crashes.Lift { return s.crashes.TakeRefuted() }
+
+// running returns the jobs in progress that have had their first event. Those of a lost
+// daemon may have ended.
+func (s *Scheduler) running(now time.Time) []crashes.Running {
+	var running []crashes.Running
+	for _, j := range s.jobs {
+		if j.started && j.placement != nil && j.orphanUntil.IsZero() {
+			running = append(running, crashes.Running{Server: j.placement.Server, Causes: j.request.Causes, Duration: now.Sub(j.placedAt)})
+		}
+	}
+	return running
+}
+
 // judgeCrashes looks for causes that crash backend servers, and refuses waiting jobs
 // with such causes.
 func (s *Scheduler) judgeCrashes(now time.Time) []Decision {
+	if s.crashes.NeedsRunning(now) {
+		s.crashes.RecordRunning(now, s.running(now))
+	}
 	found := s.crashes.Settle(now)
 	if len(found) == 0 {
 		return nil
