Forget answers after two periods also when nothing else is answered

Remembered answers were only moved out by later ones. After a quiet time an answer of long ago still cleared its causes of crashes, so that a request which had been sound before a release of its servers could end more of them than three.

Periods now end with time, also when a cause is looked up. TestAnswersAreForgotten: both cases failed before.

--- a/crashes/answers.go
+++ b/crashes/answers.go
@@ -25,14 +25,32 @@
 
 // Add remembers the cause of a request that was completed now.
 func (a *Answers) Add(now time.Time, c Cause) {
-	if now.Sub(a.recentSince) > a.period || len(a.recent) >= maxRecentCauses {
-		a.recent, a.older, a.recentSince = map[uint64]struct{}{}, a.recent, now
+	a.forget(now)
+	if len(a.recent) >= maxRecentCauses {
+		a.rotate(now)
 	}
 	a.recent[a.hash(c)] = struct{}{}
 }
 
+// forget removes causes that are older than two periods.
+func (a *Answers) forget(now time.Time) {
+	age := now.Sub(a.recentSince)
+	if age > 2*a.period {
+		a.recent = map[uint64]struct{}{}
+	}
+	if age > a.period {
+		a.rotate(now)
+	}
+}
+
+// rotate begins the next period.
+func (a *Answers) rotate(now time.Time) {
+	a.recent, a.older, a.recentSince = map[uint64]struct{}{}, a.recent, now
+}
+
 // Contain reports whether a cause is remembered.
-func (a *Answers) Contain(c Cause) bool {
+func (a *Answers) Contain(now time.Time, c Cause) bool {
+	a.forget(now)
 	h := a.hash(c)
 	_, recent := a.recent[h]
 	_, older := a.older[h]
--- a/crashes/detector.go
+++ b/crashes/detector.go
@@ -179,9 +179,9 @@
 
 // isClear reports whether a crash does not count against a cause: requests with it were
 // answered, or, if sound requests may well have it, their answers will not be known.
-func (d *Detector) isClear(at time.Time, c Cause) bool {
+func (d *Detector) isClear(now, at time.Time, c Cause) bool {
 	unknown := at.Before(d.since) && (d.answersKnown || d.since.Sub(at) > handOverTime)
-	return d.answersOf(c).Contain(c) || c.IsWide() && unknown
+	return d.answersOf(c).Contain(now, c) || c.IsWide() && unknown
 }
 
 // Questioned returns the causes against which crashes from before the start of the detector
@@ -290,7 +290,7 @@
 	}
 	d.judgeDue = false
 	for _, c := range due {
-		d.strike(c)
+		d.strike(now, c)
 		c.pending = nil
 	}
 	return d.judge(now)
@@ -316,7 +316,7 @@
 }
 
 // strike counts a crash against the causes of its runs.
-func (d *Detector) strike(c *crash) {
+func (d *Detector) strike(now time.Time, c *crash) {
 	next := map[Cause]strike{}
 	for _, r := range c.pending {
 		if d.isExplained(c.at, r.Causes) {
@@ -331,7 +331,7 @@
 		}
 	}
 	for cause, n := range next {
-		if d.isClear(c.at, cause) || d.isOutlived(cause, n.longest) {
+		if d.isClear(now, c.at, cause) || d.isOutlived(cause, n.longest) {
 			continue
 		}
 		known := slices.DeleteFunc(d.strikes[cause], func(s strike) bool { return s.handedOver && !n.handedOver && s.samePeriod(n) })
--- a/crashes/detector_test.go
+++ b/crashes/detector_test.go
@@ -548,10 +548,7 @@
 	t.Run("crashes after the refutation", func(t *testing.T) {
 		l := quarantined(t)
 		l.d.RecordCompleted(l.now, own(1))
-		for range 2 {
-			l.now = l.now.Add(2 * successRetention)
-			l.d.RecordCompleted(l.now, prompt("other"))
-		}
+		l.now = l.now.Add(2*successRetention + time.Second)
 		var found []Quarantine
 		for n := range quarantineStrikes {
 			l.now = l.now.Add(500 * time.Millisecond)
@@ -594,3 +591,22 @@
 		})
 	}
 }
+
+// Guards against an answer that clears a request long afterwards, since nothing else was
+// answered meanwhile.
+func TestAnswersAreForgotten(t *testing.T) {
+	for name, idle := range map[string]bool{"no other answers": true, "an answer at the end": false} {
+		t.Run(name, func(t *testing.T) {
+			l := newCrashLog(t)
+			l.d.RecordCompleted(l.now, copyOf("r", "session"))
+			l.now = l.now.Add(2*wideSuccessRetention + time.Second)
+			if !idle {
+				l.d.RecordCompleted(l.now, copyOf("other", "another"))
+			}
+			for range quarantineStrikes - 1 {
+				l.assertQuarantined(l.crash(copyOf("r", "session")))
+			}
+			l.assertQuarantined(l.crash(copyOf("r", "session")), RequestCause("rsession"))
+		})
+	}
+}
--- a/dispatchers/evidence.go
+++ b/dispatchers/evidence.go
@@ -92,11 +92,11 @@
 }
 
 // answeredOf returns those of the causes whose requests were answered lately.
-func (e *evidence) answeredOf(causes []crashes.Cause) []crashes.Cause {
+func (e *evidence) answeredOf(now time.Time, causes []crashes.Cause) []crashes.Cause {
 	if e.answered == nil {
 		return nil
 	}
-	return slices.DeleteFunc(causes, func(c crashes.Cause) bool { return !e.answered.Contain(c) })
+	return slices.DeleteFunc(causes, func(c crashes.Cause) bool { return !e.answered.Contain(now, c) })
 }
 
 // clear removes completed causes from the kept reports.
@@ -137,7 +137,7 @@
 		return
 	}
 	c.mu.Lock()
-	answered := c.evidence.answeredOf(causes)
+	answered := c.evidence.answeredOf(time.Now(), causes)
 	c.mu.Unlock()
 	if len(answered) > 0 {
 		c.queueUpdate(JobUpdate{Completed: answered}, notLocal)
