Hand crashes over again that were reported without a connection

A crash that an entry daemon reported while its connection to the leader was broken, or the queue of updates full, was dropped: it is handed over to the next leader, but the same leader came back and had been told everything once. Until something else caused a hand-over, a job that was placed locally for instance, the crash counted against nobody. Each such crash lets a request end one more server.

A daemon that could not send a crash or a limit now hands everything over again. So that repeated reports accuse nobody whose request was answered meanwhile, a crash is judged only once for each cause.

--- a/crashes/detector.go
+++ b/crashes/detector.go
@@ -63,9 +63,10 @@
 // crash is the end of one start of a backend server.
 type crash struct {
 	id      int
-	at      time.Time // of the first lost run
-	pending []Run     // not evaluated yet
-	dueAt   time.Time // when pending is evaluated
+	at      time.Time      // of the first lost run
+	pending []Run          // not evaluated yet
+	judged  map[Cause]bool // causes of evaluated runs
+	dueAt   time.Time      // when pending is evaluated
 }
 
 // strike is a crash that counts against a cause.
@@ -229,7 +230,7 @@
 	c := d.crashes[key]
 	if c == nil {
 		d.crashCount++
-		c = &crash{id: d.crashCount, at: at}
+		c = &crash{id: d.crashCount, at: at, judged: map[Cause]bool{}}
 		d.crashes[key] = c
 	}
 	if len(c.pending) == 0 {
@@ -331,6 +332,10 @@
 		}
 	}
 	for cause, n := range next {
+		if c.judged[cause] {
+			continue // cleared since, or counted already: the report was repeated
+		}
+		c.judged[cause] = true
 		if d.isClear(now, c.at, cause) || d.isOutlived(cause, n.longest) {
 			continue
 		}
--- a/crashes/detector_test.go
+++ b/crashes/detector_test.go
@@ -610,3 +610,23 @@
 		})
 	}
 }
+
+// Guards against a request that is accused again of crashes from before its answer, since
+// their reports were repeated.
+func TestRepeatedReportsAccuseNobodyAgain(t *testing.T) {
+	l := newCrashLog(t)
+	report := func(n int) {
+		l.d.RecordCrash(l.now, Report{Server: gypsumshelf.ServerID(fmt.Sprint("reported", n)), Age: time.Duration(quarantineStrikes-n) * time.Second, Runs: []Run{{Causes: prompt("request:r"), Duration: runTime}}})
+	}
+	for n := range quarantineStrikes - 1 {
+		report(n)
+	}
+	l.assertQuarantined(l.settle())
+	l.d.RecordCompleted(l.now, prompt("request:r"))
+	l.now = l.now.Add(3 * successRetention)
+	for n := range quarantineStrikes - 1 {
+		report(n)
+	}
+	l.assertQuarantined(l.settle())
+	l.assertQuarantined(l.crash(prompt("request:r")))
+}
--- a/dispatchers/client.go
+++ b/dispatchers/client.go
@@ -434,6 +434,16 @@
 	case c.updates <- u:
 	default:
 		c.cfg.Log.WithField("job", u.Job).Warn("the queue of updates to the scheduling daemon is full; an update was dropped")
+		c.handOverAgain([]JobUpdate{u})
+	}
+}
+
+// handOverAgain makes the leader get known crashes and limits once more, if any of them are
+// among updates that it did not get.
+func (c *Client) handOverAgain(updates []JobUpdate) {
+	if slices.ContainsFunc(updates, func(u JobUpdate) bool { return u.Crash != nil || u.Limit != nil }) {
+		c.forgetHandOver()
+		c.requestHandOver()
 	}
 }
 
@@ -531,6 +541,7 @@
 			c.suspectLeader(leader, err)
 		}
 	}
+	c.handOverAgain(updates)
 	unsent = slices.DeleteFunc(updates, func(u JobUpdate) bool { return u.Job == "" && u.Stop == nil })
 	if excess := len(unsent) - updateQueueSize; excess > 0 {
 		c.cfg.Log.WithField("dropped", excess).Warn("no leader takes updates of jobs; the oldest were dropped")
--- a/dispatchers/evidence_test.go
+++ b/dispatchers/evidence_test.go
@@ -174,3 +174,22 @@
 		})
 	}
 }
+
+// Guards against a crash that counts against nobody, since the connection to the leader was
+// lost when it was reported, and the same leader is back.
+func TestCrashReportedWithoutAConnectionIsHandedOver(t *testing.T) {
+	const cause = crashes.Cause("request:r")
+	l := newLeader(t)
+	c := newClient(t, l.address)
+	c.SetLeader(l.address, 1)
+	reportCrash(c, cause)
+	reportCrash(c, cause)
+	l.assertFindsNothing(t)
+	client, _ := c.connection()
+	client.Close()
+	crashedServers++
+	c.ReportCrash(crashes.Report{
+		Server: gypsumshelf.ServerID(fmt.Sprint("p", crashedServers)), Runs: []crashes.Run{{Causes: []crashes.Cause{cause}, Duration: 30 * time.Millisecond}},
+	})
+	l.assertFinds(t, cause)
+}
