--- a/crashes/detector.go
+++ b/crashes/detector.go
@@ -38,11 +38,6 @@
 	// AnswerRetention is the time for which entry daemons remember what they have
 	// answered, for a leader that was elected meanwhile.
 	AnswerRetention = wideSuccessRetention
-	// AbandonedTime is the time for which a backend server may go on with a request after
-	// its attempt was given up. If it lives after that, it has not ended under the request.
-	AbandonedTime = 2 * time.Second
-	// maxAbandonedRuns bounds the requests that daemons which have stopped leave behind.
-	maxAbandonedRuns = 4096
 	// handOverTime is the age of a crash at the start of a detector up to which answers
 	// from well before it are still remembered.
 	handOverTime = AnswerRetention / 2
@@ -54,12 +49,6 @@
 	born   int64
 }
 
-// abandonedRun is a request that a daemon was watching at a backend server when it stopped.
-type abandonedRun struct {
-	run   Run
-	until time.Time // when the backend server has not ended under it any more
-}
-
 // crash is the end of one start of a backend server.
 type crash struct {
 	id      int
@@ -185,34 +174,6 @@
 	return d.answersOf(c).Contain(now, c) || c.IsWide() && unknown
 }
 
-// Questioned returns the causes against which crashes from before the start of the detector
-// count only if no request with them was answered since.
-func (d *Detector) Questioned() []Cause {
-	var causes []Cause
-	for c, strikes := range d.strikes {
-		if slices.ContainsFunc(strikes, func(s strike) bool { return s.handedOver }) {
-			causes = append(causes, c)
-		}
-	}
-	return causes
-}
-
-// CountHandedOver makes the crashes from before the start of the detector count. The answers
-// to requests with the questioned causes are known now.
-func (d *Detector) CountHandedOver() {
-	if !d.answersKnown {
-		d.answersKnown, d.judgeDue = true, true
-	}
-}
-
-// counted returns the strikes that count against a cause.
-func (d *Detector) counted(c Cause) []strike {
-	if d.answersKnown {
-		return d.strikes[c]
-	}
-	return slices.DeleteFunc(slices.Clone(d.strikes[c]), func(s strike) bool { return s.handedOver })
-}
-
 // answersOf returns the answers to requests with the kind of a cause.
 func (d *Detector) answersOf(c Cause) *Answers {
 	if c.IsWide() {
@@ -245,37 +206,6 @@
 	d.forgetAbandoned(key)
 }
 
-// RecordAbandoned records requests that a daemon was watching when it stopped. They count if
-// another daemon reports the end of the backend server in time.
-func (d *Detector) RecordAbandoned(now time.Time, r Report) {
-	key := start{server: r.Server, born: r.Born}
-	if d.crashes[key] != nil {
-		d.RecordCrash(now, r)
-		return
-	}
-	until := now.Add(AbandonedTime - r.Age)
-	for _, run := range r.Runs[:min(len(r.Runs), maxAbandonedRuns-d.abandonedRuns)] {
-		d.abandoned[key] = append(d.abandoned[key], abandonedRun{run: run, until: until})
-		d.abandonedRuns++
-	}
-}
-
-// forgetAbandoned forgets what daemons that have stopped left behind at a backend server.
-func (d *Detector) forgetAbandoned(key start) {
-	d.abandonedRuns -= len(d.abandoned[key])
-	delete(d.abandoned, key)
-}
-
-// pruneAbandoned forgets requests under which no backend server can end any more. Reports of
-// its end come some time after it.
-func (d *Detector) pruneAbandoned(now time.Time) {
-	for key, runs := range d.abandoned {
-		if now.Sub(runs[len(runs)-1].until) > AbandonedTime {
-			d.forgetAbandoned(key)
-		}
-	}
-}
-
 // Settle evaluates the crashes whose lost runs are all known, and returns the new
 // quarantines.
 func (d *Detector) Settle(now time.Time) []Quarantine {
