Tell a start that another one has replaced from one that left

A start whose address another one answers at, with 421, is marked as gone. The checks took "gone" for an announced end: if any other request met the successor first, a crash counted against nobody.

The fleet now remembers by what a start is known to be gone. A successor at the address, announced or met, says that the start has ended; only draining, a leave in an answer or a departure notice says that it was planned.

TestCrashUnderAbandonedRequestIsReported, case "another request meets the next start at the address": before, 0 reports, want 1.

--- a/forwards/abandoned_test.go
+++ b/forwards/abandoned_test.go
@@ -99,6 +99,11 @@
 		{name: "another server answers", service: "plain", other: true, playCall: func(f *fixture, _ *endingServer) {
 			assertAnswer(t, f.send("POST", "/safe/x", "body"), http.StatusOK, "answer")
 		}},
+		{name: "another request meets the next start at the address", service: "plain", playCall: func(f *fixture, s *endingServer) {
+			f.sendAndLeave("/unsafe/x", "body", patience)
+			time.Sleep(endsAfter)
+			f.forwarder.cfg.Fleet.MarkGone(entryOf(f, s.record))
+		}},
 		{name: "the daemon stops", service: "plain", playCall: stop},
 		{name: "caller leaves, through another daemon", service: "plain", relays: 1, playCall: leave("/unsafe/x")},
 		{name: "the other daemon is lost", service: "plain", relays: 2, playCall: func(f *fixture, s *endingServer) {
--- a/forwards/crash_check.go
+++ b/forwards/crash_check.go
@@ -131,7 +131,7 @@
 	if !lost && !abandoned || c.forwarder.cfg.Crashes == nil {
 		return
 	}
-	if current, known := c.forwarder.cfg.Fleet.Get(a.server.ID); known && current.Born == a.server.Born && !current.Usable() {
+	if c.forwarder.cfg.Fleet.hasAnnouncedEnd(a.server) {
 		return
 	}
 	run := watchedRun{causes: req.identify().causes, began: began, endedAt: req.now(), lost: lost}
@@ -201,7 +201,7 @@
 	defer c.mu.Unlock()
 	var reports []crashes.Report
 	for _, check := range c.pending {
-		if check.recordAnnouncement(); check.announced {
+		if check.announced || c.forwarder.cfg.Fleet.hasAnnouncedEnd(check.server) {
 			continue
 		}
 		if r := check.newReport(now); len(r.Runs) > 0 {
@@ -289,7 +289,7 @@
 	c := k.checks
 	now := c.forwarder.cfg.Fleet.now()
 	c.mu.Lock()
-	k.recordAnnouncement()
+	k.announced = k.announced || c.forwarder.cfg.Fleet.hasAnnouncedEnd(k.server)
 	heard, lost, open := k.aliveAt, len(k.losses) > 0, false
 	for _, r := range k.runs {
 		open = open || !r.isCleared(heard)
@@ -308,17 +308,6 @@
 	return finding{condition: state, at: now, err: err}
 }
 
-// recordAnnouncement notes whether the backend server has announced its end. That it is gone
-// may also be known from its successor; mu of checks is held.
-func (k *crashCheck) recordAnnouncement() {
-	fleet := k.checks.forwarder.cfg.Fleet
-	current, known := fleet.Get(k.server.ID)
-	if !known || current.Born != k.server.Born {
-		return
-	}
-	k.announced = k.announced || current.Leaving || current.SaidLeaving || current.Gone && !fleet.IsReplaced(k.server)
-}
-
 // judge draws the conclusions from a round. It returns the report of a crash, without runs if
 // there was none, and whether the check has ended.
 func (k *crashCheck) judge(f finding) (report crashes.Report, done bool) {
--- a/forwards/fleet.go
+++ b/forwards/fleet.go
@@ -28,6 +28,7 @@
 // serverHealth is this daemon's own record of a backend server.
 type serverHealth struct {
 	serverStart         int64 // Born of the record; a restart resets the health
+	replaced            bool  // another start has answered at its address, and it had not announced its end
 	ownRequests         int   // this daemon's requests in progress
 	consecutiveFailures int
 	failureRate         float64 // smoothed share of failed attempts
@@ -112,12 +113,15 @@
 }
 
 // IsReplaced reports whether a later start than that of entry is known under its ID or at
-// its address, so that the start of entry has ended.
+// its address, or another one has answered there, so that the start of entry has ended.
 func (f *Fleet) IsReplaced(entry rosters.Entry) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	current, known := f.roster.Get(entry.ID)
 	successor, occupied := f.roster.At(entry.Address)
+	if h := f.health[entry.ID]; h != nil && h.serverStart == entry.Born && h.replaced {
+		return true
+	}
 	return known && current.Born > entry.Born || occupied && successor.Born > entry.Born
 }
 
@@ -157,9 +161,22 @@
 	defer f.mu.Unlock()
 	r := entry.Record
 	r.Gone = true
+	if current, known := f.roster.Get(entry.ID); known && current.Born == entry.Born && current.Usable() {
+		f.healthOf(entry).replaced = true
+	}
 	f.roster.Merge(f.now(), r)
 }
 
+// hasAnnouncedEnd reports whether the start of entry has announced that it ends. That it is
+// gone may also be known from its successor at the address.
+func (f *Fleet) hasAnnouncedEnd(entry rosters.Entry) bool {
+	replaced := f.IsReplaced(entry)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	current, known := f.roster.Get(entry.ID)
+	return known && current.Born == entry.Born && (current.Leaving || current.SaidLeaving || current.Gone && !replaced)
+}
+
 // markLeaving records that a start of a backend server has said that it leaves. It
 // returns false if that was known, or the backend server has started again.
 func (f *Fleet) markLeaving(entry rosters.Entry) bool {
