Forget refutations and found quarantines also without crashes

What a detector knows of its quarantines was only forgotten while crashes were remembered, so that the requests in progress were compared with them each second after their end. The new case of TestSharedPartOfSoundRequestsIsNotRefused failed before.

--- a/crashes/detector.go
+++ b/crashes/detector.go
@@ -211,6 +211,7 @@
 func (d *Detector) Settle(now time.Time) []Quarantine {
 	d.begin(now)
 	d.pruneAbandoned(now)
+	d.pruneRefuted(now)
 	if len(d.crashes) == 0 {
 		return nil
 	}
@@ -283,7 +284,6 @@
 	for cause, strikes := range d.strikes {
 		d.setStrikes(cause, slices.DeleteFunc(strikes, func(s strike) bool { return now.Sub(s.at) > Retention }))
 	}
-	d.pruneRefuted(now)
 	maps.DeleteFunc(d.quarantined, func(_ Cause, until time.Time) bool { return !now.Before(until) })
 }
 
--- a/crashes/refutation_test.go
+++ b/crashes/refutation_test.go
@@ -87,6 +87,21 @@
 		l.assertRefuted("shared")
 		l.assertSound(own(4))
 	})
+	t.Run("no comparison after the end of the quarantine", func(t *testing.T) {
+		l := quarantined(t)
+		l.now = l.now.Add(survivalPeriod)
+		if !l.d.NeedsRunning(l.now) {
+			t.Error("the requests in progress are not asked for")
+		}
+		for _, d := range []time.Duration{Retention + time.Second, QuarantineTime} {
+			l.now = l.now.Add(d)
+			l.settle()
+		}
+		if l.d.NeedsRunning(l.now) {
+			t.Error("the requests in progress are still asked for")
+		}
+		l.assertRefuted()
+	})
 	t.Run("a quarantine that another leader has found", func(t *testing.T) {
 		l := newCrashLog(t)
 		l.d.SetQuarantines([]Quarantine{{Cause: "shared", Until: l.now.Add(time.Hour)}}, nil)
