Share the retries of quarantine changes and the crash reports of tests

One function serves each; the counter of servers in the tests is atomic now, since some of them run in parallel. Behaviour and assertions are unchanged.

--- a/controls/quarantine.go
+++ b/controls/quarantine.go
@@ -43,10 +43,17 @@
 	}
 }
 
-func (p *quarantineProposal) commit(q crashes.Quarantine) (err error) {
+func (p *quarantineProposal) commit(q crashes.Quarantine) error {
+	return tryRepeatedly(func(ctx context.Context) error {
+		return p.daemon.Propose(ctx, catalogs.Command{Action: catalogs.QuarantineCause, Quarantine: q})
+	})
+}
+
+// tryRepeatedly returns the error of the last try to change a quarantine, nil once one succeeds.
+func tryRepeatedly(try func(context.Context) error) (err error) {
 	ctx := context.Background()
 	for range quarantineTries {
-		if err = p.daemon.Propose(ctx, catalogs.Command{Action: catalogs.QuarantineCause, Quarantine: q}); err == nil {
+		if err = try(ctx); err == nil {
 			return nil
 		}
 		timers.Sleep(ctx, quarantineRetryDelay)
@@ -79,14 +86,8 @@
 // errNoQuarantine is the error of a lift without a quarantine. It may be committed yet.
 var errNoQuarantine = errors.New("no quarantine of this cause is in force")
 
-func (r *refutation) lift(l crashes.Lift) (err error) {
-	ctx := context.Background()
-	for range quarantineTries {
-		if err = r.tryLift(ctx, l); err == nil {
-			return nil
-		}
-		timers.Sleep(ctx, quarantineRetryDelay)
-	}
+func (r *refutation) lift(l crashes.Lift) error {
+	err := tryRepeatedly(func(ctx context.Context) error { return r.tryLift(ctx, l) })
 	if errors.Is(err, errNoQuarantine) {
 		return nil
 	}
--- a/dispatchers/evidence_test.go
+++ b/dispatchers/evidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,15 +50,19 @@
 	}
 }
 
-var crashedServers int
+var crashedServers atomic.Int64
+
+// newCrash returns the report of the end of another backend server under a request.
+func newCrash(causes ...crashes.Cause) crashes.Report {
+	return crashes.Report{
+		Server: gypsumshelf.ServerID(fmt.Sprint("p", crashedServers.Add(1))), Runs: []crashes.Run{{Causes: causes, Duration: 30 * time.Millisecond}},
+	}
+}
 
 // reportCrash reports the end of another backend server under a request.
-func reportCrash(c *Client, cause crashes.Cause) {
+func reportCrash(c *Client, causes ...crashes.Cause) {
 	time.Sleep(100 * time.Millisecond) // separate crashes, not a common failure
-	crashedServers++
-	c.ReportCrash(crashes.Report{
-		Server: gypsumshelf.ServerID(fmt.Sprint("p", crashedServers)), Runs: []crashes.Run{{Causes: []crashes.Cause{cause}, Duration: 30 * time.Millisecond}},
-	})
+	c.ReportCrash(newCrash(causes...))
 }
 
 // Guards against evidence that is lost with a leader: with the third crash after a
@@ -145,11 +150,7 @@
 			sessions := 0
 			crash := func(client *Client) {
 				sessions++
-				time.Sleep(100 * time.Millisecond) // separate crashes, not a common failure
-				client.ReportCrash(crashes.Report{
-					Server: gypsumshelf.ServerID(fmt.Sprint(c.name, sessions)),
-					Runs:   []crashes.Run{{Causes: []crashes.Cause{crashes.RequestCause(fmt.Sprint(c.name, sessions)), wide}, Duration: 30 * time.Millisecond}},
-				})
+				reportCrash(client, crashes.RequestCause(fmt.Sprint(sessions)), wide)
 			}
 			crash(clients[0])
 			crash(clients[0])
@@ -187,9 +188,6 @@
 	l.assertFindsNothing(t)
 	client, _ := c.connection()
 	client.Close()
-	crashedServers++
-	c.ReportCrash(crashes.Report{
-		Server: gypsumshelf.ServerID(fmt.Sprint("p", crashedServers)), Runs: []crashes.Run{{Causes: []crashes.Cause{cause}, Duration: 30 * time.Millisecond}},
-	})
+	c.ReportCrash(newCrash(cause))
 	l.assertFinds(t, cause)
 }
